Start the workspace: design, domain, control protocol and transport

Cause: the project needs fixed interfaces before its modules can be built side by side. Change: docs/design.md with requirements, modules, state, messages, failure table and style; src/domain, src/protocol (generated code committed), src/transport (nng control client and server, Beast HTTP client and server as coroutines); interface headers of the other modules; format, lint and test scripts.

--- /dev/null
+++ b/src/config/iconfigview.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "config/configsnapshot.h"
+
+#include <memory>
+
+namespace oriolerill::config {
+
+/// Read access to the configuration in force.
+class IConfigView
+{
+public:
+    virtual ~IConfigView() = default;
+
+    /// The latest snapshot; never null, and its watermark never goes back.
+    virtual std::shared_ptr<const ConfigSnapshot> snapshot() const = 0;
+};
+
+} // namespace oriolerill::config
--- /dev/null
+++ b/src/domain/internal/socketaddress.cpp
@@ -0,0 +1,53 @@
+#include "domain/socketaddress.h"
+
+#include <array>
+#include <charconv>
+
+namespace oriolerill::domain {
+
+namespace {
+
+std::optional<unsigned> parseNumber(std::string_view text, unsigned highest)
+{
+    unsigned number = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (status != std::errc() || end != text.data() + text.size() || number > highest)
+        return std::nullopt;
+    return number;
+}
+
+bool isIpv4(std::string_view text)
+{
+    constexpr unsigned HighestOctet = 255;
+    for (int octet = 0; octet < 4; ++octet) {
+        const std::size_t dot = text.find('.');
+        if ((dot == std::string_view::npos) != (octet == 3))
+            return false;
+        if (!parseNumber(text.substr(0, dot), HighestOctet))
+            return false;
+        if (octet < 3)
+            text.remove_prefix(dot + 1);
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<SocketAddress> SocketAddress::parse(std::string_view text)
+{
+    constexpr unsigned HighestPort = 65535;
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || !isIpv4(text.substr(0, colon)))
+        return std::nullopt;
+    const std::optional<unsigned> port = parseNumber(text.substr(colon + 1), HighestPort);
+    if (!port)
+        return std::nullopt;
+    return SocketAddress{std::string(text.substr(0, colon)), static_cast<std::uint16_t>(*port)};
+}
+
+std::string SocketAddress::toString() const
+{
+    return host + ':' + std::to_string(port);
+}
+
+} // namespace oriolerill::domain
--- /dev/null
+++ b/src/membership/imembershipview.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "membership/membershipsnapshot.h"
+
+#include <memory>
+
+namespace oriolerill::membership {
+
+/// Read access to the known members.
+class IMembershipView
+{
+public:
+    virtual ~IMembershipView() = default;
+
+    /// The latest snapshot; never null.
+    virtual std::shared_ptr<const MembershipSnapshot> snapshot() const = 0;
+};
+
+} // namespace oriolerill::membership
--- /dev/null
+++ b/src/transport/httpserver.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "domain/expected.h"
+#include "domain/quantity.h"
+#include "domain/socketaddress.h"
+#include "domain/timepoint.h"
+#include "transport/httpmessage.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace oriolerill::transport {
+
+/// One request at an HttpServer and the means to answer it.
+class HttpServerExchange
+{
+public:
+    virtual ~HttpServerExchange() = default;
+
+    virtual HttpRequest &request() = 0;
+    virtual std::string remoteHost() const = 0;
+
+    /// Sends a whole response. Each send fails with Unavailable once the client has gone.
+    virtual boost::asio::awaitable<domain::Expected<domain::Done>> respond(HttpResponse response)
+            = 0;
+    /// Starts a chunked response; write() and finish() follow.
+    virtual boost::asio::awaitable<domain::Expected<domain::Done>> start(HttpResponseHead head) = 0;
+    virtual boost::asio::awaitable<domain::Expected<domain::Done>> write(std::string data) = 0;
+    /// Ends a chunked response; the fields are sent as trailers.
+    virtual boost::asio::awaitable<domain::Expected<domain::Done>> finish(HttpFields trailers) = 0;
+    /// Closes the connection without ending the response, so the client sees that it is not whole.
+    virtual void abort() = 0;
+};
+
+struct HttpServerOptions
+{
+    domain::Bytes maxHeader = domain::Bytes(16U << 10U);
+    domain::Bytes maxBody = domain::Bytes(1U << 20U);
+    /// A client that sends no complete request within this time is disconnected.
+    domain::Duration maxReadTime = std::chrono::seconds(30);
+    /// A client that takes no data for this time is disconnected.
+    domain::Duration maxWriteTime = std::chrono::seconds(30);
+    std::size_t maxConnections = 4096;
+};
+
+/// HTTP/1.1 server. Malformed, oversized and incomplete requests get a JSON error with a remedy.
+class HttpServer
+{
+public:
+    /// Runs as a coroutine on the worker pool, once per request.
+    using Handler = std::function<boost::asio::awaitable<void>(HttpServerExchange &)>;
+
+    HttpServer(boost::asio::any_io_executor executor, HttpServerOptions options);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// Starts to listen; Unavailable when the address cannot be bound. Port 0 takes a free port.
+    domain::Expected<domain::SocketAddress> start(
+            const domain::SocketAddress &address, Handler handler);
+
+    /// Stops accepting and closes idle connections; requests in progress go on.
+    void stopAccepting();
+    /// Requests whose handler has not returned yet.
+    std::size_t activeExchanges() const;
+    /// Closes every connection.
+    void closeAll();
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+/// A JSON body {"error":{"kind","message","remedy"}} with the status that fits the kind of error.
+HttpResponse errorResponse(const domain::Error &error);
+
+} // namespace oriolerill::transport
--- /dev/null
+++ b/src/transport/tests/httptest.cpp
@@ -0,0 +1,104 @@
+#include "transport/httpclient.h"
+#include "transport/httpserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace oriolerill::transport {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+class HttpFixture : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        HttpServerOptions options;
+        options.maxBody = domain::Bytes(1000);
+        m_server = std::make_unique<HttpServer>(m_pool.get_executor(), options);
+        const auto address = m_server->start({"127.0.0.1", 0}, &HttpFixture::handle);
+        ASSERT_TRUE(address);
+        m_address = *address;
+        m_client = std::make_unique<HttpClient>(m_pool.get_executor(), HttpClientOptions());
+    }
+    void TearDown() override
+    {
+        m_client.reset();
+        m_server.reset();
+        m_pool.stop();
+        m_pool.join();
+    }
+
+    static asio::awaitable<void> handle(HttpServerExchange &exchange)
+    {
+        if (exchange.request().target == "/cut") {
+            co_await exchange.start({});
+            co_await exchange.write("half");
+            exchange.abort();
+            co_return;
+        }
+        if (exchange.request().target == "/stream") {
+            co_await exchange.start({});
+            for (int i = 0; i < 3; ++i)
+                co_await exchange.write("piece" + std::to_string(i));
+            co_await exchange.finish({});
+            co_return;
+        }
+        HttpResponse response;
+        response.body = exchange.request().body;
+        co_await exchange.respond(std::move(response));
+    }
+
+    domain::Expected<HttpResponse> send(const std::string &target, std::string body = {})
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = target;
+        request.body = std::move(body);
+        const auto deadline = domain::TimePoint::clock::now() + 2s;
+        return asio::co_spawn(
+                m_pool, m_client->send(m_address, request, deadline), asio::use_future)
+                .get();
+    }
+
+    asio::thread_pool m_pool{2};
+    std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<HttpClient> m_client;
+    domain::SocketAddress m_address;
+};
+
+TEST_F(HttpFixture, send_twoRequestsOnOneConnection_bothAnswered)
+{
+    EXPECT_EQ(send("/echo", "one")->body, "one");
+    EXPECT_EQ(send("/echo", "two")->body, "two");
+}
+
+TEST_F(HttpFixture, send_chunkedAnswer_wholeBody)
+{
+    EXPECT_EQ(send("/stream")->body, "piece0piece1piece2");
+}
+
+// Guards against a cut stream that is taken for a whole answer.
+TEST_F(HttpFixture, send_abortedAnswer_unavailable)
+{
+    const auto response = send("/cut");
+    ASSERT_FALSE(response);
+    EXPECT_EQ(response.error().kind, domain::ErrorKind::Unavailable);
+}
+
+// Guards against an oversized body that exhausts memory or gets no explanation.
+TEST_F(HttpFixture, send_oversizedBody_refusedWithRemedy)
+{
+    const auto response = send("/echo", std::string(2000, 'x'));
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 413U);
+    EXPECT_NE(response->body.find("remedy"), std::string::npos);
+}
+
+} // namespace oriolerill::transport
