Add object API client, configuration, membership and their entry and agent services

Cause: no process could read the configuration or knew another. Change: object API client with back-off, rate bound and read-back of lost answers; order log; configuration table with tombstones, watermark, filtered deltas and fan-out; document checks and application; membership tables with a schedule by size; the control services of the entry and the heartbeats of the agent. control.proto gets ConfigDelta.complete, entries_hash in heartbeats and exchanges, and EntryInfo.dead. Boost's log_setup is linked, which the headers of the log need. Figures: entry_tests, 6 tests pass in one run; a change in the store reached 6 entries in one process within the test's limit of 2 s.

--- /dev/null
+++ b/src/config/fanout.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace oriolerill::config {
+
+/// A subtree of a push: the process to send to, and those that it sends on to.
+struct FanOutBranch
+{
+    std::string head;
+    std::vector<std::string> rest;
+};
+
+inline constexpr std::size_t FanOutArity = 3;
+
+/// Splits the targets into at most FanOutArity subtrees of nearly equal size.
+std::vector<FanOutBranch> splitFanOut(const std::vector<std::string> &targets);
+
+} // namespace oriolerill::config
--- /dev/null
+++ b/src/entry/internal/membershipservice.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "config/sharedconfigtable.h"
+#include "domain/socketaddress.h"
+#include "membership/imembershipview.h"
+#include "platform/iobjectstore.h"
+#include "transport/icontrolclient.h"
+#include "transport/icontrolserver.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <chrono>
+#include <memory>
+#include <vector>
+
+namespace oriolerill::entry {
+
+struct MembershipServiceOptions
+{
+    /// This entry; its incarnation grows with each start of the process.
+    membership::EntryRecord self;
+    /// Control addresses of entries to ask while no other entry is known.
+    std::vector<domain::SocketAddress> seeds;
+    domain::Duration vmListInterval = std::chrono::seconds(5);
+    domain::Duration tickInterval = std::chrono::milliseconds(100);
+};
+
+/// Takes heartbeats, exchanges membership with other entries and reads the platform's VM list.
+///
+/// The referenced objects have to live until the executor has stopped.
+class MembershipService : public membership::IMembershipView
+{
+public:
+    /// Heartbeat replies carry configuration from the table.
+    MembershipService(boost::asio::any_io_executor executor, transport::IControlClient &control,
+            platform::IObjectStore &store, const config::SharedConfigTable &table,
+            MembershipServiceOptions options);
+    ~MembershipService() override;
+    MembershipService(const MembershipService &) = delete;
+    MembershipService &operator=(const MembershipService &) = delete;
+
+    void start();
+    void stop();
+    /// Tells the other entries that this one takes no new work.
+    void announceLeaving();
+
+    std::shared_ptr<const membership::MembershipSnapshot> snapshot() const override;
+
+    /// Answers Heartbeat and MembershipExchange.
+    void handle(
+            const protocol::ControlRequest &request, const transport::IControlServer::Reply &reply);
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/membership/internal/controlschedule.cpp
@@ -0,0 +1,93 @@
+#include "membership/controlschedule.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace oriolerill::membership {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// 2 KB/s per node, less 0.8 KB/s for changes of configuration (section 5.4 of the design page).
+constexpr double HeartbeatBudget = 550;
+constexpr double ExchangeBudget = 370;
+constexpr double SummaryBudget = 230;
+
+// Up to this number, all entries of a data centre get every exchange, so that silence is noticed
+// within 2 s; the budget is meant for larger data centres.
+constexpr std::size_t SmallFleetEntries = 4;
+constexpr domain::Duration ShortestInterval = 500ms;
+// Agents learn the configuration from heartbeat replies, which has to happen within 5 s.
+constexpr domain::Duration LongestHeartbeatInterval = 4s;
+constexpr domain::Duration ShortestSummaryInterval = 1s;
+constexpr std::size_t HomesPerEndpoint = 2;
+
+domain::Duration intervalFor(double bytes, double budget, domain::Duration shortest)
+{
+    const auto needed = std::chrono::duration<double>(bytes / budget);
+    return std::max(shortest, std::chrono::duration_cast<domain::Duration>(needed));
+}
+
+double heartbeatReplyBytes(const ControlScale &scale)
+{
+    const std::size_t entries = std::max<std::size_t>(scale.entries, 1);
+    const std::size_t homes = std::min(HomesPerEndpoint, entries);
+    return static_cast<double>(scale.endpoints * homes * HeartbeatReplyBytes)
+            / static_cast<double>(entries);
+}
+
+// An entry sends an exchange and, on average, answers as many.
+constexpr double BytesPerPeer = 2.0 * ExchangeBytes;
+
+double summaryBytes(const ControlScale &scale)
+{
+    if (scale.dataCentres < 2)
+        return 0;
+    const auto entries = static_cast<double>(std::max<std::size_t>(scale.entries, 1));
+    const auto others = static_cast<double>(scale.dataCentres - 1);
+    const double toOthers = ExchangeBytes + SummaryBytes + entries * EntryInfoBytes;
+    // Each summary that arrives travels on in the exchanges inside the data centre.
+    const double insideOwn = (entries - 1) * SummaryBytes;
+    return others / entries * (toOthers + insideOwn);
+}
+
+} // namespace
+
+domain::Duration ControlSchedule::exchangeCycle(std::size_t entries) const
+{
+    const std::size_t peers = entries > 1 ? entries - 1 : 1;
+    const std::size_t rounds = (peers + peersPerExchange - 1) / peersPerExchange;
+    return exchangeInterval * static_cast<domain::Duration::rep>(rounds);
+}
+
+ControlSchedule planControl(const ControlScale &scale)
+{
+    ControlSchedule schedule;
+    schedule.heartbeatInterval = std::min(LongestHeartbeatInterval,
+            intervalFor(heartbeatReplyBytes(scale), HeartbeatBudget, ShortestInterval));
+    schedule.exchangeInterval = ShortestInterval;
+    schedule.summaryInterval = ShortestSummaryInterval;
+    schedule.peersPerExchange = std::max<std::size_t>(scale.entries, 2) - 1;
+    if (scale.entries <= SmallFleetEntries)
+        return schedule;
+    schedule.peersPerExchange = 1;
+    schedule.exchangeInterval = intervalFor(BytesPerPeer, ExchangeBudget, ShortestInterval);
+    schedule.summaryInterval
+            = intervalFor(summaryBytes(scale), SummaryBudget, ShortestSummaryInterval);
+    return schedule;
+}
+
+double entryBytesPerSecond(const ControlScale &scale, const ControlSchedule &schedule)
+{
+    const auto seconds = [](domain::Duration duration) {
+        return std::chrono::duration<double>(duration).count();
+    };
+    return heartbeatReplyBytes(scale) / seconds(schedule.heartbeatInterval)
+            + static_cast<double>(schedule.peersPerExchange) * BytesPerPeer
+            / seconds(schedule.exchangeInterval)
+            + summaryBytes(scale) / seconds(schedule.summaryInterval);
+}
+
+} // namespace oriolerill::membership
--- /dev/null
+++ b/src/membership/membershiptable.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "membership/controlschedule.h"
+#include "membership/endpointtable.h"
+#include "membership/entrytable.h"
+#include "membership/listedmember.h"
+#include "membership/membershipsnapshot.h"
+#include "protocol/control.pb.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace oriolerill::membership {
+
+/// A partner of an exchange.
+struct ExchangePeer
+{
+    domain::EntryId id;
+    domain::DataCentreId dataCentre;
+    domain::SocketAddress address;
+};
+
+/// An exchange to be sent, and what to remember once it is answered.
+struct PlannedExchange
+{
+    ExchangePeer peer;
+    protocol::MembershipExchange message;
+    std::uint64_t endpointChanges = 0;
+    std::uint64_t entryChanges = 0;
+    std::uint64_t summaryChanges = 0;
+    std::uint64_t selfChanges = 0;
+};
+
+/// What an entry knows about the members: endpoints and entries of its own data centre, entries and
+/// summaries of the others.
+class MembershipTable
+{
+public:
+    MembershipTable(EntryRecord self, domain::TimePoint now);
+
+    /// False for a delayed or repeated heartbeat.
+    bool onHeartbeat(const protocol::Heartbeat &heartbeat, domain::TimePoint now);
+    /// A request or an answer of another entry.
+    void onExchange(const protocol::MembershipExchange &exchange, domain::TimePoint now);
+    void onAnswered(const PlannedExchange &exchange);
+    void onUnreachable(const domain::EntryId &peer);
+    void onVmList(const std::vector<ListedMember> &members);
+    /// Tells the peers at once that this entry is leaving.
+    void setLeaving();
+
+    /// Judges silent members and takes over the endpoints of entries that have gone.
+    void expire(domain::TimePoint now);
+
+    /// The exchanges due now, none for peers with one under way.
+    std::vector<PlannedExchange> planExchanges(domain::TimePoint now);
+    /// The answer to an exchange.
+    protocol::MembershipExchange answer(const protocol::MembershipExchange &request);
+    /// First message to an address of which the entry is not known yet.
+    protocol::MembershipExchange introduction();
+
+    ControlSchedule schedule() const { return m_schedule; }
+    const EntryRecord &self() const { return m_entries.self(); }
+    std::vector<EntryRecord> ownEntries() const;
+    std::uint64_t ownEntriesHash() const { return m_entries.ownHash(); }
+    /// Grows with each change of the members apart from their load.
+    std::uint64_t changeCount() const
+    {
+        return m_endpoints.changeCount() + m_entries.changeCount() + m_selfChanges;
+    }
+    MembershipSnapshot snapshot(domain::TimePoint now) const;
+
+private:
+    struct PeerState
+    {
+        domain::Incarnation incarnation;
+        std::uint64_t endpointChanges = 0;
+        std::uint64_t entryChanges = 0;
+        std::uint64_t summaryChanges = 0;
+        std::uint64_t selfChanges = 0;
+        bool isUnderWay = false;
+    };
+
+    struct SummaryState
+    {
+        DataCentreSummary summary;
+        domain::TimePoint heardAt;
+        /// Set when it came from its own data centre; only such summaries are passed on.
+        std::uint64_t changedAt = 0;
+    };
+
+    DataCentreSummary buildOwnSummary() const;
+    void mergeSummary(
+            const protocol::DataCentreSummary &message, bool isFirstHand, domain::TimePoint now);
+    void chooseHomesIfNeeded(domain::TimePoint now);
+    void refreshSchedule();
+    PeerState &stateOf(const EntryRecord &peer);
+    bool hasUrgentNews(const PeerState &state) const;
+    PlannedExchange planFor(const EntryRecord &peer, PeerState &state);
+    void planOwn(domain::TimePoint now, std::vector<PlannedExchange> &planned);
+    void planRemote(domain::TimePoint now, std::vector<PlannedExchange> &planned);
+    std::optional<EntryRecord> partnerIn(const domain::DataCentreId &dataCentre) const;
+    std::set<domain::DataCentreId> otherDataCentres() const;
+
+    EndpointTable m_endpoints;
+    EntryTable m_entries;
+    std::map<domain::EntryId, PeerState> m_peers;
+    std::map<domain::DataCentreId, SummaryState> m_summaries;
+    ControlSchedule m_schedule;
+    std::vector<domain::EntryId> m_homePeers;
+    std::size_t m_homeEndpoints = 0;
+    std::uint64_t m_summarySequence = 0;
+    std::uint64_t m_summaryChanges = 0;
+    std::uint64_t m_selfChanges = 0;
+    std::size_t m_nextPeer = 0;
+    domain::TimePoint m_nextExchangeAt;
+    domain::TimePoint m_nextSummaryAt;
+    bool m_isIntroduced = false;
+};
+
+} // namespace oriolerill::membership
--- /dev/null
+++ b/src/platform/internal/outagebackoff.cpp
@@ -0,0 +1,27 @@
+#include "platform/internal/outagebackoff.h"
+
+#include <algorithm>
+
+namespace oriolerill::platform::internal {
+
+OutageBackoff::OutageBackoff(std::uint64_t seed)
+    : m_random(seed)
+{}
+
+void OutageBackoff::onSuccess()
+{
+    m_pause = {};
+    m_retryAt = {};
+}
+
+void OutageBackoff::onFailure(domain::TimePoint now)
+{
+    // Calls that went out together fail together; they count as one failure.
+    if (now < m_retryAt)
+        return;
+    m_pause = std::clamp(2 * m_pause, Shortest, Longest);
+    std::uniform_int_distribution<domain::Duration::rep> jitter(0, m_pause.count() / 2);
+    m_retryAt = now + m_pause / 2 + domain::Duration(jitter(m_random));
+}
+
+} // namespace oriolerill::platform::internal
--- /dev/null
+++ b/src/platform/internal/ratebudget.cpp
@@ -0,0 +1,44 @@
+#include "platform/internal/ratebudget.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace oriolerill::platform::internal {
+
+using Seconds = std::chrono::duration<double>;
+
+RateBudget::RateBudget(double callsPerSecond, double burst)
+    : m_callsPerSecond(callsPerSecond)
+    , m_burst(burst)
+    , m_tokens(burst)
+{}
+
+std::optional<domain::TimePoint> RateBudget::reserve(
+        domain::TimePoint now, domain::TimePoint latest)
+{
+    refill(now);
+    const double missing = std::max(0.0, 1.0 - m_tokens);
+    const Seconds wait(missing / m_callsPerSecond);
+    const domain::TimePoint at = now + std::chrono::duration_cast<domain::Duration>(wait);
+    if (at > latest)
+        return std::nullopt;
+    m_tokens -= 1.0;
+    return at;
+}
+
+void RateBudget::onRefused(domain::TimePoint now)
+{
+    refill(now);
+    m_tokens = std::min(m_tokens, 0.0);
+}
+
+void RateBudget::refill(domain::TimePoint now)
+{
+    if (now > m_refilledAt) {
+        const Seconds passed = now - m_refilledAt;
+        m_tokens = std::min(m_burst, m_tokens + passed.count() * m_callsPerSecond);
+        m_refilledAt = now;
+    }
+}
+
+} // namespace oriolerill::platform::internal
--- /dev/null
+++ b/src/platform/platformorderlog.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "platform/iobjectstore.h"
+#include "requests/iorderlog.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+
+namespace oriolerill::platform {
+
+struct OrderLogOptions
+{
+    /// Time for one call to the store.
+    domain::Duration callTimeout = std::chrono::seconds(2);
+};
+
+/// Order log on objects "orders/<service>/<slot>/<number, 12 digits>".
+///
+/// An append whose outcome is unknown is repeated until the store says whether the batch is there.
+class PlatformOrderLog : public requests::IOrderLog
+{
+public:
+    PlatformOrderLog(boost::asio::any_io_executor executor, IObjectStore &store,
+            OrderLogOptions options = {});
+    ~PlatformOrderLog() override;
+    PlatformOrderLog(const PlatformOrderLog &) = delete;
+    PlatformOrderLog &operator=(const PlatformOrderLog &) = delete;
+
+    void append(const requests::LedgerSlot &slot, std::uint64_t number,
+            const protocol::OrderBatch &batch, AppendCallback callback) override;
+    void read(
+            const requests::LedgerSlot &slot, std::uint64_t number, ReadCallback callback) override;
+    void list(const requests::LedgerSlot &slot, ListCallback callback) override;
+    void remove(const requests::LedgerSlot &slot, std::uint64_t number) override;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace oriolerill::platform
