Add the engine switch, fencing numbers and the agent's engine service

Cause: agents could not bring an engine to the wanted version. Change: EngineSwitch decides each step from desired and observed state; FenceAllocator reserves numbers in blocks, so that a holder can go on in an outage while a later holder starts above its block; EngineService drives both against /admin/state and /admin/load.

--- /dev/null
+++ b/src/agent/internal/engineservice.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "config/iconfigview.h"
+#include "distribution/iswitchgrants.h"
+#include "distribution/iweightsprovider.h"
+#include "domain/socketaddress.h"
+#include "platform/iobjectstore.h"
+#include "protocol/control.pb.h"
+#include "rollout/engineswitch.h"
+#include "rollout/ienginegate.h"
+#include "transport/httpclient.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace oriolerill::agent {
+
+struct EngineServiceOptions
+{
+    domain::EndpointId endpoint;
+    domain::DataCentreId dataCentre;
+    domain::ServiceId service;
+    domain::Incarnation incarnation;
+    /// Address of the engine or plain service on this VM.
+    domain::SocketAddress address;
+    bool isEngine = true;
+    std::string adminToken;
+    /// Address of this agent from which the engine pulls the weights.
+    domain::SocketAddress source;
+    domain::Duration pollInterval = std::chrono::milliseconds(100);
+    domain::Duration callTimeout = std::chrono::milliseconds(500);
+    domain::Duration storeTimeout = std::chrono::seconds(2);
+    rollout::EngineSwitchOptions switching;
+};
+
+/// Keeps the engine at the weights that the configuration wants and guards the admission to it. For
+/// a plain service, admission is open while it accepts connections.
+///
+/// The referenced objects have to live until the executor has stopped.
+class EngineService : public rollout::IEngineGate
+{
+public:
+    EngineService(boost::asio::any_io_executor executor, transport::HttpClient &client,
+            platform::IObjectStore &store, const config::IConfigView &config,
+            distribution::IWeightsProvider &weights, distribution::ISwitchGrants &grants,
+            EngineServiceOptions options);
+    ~EngineService() override;
+    EngineService(const EngineService &) = delete;
+    EngineService &operator=(const EngineService &) = delete;
+
+    void start();
+    void stop();
+
+    rollout::GateState state() const override;
+    rollout::GateState enter() override;
+    void leave() override;
+    std::size_t entered() const override;
+
+    /// State for the heartbeats: starting, serving or switching.
+    protocol::EndpointState endpointState() const;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace oriolerill::agent
--- /dev/null
+++ b/src/rollout/internal/engineswitch.cpp
@@ -0,0 +1,266 @@
+#include "rollout/engineswitch.h"
+
+#include <algorithm>
+
+namespace oriolerill::rollout {
+
+using domain::Digest;
+using domain::TimePoint;
+
+EngineSwitch::EngineSwitch(EngineSwitchOptions options)
+    : m_options(options)
+{}
+
+std::vector<SwitchAction> EngineSwitch::step(const SwitchInput &input, TimePoint now)
+{
+    std::vector<SwitchAction> actions;
+    notePause(now);
+    keepRequested(input, actions);
+    if (m_phase == SwitchPhase::Superseded) {
+        close();
+        return actions;
+    }
+    const EngineReading *const reading = freshReading(input, now);
+    if (reading == nullptr || reading->state == EngineState::Unreachable) {
+        closeUnlessRecent(input, reading, now);
+        return actions;
+    }
+    noteState(*reading, now);
+    settleOrder(*reading, now);
+    if (m_mustProveFence) {
+        close();
+        m_phase = SwitchPhase::Ordering;
+        actions.emplace_back(TakeFence{});
+        return actions;
+    }
+    towards(input, *reading, now, actions);
+    return actions;
+}
+
+// Leases and fencing numbers may have passed to others during a pause, so everything is read again.
+void EngineSwitch::notePause(TimePoint now)
+{
+    if (m_steppedAt && now - *m_steppedAt > m_options.longestGap) {
+        m_validFrom = now;
+        m_fence.reset();
+    }
+    m_steppedAt = now;
+}
+
+// An engine under load answers late; the gate that is open on an earlier reading stays so for a
+// while, because only an order changes the weights.
+void EngineSwitch::closeUnlessRecent(
+        const SwitchInput &input, const EngineReading *reading, TimePoint now)
+{
+    const bool isRecent = reading == nullptr && input.reading
+            && input.reading->takenAt >= m_validFrom
+            && now - input.reading->takenAt <= m_options.openLifetime;
+    if (isRecent)
+        return;
+    close();
+    if (m_phase == SwitchPhase::Serving)
+        m_phase = SwitchPhase::Starting;
+}
+
+void EngineSwitch::noteState(const EngineReading &reading, TimePoint now)
+{
+    if (reading.state != EngineState::Loading)
+        m_loadingSince.reset();
+    else if (!m_loadingSince)
+        m_loadingSince = now;
+}
+
+const EngineReading *EngineSwitch::freshReading(const SwitchInput &input, TimePoint now) const
+{
+    if (!input.reading || input.reading->takenAt < m_validFrom)
+        return nullptr;
+    return now - input.reading->takenAt <= m_options.readingLifetime ? &*input.reading : nullptr;
+}
+
+void EngineSwitch::settleOrder(const EngineReading &reading, TimePoint now)
+{
+    if (reading.fence > m_highestFence && !m_order) {
+        // An order of a process with a later number; the number must be reserved again.
+        m_highestFence = reading.fence;
+        m_fence.reset();
+    }
+    if (!m_order || reading.takenAt < m_order->sentAt)
+        return;
+    if (reading.fence > m_order->fence) {
+        m_mustProveFence = true;
+        m_highestFence = reading.fence;
+        m_order.reset();
+        return;
+    }
+    const domain::Duration waited = now - m_order->sentAt;
+    const bool isLoaded
+            = reading.state == EngineState::Ready && reading.manifest == m_order->manifest;
+    const bool isLost = reading.state != EngineState::Loading && waited > m_options.orderGrace;
+    const bool hasFailed = isLost || m_order->isRefused || waited > m_options.loadTimeout;
+    if (hasFailed)
+        m_orderNotBefore = now + m_options.orderPause;
+    if (isLoaded || hasFailed)
+        m_order.reset();
+}
+
+void EngineSwitch::towards(const SwitchInput &input, const EngineReading &reading, TimePoint now,
+        std::vector<SwitchAction> &actions)
+{
+    const bool isReady = reading.state == EngineState::Ready && !reading.manifest.isNone();
+    const bool isStuck = m_loadingSince && now - *m_loadingSince > m_options.loadTimeout;
+    if (m_order || (reading.state == EngineState::Loading && !isStuck)) {
+        close();
+        m_phase = SwitchPhase::Loading;
+        return;
+    }
+    if (isReady && (!input.desired || reading.manifest == input.desired->manifest)) {
+        open(reading.manifest);
+        endGrant(actions);
+        if (input.desired)
+            releaseOthers(reading.manifest, actions);
+        return;
+    }
+    if (isReady) {
+        replaceServing(input, reading, now, actions);
+        return;
+    }
+    close();
+    m_phase = SwitchPhase::AwaitingWeights;
+    // An empty engine serves nobody, so loading it takes nothing out of service: no grant. Attempts
+    // that entered before the engine lost its weights must not reach the new ones.
+    if (input.desired && input.isFetched && isDrained(input, reading, now))
+        order(*input.desired, now, actions);
+}
+
+void EngineSwitch::replaceServing(const SwitchInput &input, const EngineReading &reading,
+        TimePoint now, std::vector<SwitchAction> &actions)
+{
+    if (!input.isFetched) {
+        open(reading.manifest);
+        m_phase = SwitchPhase::AwaitingWeights;
+        endGrant(actions);
+        return;
+    }
+    const Digest wanted = input.desired->manifest;
+    if (m_grantRequested != wanted) {
+        m_grantRequested = wanted;
+        actions.emplace_back(RequestGrant{wanted});
+    }
+    if (!input.grantedUntil || *input.grantedUntil - now < m_options.grantMargin) {
+        open(reading.manifest);
+        m_phase = SwitchPhase::AwaitingGrant;
+        return;
+    }
+    // The number is taken while the gate is still open: in an outage there may be none.
+    if (!hasFence()) {
+        open(reading.manifest);
+        m_phase = SwitchPhase::AwaitingGrant;
+        actions.emplace_back(TakeFence{});
+        return;
+    }
+    close();
+    m_phase = SwitchPhase::Draining;
+    if (isDrained(input, reading, now))
+        order(*input.desired, now, actions);
+}
+
+bool EngineSwitch::isDrained(const SwitchInput &input, const EngineReading &reading, TimePoint now)
+{
+    if (input.entered > 0) {
+        m_emptySince.reset();
+        return false;
+    }
+    if (!m_emptySince)
+        m_emptySince = now;
+    const bool isReadSince = reading.takenAt >= *m_emptySince;
+    const bool isIdle = reading.inFlight == 0 || now - *m_emptySince > m_options.drainLag;
+    return isReadSince && isIdle;
+}
+
+void EngineSwitch::order(
+        const DesiredWeights &desired, TimePoint now, std::vector<SwitchAction> &actions)
+{
+    m_phase = SwitchPhase::Ordering;
+    if (now < m_orderNotBefore)
+        return;
+    if (!hasFence()) {
+        actions.emplace_back(TakeFence{});
+        return;
+    }
+    m_order = Order{desired.manifest, *m_fence, now, false};
+    m_highestFence = *m_fence;
+    m_fence.reset();
+    m_loadingSince = now;
+    m_phase = SwitchPhase::Loading;
+    actions.emplace_back(OrderLoad{m_order->manifest, m_order->fence});
+}
+
+void EngineSwitch::onFence(domain::FencingNumber fence)
+{
+    m_fence = fence;
+    m_mustProveFence = false;
+}
+
+void EngineSwitch::onNoFence(bool isSuperseded)
+{
+    m_fence.reset();
+    if (isSuperseded)
+        m_phase = SwitchPhase::Superseded;
+}
+
+void EngineSwitch::onOrderResult(OrderResult result)
+{
+    if (!m_order)
+        return;
+    const bool isRefused = result == OrderResult::Fenced || result == OrderResult::Refused;
+    m_order->isRefused = isRefused;
+}
+
+void EngineSwitch::keepRequested(const SwitchInput &input, std::vector<SwitchAction> &actions)
+{
+    if (!input.desired)
+        return;
+    m_requested.insert(input.desired->manifest);
+    actions.emplace_back(FetchWeights{*input.desired});
+}
+
+void EngineSwitch::releaseOthers(const Digest &kept, std::vector<SwitchAction> &actions)
+{
+    for (const Digest &manifest : m_requested) {
+        if (manifest != kept)
+            actions.emplace_back(ReleaseWeights{manifest});
+    }
+    std::erase_if(m_requested, [&](const Digest &manifest) { return manifest != kept; });
+}
+
+void EngineSwitch::endGrant(std::vector<SwitchAction> &actions)
+{
+    if (m_grantRequested) {
+        m_grantRequested.reset();
+        actions.emplace_back(WithdrawGrant{});
+    }
+}
+
+void EngineSwitch::open(const Digest &digest)
+{
+    m_phase = SwitchPhase::Serving;
+    m_hasServed = true;
+    if (m_gate.isOpen && m_gate.activeDigest == digest)
+        return;
+    if (m_gate.isOpen)
+        ++m_gate.epoch;
+    m_gate.isOpen = true;
+    m_gate.activeDigest = digest;
+}
+
+void EngineSwitch::close()
+{
+    if (!m_gate.isOpen)
+        return;
+    m_emptySince.reset();
+    m_gate.isOpen = false;
+    m_gate.activeDigest = Digest();
+    ++m_gate.epoch;
+}
+
+} // namespace oriolerill::rollout
--- /dev/null
+++ b/src/rollout/tests/engineswitchtest.cpp
@@ -0,0 +1,305 @@
+#include "rollout/engineswitch.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <random>
+
+namespace oriolerill::rollout {
+
+using namespace std::chrono_literals;
+using domain::Digest;
+using domain::FencingNumber;
+using domain::TimePoint;
+
+namespace {
+
+const Digest OldWeights = Digest::of(std::string_view("old"));
+const Digest NewWeights = Digest::of(std::string_view("new"));
+
+/// An engine that takes a while to load, and may ignore fencing numbers.
+struct FakeEngine
+{
+    EngineState state = EngineState::Empty;
+    Digest manifest;
+    FencingNumber fence;
+    bool ignoresFences = false;
+    TimePoint readyAt;
+
+    OrderResult load(const OrderLoad &order, TimePoint now)
+    {
+        if (!ignoresFences && order.fence < fence)
+            return OrderResult::Fenced;
+        fence = order.fence;
+        manifest = order.manifest;
+        state = EngineState::Loading;
+        readyAt = now + 500ms;
+        return OrderResult::Accepted;
+    }
+    void advance(TimePoint now)
+    {
+        if (state == EngineState::Loading && now >= readyAt)
+            state = EngineState::Ready;
+    }
+    void restart()
+    {
+        state = EngineState::Empty;
+        manifest = Digest();
+        fence = FencingNumber();
+    }
+};
+
+} // namespace
+
+class EngineSwitchFixture : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        engine.state = EngineState::Ready;
+        engine.manifest = OldWeights;
+        input.desired = DesiredWeights{OldWeights, 0};
+        input.isFetched = true;
+        tick();
+        ASSERT_TRUE(machine.gate().isOpen);
+    }
+
+    void tick(domain::Duration step = 100ms)
+    {
+        now += step;
+        engine.advance(now);
+        if (isReading) {
+            input.reading
+                    = EngineReading{engine.state, engine.manifest, engine.fence, 0, now - 1ms};
+        }
+        stepAndPerform();
+        if (std::exchange(hasNewFence, false))
+            stepAndPerform();
+    }
+    void stepAndPerform()
+    {
+        actions = machine.step(input, now);
+        for (const SwitchAction &action : actions)
+            perform(action);
+        if (machine.gate().isOpen && isReading) {
+            EXPECT_EQ(machine.gate().activeDigest, engine.manifest);
+        }
+    }
+    void perform(const SwitchAction &action)
+    {
+        if (std::holds_alternative<TakeFence>(action) && hasPlatform) {
+            machine.onFence(FencingNumber(++fence));
+            hasNewFence = true;
+        }
+        if (std::holds_alternative<RequestGrant>(action) && hasTracker)
+            input.grantedUntil = now + 10s;
+        if (std::holds_alternative<WithdrawGrant>(action))
+            input.grantedUntil.reset();
+        const auto *const order = std::get_if<OrderLoad>(&action);
+        if (order == nullptr)
+            return;
+        EXPECT_FALSE(machine.gate().isOpen);
+        EXPECT_EQ(input.entered, 0U);
+        ++orders;
+        if (ordersToLose > 0) {
+            --ordersToLose;
+            machine.onOrderResult(OrderResult::Unknown);
+            return;
+        }
+        machine.onOrderResult(engine.load(*order, now));
+    }
+    void run(domain::Duration duration)
+    {
+        for (const TimePoint end = now + duration; now < end;)
+            tick();
+    }
+    bool isServing(const Digest &digest) const
+    {
+        return machine.gate().isOpen && machine.gate().activeDigest == digest;
+    }
+
+    EngineSwitch machine;
+    FakeEngine engine;
+    SwitchInput input;
+    TimePoint now = TimePoint(1h);
+    std::vector<SwitchAction> actions;
+    std::uint64_t fence = 0;
+    int orders = 0;
+    int ordersToLose = 0;
+    bool hasPlatform = true;
+    bool hasTracker = true;
+    bool isReading = true;
+    bool hasNewFence = false;
+};
+
+// Guards against requests that run on weights which are replaced under them.
+TEST_F(EngineSwitchFixture, switch_requestsInside_waitsForThem)
+{
+    input.entered = 2;
+    input.desired->manifest = NewWeights;
+    run(1s);
+    EXPECT_FALSE(machine.gate().isOpen);
+    EXPECT_EQ(orders, 0);
+    input.entered = 0;
+    run(2s);
+    EXPECT_TRUE(isServing(NewWeights));
+    EXPECT_EQ(orders, 1);
+}
+
+TEST_F(EngineSwitchFixture, switch_notFetched_keepsServingOldWeights)
+{
+    input.desired->manifest = NewWeights;
+    input.isFetched = false;
+    run(2s);
+    EXPECT_TRUE(isServing(OldWeights));
+}
+
+// Guards against more endpoints out of service at once than the rollout allows.
+TEST_F(EngineSwitchFixture, switch_withoutGrant_keepsServingOldWeights)
+{
+    hasTracker = false;
+    input.desired->manifest = NewWeights;
+    run(2s);
+    EXPECT_TRUE(isServing(OldWeights));
+    EXPECT_EQ(orders, 0);
+}
+
+// Guards against an endpoint that stays closed because its lease expired while it drained.
+TEST_F(EngineSwitchFixture, switch_grantExpiresWhileDraining_reopens)
+{
+    input.entered = 1;
+    input.desired->manifest = NewWeights;
+    run(1s);
+    ASSERT_FALSE(machine.gate().isOpen);
+    input.grantedUntil = now;
+    tick();
+    EXPECT_TRUE(isServing(OldWeights));
+}
+
+// Guards against an order on a lease that has passed to another endpoint during a pause.
+TEST_F(EngineSwitchFixture, switch_pausedLongerThanLease_readsAgainBeforeOrder)
+{
+    input.entered = 1;
+    input.desired->manifest = NewWeights;
+    run(1s);
+    input.entered = 0;
+    isReading = false;
+    input.reading->takenAt = now + 15s;
+    now += 15s;
+    actions = machine.step(input, now + 1ms);
+    for (const SwitchAction &action : actions)
+        EXPECT_FALSE(std::holds_alternative<OrderLoad>(action));
+    EXPECT_FALSE(machine.gate().isOpen);
+    isReading = true;
+    hasTracker = false;
+    run(1s);
+    EXPECT_TRUE(isServing(OldWeights));
+    EXPECT_EQ(orders, 0);
+}
+
+// Guards against an outage of the platform that takes endpoints out of service.
+TEST_F(EngineSwitchFixture, switch_noFencingNumber_keepsServingOldWeights)
+{
+    hasPlatform = false;
+    input.desired->manifest = NewWeights;
+    run(3s);
+    EXPECT_TRUE(isServing(OldWeights));
+    hasPlatform = true;
+    run(2s);
+    EXPECT_TRUE(isServing(NewWeights));
+}
+
+// Guards against waiting for ever on an order whose answer, or which itself, was lost.
+TEST_F(EngineSwitchFixture, switch_orderLost_orderedAgainWithHigherNumber)
+{
+    ordersToLose = 1;
+    input.desired->manifest = NewWeights;
+    run(6s);
+    EXPECT_EQ(orders, 2);
+    EXPECT_TRUE(isServing(NewWeights));
+}
+
+// Guards against an engine that restarts during a load and stays empty.
+TEST_F(EngineSwitchFixture, switch_engineRestartsDuringLoad_loadsAgain)
+{
+    input.desired->manifest = NewWeights;
+    while (engine.state != EngineState::Loading)
+        tick();
+    engine.restart();
+    run(5s);
+    EXPECT_TRUE(isServing(NewWeights));
+}
+
+// Guards against requests to an engine that has lost its weights.
+TEST_F(EngineSwitchFixture, serving_engineLosesWeights_closesAndLoads)
+{
+    const std::uint64_t epoch = machine.gate().epoch;
+    engine.restart();
+    tick();
+    EXPECT_FALSE(machine.gate().isOpen);
+    EXPECT_GT(machine.gate().epoch, epoch);
+    run(3s);
+    EXPECT_TRUE(isServing(OldWeights));
+}
+
+// Guards against the late order of an old agent, on an engine that ignores fencing numbers, that
+// leaves other weights behind an open gate.
+TEST_F(EngineSwitchFixture, serving_lateOrderOnEngineWithoutFences_digestNeverMixed)
+{
+    engine.ignoresFences = true;
+    input.desired->manifest = NewWeights;
+    run(3s);
+    ASSERT_TRUE(isServing(NewWeights));
+    engine.load(OrderLoad{OldWeights, FencingNumber(1)}, now);
+    tick();
+    EXPECT_FALSE(machine.gate().isOpen);
+    run(5s);
+    EXPECT_TRUE(isServing(NewWeights));
+}
+
+// Guards against two agents that order in turn: the superseded one has to stop.
+TEST_F(EngineSwitchFixture, loading_laterFenceSeen_closedUntilNumberIsProved)
+{
+    input.desired->manifest = NewWeights;
+    while (engine.state != EngineState::Loading)
+        tick();
+    hasPlatform = false;
+    engine.load(OrderLoad{OldWeights, FencingNumber(100)}, now);
+    run(3s);
+    EXPECT_FALSE(machine.gate().isOpen);
+    machine.onNoFence(true);
+    run(1s);
+    EXPECT_EQ(machine.phase(), SwitchPhase::Superseded);
+    EXPECT_EQ(orders, 1);
+}
+
+// Guards against a state from which no sequence of failures leads back to service. The invariants
+// (gate open only on the engine's weights, orders only when closed and empty) are checked in every
+// step.
+TEST_F(EngineSwitchFixture, switch_randomFailures_convergesOnDesired)
+{
+    for (std::uint32_t seed = 0; seed < 200; ++seed) {
+        std::mt19937 random(seed);
+        input.desired->manifest = seed % 2 == 0 ? NewWeights : OldWeights;
+        engine.ignoresFences = seed % 3 == 0;
+        for (int i = 0; i < 40; ++i) {
+            if (random() % 15 == 0)
+                engine.restart();
+            ordersToLose = random() % 10 == 0 ? 1 : 0;
+            hasPlatform = random() % 4 != 0;
+            // Attempts enter while the gate is open and may leave at any time.
+            input.entered = machine.gate().isOpen ? random() % 3 : random() % (input.entered + 1);
+            if (random() % 10 == 0)
+                input.grantedUntil.reset();
+            tick(random() % 20 == 0 ? 3s : 100ms);
+        }
+        ordersToLose = 0;
+        hasPlatform = true;
+        input.entered = 0;
+        input.grantedUntil = now + 1h;
+        run(10s);
+        ASSERT_TRUE(isServing(input.desired->manifest)) << "seed " << seed;
+    }
+}
+
+} // namespace oriolerill::rollout
