--- a/src/config/configtable.h
+++ b/src/config/configtable.h
@@ -28,8 +28,8 @@
 ///
 /// Merging is commutative and idempotent: an item never goes back to a lower version, whatever the
 /// order, duplication or loss of deltas. The watermark is the version up to which all changes are
-/// known. Deleted items stay as tombstones; an unknown item at or below the watermark has been
-/// deleted before, so old tombstones can be dropped.
+/// known, so nothing at or below it is news, apart from what a complete list at or above it says.
+/// Deleted items stay as tombstones; old ones can be dropped for the same reason.
 class ConfigTable
 {
 public:
@@ -40,7 +40,7 @@
     std::size_t size() const { return m_records.size(); }
 
     /// What a receiver with this watermark has to learn; complete when the tombstones since then
-    /// are no longer all known. Long deltas end early, with a lower watermark.
+    /// are no longer all known. Other long deltas end early, with a lower watermark.
     protocol::ConfigDelta deltaSince(
             const domain::ConfigVersion &watermark, const DeltaFilter &filter) const;
 
--- a/src/config/internal/configtable.cpp
+++ b/src/config/internal/configtable.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t MaxTombstones = 4096;
 // Below the 1 MiB that nng accepts in one message by default.
 constexpr std::size_t MaxDeltaBytes = 512U << 10U;
+constexpr std::size_t ItemOverhead = 32;
 
 enum class Relevance {
     None,
@@ -119,11 +120,12 @@
 
 bool ConfigTable::adopt(ConfigItem item, bool isFromCompleteList, MergeResult &result)
 {
+    // All changes up to the watermark are known; such an item has been replaced or deleted since.
+    if (item.version <= m_watermark && !isFromCompleteList)
+        return false;
     const auto found = m_records.find(item.key);
     if (found != m_records.end() && found->second.item.version >= item.version)
         return false;
-    if (found == m_records.end() && item.version <= m_watermark && !isFromCompleteList)
-        return false;
     std::optional<ItemSpec> spec = item.isDeleted ? std::nullopt : parseItem(item);
     const bool isInvalid = !item.isDeleted && !spec;
     if (isInvalid)
@@ -180,11 +182,7 @@
     const bool isBehind = m_watermark <= watermark;
     if (isBehind || watermark >= m_tombstoneHorizon)
         return changesSince(watermark, filter);
-    protocol::ConfigDelta complete = completeDelta(filter);
-    const bool hasNoItems = watermark == ConfigVersion();
-    if (hasNoItems && complete.ByteSizeLong() > MaxDeltaBytes)
-        return changesSince(watermark, filter);
-    return complete;
+    return completeDelta(filter);
 }
 
 protocol::ConfigDelta ConfigTable::completeDelta(const DeltaFilter &filter) const
@@ -221,7 +219,7 @@
             continue;
         const bool isDeleted = record.item.isDeleted || part == Relevance::AsDeletion;
         addItem(record.item, isDeleted, delta);
-        bytes += record.item.json.size() + it->key.name.size();
+        bytes += record.item.json.size() + it->key.name.size() + ItemOverhead;
     }
     return delta;
 }
--- a/src/entry/internal/configservice.cpp
+++ b/src/entry/internal/configservice.cpp
@@ -31,6 +31,8 @@
 constexpr auto PushTimeout = std::chrono::milliseconds(500);
 constexpr auto PullTimeout = std::chrono::milliseconds(800);
 constexpr auto RetryPause = std::chrono::milliseconds(200);
+// A new entry asks its peers first, to spare the store.
+constexpr auto PeersTimeout = std::chrono::seconds(1);
 // One pull in five goes to another data centre, in case the own one is cut off from the platform.
 constexpr unsigned PullsPerRemotePull = 5;
 
@@ -142,9 +144,13 @@
 
 asio::awaitable<void> ConfigService::Implementation::watchLoop()
 {
+    const TimePoint startedAt = TimePoint::clock::now();
     bool needsList = false;
     while (!m_isStopped) {
-        if (!isWatcher()) {
+        // Peers that have nothing, or more than a message can hold, are no help to a new entry.
+        const bool isStuck = m_table.watermark() == ConfigVersion()
+                && TimePoint::clock::now() - startedAt > PeersTimeout;
+        if (!isWatcher() && !isStuck) {
             co_await pause(RetryPause);
             continue;
         }
--- a/src/membership/internal/controlschedule.cpp
+++ b/src/membership/internal/controlschedule.cpp
@@ -12,11 +12,13 @@
 
 // 2 KB/s per node, less 0.8 KB/s for changes of configuration (section 5.4 of the design page).
 constexpr double HeartbeatBudget = 550;
+// Small data centres may spend more on heartbeats, so that silence is noticed within 2 s.
+constexpr double SmallFleetHeartbeatBudget = 1200;
 constexpr double ExchangeBudget = 370;
 constexpr double SummaryBudget = 230;
 
-// Up to this number, all entries of a data centre get every exchange, so that silence is noticed
-// within 2 s; the budget is meant for larger data centres.
+// Up to this number, all entries of a data centre get every exchange; the budget of 2 KB/s is meant
+// for larger data centres.
 constexpr std::size_t SmallFleetEntries = 4;
 constexpr domain::Duration ShortestInterval = 500ms;
 // Agents learn the configuration from heartbeat replies, which has to happen within 5 s.
@@ -65,12 +67,14 @@
 ControlSchedule planControl(const ControlScale &scale)
 {
     ControlSchedule schedule;
+    const bool isSmall = scale.entries <= SmallFleetEntries;
+    const double heartbeatBudget = isSmall ? SmallFleetHeartbeatBudget : HeartbeatBudget;
     schedule.heartbeatInterval = std::min(LongestHeartbeatInterval,
-            intervalFor(heartbeatReplyBytes(scale), HeartbeatBudget, ShortestInterval));
+            intervalFor(heartbeatReplyBytes(scale), heartbeatBudget, ShortestInterval));
     schedule.exchangeInterval = ShortestInterval;
     schedule.summaryInterval = ShortestSummaryInterval;
     schedule.peersPerExchange = std::max<std::size_t>(scale.entries, 2) - 1;
-    if (scale.entries <= SmallFleetEntries)
+    if (isSmall)
         return schedule;
     schedule.peersPerExchange = 1;
     schedule.exchangeInterval = intervalFor(BytesPerPeer, ExchangeBudget, ShortestInterval);
