--- a/src/agent/tests/engineservicetest.cpp
+++ b/src/agent/tests/engineservicetest.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-const Digest Wanted = Digest::of(std::string_view("wanted"));
+const Digest wantedWeights = Digest::of(std::string_view("wanted"));
 
 bool eventually(const std::function<bool()> &condition)
 {
@@ -81,7 +81,7 @@
     void rollOut()
     {
         json::object spec{{"service", "drafting"}, {"model", "quill"}, {"modelVersion", "2"},
-                {"manifest", Wanted.hex()}};
+                {"manifest", wantedWeights.hex()}};
         protocol::ConfigDelta delta;
         protocol::ConfigItem *const item = delta.add_items();
         item->set_kind("rollout");
@@ -130,7 +130,7 @@
     rollOut();
     startService();
     EXPECT_TRUE(eventually([&] { return m_service->state().isOpen; }));
-    EXPECT_EQ(m_service->enter().activeDigest, Wanted);
+    EXPECT_EQ(m_service->enter().activeDigest, wantedWeights);
     EXPECT_EQ(m_service->entered(), 1U);
     EXPECT_EQ(m_service->endpointState(), protocol::ENDPOINT_STATE_SERVING);
     const std::scoped_lock lock(m_mutex);
--- a/src/membership/endpointtable.h
+++ b/src/membership/endpointtable.h
@@ -36,6 +36,8 @@
     std::vector<EndpointRecord> records() const;
     /// Endpoints heard or judged here that have changed since a value of changeCount().
     std::vector<EndpointRecord> changesSince(std::uint64_t count) const;
+    /// Count at the newest of these changes.
+    std::uint64_t newestOwnChange() const;
     /// Grows with each change that others have to learn; changes of load alone do not count.
     std::uint64_t changeCount() const { return m_changeCount; }
     std::size_t size() const { return m_members.size(); }
@@ -61,6 +63,7 @@
     };
 
     static bool isJudge(const Member &member);
+    static bool isOwn(const Member &member) { return member.isHome || member.isDirect; }
     bool adopt(const EndpointRecord &record, domain::TimePoint now);
     void setState(Member &member, protocol::EndpointState state);
     void touch(Member &member) { member.changedAt = ++m_changeCount; }
--- a/src/membership/internal/endpointtable.cpp
+++ b/src/membership/internal/endpointtable.cpp
@@ -175,10 +175,20 @@
 {
     std::vector<EndpointRecord> changes;
     for (const auto &[id, member] : m_members) {
-        if ((member.isHome || member.isDirect) && member.changedAt > count)
+        if (isOwn(member) && member.changedAt > count)
             changes.push_back(member.record);
     }
     return changes;
 }
 
+std::uint64_t EndpointTable::newestOwnChange() const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[id, member] : m_members) {
+        if (isOwn(member))
+            newest = std::max(newest, member.changedAt);
+    }
+    return newest;
+}
+
 } // namespace oriolerill::membership
--- a/src/membership/internal/membershiptable.cpp
+++ b/src/membership/internal/membershiptable.cpp
@@ -204,12 +204,9 @@
     ++m_selfChanges;
 }
 
-bool MembershipTable::hasUrgentNews(const PeerState &state) const
+bool MembershipTable::hasUrgentNews(const PeerState &state, std::uint64_t newestChange) const
 {
-    if (state.selfChanges < m_selfChanges)
-        return true;
-    return state.endpointChanges < m_endpoints.changeCount()
-            && !m_endpoints.changesSince(state.endpointChanges).empty();
+    return state.selfChanges < m_selfChanges || state.endpointChanges < newestChange;
 }
 
 void MembershipTable::planOwn(TimePoint now, std::vector<PlannedExchange> &planned)
@@ -225,9 +222,10 @@
         for (std::size_t i = 0; i < std::min(m_schedule.peersPerExchange, peers.size()); ++i)
             due.insert(peers[m_nextPeer++ % peers.size()].id);
     }
+    const std::uint64_t newestChange = m_endpoints.newestOwnChange();
     for (const EntryRecord &peer : peers) {
         PeerState &state = stateOf(peer);
-        const bool isUrgent = peer.isAlive && hasUrgentNews(state);
+        const bool isUrgent = peer.isAlive && hasUrgentNews(state, newestChange);
         if (!state.isUnderWay && (isUrgent || due.contains(peer.id)))
             planned.push_back(planFor(peer, state));
     }
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -96,7 +96,7 @@
     void chooseHomesIfNeeded(domain::TimePoint now);
     void refreshSchedule();
     PeerState &stateOf(const EntryRecord &peer);
-    bool hasUrgentNews(const PeerState &state) const;
+    bool hasUrgentNews(const PeerState &state, std::uint64_t newestChange) const;
     PlannedExchange planFor(const EntryRecord &peer, PeerState &state);
     void planOwn(domain::TimePoint now, std::vector<PlannedExchange> &planned);
     void planRemote(domain::TimePoint now, std::vector<PlannedExchange> &planned);
--- a/src/rollout/tests/engineswitchtest.cpp
+++ b/src/rollout/tests/engineswitchtest.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-const Digest OldWeights = Digest::of(std::string_view("old"));
-const Digest NewWeights = Digest::of(std::string_view("new"));
+const Digest oldWeights = Digest::of(std::string_view("old"));
+const Digest newWeights = Digest::of(std::string_view("new"));
 
 /// An engine that takes a while to load, and may ignore fencing numbers.
 struct FakeEngine
@@ -57,8 +57,8 @@
     void SetUp() override
     {
         engine.state = EngineState::Ready;
-        engine.manifest = OldWeights;
-        input.desired = DesiredWeights{OldWeights, 0};
+        engine.manifest = oldWeights;
+        input.desired = DesiredWeights{oldWeights, 0};
         input.isFetched = true;
         tick();
         ASSERT_TRUE(machine.gate().isOpen);
@@ -136,31 +136,31 @@
 TEST_F(EngineSwitchFixture, switch_requestsInside_waitsForThem)
 {
     input.entered = 2;
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     run(1s);
     EXPECT_FALSE(machine.gate().isOpen);
     EXPECT_EQ(orders, 0);
     input.entered = 0;
     run(2s);
-    EXPECT_TRUE(isServing(NewWeights));
+    EXPECT_TRUE(isServing(newWeights));
     EXPECT_EQ(orders, 1);
 }
 
 TEST_F(EngineSwitchFixture, switch_notFetched_keepsServingOldWeights)
 {
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     input.isFetched = false;
     run(2s);
-    EXPECT_TRUE(isServing(OldWeights));
+    EXPECT_TRUE(isServing(oldWeights));
 }
 
 // Guards against more endpoints out of service at once than the rollout allows.
 TEST_F(EngineSwitchFixture, switch_withoutGrant_keepsServingOldWeights)
 {
     hasTracker = false;
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     run(2s);
-    EXPECT_TRUE(isServing(OldWeights));
+    EXPECT_TRUE(isServing(oldWeights));
     EXPECT_EQ(orders, 0);
 }
 
@@ -168,19 +168,19 @@
 TEST_F(EngineSwitchFixture, switch_grantExpiresWhileDraining_reopens)
 {
     input.entered = 1;
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     run(1s);
     ASSERT_FALSE(machine.gate().isOpen);
     input.grantedUntil = now;
     tick();
-    EXPECT_TRUE(isServing(OldWeights));
+    EXPECT_TRUE(isServing(oldWeights));
 }
 
 // Guards against an order on a lease that has passed to another endpoint during a pause.
 TEST_F(EngineSwitchFixture, switch_pausedLongerThanLease_readsAgainBeforeOrder)
 {
     input.entered = 1;
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     run(1s);
     input.entered = 0;
     isReading = false;
@@ -193,7 +193,7 @@
     isReading = true;
     hasTracker = false;
     run(1s);
-    EXPECT_TRUE(isServing(OldWeights));
+    EXPECT_TRUE(isServing(oldWeights));
     EXPECT_EQ(orders, 0);
 }
 
@@ -201,33 +201,33 @@
 TEST_F(EngineSwitchFixture, switch_noFencingNumber_keepsServingOldWeights)
 {
     hasPlatform = false;
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     run(3s);
-    EXPECT_TRUE(isServing(OldWeights));
+    EXPECT_TRUE(isServing(oldWeights));
     hasPlatform = true;
     run(2s);
-    EXPECT_TRUE(isServing(NewWeights));
+    EXPECT_TRUE(isServing(newWeights));
 }
 
 // Guards against waiting for ever on an order whose answer, or which itself, was lost.
 TEST_F(EngineSwitchFixture, switch_orderLost_orderedAgainWithHigherNumber)
 {
     ordersToLose = 1;
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     run(6s);
     EXPECT_EQ(orders, 2);
-    EXPECT_TRUE(isServing(NewWeights));
+    EXPECT_TRUE(isServing(newWeights));
 }
 
 // Guards against an engine that restarts during a load and stays empty.
 TEST_F(EngineSwitchFixture, switch_engineRestartsDuringLoad_loadsAgain)
 {
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     while (engine.state != EngineState::Loading)
         tick();
     engine.restart();
     run(5s);
-    EXPECT_TRUE(isServing(NewWeights));
+    EXPECT_TRUE(isServing(newWeights));
 }
 
 // Guards against requests to an engine that has lost its weights.
@@ -239,7 +239,7 @@
     EXPECT_FALSE(machine.gate().isOpen);
     EXPECT_GT(machine.gate().epoch, epoch);
     run(3s);
-    EXPECT_TRUE(isServing(OldWeights));
+    EXPECT_TRUE(isServing(oldWeights));
 }
 
 // Guards against the late order of an old agent, on an engine that ignores fencing numbers, that
@@ -247,24 +247,24 @@
 TEST_F(EngineSwitchFixture, serving_lateOrderOnEngineWithoutFences_digestNeverMixed)
 {
     engine.ignoresFences = true;
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     run(3s);
-    ASSERT_TRUE(isServing(NewWeights));
-    engine.load(OrderLoad{OldWeights, FencingNumber(1)}, now);
+    ASSERT_TRUE(isServing(newWeights));
+    engine.load(OrderLoad{oldWeights, FencingNumber(1)}, now);
     tick();
     EXPECT_FALSE(machine.gate().isOpen);
     run(5s);
-    EXPECT_TRUE(isServing(NewWeights));
+    EXPECT_TRUE(isServing(newWeights));
 }
 
 // Guards against two agents that order in turn: the superseded one has to stop.
 TEST_F(EngineSwitchFixture, loading_laterFenceSeen_closedUntilNumberIsProved)
 {
-    input.desired->manifest = NewWeights;
+    input.desired->manifest = newWeights;
     while (engine.state != EngineState::Loading)
         tick();
     hasPlatform = false;
-    engine.load(OrderLoad{OldWeights, FencingNumber(100)}, now);
+    engine.load(OrderLoad{oldWeights, FencingNumber(100)}, now);
     run(3s);
     EXPECT_FALSE(machine.gate().isOpen);
     machine.onNoFence(true);
@@ -280,7 +280,7 @@
 {
     for (std::uint32_t seed = 0; seed < 200; ++seed) {
         std::mt19937 random(seed);
-        input.desired->manifest = seed % 2 == 0 ? NewWeights : OldWeights;
+        input.desired->manifest = seed % 2 == 0 ? newWeights : oldWeights;
         engine.ignoresFences = seed % 3 == 0;
         for (int i = 0; i < 40; ++i) {
             if (random() % 15 == 0)
