Plan the swarm of a version and schedule the fetches of an agent

Cause: one model has to reach every VM over thin links, with about one copy from the origin. Change: SwarmPlanner plans all versions of a (data centre, service): RelayPlan chooses by rendezvous hashing which region takes a chunk from the origin and how it goes on, so that every link between regions carries 1/(regions-1) of the chunks; within a data centre the rarest chunks go first, uploads are kept even, and outstanding fetches follow the measured rate of agent, source and link.

--- /dev/null
+++ b/src/distribution/internal/remotesite.cpp
@@ -0,0 +1,107 @@
+#include "distribution/internal/remotesite.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace oriolerill::distribution::internal {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t MaxHolders = 64;
+constexpr domain::Duration HolderLifetime = 10s;
+constexpr domain::Duration UnreachableAfter = 4s;
+constexpr domain::Duration EmptyAfter = 3s;
+constexpr int MinFailures = 2;
+
+} // namespace
+
+RemoteSite::RemoteSite(SwarmSite site, domain::TimePoint now)
+    : m_site(std::move(site))
+    , m_lastReply(now)
+    , m_lastProgress(now)
+    , m_lastNonEmpty(now)
+{}
+
+void RemoteSite::learn(const protocol::HaveReply &reply, std::size_t chunks, SourceTable &sources,
+        domain::TimePoint now)
+{
+    m_lastReply = now;
+    m_failures = 0;
+    if (reply.holders_size() > 0)
+        m_lastNonEmpty = now;
+    for (const protocol::HaveHolder &holder : reply.holders())
+        learnHolder(holder, chunks, sources, now);
+    std::erase_if(m_holders,
+            [now](const Holder &holder) { return holder.seenAt + HolderLifetime < now; });
+    HaveMap available(chunks);
+    for (const Holder &holder : m_holders) {
+        if (holder.have.size() == chunks)
+            available.merge(holder.have);
+    }
+    if (available.count() > m_available.count())
+        m_lastProgress = now;
+    m_available = std::move(available);
+}
+
+void RemoteSite::learnHolder(const protocol::HaveHolder &holder, std::size_t chunks,
+        SourceTable &sources, domain::TimePoint now)
+{
+    // An endpoint without the manifest names itself with an empty map.
+    if (holder.address().empty() || holder.have().empty())
+        return;
+    const SourceTable::Index source = sources.find(holder.address());
+    auto entry = std::find_if(m_holders.begin(), m_holders.end(),
+            [source](const Holder &known) { return known.source == source; });
+    if (entry == m_holders.end()) {
+        if (m_holders.size() == MaxHolders)
+            m_holders.erase(m_holders.begin());
+        entry = m_holders.insert(m_holders.end(), Holder{source, {}, now});
+    }
+    entry->have = HaveMap::fromBytes(holder.have(), chunks);
+    entry->seenAt = now;
+}
+
+bool RemoteSite::isUnreachable(domain::TimePoint now) const
+{
+    return m_failures >= MinFailures && now - m_lastReply > UnreachableAfter;
+}
+
+bool RemoteSite::isWithoutEndpoints(domain::TimePoint now) const
+{
+    return m_lastReply - m_lastNonEmpty > EmptyAfter && now - m_lastNonEmpty > EmptyAfter;
+}
+
+bool RemoteSite::isStalled(domain::TimePoint now, domain::Duration limit) const
+{
+    return now - m_lastProgress > limit;
+}
+
+std::optional<SourceTable::Index> RemoteSite::pick(std::size_t chunk, const SourceTable &sources,
+        std::size_t rotation, domain::TimePoint now) const
+{
+    std::optional<SourceTable::Index> best;
+    for (std::size_t i = 0; i < m_holders.size(); ++i) {
+        const Holder &holder = m_holders[(i + rotation) % m_holders.size()];
+        if (!holder.have.test(chunk) || !sources.isUsable(holder.source, now))
+            continue;
+        if (!best || sources.outstanding(holder.source) < sources.outstanding(*best))
+            best = holder.source;
+    }
+    return best;
+}
+
+std::optional<SourceTable::Index> RemoteSite::pickForManifest(
+        const SourceTable &sources, std::size_t rotation, domain::TimePoint now) const
+{
+    for (std::size_t i = 0; i < m_holders.size(); ++i) {
+        const Holder &holder = m_holders[(i + rotation) % m_holders.size()];
+        if (sources.isUsable(holder.source, now))
+            return holder.source;
+    }
+    return std::nullopt;
+}
+
+} // namespace oriolerill::distribution::internal
--- /dev/null
+++ b/src/distribution/internal/remotesite.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "distribution/havemap.h"
+#include "distribution/internal/sourcetable.h"
+#include "distribution/swarmsite.h"
+#include "protocol/control.pb.h"
+
+#include <optional>
+#include <vector>
+
+namespace oriolerill::distribution::internal {
+
+/// What a tracker knows about one version in another data centre.
+class RemoteSite
+{
+public:
+    RemoteSite(SwarmSite site, domain::TimePoint now);
+
+    const SwarmSite &site() const { return m_site; }
+    /// Chunks that some known holder has.
+    const HaveMap &available() const { return m_available; }
+    void resize(std::size_t chunks) { m_available = HaveMap(chunks); }
+
+    void learn(const protocol::HaveReply &reply, std::size_t chunks, SourceTable &sources,
+            domain::TimePoint now);
+    void noteFailure() { ++m_failures; }
+
+    bool isUnreachable(domain::TimePoint now) const;
+    /// True when the data centre has answered for a while without naming any endpoint.
+    bool isWithoutEndpoints(domain::TimePoint now) const;
+    bool isStalled(domain::TimePoint now, domain::Duration limit) const;
+
+    /// The usable holder with the least outstanding; the start of the search is rotated.
+    std::optional<SourceTable::Index> pick(std::size_t chunk, const SourceTable &sources,
+            std::size_t rotation, domain::TimePoint now) const;
+    std::optional<SourceTable::Index> pickForManifest(
+            const SourceTable &sources, std::size_t rotation, domain::TimePoint now) const;
+
+    domain::TimePoint nextQuery;
+    /// True while routes avoid this data centre.
+    bool isExcluded = false;
+
+private:
+    struct Holder
+    {
+        SourceTable::Index source = 0;
+        HaveMap have;
+        domain::TimePoint seenAt;
+    };
+
+    void learnHolder(const protocol::HaveHolder &holder, std::size_t chunks, SourceTable &sources,
+            domain::TimePoint now);
+
+    SwarmSite m_site;
+    HaveMap m_available;
+    std::vector<Holder> m_holders;
+    domain::TimePoint m_lastReply;
+    domain::TimePoint m_lastProgress;
+    domain::TimePoint m_lastNonEmpty;
+    int m_failures = 0;
+};
+
+} // namespace oriolerill::distribution::internal
--- /dev/null
+++ b/src/distribution/internal/sourcetable.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "distribution/internal/ratewindow.h"
+#include "domain/timepoint.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace oriolerill::distribution::internal {
+
+/// Places that chunks are fetched from, shared by all versions of a tracker: how much each may have
+/// outstanding, how fast it is and whether it is avoided. Index 0 is the origin.
+class SourceTable
+{
+public:
+    using Index = std::uint32_t;
+    static constexpr Index Origin = 0;
+
+    explicit SourceTable(std::size_t minimumSlots);
+
+    /// The index of an address; the empty address is the origin.
+    Index find(const std::string &address);
+    const std::string &address(Index source) const { return m_sources[source].address; }
+
+    bool isUsable(Index source, domain::TimePoint now) const;
+    bool isAvoided(Index source, domain::TimePoint now) const;
+    std::size_t outstanding(Index source) const { return m_sources[source].window.outstanding(); }
+    /// Mean time of a fetch from this source relative to the mean of all sources.
+    double slowness(Index source) const;
+
+    void started(Index source) { m_sources[source].window.started(); }
+    void completed(Index source, domain::Duration took, domain::TimePoint now);
+    void dropped(Index source) { m_sources[source].window.dropped(); }
+    /// Avoids a source that sent bad data or failed, longer each time until it completes a fetch.
+    void strike(Index source, domain::TimePoint now);
+
+private:
+    struct Source
+    {
+        std::string address;
+        RateWindow window;
+        double meanSeconds = 0;
+        std::uint32_t strikes = 0;
+        domain::TimePoint avoidedUntil;
+    };
+
+    std::size_t m_minimumSlots;
+    double m_meanSeconds = 0;
+    std::vector<Source> m_sources;
+    std::unordered_map<std::string, Index> m_indexes;
+};
+
+} // namespace oriolerill::distribution::internal
--- /dev/null
+++ b/src/distribution/internal/versionswarm.cpp
@@ -0,0 +1,303 @@
+#include "distribution/internal/versionswarm.h"
+
+#include "distribution/manifestchunk.h"
+#include "domain/rendezvous.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace oriolerill::distribution::internal {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Time for agents to report what they hold and fetch to a tracker that takes over.
+constexpr domain::Duration TakeoverTime = 1500ms;
+constexpr domain::Duration AdoptedFetchTime = 10s;
+constexpr domain::Duration BadSourceAvoidance = 60s;
+constexpr domain::Duration FailedSourceAvoidance = 1s;
+constexpr auto NoMember = std::numeric_limits<std::uint32_t>::max();
+constexpr double AveragingShare = 0.1;
+
+} // namespace
+
+VersionSwarm::VersionSwarm(const domain::Digest &manifest, const SwarmOptions &options,
+        SourceTable &sources, SourceTable &links, domain::TimePoint now)
+    : m_manifest(manifest)
+    , m_options(options)
+    , m_sources(sources)
+    , m_links(links)
+    , m_random(static_cast<std::minstd_rand::result_type>(options.seed + 1))
+    , m_importsFrom(now)
+    , m_rarity(0)
+    , m_ownSite{options.dataCentre, {}}
+    , m_nextReview(now)
+{}
+
+void VersionSwarm::start(std::size_t chunks)
+{
+    m_chunkCount = chunks;
+    m_rarity = RarityIndex(chunks);
+    m_importing = HaveMap(chunks);
+    m_overdue = HaveMap(chunks);
+    m_owners.assign(chunks, NoMember);
+    m_ownerWeights.assign(chunks, 0);
+    m_recent.assign(chunks, {NoMember, NoMember, NoMember, NoMember});
+    m_items.resize(chunks);
+    for (std::size_t chunk = 0; chunk < chunks; ++chunk)
+        m_items[chunk] = itemKey(m_manifest, static_cast<std::uint32_t>(chunk));
+    for (RemoteSite &remote : m_remotes)
+        remote.resize(chunks);
+    rebuildRoutes();
+}
+
+VersionSwarm::Member VersionSwarm::join(const std::string &address, RateWindow &window)
+{
+    Member member = static_cast<Member>(m_members.size());
+    if (m_freeMembers.empty()) {
+        m_members.emplace_back();
+    } else {
+        member = m_freeMembers.back();
+        m_freeMembers.pop_back();
+    }
+    MemberState &state = m_members[member];
+    state = MemberState();
+    state.isActive = true;
+    state.source = m_sources.find(address);
+    state.hash = domain::rendezvousWeight("vm", address);
+    state.window = &window;
+    state.activePosition = m_activeMembers.size();
+    m_activeMembers.push_back(member);
+    return member;
+}
+
+void VersionSwarm::leave(Member member)
+{
+    MemberState &state = m_members[member];
+    while (!state.fetches.empty())
+        close(state, state.fetches.back(), false, domain::TimePoint());
+    for (std::size_t word = 0; word < state.have.words().size(); ++word) {
+        visitBits(state.have.word(word), word, [this](std::size_t chunk) {
+            m_rarity.remove(chunk);
+            return true;
+        });
+    }
+    state.isActive = false;
+    m_activeMembers[state.activePosition] = m_activeMembers.back();
+    m_members[m_activeMembers.back()].activePosition = state.activePosition;
+    m_activeMembers.pop_back();
+    state.have = HaveMap();
+    reassignOwned(member);
+    m_freeMembers.push_back(member);
+}
+
+void VersionSwarm::adoptOwner(Member member)
+{
+    MemberState &state = m_members[member];
+    for (std::size_t word = 0; word < m_rarity.absent().words().size(); ++word) {
+        visitBits(m_rarity.absent().word(word), word, [&](std::size_t chunk) {
+            const std::uint64_t weight = itemWeight(m_items[chunk], state.hash);
+            if (m_owners[chunk] == NoMember || weight > m_ownerWeights[chunk]) {
+                m_owners[chunk] = member;
+                m_ownerWeights[chunk] = weight;
+                state.owned.push_back(static_cast<std::uint32_t>(chunk));
+            }
+            return true;
+        });
+    }
+}
+
+void VersionSwarm::reassignOwned(Member member)
+{
+    for (const std::uint32_t chunk : m_members[member].owned) {
+        if (m_owners[chunk] != member)
+            continue;
+        m_owners[chunk] = NoMember;
+        for (const Member candidate : m_activeMembers) {
+            MemberState &state = m_members[candidate];
+            const std::uint64_t weight = itemWeight(m_items[chunk], state.hash);
+            if (!state.hasManifest
+                    || (m_owners[chunk] != NoMember && weight <= m_ownerWeights[chunk]))
+                continue;
+            m_owners[chunk] = candidate;
+            m_ownerWeights[chunk] = weight;
+        }
+        if (m_owners[chunk] != NoMember)
+            m_members[m_owners[chunk]].owned.push_back(chunk);
+    }
+    m_members[member].owned.clear();
+}
+
+void VersionSwarm::learn(Member member, const protocol::SwarmReport &report, domain::TimePoint now)
+{
+    MemberState &state = m_members[member];
+    if (!m_hasReports) {
+        m_hasReports = true;
+        const bool isTakeover = !report.have().empty() || report.in_progress_size() > 0;
+        if (isTakeover)
+            m_importsFrom = now + TakeoverTime;
+    }
+    learnBadSources(state, report, now);
+    if (report.chunk_count() == 0) {
+        const auto &running = report.in_progress();
+        const bool isFetching
+                = std::find(running.begin(), running.end(), ManifestChunk) != running.end();
+        if (!isFetching)
+            state.manifestDeadline = {};
+        return;
+    }
+    if (m_chunkCount == 0)
+        start(report.chunk_count());
+    if (report.chunk_count() != m_chunkCount)
+        return;
+    const HaveMap have = HaveMap::fromBytes(report.have(), m_chunkCount);
+    if (!state.hasManifest) {
+        state.hasManifest = true;
+        state.have = HaveMap(m_chunkCount);
+        state.pending = HaveMap(m_chunkCount);
+        adoptOwner(member);
+    }
+    learnHave(state, member, have, now);
+    learnFetches(state, member, report, now);
+}
+
+void VersionSwarm::learnHave(
+        MemberState &state, Member member, const HaveMap &have, domain::TimePoint now)
+{
+    for (std::size_t word = 0; word < have.words().size(); ++word) {
+        const std::uint64_t before = state.have.word(word);
+        const std::uint64_t after = have.word(word);
+        if (before == after)
+            continue;
+        visitBits(after & ~before, word, [&](std::size_t chunk) {
+            gained(state, member, static_cast<std::uint32_t>(chunk), now);
+            return true;
+        });
+        visitBits(before & ~after, word, [&](std::size_t chunk) {
+            m_rarity.remove(chunk);
+            return true;
+        });
+    }
+    state.have = have;
+    state.held = have.count();
+}
+
+void VersionSwarm::gained(
+        MemberState &state, Member member, std::uint32_t chunk, domain::TimePoint now)
+{
+    m_rarity.add(chunk);
+    m_importing.reset(chunk);
+    m_overdue.reset(chunk);
+    m_recent[chunk][m_rarity.count(chunk) % m_recent[chunk].size()] = member;
+    if (!state.pending.test(chunk))
+        return;
+    for (std::size_t i = state.fetches.size(); i-- > 0;) {
+        if (state.fetches[i].chunk == chunk)
+            close(state, state.fetches[i], true, now);
+    }
+}
+
+void VersionSwarm::learnFetches(MemberState &state, Member member,
+        const protocol::SwarmReport &report, domain::TimePoint now)
+{
+    HaveMap running(m_chunkCount);
+    for (const std::uint32_t chunk : report.in_progress()) {
+        if (chunk < m_chunkCount)
+            running.set(chunk);
+    }
+    // A report follows the previous plan, so a planned fetch that it does not name has failed.
+    for (std::size_t i = state.fetches.size(); i-- > 0;) {
+        const Fetch &fetch = state.fetches[i];
+        if (running.test(fetch.chunk))
+            continue;
+        if (fetch.source && *fetch.source != SourceTable::Origin) {
+            domain::TimePoint &avoided = state.avoided[*fetch.source];
+            avoided = std::max(avoided, now + FailedSourceAvoidance);
+        }
+        close(state, fetch, false, now);
+    }
+    for (const std::uint32_t chunk : report.in_progress()) {
+        if (chunk >= m_chunkCount || state.pending.test(chunk) || state.have.test(chunk))
+            continue;
+        state.pending.set(chunk);
+        state.window->started();
+        state.fetches.push_back({chunk, {}, {}, now, now + AdoptedFetchTime});
+        if (m_rarity.absent().test(chunk)) {
+            m_importing.set(chunk);
+            m_importTimers.push({now + AdoptedFetchTime, member, chunk});
+        }
+    }
+}
+
+void VersionSwarm::learnBadSources(
+        MemberState &state, const protocol::SwarmReport &report, domain::TimePoint now)
+{
+    for (const std::string &address : report.bad_sources()) {
+        const Source source = m_sources.find(address);
+        m_sources.strike(source, now);
+        if (source != SourceTable::Origin)
+            state.avoided[source] = now + BadSourceAvoidance;
+    }
+}
+
+void VersionSwarm::close(
+        MemberState &state, const Fetch &fetch, bool isCompleted, domain::TimePoint now)
+{
+    const Fetch closed = fetch;
+    const auto position = static_cast<std::size_t>(&fetch - state.fetches.data());
+    state.fetches[position] = state.fetches.back();
+    state.fetches.pop_back();
+    if (closed.link)
+        --state.imports;
+    if (isCompleted) {
+        const domain::Duration took = now - closed.startedAt;
+        state.window->completed(now);
+        if (closed.source)
+            m_sources.completed(*closed.source, took, now);
+        if (closed.link)
+            m_links.completed(*closed.link, took, now);
+        double &mean = closed.link ? m_importSeconds : m_localSeconds;
+        const double seconds = std::chrono::duration<double>(took).count();
+        mean = mean == 0 ? seconds : mean + (seconds - mean) * AveragingShare;
+    } else {
+        state.window->dropped();
+        if (closed.source)
+            m_sources.dropped(*closed.source);
+        if (closed.link)
+            m_links.dropped(*closed.link);
+    }
+    const bool isLast = std::none_of(state.fetches.begin(), state.fetches.end(),
+            [&](const Fetch &other) { return other.chunk == closed.chunk; });
+    if (!isLast)
+        return;
+    state.pending.reset(closed.chunk);
+    if (m_rarity.absent().test(closed.chunk))
+        m_importing.reset(closed.chunk);
+}
+
+bool VersionSwarm::isComplete(Member member) const
+{
+    const MemberState &state = m_members[member];
+    return state.hasManifest && state.held == m_chunkCount;
+}
+
+protocol::HaveReply VersionSwarm::have()
+{
+    // Each reply names a different part of a large data centre; the asker merges them.
+    constexpr std::size_t MaxNamed = 16;
+    protocol::HaveReply reply;
+    const std::size_t count = m_activeMembers.size();
+    const std::size_t first = random(count);
+    for (std::size_t i = 0; i < std::min(count, MaxNamed); ++i) {
+        const MemberState &state = m_members[m_activeMembers[(first + i) % count]];
+        protocol::HaveHolder &holder = *reply.add_holders();
+        holder.set_address(m_sources.address(state.source));
+        if (state.hasManifest)
+            holder.set_have(state.have.toBytes());
+    }
+    return reply;
+}
+
+} // namespace oriolerill::distribution::internal
--- /dev/null
+++ b/src/distribution/internal/versionswarm.h
@@ -0,0 +1,197 @@
+#pragma once
+
+#include "distribution/internal/rarityindex.h"
+#include "distribution/internal/relayplan.h"
+#include "distribution/internal/remotesite.h"
+#include "distribution/internal/sourcetable.h"
+#include "distribution/swarmoptions.h"
+#include "domain/timepoint.h"
+#include "protocol/control.pb.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace oriolerill::distribution::internal {
+
+/// Plan of one version in one data centre: who fetches which chunk from where.
+///
+/// A chunk that no endpoint of the data centre has is imported by one of them, from the origin or
+/// from the site that RelayPlan names; the others take it from each other, rarest first. The cost
+/// of a report grows with what changed and with chunks/64, not with the number of endpoints.
+class VersionSwarm
+{
+public:
+    using Member = std::uint32_t;
+
+    /// The tables are shared by all versions of the tracker and outlive this object.
+    VersionSwarm(const domain::Digest &manifest, const SwarmOptions &options, SourceTable &sources,
+            SourceTable &links, domain::TimePoint now);
+
+    /// All data centres that want the version, the own one included.
+    void setSites(const std::vector<SwarmSite> &sites, domain::TimePoint now);
+
+    Member join(const std::string &address, RateWindow &window);
+    void leave(Member member);
+    void learn(Member member, const protocol::SwarmReport &report, domain::TimePoint now);
+    void plan(Member member, std::size_t slots, domain::TimePoint now, protocol::SwarmPlan &plan);
+
+    void learnRemote(const domain::DataCentreId &dataCentre, const protocol::HaveReply &reply,
+            domain::TimePoint now);
+    void noteRemoteFailure(const domain::DataCentreId &dataCentre, domain::TimePoint now);
+    /// Data centres to ask now for what they have.
+    std::vector<domain::DataCentreId> dueQueries(domain::TimePoint now);
+    protocol::HaveReply have();
+
+    std::size_t chunkCount() const { return m_chunkCount; }
+    bool isComplete(Member member) const;
+    std::size_t memberCount() const { return m_activeMembers.size(); }
+    std::uint32_t uploads(Member member) const { return m_members[member].uploads; }
+    std::uint32_t originFetches() const { return m_originFetches; }
+
+private:
+    using Source = SourceTable::Index;
+
+    struct Fetch
+    {
+        std::uint32_t chunk = 0;
+        /// Empty for a fetch that a former tracker assigned.
+        std::optional<Source> source;
+        /// Link into the data centre; empty for a fetch within it.
+        std::optional<Source> link;
+        domain::TimePoint startedAt;
+        domain::TimePoint deadline;
+        /// Chunks that the endpoint had when the fetch was planned.
+        std::size_t heldBefore = 0;
+    };
+    struct MemberState
+    {
+        bool isActive = false;
+        bool hasManifest = false;
+        Source source = 0;
+        std::uint64_t hash = 0;
+        RateWindow *window = nullptr;
+        HaveMap have;
+        HaveMap pending;
+        std::size_t held = 0;
+        std::size_t imports = 0;
+        std::uint32_t uploads = 0;
+        std::size_t activePosition = 0;
+        std::vector<Fetch> fetches;
+        std::vector<std::uint32_t> owned;
+        std::unordered_map<Source, domain::TimePoint> avoided;
+        domain::TimePoint manifestDeadline;
+    };
+    struct ImportTimer
+    {
+        domain::TimePoint deadline;
+        Member member = 0;
+        std::uint32_t chunk = 0;
+        bool operator>(const ImportTimer &other) const { return deadline > other.deadline; }
+    };
+    struct Import
+    {
+        Source source = 0;
+        Source link = 0;
+    };
+    /// Chunks routed over one link and those that its far end has; null for all.
+    struct Route
+    {
+        std::size_t site = RelayPlan::Origin;
+        HaveMap mask;
+    };
+
+    void start(std::size_t chunks);
+    void adoptOwner(Member member);
+    void reassignOwned(Member member);
+    void learnHave(MemberState &state, Member member, const HaveMap &have, domain::TimePoint now);
+    void learnFetches(MemberState &state, Member member, const protocol::SwarmReport &report,
+            domain::TimePoint now);
+    void learnBadSources(
+            MemberState &state, const protocol::SwarmReport &report, domain::TimePoint now);
+    void gained(MemberState &state, Member member, std::uint32_t chunk, domain::TimePoint now);
+    void close(MemberState &state, const Fetch &fetch, bool isCompleted, domain::TimePoint now);
+
+    void planManifest(
+            Member member, MemberState &state, domain::TimePoint now, protocol::SwarmPlan &plan);
+    bool planImport(
+            Member member, std::size_t slots, domain::TimePoint now, protocol::SwarmPlan &plan);
+    bool planLocal(Member member, domain::TimePoint now, protocol::SwarmPlan &plan);
+    void replaceOverdue(Member member, domain::TimePoint now, protocol::SwarmPlan &plan);
+    void planEndgame(Member member, domain::TimePoint now, protocol::SwarmPlan &plan);
+    bool duplicate(
+            Member member, std::size_t position, domain::TimePoint now, protocol::SwarmPlan &plan);
+    bool importOwned(Member member, domain::TimePoint now, protocol::SwarmPlan &plan);
+    bool importOther(Member member, domain::TimePoint now, protocol::SwarmPlan &plan);
+    std::uint64_t importable(std::size_t word, domain::TimePoint now) const;
+    bool ownerIsBusy(std::uint32_t chunk, domain::TimePoint now) const;
+    std::size_t importSlots(std::size_t slots) const;
+
+    std::optional<Member> pickLocal(Member member, std::uint32_t chunk,
+            std::optional<Source> except, domain::TimePoint now);
+    void consider(Member candidate, Member member, std::uint32_t chunk,
+            std::optional<Source> except, domain::TimePoint now, std::optional<Member> &best,
+            double &bestCost) const;
+    double cost(const MemberState &state) const;
+    std::optional<Import> pickImport(std::uint32_t chunk, domain::TimePoint now);
+    std::optional<Import> pickFromSite(
+            std::size_t site, std::uint32_t chunk, domain::TimePoint now);
+    bool originHasRoom(domain::TimePoint now) const;
+
+    void assignLocal(Member member, std::uint32_t chunk, Member holder, domain::TimePoint now,
+            protocol::SwarmPlan &plan);
+    void assignImport(Member member, std::uint32_t chunk, const Import &import,
+            domain::TimePoint now, protocol::SwarmPlan &plan);
+    void add(MemberState &state, Fetch fetch, protocol::SwarmPlan &plan);
+    void expireImports(domain::TimePoint now);
+
+    void reviewSites(domain::TimePoint now);
+    bool isToBeExcluded(const RemoteSite &remote, domain::TimePoint now) const;
+    bool lacksRoutedChunks(const RemoteSite &remote) const;
+    void rebuildRoutes();
+    std::size_t siteIndex(const domain::DataCentreId &dataCentre) const;
+    std::size_t random(std::size_t bound) { return bound == 0 ? 0 : m_random() % bound; }
+
+    domain::Digest m_manifest;
+    const SwarmOptions &m_options;
+    SourceTable &m_sources;
+    SourceTable &m_links;
+    std::minstd_rand m_random;
+    domain::TimePoint m_importsFrom;
+    bool m_hasReports = false;
+
+    std::size_t m_chunkCount = 0;
+    RarityIndex m_rarity;
+    std::vector<std::uint64_t> m_items;
+    std::vector<Member> m_owners;
+    std::vector<std::uint64_t> m_ownerWeights;
+    /// The latest holders of each chunk; entries may be stale.
+    std::vector<std::array<Member, 4>> m_recent;
+    HaveMap m_importing;
+    HaveMap m_overdue;
+    std::priority_queue<ImportTimer, std::vector<ImportTimer>, std::greater<>> m_importTimers;
+    std::unordered_map<std::uint32_t, std::uint32_t> m_importAttempts;
+
+    std::vector<MemberState> m_members;
+    std::vector<Member> m_activeMembers;
+    std::vector<Member> m_freeMembers;
+
+    std::vector<RemoteSite> m_remotes;
+    SwarmSite m_ownSite;
+    std::vector<Route> m_routes;
+    std::size_t m_regionCount = 1;
+    bool m_isManifestFromOrigin = true;
+    domain::TimePoint m_nextReview;
+
+    std::uint32_t m_originFetches = 0;
+    std::uint32_t m_duplicates = 0;
+    double m_localSeconds = 0;
+    double m_importSeconds = 0;
+};
+
+} // namespace oriolerill::distribution::internal
--- /dev/null
+++ b/src/distribution/manifestchunk.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+#include <limits>
+
+namespace oriolerill::distribution {
+
+/// Chunk number that stands for the manifest itself in fetch assignments.
+constexpr std::uint32_t ManifestChunk = std::numeric_limits<std::uint32_t>::max();
+
+} // namespace oriolerill::distribution
--- a/src/distribution/tests/chunkstoretest.cpp
+++ b/src/distribution/tests/chunkstoretest.cpp
@@ -10,6 +10,7 @@
     static std::shared_ptr<const Manifest> manifestOf(const std::vector<std::string> &data)
     {
         std::vector<ChunkInfo> chunks;
+        chunks.reserve(data.size());
         for (const std::string &chunk : data)
             chunks.push_back({domain::Digest::of(chunk), domain::Bytes(chunk.size()), {}});
         const std::string text = Manifest::format("model", data.front(), chunks);
