--- a/src/distribution/fetchscheduler.h
+++ b/src/distribution/fetchscheduler.h
@@ -57,6 +57,8 @@
     Failed,
     /// The source refused because it is busy or does not have the chunk.
     Refused,
+    /// A verified manifest that cannot be used: malformed, or too large for the memory.
+    Unusable,
 };
 
 struct FetchSchedulerOptions
@@ -127,6 +129,7 @@
         std::size_t lastPlanned = 0;
         bool isReportUrgent = true;
         domain::TimePoint nextAsk;
+        domain::TimePoint manifestRetryAt;
         domain::TimePoint lastProgress;
     };
     struct Active
--- a/src/distribution/internal/fetchscheduler.cpp
+++ b/src/distribution/internal/fetchscheduler.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t MaxKnownPeers = 32;
 // Fetches planned without a tracker are few, so that peers are not flooded.
 constexpr std::size_t MaxPlannedAlone = 8;
+// Memory may become free, but a manifest must not be drawn again with each report.
+constexpr auto UnusablePause = std::chrono::seconds(10);
 
 } // namespace
 
@@ -148,7 +150,8 @@
     for (auto queued = version.queue.begin(); queued != version.queue.end();) {
         const bool isHeld = queued->chunk != ManifestChunk && version.have.test(queued->chunk);
         const Digest content = contentOf(manifest, version, queued->chunk);
-        if (isHeld || running(content) >= MaxCopies || isAvoided(queued->source, now)) {
+        const bool isPaused = queued->chunk == ManifestChunk && now < version.manifestRetryAt;
+        if (isHeld || isPaused || running(content) >= MaxCopies || isAvoided(queued->source, now)) {
             queued = version.queue.erase(queued);
             continue;
         }
@@ -189,7 +192,9 @@
     const auto version = m_versions.find(active.manifest);
     if (version != m_versions.end() && outcome != FetchOutcome::Verified) {
         version->second.isReportUrgent = true;
-        if (outcome != FetchOutcome::Refused)
+        if (outcome == FetchOutcome::Unusable)
+            version->second.manifestRetryAt = now + UnusablePause;
+        else if (outcome != FetchOutcome::Refused)
             noteBad(version->second, active.source, now);
     }
     if (outcome == FetchOutcome::Verified && active.chunk != ManifestChunk) {
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -38,6 +38,9 @@
     /// Local address of outgoing connections; empty for the system's choice.
     std::string sourceHost;
     std::size_t maxIdlePerPeer = 8;
+    /// Receive buffer of each connection; zero for the system's choice. A receiver that paces its
+    /// reads needs a small one, since the peer fills it at full speed.
+    domain::Bytes receiveBuffer;
     /// Largest whole body that send() accepts.
     domain::Bytes maxBody = domain::Bytes(16U << 20U);
     /// Idle connections older than this are closed rather than reused.
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -216,6 +216,10 @@
     if (!code && !m_options.sourceHost.empty()) {
         socket.bind(tcp::endpoint(asio::ip::make_address_v4(m_options.sourceHost), 0), code);
     }
+    if (!code && m_options.receiveBuffer.count() > 0) {
+        const auto size = static_cast<int>(m_options.receiveBuffer.count());
+        socket.set_option(asio::socket_base::receive_buffer_size(size), code);
+    }
     if (code)
         co_return code;
     const tcp::endpoint target(asio::ip::make_address_v4(peer.host), peer.port);
