--- /dev/null
+++ b/standins/pacer.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "domain/timepoint.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+
+namespace oriolerill::standins {
+
+/// Paces bytes to a rate shared by all who wait on it, in order of arrival.
+class Pacer
+{
+public:
+    /// Rate in bytes a second; 0 for no limit.
+    explicit Pacer(std::uint64_t bytesPerSecond)
+        : m_bytesPerSecond(bytesPerSecond)
+    {}
+
+    void setRate(std::uint64_t bytesPerSecond) { m_bytesPerSecond = bytesPerSecond; }
+    /// Returns once these bytes have left at the rate.
+    boost::asio::awaitable<void> take(std::uint64_t bytes);
+
+private:
+    std::uint64_t m_bytesPerSecond;
+    domain::TimePoint m_freeAt;
+};
+
+} // namespace oriolerill::standins
