--- /dev/null
+++ b/src/agent/internal/main.cpp
@@ -0,0 +1,102 @@
+#include "agent/internal/agentprocess.h"
+#include "observability/log.h"
+#include "settings/settingsloader.h"
+#include "settings/stopsignal.h"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace oriolerill;
+using observability::logEvent;
+using observability::Severity;
+static_assert(static_cast<int>(settings::LogLevel::Error) == static_cast<int>(Severity::Error));
+namespace options = boost::program_options;
+
+// The exit codes of `oriolerill` that this program uses.
+constexpr int Ok = 0;
+constexpr int Failed = 1;
+constexpr int BadInput = 2;
+constexpr int Unavailable = 4;
+
+constexpr std::string_view Usage = R"(usage: oriolerill-agent --settings FILE
+
+options:
+  --settings FILE    run the agent until SIGTERM or SIGINT
+  --check            only check the settings
+  --help             this text
+  --help-settings    every key of the settings file
+  --version          the version
+
+exit codes: 0 ok, 1 failed, 2 wrong usage or bad input, 4 unavailable
+)";
+
+int serve(const settings::AgentSettings &settings)
+{
+    const settings::StopSignal signal;
+    observability::startLogging(static_cast<Severity>(settings.logLevel), settings.id.value());
+    agent::AgentProcess process(settings);
+    const auto started = process.start();
+    if (!started) {
+        logEvent(Severity::Error, "start_failed",
+                {{"error", started.error().message}, {"remedy", started.error().remedy}});
+        return started.error().kind == domain::ErrorKind::Unavailable ? Unavailable : Failed;
+    }
+    logEvent(Severity::Info, "started", {{"version", ORIOLERILL_VERSION}});
+    const int number = signal.wait();
+    logEvent(Severity::Info, "stopping", {{"signal", number}});
+    process.stop();
+    logEvent(Severity::Info, "stopped");
+    return Ok;
+}
+
+int run(const options::variables_map &values)
+{
+    if (values.count("help") > 0) {
+        std::cout << Usage;
+        return Ok;
+    }
+    if (values.count("help-settings") > 0) {
+        std::cout << settings::settingsHelp(settings::agentSettingsKeys());
+        return Ok;
+    }
+    if (values.count("version") > 0) {
+        std::cout << "oriolerill-agent " << ORIOLERILL_VERSION << '\n';
+        return Ok;
+    }
+    if (values.count("settings") == 0) {
+        std::cerr << "oriolerill-agent: no settings file is given; see oriolerill-agent --help\n";
+        return BadInput;
+    }
+    const auto loaded = settings::loadAgentSettings(values["settings"].as<std::string>());
+    for (const settings::SettingsProblem &problem : loaded.problems)
+        std::cerr << problem << '\n';
+    if (!loaded.problems.empty())
+        return BadInput;
+    return values.count("check") > 0 ? Ok : serve(loaded.settings);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::options_description known;
+    known.add_options()("settings", options::value<std::string>())("check", "")("help", "")(
+            "help-settings", "")("version", "");
+    options::variables_map values;
+    try {
+        options::store(options::command_line_parser(argc, argv)
+                               .options(known)
+                               .positional(options::positional_options_description())
+                               .run(),
+                values);
+    } catch (const options::error &error) {
+        std::cerr << "oriolerill-agent: " << error.what() << "; see oriolerill-agent --help\n";
+        return BadInput;
+    }
+    return run(values);
+}
--- /dev/null
+++ b/src/entry/internal/main.cpp
@@ -0,0 +1,47 @@
+#include "admin/commandline.h"
+#include "admin/exitcode.h"
+#include "entry/internal/entryprocess.h"
+#include "observability/log.h"
+#include "settings/settingsloader.h"
+#include "settings/stopsignal.h"
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace oriolerill;
+using admin::ExitCode;
+using observability::logEvent;
+using observability::Severity;
+static_assert(static_cast<int>(settings::LogLevel::Error) == static_cast<int>(Severity::Error));
+
+ExitCode serve(const settings::EntrySettings &settings)
+{
+    const settings::StopSignal signal;
+    observability::startLogging(static_cast<Severity>(settings.logLevel), settings.id.value());
+    entry::EntryProcess process(settings);
+    const auto started = process.start();
+    if (!started) {
+        logEvent(Severity::Error, "start_failed",
+                {{"error", started.error().message}, {"remedy", started.error().remedy}});
+        return started.error().kind == domain::ErrorKind::Unavailable ? ExitCode::Unavailable
+                                                                      : ExitCode::Failed;
+    }
+    logEvent(Severity::Info, "started", {{"version", ORIOLERILL_VERSION}});
+    const int number = signal.wait();
+    logEvent(Severity::Info, "stopping", {{"signal", number}});
+    process.stop();
+    logEvent(Severity::Info, "stopped");
+    return ExitCode::Ok;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const admin::CommandLine commandLine(std::cout, std::cerr, serve);
+    return static_cast<int>(commandLine.run(arguments));
+}
--- a/src/observability/internal/log.cpp
+++ b/src/observability/internal/log.cpp
@@ -63,7 +63,9 @@
 void startLogging(Severity lowest, std::string_view processName)
 {
     processLabel() = processName;
-    logging::add_console_log(std::cerr, logging::keywords::format = "%Message%",
+    logging::add_console_log(std::cerr,
+            logging::keywords::format = logging::expressions::stream
+                    << logging::expressions::smessage,
             logging::keywords::auto_flush = true);
     logging::core::get()->set_filter(logging::expressions::attr<Severity>("Severity") >= lowest);
 }
--- /dev/null
+++ b/src/settings/keydescription.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+
+namespace oriolerill::settings {
+
+/// What an operator needs to know about one key of a settings file.
+struct KeyDescription
+{
+    std::string section;
+    std::string name;
+    std::string type;
+    std::string unit;
+    std::string range;
+    /// Empty when there is no default.
+    std::string fallback;
+    std::string description;
+    bool isRequired = false;
+};
+
+} // namespace oriolerill::settings
--- /dev/null
+++ b/src/settings/loglevel.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace oriolerill::settings {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+} // namespace oriolerill::settings
--- /dev/null
+++ b/src/settings/settingsloader.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "settings/agentsettings.h"
+#include "settings/entrysettings.h"
+#include "settings/keydescription.h"
+#include "settings/settingsproblem.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace oriolerill::settings {
+
+/// Settings that were read; only to be used when there are no problems.
+template<class Settings>
+struct LoadedSettings
+{
+    Settings settings;
+    std::vector<SettingsProblem> problems;
+};
+
+/// Reads a file; all faults are reported at once, in the order of their lines.
+LoadedSettings<EntrySettings> loadEntrySettings(const std::string &file);
+LoadedSettings<AgentSettings> loadAgentSettings(const std::string &file);
+
+/// The same for text that is already in memory.
+LoadedSettings<EntrySettings> parseEntrySettings(const std::string &file, std::string_view text);
+LoadedSettings<AgentSettings> parseAgentSettings(const std::string &file, std::string_view text);
+
+std::vector<KeyDescription> entrySettingsKeys();
+std::vector<KeyDescription> agentSettingsKeys();
+
+/// The keys as text for the command line.
+std::string settingsHelp(const std::vector<KeyDescription> &keys);
+/// The keys as a Markdown table for the operators' guide.
+std::string settingsTable(const std::vector<KeyDescription> &keys);
+
+} // namespace oriolerill::settings
