--- /dev/null
+++ b/standins/orderbook.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace oriolerill::standins {
+
+/// What callers were told about their orders, for the comparison with what the services ran.
+class OrderBook
+{
+public:
+    struct Audit
+    {
+        std::uint64_t duplicates = 0;
+        /// Answered, but run by no service.
+        std::uint64_t lost = 0;
+        /// Every try was refused as "not run", but a service ran the order.
+        std::uint64_t falseNotRun = 0;
+    };
+
+    void noteAnswered(const std::string &order) { m_orders[order].isAnswered = true; }
+    void noteNotRun(const std::string &order) { m_orders[order].hasNotRun = true; }
+    void noteUncertain(const std::string &order) { m_orders[order].isUncertain = true; }
+
+    /// Adds executions as a service lists them, one "<order>=<count>" a line.
+    void addExecutions(const std::string &lines);
+    Audit audit() const;
+    std::uint64_t executions() const;
+
+private:
+    struct Order
+    {
+        bool isAnswered = false;
+        bool hasNotRun = false;
+        bool isUncertain = false;
+        std::uint64_t executions = 0;
+    };
+
+    std::map<std::string, Order> m_orders;
+};
+
+} // namespace oriolerill::standins
