--- a/src/settings/internal/keytable.h
+++ b/src/settings/internal/keytable.h
@@ -47,9 +47,10 @@
     using Assign = std::function<bool(const std::string &value)>;
 
     template<class Tag>
-    void identifier(KeyName key, domain::StrongId<Tag> &target, std::string description)
+    void identifier(
+            const KeyName &key, domain::StrongId<Tag> &target, const std::string &description)
     {
-        addIdentifier(std::move(key), std::move(description),
+        addIdentifier(key, description,
                 [&target](const std::string &value) { target = domain::StrongId<Tag>(value); });
     }
     template<class Value>
