--- /dev/null
+++ b/src/agent/internal/requestproxy.cpp
@@ -0,0 +1,176 @@
+#include "agent/internal/requestproxy.h"
+
+#include "agent/internal/requestcall.h"
+#include "agent/internal/requestpermit.h"
+#include "requests/attempthost.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace oriolerill::agent {
+
+namespace asio = boost::asio;
+using domain::Error;
+using domain::ErrorKind;
+using domain::TimePoint;
+using requests::RunningAttempt;
+
+namespace {
+
+constexpr auto RefusalPause = std::chrono::milliseconds(100);
+
+requests::AttemptHostOptions hostOptions(const RequestProxyOptions &options)
+{
+    requests::AttemptHostOptions host;
+    host.heartbeatInterval = options.heartbeatInterval;
+    host.maxBufferedBytes = options.maxBufferedBytes;
+    return host;
+}
+
+} // namespace
+
+class RequestProxy::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(asio::any_io_executor executor, rollout::IEngineGate &gate,
+            const config::IConfigView &configView, transport::HttpClient &client,
+            requests::IOrderLog *orderLog, RequestProxyOptions options)
+        : m_options(std::move(options))
+        , m_gate(gate)
+        , m_configView(configView)
+        , m_limiter(configView, m_options.service)
+        , m_call(client, m_options)
+        , m_orderLog(orderLog)
+        , m_host(std::move(executor), m_options.incarnation, hostOptions(m_options))
+    {}
+
+    asio::awaitable<void> handle(transport::HttpServerExchange &exchange);
+    requests::AttemptHost &host() { return m_host; }
+    const RequestLimiter &limiter() const { return m_limiter; }
+
+private:
+    asio::awaitable<void> run(std::shared_ptr<RunningAttempt> running);
+    asio::awaitable<void> runCall(std::shared_ptr<RunningAttempt> running);
+    std::optional<Error> refusalOf(const protocol::Attempt &attempt) const;
+    void refuse(RunningAttempt &running, const Error &error) const;
+
+    RequestProxyOptions m_options;
+    rollout::IEngineGate &m_gate;
+    const config::IConfigView &m_configView;
+    RequestLimiter m_limiter;
+    RequestCall m_call;
+    requests::IOrderLog *m_orderLog;
+    requests::AttemptHost m_host;
+};
+
+asio::awaitable<void> RequestProxy::Implementation::handle(transport::HttpServerExchange &exchange)
+{
+    protocol::Attempt attempt;
+    if (!attempt.ParseFromString(exchange.request().body) || attempt.request_id().empty()) {
+        const Error error{ErrorKind::InvalidInput, "the body is not an attempt",
+                "send a serialized Attempt with a request id"};
+        co_await exchange.respond(transport::errorResponse(error));
+        co_return;
+    }
+    transport::HttpResponseHead head;
+    head.fields.add("Content-Type", "application/octet-stream");
+    const domain::Expected<domain::Done> started = co_await exchange.start(std::move(head));
+    if (!started)
+        co_return;
+    requests::AttemptHost::Write write
+            = [&exchange](std::string bytes) { return exchange.write(std::move(bytes)); };
+    requests::AttemptHost::Runner runner
+            = [self = shared_from_this()](std::shared_ptr<RunningAttempt> running) {
+                  return self->run(std::move(running));
+              };
+    co_await m_host.serve(std::move(attempt), std::move(write), std::move(runner));
+    co_await exchange.finish({});
+}
+
+std::optional<Error> RequestProxy::Implementation::refusalOf(const protocol::Attempt &attempt) const
+{
+    if (attempt.service() != m_options.service.value()) {
+        return Error{ErrorKind::NotFound, "this endpoint does not serve " + attempt.service(),
+                "refresh the view of the endpoints"};
+    }
+    if (m_configView.snapshot()->isWithdrawn(m_options.dataCentre)) {
+        return Error{ErrorKind::Unavailable, "the data centre is withdrawn",
+                "send it to another data centre"};
+    }
+    return std::nullopt;
+}
+
+void RequestProxy::Implementation::refuse(RunningAttempt &running, const Error &error) const
+{
+    running.fail(protocol::OUTCOME_NOT_RUN, error, RefusalPause, m_limiter.load());
+}
+
+asio::awaitable<void> RequestProxy::Implementation::run(std::shared_ptr<RunningAttempt> running)
+{
+    if (const std::optional<Error> refusal = refusalOf(running->attempt())) {
+        refuse(*running, *refusal);
+        co_return;
+    }
+    co_await runCall(std::move(running));
+}
+
+asio::awaitable<void> RequestProxy::Implementation::runCall(std::shared_ptr<RunningAttempt> running)
+{
+    RequestPermit permit(m_gate, m_limiter);
+    if (!permit.tryEnter(running->attempt())) {
+        refuse(*running, permit.refusal());
+        co_return;
+    }
+    const CallFailure failure = co_await m_call.stream(*running, permit);
+    if (failure.outcome != protocol::OUTCOME_ANSWERED) {
+        running->fail(failure.outcome, failure.error, RefusalPause, m_limiter.load());
+        co_return;
+    }
+    protocol::AnswerEnd end;
+    end.set_outcome(protocol::OUTCOME_ANSWERED);
+    *end.mutable_load() = m_limiter.load();
+    running->finish(std::move(end));
+}
+
+RequestProxy::RequestProxy(asio::any_io_executor executor, rollout::IEngineGate &gate,
+        const config::IConfigView &configView, transport::HttpClient &client,
+        requests::IOrderLog *orderLog, RequestProxyOptions options)
+    : m_implementation(std::make_shared<Implementation>(
+            std::move(executor), gate, configView, client, orderLog, std::move(options)))
+{}
+
+RequestProxy::~RequestProxy() = default;
+
+asio::awaitable<void> RequestProxy::handle(transport::HttpServerExchange &exchange)
+{
+    return m_implementation->handle(exchange);
+}
+
+asio::awaitable<void> RequestProxy::drain(TimePoint deadline)
+{
+    constexpr auto PollInterval = std::chrono::milliseconds(10);
+    const std::shared_ptr<Implementation> implementation = m_implementation;
+    implementation->host().close();
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor);
+    while (implementation->host().active() > 0 && TimePoint::clock::now() < deadline) {
+        timer.expires_after(PollInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+std::size_t RequestProxy::active() const
+{
+    return m_implementation->host().active();
+}
+
+RequestProxyLoad RequestProxy::load() const
+{
+    const protocol::Load load = m_implementation->limiter().load();
+    return {load.in_flight(), load.limit(), m_implementation->limiter().latency()};
+}
+
+} // namespace oriolerill::agent
--- /dev/null
+++ b/src/agent/internal/requestproxy.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "config/iconfigview.h"
+#include "domain/quantity.h"
+#include "domain/socketaddress.h"
+#include "domain/strongid.h"
+#include "domain/timepoint.h"
+#include "requests/iorderlog.h"
+#include "rollout/ienginegate.h"
+#include "transport/httpclient.h"
+#include "transport/httpserver.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <memory>
+
+namespace oriolerill::agent {
+
+struct RequestProxyOptions
+{
+    /// Identifies this agent as a writer of order logs.
+    domain::EndpointId id;
+    domain::DataCentreId dataCentre;
+    domain::ServiceId service;
+    config::ServiceKind kind = config::ServiceKind::Plain;
+    domain::SocketAddress endpoint;
+    domain::Incarnation incarnation;
+    domain::Duration heartbeatInterval = std::chrono::milliseconds(200);
+    /// An idempotent attempt that no connection reads for this long is cancelled.
+    domain::Duration maxDetached = std::chrono::seconds(5);
+    std::size_t maxBufferedBytes = 1U << 20U;
+};
+
+/// Load of the endpoint as the agent's limit sees it.
+struct RequestProxyLoad
+{
+    std::uint32_t inFlight = 0;
+    std::uint32_t limit = 0;
+    domain::Duration latency = {};
+};
+
+/// Takes attempts of entries and passes them to the endpoint of this VM under the agent's rules:
+/// admission gate, pinned weights, concurrency limit, duplicate detection and order ledger.
+/// Safe to use from all workers.
+class RequestProxy
+{
+public:
+    /// The references have to outlive the proxy and its running attempts. Without an order log,
+    /// requests with an idempotency key are refused.
+    RequestProxy(boost::asio::any_io_executor executor, rollout::IEngineGate &gate,
+            const config::IConfigView &configView, transport::HttpClient &client,
+            requests::IOrderLog *orderLog, RequestProxyOptions options);
+    ~RequestProxy();
+    RequestProxy(const RequestProxy &) = delete;
+    RequestProxy &operator=(const RequestProxy &) = delete;
+
+    /// Serves POST /v1/attempts.
+    boost::asio::awaitable<void> handle(transport::HttpServerExchange &exchange);
+
+    /// Refuses new attempts from now on and returns once the running ones and the results that have
+    /// to be logged are finished, at the deadline at the latest.
+    boost::asio::awaitable<void> drain(domain::TimePoint deadline);
+    /// Attempts that still run.
+    std::size_t active() const;
+    RequestProxyLoad load() const;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace oriolerill::agent
--- /dev/null
+++ b/src/agent/tests/requestproxytest.cpp
@@ -0,0 +1,241 @@
+#include "agent/internal/requestproxy.h"
+#include "requests/answerchecksum.h"
+#include "requests/attemptframecodec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+
+namespace oriolerill::agent {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using domain::TimePoint;
+
+namespace {
+
+class OpenGate : public rollout::IEngineGate
+{
+public:
+    rollout::GateState state() const override { return m_state; }
+    rollout::GateState enter() override { return m_state; }
+    void leave() override {}
+    std::size_t entered() const override { return 0; }
+
+    rollout::GateState m_state{true, domain::Digest::of("weights"), 1};
+};
+
+class FixedConfig : public config::IConfigView
+{
+public:
+    std::shared_ptr<const config::ConfigSnapshot> snapshot() const override { return m_snapshot; }
+
+    std::shared_ptr<config::ConfigSnapshot> m_snapshot = std::make_shared<config::ConfigSnapshot>();
+};
+
+} // namespace
+
+class RequestProxyFixture : public testing::Test
+{
+protected:
+    static constexpr std::uint64_t Incarnation = 7;
+
+    void SetUp() override
+    {
+        m_client = std::make_unique<transport::HttpClient>(
+                m_pool.get_executor(), transport::HttpClientOptions());
+        m_endpoint = std::make_unique<transport::HttpServer>(
+                m_pool.get_executor(), transport::HttpServerOptions());
+        const auto endpointAddress = m_endpoint->start({"127.0.0.1", 0},
+                [this](transport::HttpServerExchange &exchange) { return serve(exchange); });
+        ASSERT_TRUE(endpointAddress);
+        m_options.service = domain::ServiceId("stock");
+        m_options.dataCentre = domain::DataCentreId("salto-a");
+        m_options.endpoint = *endpointAddress;
+        m_options.incarnation = domain::Incarnation(Incarnation);
+        startProxy();
+    }
+
+    void startProxy()
+    {
+        m_proxy = std::make_unique<RequestProxy>(
+                m_pool.get_executor(), m_gate, m_config, *m_client, nullptr, m_options);
+        m_agent = std::make_unique<transport::HttpServer>(
+                m_pool.get_executor(), transport::HttpServerOptions());
+        m_address = *m_agent->start(
+                {"127.0.0.1", 0}, [proxy = m_proxy.get()](transport::HttpServerExchange &exchange) {
+                    return proxy->handle(exchange);
+                });
+    }
+
+    void TearDown() override
+    {
+        m_agent->closeAll();
+        m_endpoint->closeAll();
+        m_pool.stop();
+        m_pool.join();
+    }
+
+    asio::awaitable<void> serve(transport::HttpServerExchange &exchange)
+    {
+        ++m_calls;
+        const auto executor = co_await asio::this_coro::executor;
+        asio::steady_timer timer(executor, m_endpointDelay);
+        co_await timer.async_wait(asio::use_awaitable);
+        transport::HttpResponse response;
+        response.fields.add("X-Weights-Digest", m_weights.hex());
+        response.body = "answer to " + exchange.request().target;
+        co_await exchange.respond(std::move(response));
+    }
+
+    static protocol::Attempt attempt(const std::string &id)
+    {
+        protocol::Attempt attempt;
+        attempt.set_request_id(id);
+        attempt.set_attempt(1);
+        attempt.set_entry_incarnation(1);
+        attempt.set_sequence(1);
+        attempt.set_receiver_incarnation(Incarnation);
+        attempt.set_service("stock");
+        attempt.set_method("GET");
+        attempt.set_target("/stock/9");
+        attempt.set_idempotent(true);
+        attempt.set_remaining_ms(3000);
+        return attempt;
+    }
+
+    std::vector<protocol::AttemptFrame> send(const protocol::Attempt &attempt)
+    {
+        transport::HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/attempts";
+        request.body = attempt.SerializeAsString();
+        const TimePoint deadline = TimePoint::clock::now() + 5s;
+        const auto response = asio::co_spawn(
+                m_pool, m_client->send(m_address, request, deadline, true), asio::use_future)
+                                      .get();
+        requests::AttemptFrameDecoder decoder;
+        return *decoder.feed(response->body);
+    }
+
+    static std::string dataOf(const std::vector<protocol::AttemptFrame> &frames)
+    {
+        std::string data;
+        for (const protocol::AttemptFrame &frame : frames)
+            data += frame.data();
+        return data;
+    }
+
+    asio::thread_pool m_pool{4};
+    OpenGate m_gate;
+    FixedConfig m_config;
+    RequestProxyOptions m_options;
+    std::unique_ptr<transport::HttpClient> m_client;
+    std::unique_ptr<transport::HttpServer> m_endpoint;
+    std::unique_ptr<transport::HttpServer> m_agent;
+    std::unique_ptr<RequestProxy> m_proxy;
+    domain::SocketAddress m_address;
+    domain::Digest m_weights = domain::Digest::of("weights");
+    std::chrono::milliseconds m_endpointDelay = 0ms;
+    std::atomic<int> m_calls = 0;
+};
+
+TEST_F(RequestProxyFixture, handle_lookup_wholeAnswerWithChecksum)
+{
+    const auto frames = send(attempt("r1"));
+    ASSERT_GE(frames.size(), 4U);
+    EXPECT_EQ(frames.front().accepted().request_id(), "r1");
+    EXPECT_EQ(dataOf(frames), "answer to /stock/9");
+    requests::AnswerChecksum checksum;
+    checksum.add(dataOf(frames));
+    EXPECT_EQ(frames.back().end().outcome(), protocol::OUTCOME_ANSWERED);
+    EXPECT_EQ(frames.back().end().checksum(), checksum.value());
+    // One good answer at the start limit of 1 has raised it.
+    EXPECT_EQ(frames.back().end().load().limit(), 2U);
+}
+
+// Guards against a silent connection that cannot be told from a slow endpoint.
+TEST_F(RequestProxyFixture, handle_slowEndpoint_heartbeatsMeanwhile)
+{
+    m_endpointDelay = 700ms;
+    const auto frames = send(attempt("r1"));
+    const auto heartbeats = std::count_if(frames.begin(), frames.end(),
+            [](const protocol::AttemptFrame &frame) { return frame.heartbeat(); });
+    EXPECT_GE(heartbeats, 2);
+    EXPECT_EQ(frames.back().end().outcome(), protocol::OUTCOME_ANSWERED);
+}
+
+// Guards against an attempt that runs again when a duplicate or a reattach arrives.
+TEST_F(RequestProxyFixture, handle_duplicateAndReattach_runsOnceAndAnswersAgain)
+{
+    send(attempt("r1"));
+    const auto duplicate = send(attempt("r1"));
+    protocol::Attempt reattach = attempt("r1");
+    reattach.set_reattach(true);
+    reattach.set_received_bytes(7);
+    const auto rest = send(reattach);
+    EXPECT_EQ(m_calls, 1);
+    EXPECT_EQ(dataOf(duplicate), "answer to /stock/9");
+    EXPECT_EQ(dataOf(rest), "to /stock/9");
+}
+
+// Guards against an attempt that runs after its sender was told that it did not.
+TEST_F(RequestProxyFixture, handle_attemptAfterRefusedReattach_notRun)
+{
+    protocol::Attempt reattach = attempt("r1");
+    reattach.set_reattach(true);
+    EXPECT_EQ(send(reattach).back().end().outcome(), protocol::OUTCOME_NOT_RUN);
+    EXPECT_EQ(send(attempt("r1")).back().end().outcome(), protocol::OUTCOME_NOT_RUN);
+    EXPECT_EQ(m_calls, 0);
+}
+
+// Guards against a false "not run": a restarted agent cannot know what its predecessor ran.
+TEST_F(RequestProxyFixture, handle_reattachForPredecessor_unknown)
+{
+    protocol::Attempt reattach = attempt("r1");
+    reattach.set_reattach(true);
+    reattach.set_receiver_incarnation(Incarnation - 1);
+    EXPECT_EQ(send(reattach).back().end().outcome(), protocol::OUTCOME_UNKNOWN);
+}
+
+// Guards against an answer from other weights than the request is pinned to.
+TEST_F(RequestProxyFixture, handle_engineWithOtherWeights_notAnswered)
+{
+    m_options.kind = config::ServiceKind::Model;
+    m_agent->closeAll();
+    startProxy();
+    protocol::Attempt pinned = attempt("r1");
+    pinned.set_required_digest(domain::Digest::of("weights").bytes());
+    m_weights = domain::Digest::of("older weights");
+    EXPECT_EQ(send(pinned).back().end().outcome(), protocol::OUTCOME_UNKNOWN);
+    pinned.set_request_id("r2");
+    pinned.set_required_digest(domain::Digest::of("older weights").bytes());
+    EXPECT_EQ(send(pinned).back().end().outcome(), protocol::OUTCOME_NOT_RUN);
+}
+
+// Guards against new work in a withdrawn data centre when an entry has not heard of it yet.
+TEST_F(RequestProxyFixture, handle_withdrawnDataCentre_notRun)
+{
+    m_config.m_snapshot->withdrawals[m_options.dataCentre] = {m_options.dataCentre, "power", {}};
+    EXPECT_EQ(send(attempt("r1")).back().end().outcome(), protocol::OUTCOME_NOT_RUN);
+    EXPECT_EQ(m_calls, 0);
+}
+
+// Guards against a non-idempotent call whose lost answer is reported as "not run".
+TEST_F(RequestProxyFixture, handle_endpointNeverAnswers_unknown)
+{
+    m_endpointDelay = 800ms;
+    protocol::Attempt order = attempt("r1");
+    order.set_idempotent(false);
+    order.set_remaining_ms(300);
+    EXPECT_EQ(send(order).back().end().outcome(), protocol::OUTCOME_UNKNOWN);
+}
+
+} // namespace oriolerill::agent
--- /dev/null
+++ b/src/entry/internal/attemptlink.cpp
@@ -0,0 +1,127 @@
+#include "entry/internal/attemptlink.h"
+
+#include "requests/attemptframecodec.h"
+
+#include <utility>
+
+namespace oriolerill::entry {
+
+namespace asio = boost::asio;
+using domain::Error;
+using domain::ErrorKind;
+using domain::Expected;
+using domain::TimePoint;
+
+namespace {
+
+constexpr std::size_t ReadSize = 64U << 10U;
+constexpr unsigned StatusOk = 200;
+
+bool hasEnd(const std::vector<protocol::AttemptFrame> &frames)
+{
+    return !frames.empty() && frames.back().has_end();
+}
+
+asio::awaitable<void> readFrames(
+        std::shared_ptr<LinkEvents> events, transport::HttpExchange &exchange, LinkTarget target)
+{
+    requests::AttemptFrameDecoder decoder;
+    bool isComplete = false;
+    while (!events->isAbandoned() || isComplete) {
+        const TimePoint deadline = TimePoint::clock::now() + target.maxSilence;
+        const Expected<std::string> piece = co_await exchange.read(ReadSize, deadline);
+        // After the end frame the rest is read only to keep the connection usable.
+        if (isComplete && (!piece || piece->empty()))
+            co_return;
+        if (!piece) {
+            events->push(target.link, LinkFailure{piece.error(), true});
+            co_return;
+        }
+        if (piece->empty()) {
+            events->push(target.link,
+                    LinkFailure{Error{ErrorKind::Unavailable, "the answer broke off before its end",
+                                        "send the request again"},
+                            true});
+            co_return;
+        }
+        Expected<std::vector<protocol::AttemptFrame>> frames = decoder.feed(*piece);
+        if (!frames) {
+            events->push(target.link, LinkFailure{frames.error(), true});
+            co_return;
+        }
+        isComplete = isComplete || hasEnd(*frames);
+        events->push(target.link, std::move(*frames));
+    }
+}
+
+} // namespace
+
+LinkEvents::LinkEvents(const asio::any_io_executor &strand)
+    : m_signal(std::make_shared<requests::StrandSignal>(strand))
+{}
+
+void LinkEvents::push(std::size_t link, std::vector<protocol::AttemptFrame> frames)
+{
+    if (frames.empty())
+        return;
+    const std::scoped_lock lock(m_mutex);
+    for (protocol::AttemptFrame &frame : frames)
+        m_events.push_back({link, std::move(frame)});
+    m_signal->notify();
+}
+
+void LinkEvents::push(std::size_t link, LinkFailure failure)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_events.push_back({link, std::move(failure)});
+    m_signal->notify();
+}
+
+std::optional<LinkEvent> LinkEvents::take()
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_events.empty())
+        return std::nullopt;
+    LinkEvent event = std::move(m_events.front());
+    m_events.pop_front();
+    return event;
+}
+
+asio::awaitable<std::optional<LinkEvent>> LinkEvents::pop(TimePoint until)
+{
+    for (;;) {
+        std::optional<LinkEvent> event = take();
+        if (event || TimePoint::clock::now() >= until)
+            co_return event;
+        co_await m_signal->wait(until);
+    }
+}
+
+asio::awaitable<void> runLink(std::shared_ptr<LinkEvents> events, transport::HttpClient &client,
+        LinkTarget target, protocol::Attempt attempt)
+{
+    transport::HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/attempts";
+    request.body = attempt.SerializeAsString();
+    bool hasSent = false;
+    const TimePoint deadline = TimePoint::clock::now() + target.maxSilence;
+    Expected<std::unique_ptr<transport::HttpExchange>> exchange = co_await client.open(
+            target.address, std::move(request), deadline, target.isFresh, &hasSent);
+    if (!exchange) {
+        events->push(target.link, LinkFailure{exchange.error(), hasSent});
+        co_return;
+    }
+    if ((*exchange)->head().status != StatusOk) {
+        events->push(target.link,
+                LinkFailure{Error{ErrorKind::Unavailable,
+                                    "the attempt was refused with status "
+                                            + std::to_string((*exchange)->head().status),
+                                    "check the versions and limits of both processes"},
+                        true});
+        co_return;
+    }
+    co_await readFrames(std::move(events), **exchange, target);
+}
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/entry/internal/calleranswer.cpp
@@ -0,0 +1,143 @@
+#include "entry/internal/calleranswer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolerill::entry {
+
+namespace asio = boost::asio;
+using domain::Done;
+using domain::Expected;
+
+namespace {
+
+// A larger plain answer is streamed, because holding it back would take too much memory.
+constexpr std::size_t MaxHeldBytes = 1U << 20U;
+
+const char *outcomeText(protocol::Outcome outcome)
+{
+    switch (outcome) {
+    case protocol::OUTCOME_ANSWERED:
+        return "answered";
+    case protocol::OUTCOME_NOT_RUN:
+        return "not-run";
+    default:
+        return "unknown";
+    }
+}
+
+std::string retryAfterSeconds(domain::Duration pause)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(pause).count();
+    return std::to_string(std::max<long long>(seconds, 1));
+}
+
+} // namespace
+
+CallerAnswer::CallerAnswer(
+        transport::HttpServerExchange &exchange, domain::RequestId id, bool isStreamed)
+    : m_exchange(exchange)
+    , m_id(std::move(id))
+    , m_isStreamed(isStreamed)
+{}
+
+domain::Digest CallerAnswer::digest() const
+{
+    return domain::Digest::fromBytes(m_head.active_digest()).value_or(domain::Digest());
+}
+
+asio::awaitable<Expected<Done>> CallerAnswer::head(protocol::AnswerHead head)
+{
+    // The head of a resumed answer repeats the first one.
+    if (!m_isStarted)
+        m_head = std::move(head);
+    co_return Done{};
+}
+
+asio::awaitable<Expected<Done>> CallerAnswer::data(std::string data)
+{
+    m_checksum.add(data);
+    if (!m_firstByteAt)
+        m_firstByteAt = domain::TimePoint::clock::now();
+    if (!m_isStarted && !m_isStreamed && m_held.size() + data.size() <= MaxHeldBytes) {
+        m_held += data;
+        co_return Done{};
+    }
+    if (!m_isStarted) {
+        const Expected<Done> started = co_await startStream();
+        if (!started)
+            co_return started;
+    }
+    Expected<Done> written = co_await m_exchange.write(std::move(data));
+    co_return written;
+}
+
+asio::awaitable<Expected<Done>> CallerAnswer::startStream()
+{
+    m_isStarted = true;
+    transport::HttpResponseHead head;
+    head.status = m_head.status();
+    head.fields = fields(true);
+    Expected<Done> result = co_await m_exchange.start(std::move(head));
+    if (result && !m_held.empty())
+        result = co_await m_exchange.write(std::exchange(m_held, {}));
+    co_return result;
+}
+
+transport::HttpFields CallerAnswer::fields(bool isStreamed) const
+{
+    transport::HttpFields fields;
+    for (const protocol::Header &header : m_head.headers())
+        fields.add(header.name(), header.value());
+    fields.add("X-Oriolerill-Request-Id", m_id.value());
+    fields.add("X-Oriolerill-Outcome", outcomeText(protocol::OUTCOME_ANSWERED));
+    if (!digest().isNone())
+        fields.add("X-Oriolerill-Digest", digest().hex());
+    if (isStreamed)
+        fields.add("Trailer", "X-Oriolerill-Length, X-Oriolerill-Checksum");
+    return fields;
+}
+
+void CallerAnswer::restart()
+{
+    if (m_isStarted)
+        return;
+    m_held.clear();
+    m_head.Clear();
+    m_checksum = requests::AnswerChecksum();
+}
+
+asio::awaitable<Expected<Done>> CallerAnswer::finish()
+{
+    if (!m_isStarted && !m_isStreamed) {
+        transport::HttpResponse response;
+        response.status = m_head.status();
+        response.fields = fields(false);
+        response.body = std::move(m_held);
+        Expected<Done> sent = co_await m_exchange.respond(std::move(response));
+        co_return sent;
+    }
+    if (!m_isStarted) {
+        const Expected<Done> started = co_await startStream();
+        if (!started)
+            co_return started;
+    }
+    transport::HttpFields trailers;
+    trailers.add("X-Oriolerill-Length", std::to_string(m_checksum.length()));
+    trailers.add("X-Oriolerill-Checksum", m_checksum.hex());
+    Expected<Done> finished = co_await m_exchange.finish(std::move(trailers));
+    co_return finished;
+}
+
+asio::awaitable<void> CallerAnswer::refuse(
+        protocol::Outcome outcome, const domain::Error &error, domain::Duration retryAfter)
+{
+    transport::HttpResponse response = transport::errorResponse(error);
+    response.fields.add("X-Oriolerill-Request-Id", m_id.value());
+    response.fields.add("X-Oriolerill-Outcome", outcomeText(outcome));
+    if (retryAfter > domain::Duration::zero())
+        response.fields.add("Retry-After", retryAfterSeconds(retryAfter));
+    co_await m_exchange.respond(std::move(response));
+}
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/entry/internal/calleranswer.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "domain/digest.h"
+#include "domain/strongid.h"
+#include "domain/timepoint.h"
+#include "entry/internal/attemptclient.h"
+#include "requests/answerchecksum.h"
+#include "transport/httpserver.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace oriolerill::entry {
+
+/// Sends a caller its answer: streams a model's answer as it comes, and holds other answers back
+/// until they are whole, so that a broken attempt can be retried unseen.
+class CallerAnswer : public IAttemptSink
+{
+public:
+    CallerAnswer(transport::HttpServerExchange &exchange, domain::RequestId id, bool isStreamed);
+
+    boost::asio::awaitable<domain::Expected<domain::Done>> head(protocol::AnswerHead head) override;
+    boost::asio::awaitable<domain::Expected<domain::Done>> data(std::string data) override;
+
+    /// Drops what a broken attempt has left, unless it was sent on already.
+    void restart();
+    /// Ends a whole answer.
+    boost::asio::awaitable<domain::Expected<domain::Done>> finish();
+    /// Sends an error as the final answer; only before any data was sent on.
+    boost::asio::awaitable<void> refuse(
+            protocol::Outcome outcome, const domain::Error &error, domain::Duration retryAfter);
+    /// Closes the connection, so that the caller sees that the answer is not whole.
+    void abort() { m_exchange.abort(); }
+
+    bool hasSentData() const { return m_isStarted; }
+    /// Bytes of the answer that the caller has or will get.
+    std::uint64_t sentBytes() const { return m_checksum.length(); }
+    /// Weights that the answer comes from; none before the head and for plain services.
+    domain::Digest digest() const;
+    std::optional<domain::TimePoint> firstByteAt() const { return m_firstByteAt; }
+
+private:
+    boost::asio::awaitable<domain::Expected<domain::Done>> startStream();
+    transport::HttpFields fields(bool isStreamed) const;
+
+    transport::HttpServerExchange &m_exchange;
+    domain::RequestId m_id;
+    bool m_isStreamed;
+    bool m_isStarted = false;
+    protocol::AnswerHead m_head;
+    std::string m_held;
+    requests::AnswerChecksum m_checksum;
+    std::optional<domain::TimePoint> m_firstByteAt;
+};
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/entry/internal/callercontext.cpp
@@ -0,0 +1,36 @@
+#include "entry/internal/callercontext.h"
+
+#include <utility>
+
+namespace oriolerill::entry {
+
+CallerContext::CallerContext(boost::asio::any_io_executor executorOfWorkers,
+        const config::IConfigView &configSource,
+        const membership::IMembershipView &membershipSource, transport::HttpClient &httpClient,
+        observability::IRequestRecorder &requestRecorder, CallerFrontOptions frontOptions)
+    : options(std::move(frontOptions))
+    , configView(configSource)
+    , membershipView(membershipSource)
+    , recorder(requestRecorder)
+    , attemptClient(executorOfWorkers, httpClient, options.attempts)
+    , router(options.id, options.dataCentre, options.seed)
+    , forwardHost(executorOfWorkers, options.incarnation, requests::AttemptHostOptions())
+    , admission(options.admission)
+    , retryBudget(options.retryBudget, domain::TimePoint::clock::now())
+{}
+
+domain::RequestId CallerContext::nextRequestId()
+{
+    // The incarnation keeps ids of a restarted entry apart from those of its predecessor.
+    const std::uint64_t number = ++requestCount;
+    return domain::RequestId(options.id.value() + '-' + std::to_string(options.incarnation.count())
+            + '-' + std::to_string(number));
+}
+
+bool CallerContext::tryRetry()
+{
+    const std::scoped_lock lock(admissionMutex);
+    return retryBudget.tryRetry(domain::TimePoint::clock::now());
+}
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/entry/internal/callerrequest.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "config/configsnapshot.h"
+#include "domain/expected.h"
+#include "domain/strongid.h"
+#include "domain/timepoint.h"
+#include "protocol/control.pb.h"
+#include "transport/httpmessage.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace oriolerill::entry {
+
+/// A caller's request after its checks.
+struct CallerRequest
+{
+    config::Account account;
+    config::Service service;
+    domain::RequestId id;
+    domain::TimePoint deadline;
+    bool isIdempotent = true;
+    domain::IdempotencyKey key;
+    bool isBatch = false;
+    /// xxh64 of the beginning of the prompt; none for plain services.
+    std::optional<std::uint64_t> affinity;
+    /// The attempt without what differs between attempts.
+    protocol::Attempt attempt;
+
+    bool isModel() const { return service.kind == config::ServiceKind::Model; }
+    /// True for requests that the order ledger keeps from running twice.
+    bool isOrder() const { return !isIdempotent && !key.isEmpty(); }
+};
+
+/// xxh64 of the beginning of a model request's prompt.
+std::uint64_t promptPrefixHash(const std::string &body);
+
+/// Checks token, service, deadline, priority and key. Unauthorized, NotFound and InvalidInput say
+/// what is wrong.
+domain::Expected<CallerRequest> parseCallerRequest(transport::HttpRequest &request,
+        const config::ConfigSnapshot &snapshot, domain::RequestId id, domain::TimePoint now);
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/entry/internal/callerrouter.cpp
@@ -0,0 +1,236 @@
+#include "entry/internal/callerrouter.h"
+
+#include "routing/slotowner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolerill::entry {
+
+using domain::DataCentreId;
+using domain::Error;
+using domain::ErrorKind;
+using domain::Expected;
+using domain::TimePoint;
+using membership::EndpointRecord;
+using membership::MembershipSnapshot;
+
+namespace {
+
+// The load on an answer is newer than the membership record for about this long.
+constexpr auto StatedLoadAge = std::chrono::seconds(1);
+
+bool isCandidate(const EndpointRecord &record, const RouteQuery &query)
+{
+    if (!record.isServing() || record.service != query.service)
+        return false;
+    if (query.isModel && record.activeDigest.isNone())
+        return false;
+    return query.digest.isNone() || record.activeDigest == query.digest;
+}
+
+Route routeTo(const EndpointRecord &record)
+{
+    return {record.id.value(), {record.requestAddress, record.incarnation}, record.activeDigest,
+            false};
+}
+
+Error noEndpoint(const RouteQuery &query)
+{
+    return Error{ErrorKind::Unavailable,
+            "no endpoint of " + query.service.value() + " can take the request",
+            "send the request again after Retry-After"};
+}
+
+Error noRoom()
+{
+    return Error{ErrorKind::Overloaded, "all endpoints have reached their limits",
+            "send the request again after Retry-After"};
+}
+
+Error otherOwner()
+{
+    return Error{ErrorKind::Unavailable, "this data centre does not own the idempotency key now",
+            "send the request again after Retry-After"};
+}
+
+} // namespace
+
+CallerRouter::CallerRouter(domain::EntryId own, DataCentreId dataCentre, std::uint64_t seed)
+    : m_own(std::move(own))
+    , m_dataCentre(std::move(dataCentre))
+    , m_random(seed)
+    , m_endpointChooser(routing::EndpointChooserOptions())
+{}
+
+Expected<Route> CallerRouter::choose(const RouteQuery &query,
+        const config::ConfigSnapshot &configuration, const MembershipSnapshot &membership,
+        TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const std::optional<DataCentreId> dataCentre
+            = chooseDataCentre(query, configuration, membership, now);
+    if (!dataCentre)
+        return noEndpoint(query);
+    if (*dataCentre == m_dataCentre)
+        return chooseEndpoint(query, membership, now);
+    // Forwarding an order back and forth between entries with different views would never end.
+    if (query.isForwarded)
+        return query.slot ? otherOwner() : noEndpoint(query);
+    return chooseEntry(*dataCentre, query, membership);
+}
+
+std::vector<routing::DataCentreCandidate> CallerRouter::dataCentres(const RouteQuery &query,
+        const config::ConfigSnapshot &configuration, const MembershipSnapshot &membership) const
+{
+    std::vector<routing::DataCentreCandidate> candidates;
+    routing::DataCentreCandidate own;
+    own.id = m_dataCentre;
+    own.isWithdrawn = configuration.isWithdrawn(m_dataCentre);
+    for (const EndpointRecord &record : membership.endpoints) {
+        if (!isCandidate(record, query))
+            continue;
+        ++own.serving;
+        own.inFlight += record.inFlight;
+        own.limit += record.limit;
+    }
+    candidates.push_back(own);
+    for (const auto &[id, summary] : membership.summaries) {
+        const auto service = summary.services.find(query.service);
+        if (id == m_dataCentre || service == summary.services.end())
+            continue;
+        const bool hasDigest
+                = query.digest.isNone() || service->second.activeDigests.contains(query.digest);
+        candidates.push_back({id, configuration.isWithdrawn(id), summary.isFresh,
+                hasDigest ? service->second.serving : 0, service->second.inFlight,
+                service->second.limit});
+    }
+    return candidates;
+}
+
+std::optional<DataCentreId> CallerRouter::chooseDataCentre(const RouteQuery &query,
+        const config::ConfigSnapshot &configuration, const MembershipSnapshot &membership,
+        TimePoint now)
+{
+    const std::vector<routing::DataCentreCandidate> candidates
+            = dataCentres(query, configuration, membership);
+    if (query.slot) {
+        std::vector<DataCentreId> serving;
+        for (const routing::DataCentreCandidate &candidate : candidates) {
+            if (candidate.isUsable())
+                serving.push_back(candidate.id);
+        }
+        return routing::slotDataCentre(query.service, *query.slot, serving);
+    }
+    if (query.isForwarded) {
+        const bool isUsable = candidates.front().isUsable();
+        return isUsable ? std::optional<DataCentreId>(m_dataCentre) : std::nullopt;
+    }
+    const auto chooser = m_dataCentreChoosers.try_emplace(
+            query.service, m_dataCentre, routing::DataCentreChooserOptions());
+    return chooser.first->second.choose(candidates, now, m_random);
+}
+
+routing::EndpointCandidate CallerRouter::candidateOf(
+        const EndpointRecord &record, TimePoint now) const
+{
+    routing::EndpointCandidate candidate;
+    candidate.idHash = routing::endpointHash(record.id);
+    candidate.inFlight = record.inFlight;
+    candidate.limit = std::max(1U, record.limit);
+    const auto load = m_loads.find(record.id.value());
+    if (load == m_loads.end())
+        return candidate;
+    if (load->second.stated && now - load->second.statedAt < StatedLoadAge) {
+        candidate.inFlight = load->second.stated->in_flight();
+        candidate.limit = load->second.stated->limit();
+    }
+    candidate.inFlight = std::max(candidate.inFlight, load->second.inFlight);
+    return candidate;
+}
+
+Expected<Route> CallerRouter::chooseEndpoint(
+        const RouteQuery &query, const MembershipSnapshot &membership, TimePoint now)
+{
+    std::vector<const EndpointRecord *> records;
+    std::vector<routing::EndpointCandidate> candidates;
+    std::vector<domain::EndpointId> serving;
+    for (const EndpointRecord &record : membership.endpoints) {
+        if (!isCandidate(record, query))
+            continue;
+        serving.push_back(record.id);
+        if (query.excluded.contains(record.id.value()))
+            continue;
+        records.push_back(&record);
+        candidates.push_back(candidateOf(record, now));
+    }
+    if (query.slot) {
+        const auto owner = routing::slotEndpoint(query.service, *query.slot, serving);
+        const auto record = std::find_if(records.begin(), records.end(),
+                [&](const EndpointRecord *other) { return owner && other->id == *owner; });
+        return record == records.end() ? Expected<Route>(noEndpoint(query)) : routeTo(**record);
+    }
+    if (records.empty())
+        return noEndpoint(query);
+    const std::optional<std::size_t> index
+            = m_endpointChooser.choose(candidates, query.affinity, m_random);
+    return index ? routeTo(*records[*index]) : Expected<Route>(noRoom());
+}
+
+Expected<Route> CallerRouter::chooseEntry(const DataCentreId &dataCentre, const RouteQuery &query,
+        const MembershipSnapshot &membership)
+{
+    std::vector<const membership::EntryRecord *> entries;
+    for (const membership::EntryRecord &entry : membership.entries) {
+        if (entry.dataCentre == dataCentre && entry.isAlive && !entry.isLeaving
+                && !query.excluded.contains(entry.id.value()))
+            entries.push_back(&entry);
+    }
+    if (entries.empty())
+        return noEndpoint(query);
+    std::uniform_int_distribution<std::size_t> any(0, entries.size() - 1);
+    const membership::EntryRecord &entry = *entries[any(m_random)];
+    return Route{entry.id.value(), {entry.requestAddress, entry.incarnation}, {}, true};
+}
+
+void CallerRouter::started(const Route &route)
+{
+    const std::scoped_lock lock(m_mutex);
+    ++m_loads[route.id].inFlight;
+}
+
+void CallerRouter::finished(
+        const Route &route, const std::optional<protocol::Load> &load, TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    OwnLoad &own = m_loads[route.id];
+    --own.inFlight;
+    if (load && !route.isForward) {
+        own.stated = load;
+        own.statedAt = now;
+    }
+    const bool isIdle = own.inFlight == 0 && !own.stated;
+    if (isIdle)
+        m_loads.erase(route.id);
+}
+
+std::uint32_t CallerRouter::capacity(
+        const domain::ServiceId &service, const MembershipSnapshot &membership) const
+{
+    std::uint32_t limits = 0;
+    for (const EndpointRecord &record : membership.endpoints) {
+        if (record.service == service && record.isServing())
+            limits += record.limit;
+    }
+    std::uint32_t others = 0;
+    for (const auto &[id, summary] : membership.summaries) {
+        const auto found = summary.services.find(service);
+        if (id != m_dataCentre && summary.isFresh && found != summary.services.end())
+            others += found->second.limit;
+    }
+    const auto entries = std::count_if(membership.entries.begin(), membership.entries.end(),
+            [](const membership::EntryRecord &entry) { return entry.isAlive && !entry.isLeaving; });
+    return std::max(1U, (limits + others) / std::max(1U, static_cast<std::uint32_t>(entries)));
+}
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/entry/internal/callerrouter.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "config/configsnapshot.h"
+#include "domain/digest.h"
+#include "domain/error.h"
+#include "domain/strongid.h"
+#include "domain/timepoint.h"
+#include "entry/internal/attemptclient.h"
+#include "membership/membershipsnapshot.h"
+#include "protocol/control.pb.h"
+#include "routing/datacentrechooser.h"
+#include "routing/endpointchooser.h"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oriolerill::entry {
+
+/// What the choice of a target depends on.
+struct RouteQuery
+{
+    domain::ServiceId service;
+    bool isModel = false;
+    std::optional<std::uint64_t> affinity;
+    /// Slot of the order ledger; only for orders.
+    std::optional<std::uint32_t> slot;
+    /// Weights that an answer already begun came from.
+    domain::Digest digest;
+    /// Identifiers of endpoints and entries that have failed the request.
+    std::set<std::string> excluded;
+    /// True for attempts from another entry, which stay in this data centre.
+    bool isForwarded = false;
+};
+
+struct Route
+{
+    /// Identifier of the endpoint or entry.
+    std::string id;
+    AttemptTarget target;
+    /// Weights that the endpoint has loaded; none when forwarded.
+    domain::Digest digest;
+    bool isForward = false;
+};
+
+/// Chooses targets and keeps the load that this entry causes. Safe to use from all workers.
+class CallerRouter
+{
+public:
+    CallerRouter(domain::EntryId own, domain::DataCentreId dataCentre, std::uint64_t seed);
+
+    /// Unavailable without any target; Overloaded when none has room.
+    domain::Expected<Route> choose(const RouteQuery &query,
+            const config::ConfigSnapshot &configuration,
+            const membership::MembershipSnapshot &membership, domain::TimePoint now);
+    /// Counts an attempt in; it has to be finished later.
+    void started(const Route &route);
+    void finished(
+            const Route &route, const std::optional<protocol::Load> &load, domain::TimePoint now);
+    /// Concurrency that this entry may use for the service, in requests.
+    std::uint32_t capacity(const domain::ServiceId &service,
+            const membership::MembershipSnapshot &membership) const;
+
+private:
+    struct OwnLoad
+    {
+        std::uint32_t inFlight = 0;
+        std::optional<protocol::Load> stated;
+        domain::TimePoint statedAt;
+    };
+
+    std::optional<domain::DataCentreId> chooseDataCentre(const RouteQuery &query,
+            const config::ConfigSnapshot &configuration,
+            const membership::MembershipSnapshot &membership, domain::TimePoint now);
+    domain::Expected<Route> chooseEndpoint(const RouteQuery &query,
+            const membership::MembershipSnapshot &membership, domain::TimePoint now);
+    domain::Expected<Route> chooseEntry(const domain::DataCentreId &dataCentre,
+            const RouteQuery &query, const membership::MembershipSnapshot &membership);
+    routing::EndpointCandidate candidateOf(
+            const membership::EndpointRecord &record, domain::TimePoint now) const;
+    std::vector<routing::DataCentreCandidate> dataCentres(const RouteQuery &query,
+            const config::ConfigSnapshot &configuration,
+            const membership::MembershipSnapshot &membership) const;
+
+    domain::EntryId m_own;
+    domain::DataCentreId m_dataCentre;
+    mutable std::mutex m_mutex;
+    std::mt19937_64 m_random;
+    routing::EndpointChooser m_endpointChooser;
+    std::map<domain::ServiceId, routing::DataCentreChooser> m_dataCentreChoosers;
+    std::map<std::string, OwnLoad> m_loads;
+};
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/entry/internal/callerrun.cpp
@@ -0,0 +1,137 @@
+#include "entry/internal/callerrun.h"
+
+#include "requests/retryrule.h"
+#include "routing/slotowner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolerill::entry {
+
+namespace asio = boost::asio;
+using domain::Expected;
+using domain::TimePoint;
+using observability::RequestOutcome;
+
+namespace {
+
+constexpr auto DefaultRetryAfter = std::chrono::seconds(1);
+
+RouteQuery queryOf(const CallerRequest &request)
+{
+    RouteQuery query;
+    query.service = request.service.id;
+    query.isModel = request.isModel();
+    query.affinity = request.affinity;
+    if (request.isOrder()) {
+        query.slot
+                = routing::orderSlot(request.account.id, request.key, request.service.ledgerSlots);
+    }
+    return query;
+}
+
+} // namespace
+
+CallerRun::CallerRun(CallerContext &context, const CallerRequest &request, CallerAnswer &answer)
+    : m_context(context)
+    , m_request(request)
+    , m_answer(answer)
+    , m_query(queryOf(request))
+{}
+
+Expected<Route> CallerRun::chooseRoute()
+{
+    const auto configuration = m_context.configView.snapshot();
+    const auto membership = m_context.membershipView.snapshot();
+    return m_context.router.choose(m_query, *configuration, *membership, TimePoint::clock::now());
+}
+
+protocol::Attempt CallerRun::nextAttempt(const Route &route)
+{
+    protocol::Attempt attempt = m_request.attempt;
+    attempt.set_attempt(++m_attempts);
+    attempt.set_entry_incarnation(m_context.options.incarnation.count());
+    attempt.set_sequence(++m_context.sequence);
+    attempt.set_forwarded(route.isForward);
+    attempt.set_resume_offset(m_answer.sentBytes());
+    // An answer that has begun can only go on with its own weights.
+    const domain::Digest digest = m_query.digest.isNone() ? route.digest : m_query.digest;
+    if (m_request.isModel() && !digest.isNone())
+        attempt.set_required_digest(digest.bytes());
+    return attempt;
+}
+
+asio::awaitable<AttemptResult> CallerRun::attemptAt(Route route)
+{
+    protocol::Attempt attempt = nextAttempt(route);
+    m_context.router.started(route);
+    AttemptResult result = co_await m_context.attemptClient.run(
+            route.target, std::move(attempt), m_request.deadline, m_answer);
+    m_context.router.finished(route, result.load, TimePoint::clock::now());
+    co_return result;
+}
+
+bool CallerRun::mayRetry(const AttemptResult &result) const
+{
+    requests::RetryFacts facts;
+    facts.isIdempotent = m_request.isIdempotent;
+    facts.isOrder = m_request.isOrder();
+    facts.outcome = result.outcome;
+    facts.isStated = result.isStated;
+    facts.hasSentData = m_answer.hasSentData();
+    facts.isResumable = m_request.isModel() && !m_answer.digest().isNone();
+    return requests::mayRetry(facts) && m_attempts < m_context.options.maxAttempts
+            && TimePoint::clock::now() < m_request.deadline;
+}
+
+void CallerRun::prepareRetry(const Route &route, const AttemptResult &result)
+{
+    m_answer.restart();
+    if (m_answer.hasSentData())
+        m_query.digest = m_answer.digest();
+    // The owner of an order may answer a repeat after a lost connection, but not after a refusal.
+    if (!m_request.isOrder() || result.outcome == protocol::OUTCOME_NOT_RUN)
+        m_query.excluded.insert(route.id);
+}
+
+asio::awaitable<RequestOutcome> CallerRun::execute()
+{
+    for (;;) {
+        const Expected<Route> route = chooseRoute();
+        if (!route) {
+            if (m_outcome == protocol::OUTCOME_UNSPECIFIED) {
+                m_outcome = protocol::OUTCOME_NOT_RUN;
+                m_error = route.error();
+            }
+            co_return co_await giveUp();
+        }
+        const AttemptResult result = co_await attemptAt(*route);
+        m_outcome = requests::combineOutcomes(m_outcome, result.outcome);
+        m_error = result.error;
+        m_retryAfter = result.retryAfter;
+        if (result.isReceiverGone)
+            co_return RequestOutcome::Cut;
+        if (result.outcome == protocol::OUTCOME_ANSWERED) {
+            const Expected<domain::Done> finished = co_await m_answer.finish();
+            co_return finished ? RequestOutcome::Answered : RequestOutcome::Cut;
+        }
+        if (!mayRetry(result) || !m_context.tryRetry())
+            co_return co_await giveUp();
+        prepareRetry(*route, result);
+    }
+}
+
+asio::awaitable<RequestOutcome> CallerRun::giveUp()
+{
+    if (m_answer.hasSentData()) {
+        m_answer.abort();
+        co_return RequestOutcome::Cut;
+    }
+    const bool isNotRun = m_outcome == protocol::OUTCOME_NOT_RUN;
+    if (isNotRun)
+        m_retryAfter = std::max<domain::Duration>(m_retryAfter, DefaultRetryAfter);
+    co_await m_answer.refuse(m_outcome, m_error, isNotRun ? m_retryAfter : domain::Duration());
+    co_return isNotRun ? RequestOutcome::NotRun : RequestOutcome::Unknown;
+}
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/entry/internal/callerrun.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "entry/internal/calleranswer.h"
+#include "entry/internal/callercontext.h"
+#include "entry/internal/callerrequest.h"
+#include "entry/internal/callerrouter.h"
+#include "observability/irequestrecorder.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace oriolerill::entry {
+
+/// Carries one admitted request through its attempts to a final answer.
+class CallerRun
+{
+public:
+    CallerRun(CallerContext &context, const CallerRequest &request, CallerAnswer &answer);
+
+    boost::asio::awaitable<observability::RequestOutcome> execute();
+
+private:
+    domain::Expected<Route> chooseRoute();
+    protocol::Attempt nextAttempt(const Route &route);
+    boost::asio::awaitable<AttemptResult> attemptAt(Route route);
+    bool mayRetry(const AttemptResult &result) const;
+    void prepareRetry(const Route &route, const AttemptResult &result);
+    boost::asio::awaitable<observability::RequestOutcome> giveUp();
+
+    CallerContext &m_context;
+    const CallerRequest &m_request;
+    CallerAnswer &m_answer;
+    RouteQuery m_query;
+    unsigned m_attempts = 0;
+    protocol::Outcome m_outcome = protocol::OUTCOME_UNSPECIFIED;
+    domain::Error m_error;
+    domain::Duration m_retryAfter = {};
+};
+
+} // namespace oriolerill::entry
--- /dev/null
+++ b/src/requests/answerbuffer.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "protocol/control.pb.h"
+#include "requests/answerchecksum.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace oriolerill::requests {
+
+/// The answer of one attempt as far as it is known, kept for readers that attach again.
+///
+/// Data beyond the bound pushes out the oldest data, so that a reader that lags too far behind
+/// loses the answer but memory stays bounded. Not safe for concurrent use.
+class AnswerBuffer
+{
+public:
+    /// Position of one reader.
+    struct Cursor
+    {
+        bool hasHead = false;
+        bool hasEnd = false;
+        /// Data bytes that the reader has.
+        std::uint64_t offset = 0;
+    };
+
+    explicit AnswerBuffer(std::size_t maxBytes);
+
+    void setHead(protocol::AnswerHead head);
+    void append(std::string_view data);
+    /// Completes the answer; for an answered attempt the length and the checksum are filled in.
+    void finish(protocol::AnswerEnd end, std::uint64_t resumeOffset);
+
+    bool hasHead() const { return m_head.has_value(); }
+    bool isFinished() const { return m_end.has_value(); }
+    const std::optional<protocol::AnswerEnd> &end() const { return m_end; }
+    std::uint64_t length() const { return m_checksum.length(); }
+    std::size_t heldBytes() const { return m_heldBytes; }
+    /// True when the reader at this offset would lose data if the given amount were added.
+    bool wouldOverrun(std::uint64_t offset, std::size_t size) const;
+    /// True when data that the cursor still needs is gone.
+    bool isLost(const Cursor &cursor) const { return cursor.offset < m_firstOffset; }
+
+    /// The next frames for a reader, which advance its cursor; empty when there are none yet.
+    std::vector<protocol::AttemptFrame> next(Cursor &cursor) const;
+    /// Frees the data; readers that still need it have lost the answer.
+    void release();
+
+private:
+    std::size_t m_maxBytes;
+    std::optional<protocol::AnswerHead> m_head;
+    std::optional<protocol::AnswerEnd> m_end;
+    std::deque<std::string> m_pieces;
+    std::uint64_t m_firstOffset = 0;
+    std::size_t m_heldBytes = 0;
+    AnswerChecksum m_checksum;
+};
+
+} // namespace oriolerill::requests
--- /dev/null
+++ b/src/requests/internal/attemptregistry.cpp
@@ -0,0 +1,85 @@
+#include "requests/attemptregistry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolerill::requests {
+
+using domain::Incarnation;
+using domain::TimePoint;
+
+AttemptKey AttemptKey::of(const protocol::Attempt &attempt)
+{
+    return {domain::RequestId(attempt.request_id()), attempt.attempt(),
+            Incarnation(attempt.entry_incarnation())};
+}
+
+AttemptRegistry::AttemptRegistry(Incarnation own, AttemptRegistryOptions options)
+    : m_own(own)
+    , m_options(options)
+{}
+
+AttemptAdmission AttemptRegistry::admit(const protocol::Attempt &attempt, TimePoint now)
+{
+    forgetOld(now);
+    const auto known = m_records.find(AttemptKey::of(attempt));
+    if (known == m_records.end())
+        return admitUnseen(attempt, now);
+    if (known->second.attempt)
+        return AttachAttempt{known->second.attempt};
+    return RefuseAttempt{};
+}
+
+AttemptAdmission AttemptRegistry::admitUnseen(const protocol::Attempt &attempt, TimePoint now)
+{
+    const Incarnation addressed(attempt.receiver_incarnation());
+    if (mayBeForgotten(attempt))
+        return UnknownAttempt{};
+    if (!attempt.reattach()) {
+        const bool isForPredecessor = addressed.count() != 0 && addressed != m_own;
+        return isForPredecessor ? AttemptAdmission(RefuseAttempt{}) : RunAttempt{};
+    }
+    // A predecessor with the same address may have run it; without room the refusal cannot be kept.
+    if (addressed != m_own || m_records.size() >= m_options.maxRecords)
+        return UnknownAttempt{};
+    const AttemptKey key = AttemptKey::of(attempt);
+    m_records[key].sequence = attempt.sequence();
+    finished(key, now);
+    return RefuseAttempt{};
+}
+
+bool AttemptRegistry::mayBeForgotten(const protocol::Attempt &attempt) const
+{
+    const auto forgotten = m_forgotten.find(Incarnation(attempt.entry_incarnation()));
+    return forgotten != m_forgotten.end() && attempt.sequence() <= forgotten->second;
+}
+
+void AttemptRegistry::started(
+        const AttemptKey &key, std::uint64_t sequence, std::shared_ptr<RunningAttempt> attempt)
+{
+    Record &record = m_records[key];
+    record.sequence = sequence;
+    record.attempt = std::move(attempt);
+}
+
+void AttemptRegistry::finished(const AttemptKey &key, TimePoint now)
+{
+    m_expiries.push_back({now + m_options.recordRetention, key});
+}
+
+void AttemptRegistry::forgetOld(TimePoint now)
+{
+    while (!m_expiries.empty()
+            && (m_expiries.front().at <= now || m_records.size() > m_options.maxRecords)) {
+        const AttemptKey key = std::move(m_expiries.front().key);
+        m_expiries.pop_front();
+        const auto record = m_records.find(key);
+        if (record == m_records.end())
+            continue;
+        std::uint64_t &forgotten = m_forgotten[key.sender];
+        forgotten = std::max(forgotten, record->second.sequence);
+        m_records.erase(record);
+    }
+}
+
+} // namespace oriolerill::requests
--- /dev/null
+++ b/src/requests/internal/retryrule.cpp
@@ -0,0 +1,26 @@
+#include "requests/retryrule.h"
+
+namespace oriolerill::requests {
+
+bool mayRetry(const RetryFacts &facts)
+{
+    if (facts.outcome == protocol::OUTCOME_ANSWERED)
+        return false;
+    if (facts.hasSentData)
+        return facts.isResumable;
+    if (facts.outcome == protocol::OUTCOME_NOT_RUN || facts.isIdempotent)
+        return true;
+    // The ledger's own "unknown" is final; a lost connection to its owner is not.
+    return facts.isOrder && !facts.isStated;
+}
+
+protocol::Outcome combineOutcomes(protocol::Outcome earlier, protocol::Outcome last)
+{
+    if (last == protocol::OUTCOME_ANSWERED)
+        return last;
+    const bool isNotRun = last == protocol::OUTCOME_NOT_RUN
+            && (earlier == protocol::OUTCOME_NOT_RUN || earlier == protocol::OUTCOME_UNSPECIFIED);
+    return isNotRun ? protocol::OUTCOME_NOT_RUN : protocol::OUTCOME_UNKNOWN;
+}
+
+} // namespace oriolerill::requests
--- /dev/null
+++ b/src/routing/retrybudget.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "domain/timepoint.h"
+
+namespace oriolerill::routing {
+
+struct RetryBudgetOptions
+{
+    /// Retries that each request adds to the budget.
+    double perRequest = 0.2;
+    /// Retries a second that are allowed without any requests.
+    double perSecond = 5;
+    double max = 50;
+};
+
+/// Bounds the retries of a process by a share of its requests, so that an overload is not made
+/// worse by retries. Not safe for concurrent use.
+class RetryBudget
+{
+public:
+    RetryBudget(RetryBudgetOptions options, domain::TimePoint now);
+
+    void onRequest();
+    /// True when a retry may be sent now; it is then taken from the budget.
+    bool tryRetry(domain::TimePoint now);
+
+private:
+    RetryBudgetOptions m_options;
+    double m_tokens;
+    domain::TimePoint m_refilledAt;
+};
+
+} // namespace oriolerill::routing
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -54,10 +54,11 @@
     HttpClient &operator=(const HttpClient &) = delete;
 
     /// Sends a request and reads the response head. With isFresh a new connection is used, from a
-    /// new source port. The deadline covers connecting, sending and the head.
+    /// new source port. The deadline covers connecting, sending and the head. When hasSent is given
+    /// it is set to whether any byte may have left; it has to outlive the call.
     boost::asio::awaitable<domain::Expected<std::unique_ptr<HttpExchange>>> open(
             domain::SocketAddress peer, HttpRequest request, domain::TimePoint deadline,
-            bool isFresh = false);
+            bool isFresh = false, bool *hasSent = nullptr);
 
     /// Sends a request and reads the whole response; TooLarge above HttpClientOptions::maxBody.
     boost::asio::awaitable<domain::Expected<HttpResponse>> send(domain::SocketAddress peer,
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -116,13 +116,13 @@
         closing.swap(m_idle);
     }
 
-    asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> open(
-            SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh);
+    asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> open(SocketAddress peer,
+            HttpRequest request, TimePoint deadline, bool isFresh, bool *hasSent);
 
 private:
     asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> run(
             std::unique_ptr<Connection> connection, SocketAddress peer, HttpRequest request,
-            TimePoint deadline);
+            TimePoint deadline, bool *hasSent);
     asio::awaitable<beast::error_code> connect(Connection &connection, const SocketAddress &peer);
 
     asio::any_io_executor m_executor;
@@ -227,7 +227,7 @@
 
 asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> HttpClient::Implementation::run(
         std::unique_ptr<Connection> connection, SocketAddress peer, HttpRequest request,
-        TimePoint deadline)
+        TimePoint deadline, bool *hasSent)
 {
     connection->stream.expires_at(deadline);
     if (!connection->isReused) {
@@ -236,6 +236,8 @@
             co_return failure(peer, "connecting to", code);
     }
     const http::request<http::string_body> message = toBeast(peer, std::move(request));
+    if (hasSent != nullptr)
+        *hasSent = true;
     auto [writeCode, written] = co_await http::async_write(connection->stream, message, UseTuple);
     if (writeCode)
         co_return failure(peer, "sending to", writeCode);
@@ -254,14 +256,16 @@
 }
 
 asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> HttpClient::Implementation::open(
-        SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh)
+        SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh, bool *hasSent)
 {
+    if (hasSent != nullptr)
+        *hasSent = false;
     std::unique_ptr<Connection> connection = isFresh ? nullptr : takeIdle(peer);
     if (!connection)
         connection = std::make_unique<Connection>(m_executor);
     const auto strand = connection->strand;
     co_return co_await asio::co_spawn(strand,
-            run(std::move(connection), std::move(peer), std::move(request), deadline),
+            run(std::move(connection), std::move(peer), std::move(request), deadline, hasSent),
             asio::use_awaitable);
 }
 
@@ -275,9 +279,9 @@
 }
 
 asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> HttpClient::open(
-        SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh)
+        SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh, bool *hasSent)
 {
-    return m_implementation->open(std::move(peer), std::move(request), deadline, isFresh);
+    return m_implementation->open(std::move(peer), std::move(request), deadline, isFresh, hasSent);
 }
 
 asio::awaitable<Expected<HttpResponse>> HttpClient::send(
