--- a/src/entry/internal/entryprocess.h
+++ b/src/entry/internal/entryprocess.h
@@ -3,6 +3,8 @@
 #include "domain/expected.h"
 #include "settings/entrysettings.h"
 
+#include <memory>
+
 namespace oriolerill::entry {
 
 /// The services of one entry, from start to graceful shutdown.
@@ -10,6 +12,9 @@
 {
 public:
     explicit EntryProcess(settings::EntrySettings settings);
+    ~EntryProcess();
+    EntryProcess(const EntryProcess &) = delete;
+    EntryProcess &operator=(const EntryProcess &) = delete;
 
     /// Starts to serve and returns.
     domain::Expected<domain::Done> start();
@@ -18,7 +23,8 @@
     void stop();
 
 private:
-    settings::EntrySettings m_settings;
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
 };
 
 } // namespace oriolerill::entry
