--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -116,13 +116,13 @@
         closing.swap(m_idle);
     }
 
-    asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> open(
-            SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh);
+    asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> open(SocketAddress peer,
+            HttpRequest request, TimePoint deadline, bool isFresh, bool *hasSent);
 
 private:
     asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> run(
             std::unique_ptr<Connection> connection, SocketAddress peer, HttpRequest request,
-            TimePoint deadline);
+            TimePoint deadline, bool *hasSent);
     asio::awaitable<beast::error_code> connect(Connection &connection, const SocketAddress &peer);
 
     asio::any_io_executor m_executor;
@@ -216,6 +216,10 @@
     if (!code && !m_options.sourceHost.empty()) {
         socket.bind(tcp::endpoint(asio::ip::make_address_v4(m_options.sourceHost), 0), code);
     }
+    if (!code && m_options.receiveBuffer.count() > 0) {
+        const auto size = static_cast<int>(m_options.receiveBuffer.count());
+        socket.set_option(asio::socket_base::receive_buffer_size(size), code);
+    }
     if (code)
         co_return code;
     const tcp::endpoint target(asio::ip::make_address_v4(peer.host), peer.port);
@@ -227,7 +231,7 @@
 
 asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> HttpClient::Implementation::run(
         std::unique_ptr<Connection> connection, SocketAddress peer, HttpRequest request,
-        TimePoint deadline)
+        TimePoint deadline, bool *hasSent)
 {
     connection->stream.expires_at(deadline);
     if (!connection->isReused) {
@@ -236,6 +240,8 @@
             co_return failure(peer, "connecting to", code);
     }
     const http::request<http::string_body> message = toBeast(peer, std::move(request));
+    if (hasSent != nullptr)
+        *hasSent = true;
     auto [writeCode, written] = co_await http::async_write(connection->stream, message, UseTuple);
     if (writeCode)
         co_return failure(peer, "sending to", writeCode);
@@ -254,14 +260,16 @@
 }
 
 asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> HttpClient::Implementation::open(
-        SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh)
+        SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh, bool *hasSent)
 {
+    if (hasSent != nullptr)
+        *hasSent = false;
     std::unique_ptr<Connection> connection = isFresh ? nullptr : takeIdle(peer);
     if (!connection)
         connection = std::make_unique<Connection>(m_executor);
     const auto strand = connection->strand;
     co_return co_await asio::co_spawn(strand,
-            run(std::move(connection), std::move(peer), std::move(request), deadline),
+            run(std::move(connection), std::move(peer), std::move(request), deadline, hasSent),
             asio::use_awaitable);
 }
 
@@ -275,9 +283,9 @@
 }
 
 asio::awaitable<Expected<std::unique_ptr<HttpExchange>>> HttpClient::open(
-        SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh)
+        SocketAddress peer, HttpRequest request, TimePoint deadline, bool isFresh, bool *hasSent)
 {
-    return m_implementation->open(std::move(peer), std::move(request), deadline, isFresh);
+    return m_implementation->open(std::move(peer), std::move(request), deadline, isFresh, hasSent);
 }
 
 asio::awaitable<Expected<HttpResponse>> HttpClient::send(
