Give the entry the tracker role

Cause: swarm reports were answered as unknown messages. Change: EntryProcess starts TrackerService and dispatches SwarmReport and HaveRequest to it.

--- a/src/entry/internal/entryprocess.cpp
+++ b/src/entry/internal/entryprocess.cpp
@@ -5,6 +5,7 @@
 #include "entry/internal/callerfront.h"
 #include "entry/internal/configservice.h"
 #include "entry/internal/membershipservice.h"
+#include "entry/internal/trackerservice.h"
 #include "observability/burnrecorder.h"
 #include "observability/log.h"
 #include "observability/metrics.h"
@@ -102,6 +103,17 @@
     return options;
 }
 
+TrackerServiceOptions trackerOptions(
+        const settings::EntrySettings &settings, domain::Incarnation incarnation)
+{
+    TrackerServiceOptions options;
+    options.entry = settings.id;
+    options.dataCentre = settings.dataCentre;
+    options.region = settings.region;
+    options.incarnation = incarnation;
+    return options;
+}
+
 CallerFrontOptions frontOptions(
         const settings::EntrySettings &settings, domain::Incarnation incarnation)
 {
@@ -146,6 +158,8 @@
                   membershipOptions(m_settings, m_incarnation))
         , m_config(m_pool.get_executor(), m_store, m_control, m_membership, m_table,
                   configOptions(m_settings, m_incarnation))
+        , m_tracker(m_pool.get_executor(), m_control, m_membership, m_table,
+                  trackerOptions(m_settings, m_incarnation))
         , m_front(m_pool.get_executor(), m_table, m_membership, m_client, m_recorder,
                   frontOptions(m_settings, m_incarnation))
         , m_controlServer(m_pool.get_executor(), m_settings.listenControl)
@@ -173,6 +187,7 @@
             return peer.error();
         m_membership.start();
         m_config.start();
+        m_tracker.start();
         const auto caller = m_callerServer.start(m_settings.listenCaller,
                 [this](HttpServerExchange &exchange) { return m_front.handleCaller(exchange); });
         if (!caller)
@@ -192,6 +207,7 @@
             observability::logEvent(observability::Severity::Warning, "drain_time_exceeded",
                     {{"active", m_front.active()}});
         }
+        m_tracker.stop();
         m_config.stop();
         m_membership.stop();
         m_controlServer.stop();
@@ -212,6 +228,10 @@
         case protocol::ControlRequest::kConfigPush:
             m_config.handle(request, reply);
             return;
+        case protocol::ControlRequest::kSwarmReport:
+        case protocol::ControlRequest::kHaveRequest:
+            m_tracker.handle(request, reply);
+            return;
         default:
             reply(unknownMessageReply());
         }
@@ -228,6 +248,7 @@
     platform::ObjectStoreClient m_store;
     MembershipService m_membership;
     ConfigService m_config;
+    TrackerService m_tracker;
     CallerFront m_front;
     transport::NngControlServer m_controlServer;
     transport::HttpServer m_peerServer;
