--- /dev/null
+++ b/src/agent/internal/weightstracker.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "domain/socketaddress.h"
+#include "domain/strongid.h"
+#include "domain/timepoint.h"
+#include "protocol/control.pb.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace oriolerill::agent {
+
+/// Chooses the entry that an agent reports to: the first live one in the rank of its
+/// (data centre, service), unless that entry names another.
+class WeightsTracker
+{
+public:
+    WeightsTracker(domain::DataCentreId dataCentre, domain::ServiceId service);
+
+    void setEntries(const std::vector<protocol::EntryInfo> &entries);
+    /// Control address to report to; empty while no entry is known.
+    std::optional<domain::SocketAddress> current(domain::TimePoint now) const;
+    void noteFailure(const domain::SocketAddress &address, domain::TimePoint now);
+    void noteRedirect(const domain::SocketAddress &address, domain::TimePoint now);
+
+private:
+    domain::DataCentreId m_dataCentre;
+    domain::ServiceId m_service;
+    std::vector<domain::SocketAddress> m_ranked;
+    std::map<domain::SocketAddress, domain::TimePoint> m_avoidedUntil;
+    std::optional<domain::SocketAddress> m_redirect;
+    domain::TimePoint m_redirectUntil;
+};
+
+} // namespace oriolerill::agent
--- a/src/distribution/fetchscheduler.h
+++ b/src/distribution/fetchscheduler.h
@@ -129,6 +129,8 @@
         std::size_t lastPlanned = 0;
         bool isReportUrgent = true;
         domain::TimePoint nextAsk;
+        domain::TimePoint nextPlanAlone;
+        std::size_t aloneCursor = 0;
         domain::TimePoint manifestRetryAt;
         domain::TimePoint lastProgress;
     };
@@ -154,10 +156,11 @@
     void markHeld(const domain::Digest &content, domain::TimePoint now);
     void cancelContent(const domain::Digest &content, FetchActions &actions);
     void noteBad(Version &version, const std::string &source, domain::TimePoint now);
-    void planAlone(const domain::Digest &manifest, Version &version, FetchActions &actions,
-            domain::TimePoint now);
+    void planAlone(const domain::Digest &manifest, Version &version, domain::TimePoint now);
     void askPeers(const domain::Digest &manifest, Version &version, FetchActions &actions,
             domain::TimePoint now);
+    void queueAlone(const domain::Digest &manifest, Version &version, std::uint32_t chunk,
+            domain::TimePoint now);
     std::optional<std::string> sourceAlone(const domain::Digest &manifest, const Version &version,
             std::uint32_t chunk, domain::TimePoint now) const;
     bool isOriginTurn(const domain::Digest &manifest, const Version &version, std::uint32_t chunk,
--- a/src/distribution/internal/fetchscheduler.cpp
+++ b/src/distribution/internal/fetchscheduler.cpp
@@ -16,7 +16,9 @@
 
 constexpr std::size_t MaxKnownPeers = 32;
 // Fetches planned without a tracker are few, so that peers are not flooded.
-constexpr std::size_t MaxPlannedAlone = 8;
+constexpr std::size_t MaxPlannedAlone = 16;
+constexpr std::size_t MaxScannedAlone = 512;
+constexpr auto PlanAloneInterval = std::chrono::milliseconds(100);
 // Memory may become free, but a manifest must not be drawn again with each report.
 constexpr auto UnusablePause = std::chrono::seconds(10);
 
@@ -285,7 +287,7 @@
             if (isComplete)
                 continue;
             askPeers(manifest, version, actions, now);
-            planAlone(manifest, version, actions, now);
+            planAlone(manifest, version, now);
         }
     }
     startQueued(actions, now);
@@ -307,29 +309,37 @@
     }
 }
 
-void FetchScheduler::planAlone(
-        const Digest &manifest, Version &version, FetchActions &, TimePoint now)
+void FetchScheduler::planAlone(const Digest &manifest, Version &version, TimePoint now)
 {
+    if (now < version.nextPlanAlone)
+        return;
+    version.nextPlanAlone = now + PlanAloneInterval;
     if (!version.manifest) {
-        const std::optional<std::string> source
-                = sourceAlone(manifest, version, ManifestChunk, now);
-        if (source && !isPending(manifest, version, ManifestChunk))
-            version.queue.push_back({ManifestChunk, *source});
+        queueAlone(manifest, version, ManifestChunk, now);
         return;
     }
     const std::size_t size = version.have.size();
     // Agents start at different chunks, so that they have something to exchange.
-    const std::size_t first = domain::rendezvousWeight(m_options.address, manifest.hex()) % size;
-    for (std::size_t i = 0; i < size && version.queue.size() < MaxPlannedAlone; ++i) {
-        const auto chunk = static_cast<std::uint32_t>((first + i) % size);
-        if (version.have.test(chunk) || isPending(manifest, version, chunk))
-            continue;
-        const std::optional<std::string> source = sourceAlone(manifest, version, chunk, now);
-        if (source)
-            version.queue.push_back({chunk, *source});
+    if (version.aloneCursor == 0)
+        version.aloneCursor = domain::rendezvousWeight(m_options.address, manifest.hex()) % size;
+    const std::size_t scanned = std::min(size, MaxScannedAlone);
+    for (std::size_t i = 0; i < scanned && version.queue.size() < MaxPlannedAlone; ++i) {
+        version.aloneCursor = (version.aloneCursor + 1) % size;
+        if (!version.have.test(version.aloneCursor))
+            queueAlone(manifest, version, static_cast<std::uint32_t>(version.aloneCursor), now);
     }
 }
 
+void FetchScheduler::queueAlone(
+        const Digest &manifest, Version &version, std::uint32_t chunk, TimePoint now)
+{
+    if (isPending(manifest, version, chunk))
+        return;
+    const std::optional<std::string> source = sourceAlone(manifest, version, chunk, now);
+    if (source)
+        version.queue.push_back({chunk, *source});
+}
+
 std::optional<std::string> FetchScheduler::sourceAlone(
         const Digest &manifest, const Version &version, std::uint32_t chunk, TimePoint now) const
 {
@@ -355,6 +365,8 @@
 bool FetchScheduler::isOriginTurn(
         const Digest &manifest, const Version &version, std::uint32_t chunk, TimePoint now) const
 {
+    if (now < version.lastProgress + m_options.originTurn)
+        return false;
     const std::string item = manifest.hex() + '/' + std::to_string(chunk);
     const std::uint64_t own = domain::rendezvousWeight(item, m_options.address);
     const auto rank
--- a/src/distribution/internal/swarmplanner.cpp
+++ b/src/distribution/internal/swarmplanner.cpp
@@ -51,6 +51,7 @@
         entry.swarm->setSites(sites, now);
     }
 
+    bool knows(const Digest &manifest) const { return m_versions.contains(manifest); }
     void setMaxUnavailable(std::size_t endpoints) { m_maxUnavailable = endpoints; }
 
     protocol::SwarmPlan report(const protocol::SwarmReport &report, TimePoint now)
@@ -292,6 +293,11 @@
     m_implementation->configure(manifest, priority, sites, now);
 }
 
+bool SwarmPlanner::knows(const Digest &manifest) const
+{
+    return m_implementation->knows(manifest);
+}
+
 void SwarmPlanner::setMaxUnavailable(std::size_t endpoints)
 {
     m_implementation->setMaxUnavailable(endpoints);
--- a/src/distribution/internal/versionswarm.cpp
+++ b/src/distribution/internal/versionswarm.cpp
@@ -80,7 +80,7 @@
         close(state, state.fetches.back(), false, domain::TimePoint());
     for (std::size_t word = 0; word < state.have.words().size(); ++word) {
         visitBits(state.have.word(word), word, [this](std::size_t chunk) {
-            m_rarity.remove(chunk);
+            lost(chunk);
             return true;
         });
     }
@@ -176,7 +176,7 @@
             return true;
         });
         visitBits(before & ~after, word, [&](std::size_t chunk) {
-            m_rarity.remove(chunk);
+            lost(chunk);
             return true;
         });
     }
@@ -184,6 +184,14 @@
     state.held = have.count();
 }
 
+void VersionSwarm::lost(std::size_t chunk)
+{
+    m_rarity.remove(chunk);
+    // Its owner no longer has it on the list, so any endpoint may import it.
+    if (m_rarity.count(chunk) == 0)
+        m_overdue.set(chunk);
+}
+
 void VersionSwarm::gained(
         MemberState &state, Member member, std::uint32_t chunk, domain::TimePoint now)
 {
@@ -226,7 +234,7 @@
         state.fetches.push_back({chunk, {}, {}, now, now + AdoptedFetchTime});
         if (m_rarity.absent().test(chunk)) {
             m_importing.set(chunk);
-            m_importTimers.push({now + AdoptedFetchTime, member, chunk});
+            m_importTimers.push({now + AdoptedFetchTime, now, member, chunk});
         }
     }
 }
--- a/src/distribution/internal/versionswarm.h
+++ b/src/distribution/internal/versionswarm.h
@@ -90,6 +90,7 @@
     struct ImportTimer
     {
         domain::TimePoint deadline;
+        domain::TimePoint startedAt;
         Member member = 0;
         std::uint32_t chunk = 0;
         bool operator>(const ImportTimer &other) const { return deadline > other.deadline; }
@@ -115,6 +116,7 @@
     void learnBadSources(
             MemberState &state, const protocol::SwarmReport &report, domain::TimePoint now);
     void gained(MemberState &state, Member member, std::uint32_t chunk, domain::TimePoint now);
+    void lost(std::size_t chunk);
     void close(MemberState &state, const Fetch &fetch, bool isCompleted, domain::TimePoint now);
 
     void planManifest(
@@ -122,6 +124,10 @@
     bool planImport(
             Member member, std::size_t slots, domain::TimePoint now, protocol::SwarmPlan &plan);
     bool planLocal(Member member, domain::TimePoint now, protocol::SwarmPlan &plan);
+    bool planUntrusted(Member member, domain::TimePoint now, protocol::SwarmPlan &plan);
+    bool hasTrustedHolder(Member member, std::uint32_t chunk, domain::TimePoint now) const;
+    bool isTrusted(Member holder, Member member, domain::TimePoint now) const;
+    domain::Duration importTime(std::uint32_t chunk) const;
     void replaceOverdue(Member member, domain::TimePoint now, protocol::SwarmPlan &plan);
     void planEndgame(Member member, domain::TimePoint now, protocol::SwarmPlan &plan);
     bool duplicate(
--- a/src/distribution/internal/versionswarmplan.cpp
+++ b/src/distribution/internal/versionswarmplan.cpp
@@ -51,6 +51,8 @@
         ;
     while (state.fetches.size() < slots && planLocal(member, now, plan))
         ;
+    if (state.fetches.size() < slots)
+        planUntrusted(member, now, plan);
     if (state.fetches.size() < slots)
         planEndgame(member, now, plan);
 }
@@ -285,8 +287,7 @@
     if (!state.isActive || !state.have.test(chunk) || state.source == except
             || !m_sources.isUsable(state.source, now))
         return;
-    const auto avoided = m_members[member].avoided.find(state.source);
-    if (avoided != m_members[member].avoided.end() && avoided->second > now)
+    if (!isTrusted(candidate, member, now))
         return;
     const double candidateCost = cost(state);
     if (candidateCost >= bestCost)
@@ -295,6 +296,50 @@
     bestCost = candidateCost;
 }
 
+bool VersionSwarm::isTrusted(Member holder, Member member, domain::TimePoint now) const
+{
+    const Source source = m_members[holder].source;
+    if (m_sources.isAvoided(source, now))
+        return false;
+    const auto avoided = m_members[member].avoided.find(source);
+    return avoided == m_members[member].avoided.end() || avoided->second <= now;
+}
+
+bool VersionSwarm::hasTrustedHolder(Member member, std::uint32_t chunk, domain::TimePoint now) const
+{
+    return std::any_of(m_activeMembers.begin(), m_activeMembers.end(), [&](Member holder) {
+        return m_members[holder].have.test(chunk) && isTrusted(holder, member, now);
+    });
+}
+
+/// Imports a chunk whose holders in this data centre all send bad data or cannot be reached.
+bool VersionSwarm::planUntrusted(Member member, domain::TimePoint now, protocol::SwarmPlan &plan)
+{
+    const MemberState &state = m_members[member];
+    const std::size_t words = state.have.words().size();
+    const std::size_t first = random(words);
+    std::size_t tries = 0;
+    bool isAssigned = false;
+    for (std::size_t i = 0; i < words && tries < MaxTries && !isAssigned; ++i) {
+        const std::size_t word = (first + i) % words;
+        const std::uint64_t bits = ~m_rarity.absent().word(word) & ~state.have.word(word)
+                & ~state.pending.word(word) & ~m_importing.word(word);
+        visitBits(bits, word, [&](std::size_t position) {
+            if (position >= m_chunkCount)
+                return false;
+            const auto chunk = static_cast<std::uint32_t>(position);
+            if (!hasTrustedHolder(member, chunk, now)) {
+                if (const std::optional<Import> import = pickImport(chunk, now)) {
+                    assignImport(member, chunk, *import, now, plan);
+                    isAssigned = true;
+                }
+            }
+            return !isAssigned && ++tries < MaxTries;
+        });
+    }
+    return isAssigned;
+}
+
 double VersionSwarm::cost(const MemberState &state) const
 {
     // One more copy sent weighs as much as eight fetches in progress, which keeps uploads even.
@@ -318,14 +363,11 @@
 void VersionSwarm::assignImport(Member member, std::uint32_t chunk, const Import &import,
         domain::TimePoint now, protocol::SwarmPlan &plan)
 {
-    // Each further try of a chunk waits twice as long, so that a slow link is not loaded twice.
-    constexpr std::uint32_t MaxDoublings = 4;
-    const std::uint32_t attempts = std::min(m_importAttempts[chunk]++, MaxDoublings);
-    const domain::TimePoint deadline
-            = now + fetchTime(m_importSeconds, FirstImportTime, MinImportTime) * (1U << attempts);
+    ++m_importAttempts[chunk];
+    const domain::TimePoint deadline = now + importTime(chunk);
     m_importing.set(chunk);
     m_overdue.reset(chunk);
-    m_importTimers.push({deadline, member, chunk});
+    m_importTimers.push({now + MinImportTime, now, member, chunk});
     m_links.started(import.link);
     ++m_members[member].imports;
     if (import.source == SourceTable::Origin)
@@ -333,6 +375,16 @@
     add(m_members[member], {chunk, import.source, import.link, now, deadline}, plan);
 }
 
+domain::Duration VersionSwarm::importTime(std::uint32_t chunk) const
+{
+    // Each further try of a chunk waits twice as long, so that a slow link is not loaded twice.
+    constexpr std::uint32_t MaxDoublings = 4;
+    const auto attempts = m_importAttempts.find(chunk);
+    const std::uint32_t tries = attempts == m_importAttempts.end() ? 1 : attempts->second;
+    return fetchTime(m_importSeconds, FirstImportTime, MinImportTime)
+            * (1U << std::min(tries - 1, MaxDoublings));
+}
+
 void VersionSwarm::add(MemberState &state, Fetch fetch, protocol::SwarmPlan &plan)
 {
     state.pending.set(fetch.chunk);
@@ -354,6 +406,13 @@
         if (!state.isActive || !state.pending.test(timer.chunk)
                 || !m_rarity.absent().test(timer.chunk))
             continue;
+        // The measured time may have become known since the fetch was planned.
+        const domain::TimePoint deadline = timer.startedAt + importTime(timer.chunk);
+        if (deadline > now) {
+            const domain::TimePoint next = std::min(deadline, now + MinImportTime);
+            m_importTimers.push({next, timer.startedAt, timer.member, timer.chunk});
+            continue;
+        }
         m_importing.reset(timer.chunk);
         m_overdue.set(timer.chunk);
     }
