--- a/src/agent/internal/requestproxy.cpp
+++ b/src/agent/internal/requestproxy.cpp
@@ -1,6 +1,7 @@
 #include "agent/internal/requestproxy.h"
 
 #include "agent/internal/requestcall.h"
+#include "agent/internal/requestorders.h"
 #include "agent/internal/requestpermit.h"
 #include "requests/attempthost.h"
 
@@ -35,7 +36,7 @@
 class RequestProxy::Implementation : public std::enable_shared_from_this<Implementation>
 {
 public:
-    Implementation(asio::any_io_executor executor, rollout::IEngineGate &gate,
+    Implementation(const asio::any_io_executor &executor, rollout::IEngineGate &gate,
             const config::IConfigView &configView, transport::HttpClient &client,
             requests::IOrderLog *orderLog, RequestProxyOptions options)
         : m_options(std::move(options))
@@ -43,17 +44,22 @@
         , m_configView(configView)
         , m_limiter(configView, m_options.service)
         , m_call(client, m_options)
-        , m_orderLog(orderLog)
-        , m_host(std::move(executor), m_options.incarnation, hostOptions(m_options))
+        , m_orders(executor, configView, orderLog, m_options)
+        , m_host(executor, m_options.incarnation, hostOptions(m_options))
     {}
 
     asio::awaitable<void> handle(transport::HttpServerExchange &exchange);
+    /// Records of the order ledger that still have to be written.
+    std::size_t unwritten() const { return m_orders.unwritten(); }
     requests::AttemptHost &host() { return m_host; }
     const RequestLimiter &limiter() const { return m_limiter; }
 
 private:
     asio::awaitable<void> run(std::shared_ptr<RunningAttempt> running);
     asio::awaitable<void> runCall(std::shared_ptr<RunningAttempt> running);
+    asio::awaitable<void> runOrder(std::shared_ptr<RunningAttempt> running);
+    asio::awaitable<void> deliver(RunningAttempt &running, protocol::OrderRecord result) const;
+    void finishAnswered(RunningAttempt &running) const;
     std::optional<Error> refusalOf(const protocol::Attempt &attempt) const;
     void refuse(RunningAttempt &running, const Error &error) const;
 
@@ -62,7 +68,7 @@
     const config::IConfigView &m_configView;
     RequestLimiter m_limiter;
     RequestCall m_call;
-    requests::IOrderLog *m_orderLog;
+    RequestOrders m_orders;
     requests::AttemptHost m_host;
 };
 
@@ -114,7 +120,59 @@
         refuse(*running, *refusal);
         co_return;
     }
-    co_await runCall(std::move(running));
+    const protocol::Attempt &attempt = running->attempt();
+    if (!attempt.idempotent() && !attempt.idempotency_key().empty())
+        co_await runOrder(std::move(running));
+    else
+        co_await runCall(std::move(running));
+}
+
+asio::awaitable<void> RequestProxy::Implementation::runOrder(
+        std::shared_ptr<RunningAttempt> running)
+{
+    const bool hasRoom = m_gate.state().isOpen && m_limiter.hasRoom(running->attempt().batch());
+    const requests::OrderDecision decision = co_await m_orders.decide(*running, hasRoom);
+    if (const auto *answer = std::get_if<requests::FirstAnswer>(&decision)) {
+        co_await deliver(*running, answer->result);
+        co_return;
+    }
+    if (const auto *refusal = std::get_if<requests::RefuseOrder>(&decision)) {
+        running->fail(refusal->outcome, refusal->error, refusal->retryAfter, m_limiter.load());
+        co_return;
+    }
+    OrderRun order(m_orders, running->attempt());
+    RequestPermit permit(m_gate, m_limiter);
+    if (!permit.tryEnter(running->attempt())) {
+        order.end(protocol::OUTCOME_NOT_RUN, {});
+        refuse(*running, permit.refusal());
+        co_return;
+    }
+    protocol::OrderRecord result;
+    const CallFailure failure = co_await m_call.callOrder(*running, permit, result);
+    order.end(failure.outcome, result);
+    if (failure.outcome == protocol::OUTCOME_ANSWERED)
+        co_await deliver(*running, std::move(result));
+    else
+        running->fail(failure.outcome, failure.error, RefusalPause, m_limiter.load());
+}
+
+asio::awaitable<void> RequestProxy::Implementation::deliver(
+        RunningAttempt &running, protocol::OrderRecord result) const
+{
+    protocol::AnswerHead head;
+    head.set_status(result.status());
+    *head.mutable_headers() = result.headers();
+    running.setHead(std::move(head));
+    co_await running.append(std::move(*result.mutable_body()));
+    finishAnswered(running);
+}
+
+void RequestProxy::Implementation::finishAnswered(RunningAttempt &running) const
+{
+    protocol::AnswerEnd end;
+    end.set_outcome(protocol::OUTCOME_ANSWERED);
+    *end.mutable_load() = m_limiter.load();
+    running.finish(std::move(end));
 }
 
 asio::awaitable<void> RequestProxy::Implementation::runCall(std::shared_ptr<RunningAttempt> running)
@@ -129,13 +187,10 @@
         running->fail(failure.outcome, failure.error, RefusalPause, m_limiter.load());
         co_return;
     }
-    protocol::AnswerEnd end;
-    end.set_outcome(protocol::OUTCOME_ANSWERED);
-    *end.mutable_load() = m_limiter.load();
-    running->finish(std::move(end));
+    finishAnswered(*running);
 }
 
-RequestProxy::RequestProxy(asio::any_io_executor executor, rollout::IEngineGate &gate,
+RequestProxy::RequestProxy(const asio::any_io_executor &executor, rollout::IEngineGate &gate,
         const config::IConfigView &configView, transport::HttpClient &client,
         requests::IOrderLog *orderLog, RequestProxyOptions options)
     : m_implementation(std::make_shared<Implementation>(
@@ -156,7 +211,8 @@
     implementation->host().close();
     const auto executor = co_await asio::this_coro::executor;
     asio::steady_timer timer(executor);
-    while (implementation->host().active() > 0 && TimePoint::clock::now() < deadline) {
+    while ((implementation->host().active() > 0 || implementation->unwritten() > 0)
+            && TimePoint::clock::now() < deadline) {
         timer.expires_after(PollInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/src/agent/internal/requestproxy.h
+++ b/src/agent/internal/requestproxy.h
@@ -49,7 +49,7 @@
 public:
     /// The references have to outlive the proxy and its running attempts. Without an order log,
     /// requests with an idempotency key are refused.
-    RequestProxy(boost::asio::any_io_executor executor, rollout::IEngineGate &gate,
+    RequestProxy(const boost::asio::any_io_executor &executor, rollout::IEngineGate &gate,
             const config::IConfigView &configView, transport::HttpClient &client,
             requests::IOrderLog *orderLog, RequestProxyOptions options);
     ~RequestProxy();
--- a/src/agent/tests/requestproxytest.cpp
+++ b/src/agent/tests/requestproxytest.cpp
@@ -12,6 +12,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
 
 namespace oriolerill::agent {
 
@@ -40,6 +44,41 @@
     std::shared_ptr<config::ConfigSnapshot> m_snapshot = std::make_shared<config::ConfigSnapshot>();
 };
 
+/// An order log in memory.
+class FakeOrderLog : public requests::IOrderLog
+{
+public:
+    void append(const requests::LedgerSlot &, std::uint64_t number,
+            const protocol::OrderBatch &batch, AppendCallback callback) override
+    {
+        if (m_isDown) {
+            callback(domain::Error{domain::ErrorKind::Unavailable, "outage", "wait"});
+            return;
+        }
+        const std::scoped_lock lock(m_mutex);
+        m_batches[number] = batch;
+        callback(domain::Done{});
+    }
+    void read(const requests::LedgerSlot &, std::uint64_t number, ReadCallback callback) override
+    {
+        const std::scoped_lock lock(m_mutex);
+        callback(m_batches.at(number));
+    }
+    void list(const requests::LedgerSlot &, ListCallback callback) override
+    {
+        const std::scoped_lock lock(m_mutex);
+        std::vector<std::uint64_t> numbers;
+        for (const auto &[number, batch] : m_batches)
+            numbers.push_back(number);
+        callback(numbers);
+    }
+    void remove(const requests::LedgerSlot &, std::uint64_t) override {}
+
+    std::recursive_mutex m_mutex;
+    std::map<std::uint64_t, protocol::OrderBatch> m_batches;
+    std::atomic<bool> m_isDown = false;
+};
+
 } // namespace
 
 class RequestProxyFixture : public testing::Test
@@ -66,7 +105,7 @@
     void startProxy()
     {
         m_proxy = std::make_unique<RequestProxy>(
-                m_pool.get_executor(), m_gate, m_config, *m_client, nullptr, m_options);
+                m_pool.get_executor(), m_gate, m_config, *m_client, &m_orderLog, m_options);
         m_agent = std::make_unique<transport::HttpServer>(
                 m_pool.get_executor(), transport::HttpServerOptions());
         m_address = *m_agent->start(
@@ -111,6 +150,25 @@
         return attempt;
     }
 
+    /// The only slot keeps the orders of a test in one log.
+    void useOneSlot()
+    {
+        config::Service service;
+        service.id = m_options.service;
+        service.ledgerSlots = 1;
+        m_config.m_snapshot->services[service.id] = service;
+    }
+
+    static protocol::Attempt order(const std::string &id, const std::string &key)
+    {
+        protocol::Attempt order = attempt(id);
+        order.set_method("POST");
+        order.set_target("/orders");
+        order.set_idempotent(false);
+        order.set_idempotency_key(key);
+        return order;
+    }
+
     std::vector<protocol::AttemptFrame> send(const protocol::Attempt &attempt)
     {
         transport::HttpRequest request;
@@ -136,6 +194,7 @@
     asio::thread_pool m_pool{4};
     OpenGate m_gate;
     FixedConfig m_config;
+    FakeOrderLog m_orderLog;
     RequestProxyOptions m_options;
     std::unique_ptr<transport::HttpClient> m_client;
     std::unique_ptr<transport::HttpServer> m_endpoint;
@@ -238,4 +297,58 @@
     EXPECT_EQ(send(order).back().end().outcome(), protocol::OUTCOME_UNKNOWN);
 }
 
+// Guards against an order that runs again when its caller repeats it.
+TEST_F(RequestProxyFixture, handle_repeatedOrder_runsOnceAndGetsFirstAnswer)
+{
+    const auto first = send(order("r1", "k"));
+    const auto repeat = send(order("r2", "k"));
+    EXPECT_EQ(m_calls, 1);
+    EXPECT_EQ(dataOf(first), "answer to /orders");
+    EXPECT_EQ(dataOf(repeat), "answer to /orders");
+    EXPECT_EQ(repeat.back().end().outcome(), protocol::OUTCOME_ANSWERED);
+}
+
+// Guards against an order that runs again after a restart of the agent.
+TEST_F(RequestProxyFixture, handle_orderRepeatedAfterRestart_notRunAgain)
+{
+    useOneSlot();
+    send(order("r1", "k"));
+    m_agent->closeAll();
+    m_options.incarnation = domain::Incarnation(Incarnation + 1);
+    startProxy();
+    protocol::Attempt repeat = order("r2", "k");
+    repeat.set_receiver_incarnation(Incarnation + 1);
+    EXPECT_NE(send(repeat).back().end().outcome(), protocol::OUTCOME_NOT_RUN);
+    EXPECT_EQ(m_calls, 1);
+}
+
+// Guards against an order that waits for the deadline, or runs unrecorded, in an outage.
+TEST_F(RequestProxyFixture, handle_orderWhilePlatformIsDown_notRunWithRetryAfter)
+{
+    useOneSlot();
+    send(order("r1", "known"));
+    m_orderLog.m_isDown = true;
+    const auto fresh = send(order("r2", "fresh"));
+    EXPECT_EQ(fresh.back().end().outcome(), protocol::OUTCOME_NOT_RUN);
+    EXPECT_GT(fresh.back().end().retry_after_ms(), 0U);
+    EXPECT_EQ(dataOf(send(order("r3", "known"))), "answer to /orders");
+    EXPECT_EQ(m_calls, 1);
+}
+
+// Guards against a stop that loses results, or that takes new work.
+TEST_F(RequestProxyFixture, drain_runningAttempt_finishesAndRefusesNewWork)
+{
+    m_endpointDelay = 300ms;
+    auto running = std::async(std::launch::async, [this] { return send(order("r1", "k")); });
+    while (m_calls == 0)
+        std::this_thread::yield();
+    const TimePoint deadline = TimePoint::clock::now() + 5s;
+    asio::co_spawn(m_pool, m_proxy->drain(deadline), asio::use_future).get();
+    EXPECT_EQ(m_proxy->active(), 0U);
+    EXPECT_EQ(
+            m_orderLog.m_batches.rbegin()->second.records(0).kind(), protocol::ORDER_RECORD_RESULT);
+    EXPECT_EQ(running.get().back().end().outcome(), protocol::OUTCOME_ANSWERED);
+    EXPECT_EQ(send(attempt("r2")).back().end().outcome(), protocol::OUTCOME_NOT_RUN);
+}
+
 } // namespace oriolerill::agent
--- a/src/entry/internal/callercontext.cpp
+++ b/src/entry/internal/callercontext.cpp
@@ -4,7 +4,7 @@
 
 namespace oriolerill::entry {
 
-CallerContext::CallerContext(boost::asio::any_io_executor executorOfWorkers,
+CallerContext::CallerContext(const boost::asio::any_io_executor &executorOfWorkers,
         const config::IConfigView &configSource,
         const membership::IMembershipView &membershipSource, transport::HttpClient &httpClient,
         observability::IRequestRecorder &requestRecorder, CallerFrontOptions frontOptions)
--- a/src/entry/internal/callerrun.cpp
+++ b/src/entry/internal/callerrun.cpp
@@ -3,6 +3,10 @@
 #include "requests/retryrule.h"
 #include "routing/slotowner.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -16,6 +20,7 @@
 namespace {
 
 constexpr auto DefaultRetryAfter = std::chrono::seconds(1);
+constexpr auto OrderRetryPause = std::chrono::milliseconds(250);
 
 RouteQuery queryOf(const CallerRequest &request)
 {
@@ -77,7 +82,7 @@
     facts.isIdempotent = m_request.isIdempotent;
     facts.isOrder = m_request.isOrder();
     facts.outcome = result.outcome;
-    facts.isStated = result.isStated;
+    facts.isFinal = result.isStated && result.error.kind == domain::ErrorKind::Conflict;
     facts.hasSentData = m_answer.hasSentData();
     facts.isResumable = m_request.isModel() && !m_answer.digest().isNone();
     return requests::mayRetry(facts) && m_attempts < m_context.options.maxAttempts
@@ -94,6 +99,16 @@
         m_query.excluded.insert(route.id);
 }
 
+asio::awaitable<void> CallerRun::pauseBeforeRetry(const AttemptResult &result) const
+{
+    // An order can only go to its owner, which changes or gets ready within a short time.
+    if (!m_request.isOrder() || result.outcome == protocol::OUTCOME_NOT_RUN)
+        co_return;
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, OrderRetryPause);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 asio::awaitable<RequestOutcome> CallerRun::execute()
 {
     for (;;) {
@@ -118,6 +133,7 @@
         if (!mayRetry(result) || !m_context.tryRetry())
             co_return co_await giveUp();
         prepareRetry(*route, result);
+        co_await pauseBeforeRetry(result);
     }
 }
 
@@ -130,7 +146,8 @@
     const bool isNotRun = m_outcome == protocol::OUTCOME_NOT_RUN;
     if (isNotRun)
         m_retryAfter = std::max<domain::Duration>(m_retryAfter, DefaultRetryAfter);
-    co_await m_answer.refuse(m_outcome, m_error, isNotRun ? m_retryAfter : domain::Duration());
+    const bool mayRepeat = isNotRun || m_request.isIdempotent || m_request.isOrder();
+    co_await m_answer.refuse(m_outcome, m_error, mayRepeat ? m_retryAfter : domain::Duration());
     co_return isNotRun ? RequestOutcome::NotRun : RequestOutcome::Unknown;
 }
 
--- a/src/entry/internal/callerrun.h
+++ b/src/entry/internal/callerrun.h
@@ -24,6 +24,7 @@
     boost::asio::awaitable<AttemptResult> attemptAt(Route route);
     bool mayRetry(const AttemptResult &result) const;
     void prepareRetry(const Route &route, const AttemptResult &result);
+    boost::asio::awaitable<void> pauseBeforeRetry(const AttemptResult &result) const;
     boost::asio::awaitable<observability::RequestOutcome> giveUp();
 
     CallerContext &m_context;
--- a/src/requests/internal/retryrule.cpp
+++ b/src/requests/internal/retryrule.cpp
@@ -10,8 +10,8 @@
         return facts.isResumable;
     if (facts.outcome == protocol::OUTCOME_NOT_RUN || facts.isIdempotent)
         return true;
-    // The ledger's own "unknown" is final; a lost connection to its owner is not.
-    return facts.isOrder && !facts.isStated;
+    // A repeat of an order joins it or gets its answer, unless the ledger knows that it has none.
+    return facts.isOrder && !facts.isFinal;
 }
 
 protocol::Outcome combineOutcomes(protocol::Outcome earlier, protocol::Outcome last)
--- /dev/null
+++ b/src/requests/internal/slotledger.cpp
@@ -0,0 +1,529 @@
+#include "requests/slotledger.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolerill::requests {
+
+using domain::Done;
+using domain::Error;
+using domain::ErrorKind;
+using domain::Expected;
+using domain::TimePoint;
+using protocol::OrderRecord;
+
+namespace {
+
+constexpr auto HousekeepingInterval = std::chrono::seconds(10);
+
+Error conflictError()
+{
+    return Error{ErrorKind::InvalidInput,
+            "the idempotency key was used for a different request before",
+            "use a new key for a new order"};
+}
+
+// The kind tells the entry that a repeat cannot learn more.
+Error unknownError()
+{
+    return Error{ErrorKind::Conflict, "the order was started, but its end is not known",
+            "look the order up before it is placed with a new key"};
+}
+
+Error platformError()
+{
+    return Error{ErrorKind::Unavailable, "the order cannot be recorded now, so it was not run",
+            "send the order again with the same key after Retry-After"};
+}
+
+Error noRoomError()
+{
+    return Error{ErrorKind::Overloaded, "the endpoint takes no more orders now",
+            "send the order again with the same key after Retry-After"};
+}
+
+Error lateError()
+{
+    return Error{ErrorKind::Timeout, "the order was not recorded before its deadline and never ran",
+            "send the order again with the same key"};
+}
+
+Error lostSlotError()
+{
+    return Error{ErrorKind::Unavailable, "another endpoint has taken over these orders",
+            "send the order again with the same key"};
+}
+
+Error stillRunningError()
+{
+    return Error{ErrorKind::Timeout, "the order still runs",
+            "send the order again with the same key to get its answer"};
+}
+
+OrderRecord recordOf(protocol::OrderRecordKind kind, const std::string &account,
+        const std::string &key, std::uint64_t hash, domain::WallTime createdAt)
+{
+    using std::chrono::milliseconds;
+    OrderRecord record;
+    record.set_kind(kind);
+    record.set_account(account);
+    record.set_key(key);
+    record.set_request_hash(hash);
+    const auto sinceEpoch = std::chrono::duration_cast<milliseconds>(createdAt.time_since_epoch());
+    record.set_wall_time_ms(static_cast<std::uint64_t>(sinceEpoch.count()));
+    return record;
+}
+
+} // namespace
+
+std::uint64_t orderHash(const protocol::Attempt &attempt)
+{
+    std::string text = attempt.method();
+    text += '\0';
+    text += attempt.target();
+    text += '\0';
+    text += attempt.body();
+    return XXH64(text.data(), text.size(), 0);
+}
+
+SlotLedger::SlotLedger(
+        std::string writer, domain::Incarnation incarnation, SlotLedgerOptions options)
+    : m_writer(std::move(writer))
+    , m_incarnation(incarnation)
+    , m_options(options)
+    , m_closedError(platformError())
+{}
+
+// ---- orders ----
+
+LedgerActions SlotLedger::begin(std::uint64_t ticket, OrderRequest request, LedgerTime time)
+{
+    LedgerActions actions;
+    Waiting waiting{ticket, std::move(request)};
+    if (m_phase == Phase::Open) {
+        beginOpen(waiting, time, actions);
+        return actions;
+    }
+    if (m_phase == Phase::Closed && time.now < m_closedUntil) {
+        // Without the log it is not known whether an earlier request with this key has run.
+        const domain::Duration pause = m_closedUntil - time.now;
+        actions.push_back(
+                DecideOrder{ticket, RefuseOrder{protocol::OUTCOME_UNKNOWN, m_closedError, pause}});
+        return actions;
+    }
+    m_waiting.push_back(std::move(waiting));
+    if (m_phase == Phase::Closed)
+        startTakeover(actions);
+    return actions;
+}
+
+void SlotLedger::beginOpen(const Waiting &waiting, LedgerTime time, LedgerActions &actions)
+{
+    const OrderRequest &request = waiting.request;
+    const OrderId id{request.account, request.key};
+    const auto known = m_orders.find(id);
+    if (known != m_orders.end()) {
+        beginKnown(known->second, waiting, actions);
+        if (!known->second.waiters.empty())
+            m_waitedFor.insert(id);
+        return;
+    }
+    if (!request.hasRoom || m_orders.size() >= m_options.maxOrders) {
+        actions.push_back(DecideOrder{waiting.ticket,
+                RefuseOrder{protocol::OUTCOME_NOT_RUN, noRoomError(), m_options.retryPause}});
+        return;
+    }
+    Order &order = m_orders[id];
+    order.hash = request.hash;
+    order.createdAt = time.wall;
+    order.waiters.push_back({waiting.ticket, request.deadline});
+    m_waitedFor.insert(id);
+    enqueue(recordOf(protocol::ORDER_RECORD_INTENT, id.account, id.key, order.hash, time.wall),
+            time.now);
+    tryAppend(time, actions);
+}
+
+void SlotLedger::beginKnown(Order &order, const Waiting &waiting, LedgerActions &actions)
+{
+    const std::uint64_t ticket = waiting.ticket;
+    if (order.hash != waiting.request.hash) {
+        actions.push_back(
+                DecideOrder{ticket, RefuseOrder{protocol::OUTCOME_NOT_RUN, conflictError(), {}}});
+    } else if (order.state == OrderState::Done) {
+        actions.push_back(DecideOrder{ticket, FirstAnswer{order.result}});
+    } else if (order.state == OrderState::Unknown) {
+        actions.push_back(
+                DecideOrder{ticket, RefuseOrder{protocol::OUTCOME_UNKNOWN, unknownError(), {}}});
+    } else {
+        order.waiters.push_back({ticket, waiting.request.deadline});
+    }
+}
+
+void SlotLedger::startOrder(
+        const OrderId &id, Order &order, LedgerTime time, LedgerActions &actions)
+{
+    // A waiter whose deadline has passed meanwhile, for example in a pause, must not start it.
+    expireOrderWaiters(order, time, actions);
+    if (!order.waiters.empty()) {
+        order.state = OrderState::Running;
+        actions.push_back(DecideOrder{order.waiters.front().ticket, RunOrder{}});
+        order.waiters.erase(order.waiters.begin());
+        return;
+    }
+    enqueue(recordOf(protocol::ORDER_RECORD_NOT_RUN, id.account, id.key, order.hash, time.wall),
+            time.now + m_options.resultDelay);
+    moveTo(0, order);
+    m_waitedFor.erase(id);
+    m_orders.erase(id);
+}
+
+LedgerActions SlotLedger::finish(
+        const std::string &account, const std::string &key, OrderEnd end, LedgerTime time)
+{
+    LedgerActions actions;
+    const OrderId id{account, key};
+    const auto found = m_orders.find(id);
+    if (found == m_orders.end() || found->second.state != OrderState::Running)
+        return actions;
+    Order &order = found->second;
+    OrderDecision decision = RefuseOrder{protocol::OUTCOME_UNKNOWN, unknownError(), {}};
+    order.state = OrderState::Unknown;
+    if (end.outcome == protocol::OUTCOME_ANSWERED) {
+        order.state = OrderState::Done;
+        order.result = std::move(end.result);
+        decision = FirstAnswer{order.result};
+        enqueueResult(id, order, time.now + m_options.resultDelay);
+    } else if (end.outcome == protocol::OUTCOME_NOT_RUN) {
+        decision = RefuseOrder{protocol::OUTCOME_NOT_RUN, noRoomError(), m_options.retryPause};
+    }
+    for (const Waiter &waiter : std::exchange(order.waiters, {}))
+        actions.push_back(DecideOrder{waiter.ticket, decision});
+    m_waitedFor.erase(id);
+    if (end.outcome == protocol::OUTCOME_NOT_RUN) {
+        enqueue(recordOf(protocol::ORDER_RECORD_NOT_RUN, account, key, order.hash, time.wall),
+                time.now + m_options.resultDelay);
+        moveTo(0, order);
+        m_orders.erase(found);
+    }
+    tryAppend(time, actions);
+    return actions;
+}
+
+void SlotLedger::expireWaiters(LedgerTime time, LedgerActions &actions)
+{
+    for (auto id = m_waitedFor.begin(); id != m_waitedFor.end();) {
+        const auto found = m_orders.find(*id);
+        if (found != m_orders.end())
+            expireOrderWaiters(found->second, time, actions);
+        const bool isDone = found == m_orders.end() || found->second.waiters.empty();
+        id = isDone ? m_waitedFor.erase(id) : std::next(id);
+    }
+    const auto late = std::stable_partition(m_waiting.begin(), m_waiting.end(),
+            [&](const Waiting &waiting) { return waiting.request.deadline > time.now; });
+    for (auto waiting = late; waiting != m_waiting.end(); ++waiting) {
+        // The log is not read yet, so an earlier request with this key may have run.
+        actions.push_back(DecideOrder{waiting->ticket,
+                RefuseOrder{protocol::OUTCOME_UNKNOWN, platformError(), m_options.retryPause}});
+    }
+    m_waiting.erase(late, m_waiting.end());
+}
+
+void SlotLedger::expireOrderWaiters(Order &order, LedgerTime time, LedgerActions &actions)
+{
+    const bool isRunning = order.state == OrderState::Running;
+    const RefuseOrder refusal = isRunning
+            ? RefuseOrder{protocol::OUTCOME_UNKNOWN, stillRunningError(), {}}
+            : RefuseOrder{protocol::OUTCOME_NOT_RUN, lateError(), m_options.retryPause};
+    const auto late = std::stable_partition(order.waiters.begin(), order.waiters.end(),
+            [&](const Waiter &waiter) { return waiter.deadline > time.now; });
+    for (auto waiter = late; waiter != order.waiters.end(); ++waiter)
+        actions.push_back(DecideOrder{waiter->ticket, refusal});
+    order.waiters.erase(late, order.waiters.end());
+}
+
+void SlotLedger::expireOrders(LedgerTime time)
+{
+    for (auto order = m_orders.begin(); order != m_orders.end();) {
+        const bool isFinal = order->second.state == OrderState::Done
+                || order->second.state == OrderState::Unknown;
+        if (!isFinal || time.wall - order->second.createdAt < m_options.retention) {
+            ++order;
+            continue;
+        }
+        moveTo(0, order->second);
+        order = m_orders.erase(order);
+    }
+}
+
+// ---- writing ----
+
+std::string SlotLedger::nextWriteId()
+{
+    return m_writer + '/' + std::to_string(m_incarnation.count()) + '/'
+            + std::to_string(++m_writeCount);
+}
+
+void SlotLedger::enqueue(OrderRecord record, TimePoint dueAt)
+{
+    m_queue.push_back({std::move(record), dueAt});
+}
+
+void SlotLedger::enqueueResult(const OrderId &id, const Order &order, TimePoint dueAt)
+{
+    OrderRecord record = order.result;
+    const OrderRecord base = recordOf(
+            protocol::ORDER_RECORD_RESULT, id.account, id.key, order.hash, order.createdAt);
+    record.MergeFrom(base);
+    enqueue(std::move(record), dueAt);
+}
+
+TimePoint SlotLedger::appendDueAt() const
+{
+    TimePoint dueAt = TimePoint::max();
+    for (const QueuedRecord &queued : m_queue)
+        dueAt = std::min(dueAt, queued.dueAt);
+    return std::max(dueAt, m_lastAppendAt + m_options.minAppendInterval);
+}
+
+void SlotLedger::tryAppend(LedgerTime time, LedgerActions &actions)
+{
+    if (m_phase != Phase::Open || m_inFlight || m_queue.empty() || appendDueAt() > time.now)
+        return;
+    m_inFlight.emplace(m_nextNumber, takeBatch());
+    m_lastAppendAt = time.now;
+    actions.push_back(AppendBatch{m_inFlight->number, m_inFlight->batch});
+}
+
+protocol::OrderBatch SlotLedger::takeBatch()
+{
+    protocol::OrderBatch batch;
+    batch.set_writer(m_writer);
+    batch.set_incarnation(m_incarnation.count());
+    batch.set_write_id(nextWriteId());
+    batch.set_first_live(m_batches.empty() ? m_nextNumber : m_batches.begin()->first);
+    std::size_t bytes = 0;
+    while (!m_queue.empty()) {
+        const std::size_t size = m_queue.front().record.ByteSizeLong();
+        if (bytes > 0 && bytes + size > m_options.maxBatchBytes)
+            break;
+        bytes += size;
+        *batch.add_records() = std::move(m_queue.front().record);
+        m_queue.pop_front();
+    }
+    return batch;
+}
+
+LedgerActions SlotLedger::appended(const Expected<Done> &result, LedgerTime time)
+{
+    LedgerActions actions;
+    if (m_phase == Phase::Sealing) {
+        onSealed(result, time, actions);
+        return actions;
+    }
+    if (!m_inFlight)
+        return actions;
+    if (result) {
+        onAppendSucceeded(time, actions);
+    } else if (result.error().kind == ErrorKind::Fenced) {
+        // The number may be taken by this very write, when the answer to it was lost.
+        m_isReadingBack = true;
+        actions.push_back(ReadBatch{m_inFlight->number});
+    } else if (result.error().kind == ErrorKind::Unavailable) {
+        onAppendRefused(result.error(), time, actions);
+    } else {
+        // Undecided: writing the same batch to the same number again decides it.
+        m_inFlight->retryAt = time.now + m_options.retryPause;
+    }
+    return actions;
+}
+
+void SlotLedger::onAppendSucceeded(LedgerTime time, LedgerActions &actions)
+{
+    // Monotonic time stands still while a VM is suspended, calendar time does not.
+    const domain::Duration elapsed = std::max<domain::Duration>(
+            time.now - m_lastSuccess.now, time.wall - m_lastSuccess.wall);
+    if (elapsed > m_options.verifyAge) {
+        m_isVerifying = true;
+        actions.push_back(ListBatches{});
+        return;
+    }
+    commit(time, actions);
+}
+
+void SlotLedger::onVerified(
+        const std::vector<std::uint64_t> &numbers, LedgerTime time, LedgerActions &actions)
+{
+    const bool isLast = !numbers.empty() && numbers.back() == m_inFlight->number;
+    if (isLast)
+        commit(time, actions);
+    else
+        lose(time, actions);
+}
+
+void SlotLedger::commit(LedgerTime time, LedgerActions &actions)
+{
+    const InFlight written = std::move(*m_inFlight);
+    m_inFlight.reset();
+    m_nextNumber = written.number + 1;
+    m_lastSuccess = time;
+    m_batches[written.number].seenAt = time.now;
+    for (const OrderRecord &record : written.batch.records()) {
+        const OrderId id{record.account(), record.key()};
+        const auto found = m_orders.find(id);
+        if (found == m_orders.end() || record.kind() == protocol::ORDER_RECORD_NOT_RUN)
+            continue;
+        Order &order = found->second;
+        moveTo(written.number, order);
+        order.isResultWritten
+                = order.isResultWritten || record.kind() == protocol::ORDER_RECORD_RESULT;
+        if (order.state == OrderState::Pending)
+            startOrder(id, order, time, actions);
+    }
+    tryAppend(time, actions);
+}
+
+void SlotLedger::onAppendRefused(const Error &error, LedgerTime time, LedgerActions &actions)
+{
+    // Certainly not written: the intents never run, the other records are kept for a later write.
+    const InFlight refused = std::move(*m_inFlight);
+    m_inFlight.reset();
+    m_lastAppendAt = time.now + m_options.retryPause;
+    std::deque<QueuedRecord> kept;
+    for (const OrderRecord &record : refused.batch.records()) {
+        const auto found = m_orders.find(OrderId{record.account(), record.key()});
+        const bool isPending
+                = found != m_orders.end() && found->second.state == OrderState::Pending;
+        if (!isPending || record.kind() != protocol::ORDER_RECORD_INTENT)
+            kept.push_back({record, time.now});
+    }
+    std::erase_if(m_queue, [](const QueuedRecord &queued) {
+        return queued.record.kind() == protocol::ORDER_RECORD_INTENT;
+    });
+    m_queue.insert(m_queue.begin(), kept.begin(), kept.end());
+    Error shown = platformError();
+    shown.message += " (" + error.message + ')';
+    dropPending(protocol::OUTCOME_NOT_RUN, shown, std::chrono::seconds(1), actions);
+}
+
+void SlotLedger::dropPending(protocol::Outcome outcome, const Error &error,
+        domain::Duration retryAfter, LedgerActions &actions)
+{
+    for (auto order = m_orders.begin(); order != m_orders.end();) {
+        if (order->second.state != OrderState::Pending) {
+            ++order;
+            continue;
+        }
+        for (const Waiter &waiter : order->second.waiters)
+            actions.push_back(DecideOrder{waiter.ticket, RefuseOrder{outcome, error, retryAfter}});
+        m_waitedFor.erase(order->first);
+        order = m_orders.erase(order);
+    }
+}
+
+void SlotLedger::lose(LedgerTime time, LedgerActions &actions)
+{
+    m_inFlight.reset();
+    m_queue.clear();
+    m_batches.clear();
+    // The new owner may have run a repeat of a pending order meanwhile.
+    dropPending(protocol::OUTCOME_UNKNOWN, lostSlotError(), m_options.fencedPause, actions);
+    // Only this process knows the running orders and the results that are not written.
+    std::erase_if(m_orders, [](const auto &order) {
+        const bool isUnwritten
+                = order.second.state == OrderState::Done && !order.second.isResultWritten;
+        return order.second.state != OrderState::Running && !isUnwritten;
+    });
+    for (auto &[id, order] : m_orders)
+        order.batch = 0;
+    close(lostSlotError(), m_options.fencedPause, time, actions);
+}
+
+void SlotLedger::moveTo(std::uint64_t number, Order &order)
+{
+    const auto old = m_batches.find(order.batch);
+    if (old != m_batches.end() && old->second.liveRecords > 0)
+        --old->second.liveRecords;
+    order.batch = number;
+    if (number != 0)
+        ++m_batches[number].liveRecords;
+}
+
+// ---- time ----
+
+LedgerActions SlotLedger::tick(LedgerTime time)
+{
+    LedgerActions actions;
+    expireWaiters(time, actions);
+    if (m_inFlight && m_inFlight->retryAt && *m_inFlight->retryAt <= time.now) {
+        m_inFlight->retryAt.reset();
+        actions.push_back(AppendBatch{m_inFlight->number, m_inFlight->batch});
+    }
+    if (m_phase == Phase::Open && time.now >= m_housekeepingAt) {
+        m_housekeepingAt = time.now + HousekeepingInterval;
+        expireOrders(time);
+        compact(time);
+        removeOld(time, actions);
+    }
+    tryAppend(time, actions);
+    return actions;
+}
+
+std::optional<TimePoint> SlotLedger::nextTick() const
+{
+    TimePoint next = TimePoint::max();
+    for (const OrderId &id : m_waitedFor) {
+        const auto order = m_orders.find(id);
+        if (order == m_orders.end())
+            continue;
+        for (const Waiter &waiter : order->second.waiters)
+            next = std::min(next, waiter.deadline);
+    }
+    for (const Waiting &waiting : m_waiting)
+        next = std::min(next, waiting.request.deadline);
+    if (m_inFlight && m_inFlight->retryAt)
+        next = std::min(next, *m_inFlight->retryAt);
+    if (m_phase == Phase::Open && !m_inFlight && !m_queue.empty())
+        next = std::min(next, appendDueAt());
+    if (m_phase == Phase::Open && !m_batches.empty())
+        next = std::min(next, m_housekeepingAt);
+    return next == TimePoint::max() ? std::nullopt : std::optional<TimePoint>(next);
+}
+
+void SlotLedger::compact(LedgerTime time)
+{
+    // The oldest half is rewritten at once, so that each record is rewritten seldom.
+    constexpr std::size_t MaxQueued = 100;
+    if (m_batches.size() <= m_options.maxBatches || m_queue.size() > MaxQueued)
+        return;
+    auto last = m_batches.begin();
+    std::advance(last, static_cast<std::ptrdiff_t>(m_batches.size() / 2));
+    for (const auto &[id, order] : m_orders) {
+        if (order.batch == 0 || order.batch >= last->first)
+            continue;
+        if (order.state == OrderState::Done) {
+            enqueueResult(id, order, time.now);
+        } else {
+            enqueue(recordOf(protocol::ORDER_RECORD_INTENT, id.account, id.key, order.hash,
+                            order.createdAt),
+                    time.now);
+        }
+    }
+}
+
+void SlotLedger::removeOld(LedgerTime time, LedgerActions &actions)
+{
+    for (auto batch = m_batches.begin(); batch != m_batches.end();) {
+        const bool isLast = batch->first + 1 == m_nextNumber;
+        const bool isOld = time.now - batch->second.seenAt >= m_options.removalAge;
+        if (batch->second.liveRecords > 0 || !isOld || isLast) {
+            ++batch;
+            continue;
+        }
+        actions.push_back(RemoveBatch{batch->first});
+        batch = m_batches.erase(batch);
+    }
+}
+
+} // namespace oriolerill::requests
--- a/src/requests/retryrule.h
+++ b/src/requests/retryrule.h
@@ -12,8 +12,8 @@
     bool isOrder = false;
     /// How the last attempt ended.
     protocol::Outcome outcome = protocol::OUTCOME_UNKNOWN;
-    /// The receiver stated the outcome, rather than a connection that was lost.
-    bool isStated = false;
+    /// The receiver said that a repeat cannot learn more.
+    bool isFinal = false;
     /// Data of the answer has been sent to the caller.
     bool hasSentData = false;
     /// An answer that has begun can be resumed at another endpoint.
--- /dev/null
+++ b/src/requests/slotledger.h
@@ -0,0 +1,245 @@
+#pragma once
+
+#include "domain/expected.h"
+#include "domain/quantity.h"
+#include "domain/timepoint.h"
+#include "protocol/control.pb.h"
+#include "requests/orderdecision.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace oriolerill::requests {
+
+struct SlotLedgerOptions
+{
+    /// Shortest time between two writes of a slot; records that come meanwhile share a write.
+    domain::Duration minAppendInterval = std::chrono::milliseconds(25);
+    /// Time for which a result waits for an intent to share a write with.
+    domain::Duration resultDelay = std::chrono::milliseconds(100);
+    /// Pause before a failed write or takeover is tried again.
+    domain::Duration retryPause = std::chrono::milliseconds(200);
+    /// Pause before a slot that another owner has taken may be taken back, so that two entries with
+    /// different views do not make two owners fence each other with every order.
+    domain::Duration fencedPause = std::chrono::seconds(2);
+    /// Without a write for this long the owner checks that nobody has taken the slot. Has to be
+    /// much shorter than removalAge: the number of a removed batch fences nobody.
+    domain::Duration verifyAge = std::chrono::minutes(2);
+    /// Batches without live records are removed at this age.
+    domain::Duration removalAge = std::chrono::minutes(10);
+    /// Time for which results are kept.
+    domain::Duration retention = std::chrono::hours(24);
+    /// Records are rewritten together when the log has more batches than this.
+    std::size_t maxBatches = 256;
+    std::size_t maxBatchBytes = 512U << 10U;
+    std::size_t maxOrders = 200'000;
+    /// Batches that are read at the same time during a takeover.
+    std::size_t readWindow = 16;
+};
+
+/// Monotonic and calendar time of an event.
+struct LedgerTime
+{
+    domain::TimePoint now;
+    domain::WallTime wall;
+};
+
+struct AppendBatch
+{
+    std::uint64_t number = 0;
+    protocol::OrderBatch batch;
+};
+struct ReadBatch
+{
+    std::uint64_t number = 0;
+};
+struct ListBatches
+{};
+struct RemoveBatch
+{
+    std::uint64_t number = 0;
+};
+/// Answers the begin() with this ticket.
+struct DecideOrder
+{
+    std::uint64_t ticket = 0;
+    OrderDecision decision;
+};
+
+using LedgerAction = std::variant<AppendBatch, ReadBatch, ListBatches, RemoveBatch, DecideOrder>;
+using LedgerActions = std::vector<LedgerAction>;
+
+/// Decides for one slot of the order ledger which orders run. Each event yields the actions that
+/// have to be carried out; at most one append and one list are outstanding. Not safe for concurrent
+/// use.
+class SlotLedger
+{
+public:
+    SlotLedger(std::string writer, domain::Incarnation incarnation, SlotLedgerOptions options);
+
+    LedgerActions begin(std::uint64_t ticket, OrderRequest request, LedgerTime time);
+    LedgerActions finish(
+            const std::string &account, const std::string &key, OrderEnd end, LedgerTime time);
+    LedgerActions appended(const domain::Expected<domain::Done> &result, LedgerTime time);
+    LedgerActions listed(domain::Expected<std::vector<std::uint64_t>> numbers, LedgerTime time);
+    LedgerActions read(
+            std::uint64_t number, domain::Expected<protocol::OrderBatch> batch, LedgerTime time);
+    LedgerActions tick(LedgerTime time);
+
+    /// When tick() is needed next; none while only events from outside matter.
+    std::optional<domain::TimePoint> nextTick() const;
+    bool isOpen() const { return m_phase == Phase::Open; }
+    /// Records that still have to be written.
+    std::size_t unwritten() const { return m_queue.size() + (m_inFlight ? 1U : 0U); }
+    std::size_t batches() const { return m_batches.size(); }
+
+private:
+    enum class Phase {
+        Closed,
+        Listing,
+        Sealing,
+        Relisting,
+        Reading,
+        CheckingMissing,
+        Open,
+    };
+    enum class OrderState {
+        /// The intent is not written yet.
+        Pending,
+        Running,
+        Done,
+        /// An intent without a result, or a run whose end nobody knows.
+        Unknown,
+    };
+    struct OrderId
+    {
+        std::string account;
+        std::string key;
+        friend auto operator<=>(const OrderId &, const OrderId &) = default;
+    };
+    struct Waiter
+    {
+        std::uint64_t ticket = 0;
+        domain::TimePoint deadline;
+    };
+    struct Order
+    {
+        OrderState state = OrderState::Pending;
+        std::uint64_t hash = 0;
+        protocol::OrderRecord result;
+        std::vector<Waiter> waiters;
+        domain::WallTime createdAt;
+        /// Batch with the latest record of the order; 0 before it is written.
+        std::uint64_t batch = 0;
+        bool isResultWritten = false;
+    };
+    struct QueuedRecord
+    {
+        protocol::OrderRecord record;
+        domain::TimePoint dueAt;
+    };
+    struct InFlight
+    {
+        InFlight(std::uint64_t batchNumber, protocol::OrderBatch content)
+            : number(batchNumber)
+            , batch(std::move(content))
+        {}
+
+        std::uint64_t number;
+        protocol::OrderBatch batch;
+        /// Set while the append waits for its next try.
+        std::optional<domain::TimePoint> retryAt;
+    };
+    struct Waiting
+    {
+        std::uint64_t ticket = 0;
+        OrderRequest request;
+    };
+    struct BatchInfo
+    {
+        std::size_t liveRecords = 0;
+        domain::TimePoint seenAt;
+    };
+
+    // Takeover of the slot.
+    void startTakeover(LedgerActions &actions);
+    void seal(std::uint64_t number, LedgerActions &actions);
+    void onSealed(
+            const domain::Expected<domain::Done> &result, LedgerTime time, LedgerActions &actions);
+    void onRelisted(
+            const std::vector<std::uint64_t> &numbers, LedgerTime time, LedgerActions &actions);
+    void readMore(LedgerActions &actions);
+    void onTakeoverRead(std::uint64_t number, const domain::Expected<protocol::OrderBatch> &batch,
+            LedgerTime time, LedgerActions &actions);
+    void onMissingChecked(
+            const std::vector<std::uint64_t> &numbers, LedgerTime time, LedgerActions &actions);
+    void open(LedgerTime time, LedgerActions &actions);
+    void close(const domain::Error &error, domain::Duration pause, LedgerTime time,
+            LedgerActions &actions);
+
+    // Orders of an open slot.
+    void beginOpen(const Waiting &waiting, LedgerTime time, LedgerActions &actions);
+    void beginKnown(Order &order, const Waiting &waiting, LedgerActions &actions);
+    void startOrder(const OrderId &id, Order &order, LedgerTime time, LedgerActions &actions);
+    void expireWaiters(LedgerTime time, LedgerActions &actions);
+    void expireOrderWaiters(Order &order, LedgerTime time, LedgerActions &actions);
+    void expireOrders(LedgerTime time);
+
+    // Writing.
+    void enqueue(protocol::OrderRecord record, domain::TimePoint dueAt);
+    void enqueueResult(const OrderId &id, const Order &order, domain::TimePoint dueAt);
+    void tryAppend(LedgerTime time, LedgerActions &actions);
+    protocol::OrderBatch takeBatch();
+    void onAppendSucceeded(LedgerTime time, LedgerActions &actions);
+    void onVerified(
+            const std::vector<std::uint64_t> &numbers, LedgerTime time, LedgerActions &actions);
+    void commit(LedgerTime time, LedgerActions &actions);
+    void onAppendRefused(const domain::Error &error, LedgerTime time, LedgerActions &actions);
+    void lose(LedgerTime time, LedgerActions &actions);
+    void dropPending(protocol::Outcome outcome, const domain::Error &error,
+            domain::Duration retryAfter, LedgerActions &actions);
+    void apply(std::uint64_t number, const protocol::OrderRecord &record);
+    void moveTo(std::uint64_t number, Order &order);
+    void compact(LedgerTime time);
+    void removeOld(LedgerTime time, LedgerActions &actions);
+    std::string nextWriteId();
+    domain::TimePoint appendDueAt() const;
+
+    std::string m_writer;
+    domain::Incarnation m_incarnation;
+    SlotLedgerOptions m_options;
+    Phase m_phase = Phase::Closed;
+    domain::TimePoint m_closedUntil;
+    domain::Error m_closedError;
+    std::vector<Waiting> m_waiting;
+    std::map<OrderId, Order> m_orders;
+    /// Orders with waiters, which is what deadlines are checked for.
+    std::set<OrderId> m_waitedFor;
+    std::deque<QueuedRecord> m_queue;
+    std::optional<InFlight> m_inFlight;
+    bool m_isReadingBack = false;
+    bool m_isVerifying = false;
+    std::map<std::uint64_t, BatchInfo> m_batches;
+    std::uint64_t m_nextNumber = 1;
+    std::uint64_t m_writeCount = 0;
+    std::size_t m_sealTries = 0;
+    domain::TimePoint m_lastAppendAt;
+    LedgerTime m_lastSuccess;
+    domain::TimePoint m_housekeepingAt;
+    // Takeover: batches still to be read, being read, read, and listed but not found.
+    std::deque<std::uint64_t> m_toRead;
+    std::set<std::uint64_t> m_reading;
+    std::map<std::uint64_t, protocol::OrderBatch> m_readBatches;
+    std::set<std::uint64_t> m_missing;
+};
+
+} // namespace oriolerill::requests
--- /dev/null
+++ b/src/requests/tests/slotledgertest.cpp
@@ -0,0 +1,369 @@
+#include "requests/slotledger.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace oriolerill::requests {
+
+using namespace std::chrono_literals;
+using domain::Done;
+using domain::Error;
+using domain::ErrorKind;
+using domain::Expected;
+using domain::TimePoint;
+
+namespace {
+
+/// A log that several owners write to, with faults.
+struct FakeLog
+{
+    std::map<std::uint64_t, protocol::OrderBatch> batches;
+    bool isDown = false;
+    bool losesAnswers = false;
+    std::size_t writes = 0;
+};
+
+/// An owner of the slot whose actions on the log are carried out by hand or at once.
+class Owner
+{
+public:
+    Owner(FakeLog &log, std::string name, std::uint64_t incarnation = 1,
+            SlotLedgerOptions options = {})
+        : m_log(log)
+        , m_ledger(std::move(name), domain::Incarnation(incarnation), options)
+    {}
+
+    std::uint64_t begin(const std::string &key, std::uint64_t hash = 1,
+            domain::Duration timeout = 1s, bool hasRoom = true)
+    {
+        const std::uint64_t ticket = ++m_lastTicket;
+        const OrderRequest request{"shop", key, hash, m_time.now + timeout, hasRoom};
+        add(m_ledger.begin(ticket, request, m_time));
+        return ticket;
+    }
+
+    void finish(const std::string &key, protocol::Outcome outcome, const std::string &body = {})
+    {
+        OrderEnd end;
+        end.outcome = outcome;
+        end.result.set_body(body);
+        add(m_ledger.finish("shop", key, end, m_time));
+    }
+
+    void pass(domain::Duration time)
+    {
+        m_time.now += time;
+        m_time.wall += std::chrono::duration_cast<domain::WallTime::duration>(time);
+        add(m_ledger.tick(m_time));
+    }
+
+    /// Carries out the actions on the log until none is left.
+    void settle()
+    {
+        while (!m_pending.empty()) {
+            const LedgerAction action = m_pending.front();
+            m_pending.erase(m_pending.begin());
+            std::visit([this](const auto &what) { carryOut(what); }, action);
+        }
+    }
+
+    /// begin() and the answer of the log, after the shortest time between two writes.
+    OrderDecision order(const std::string &key, std::uint64_t hash = 1)
+    {
+        const std::uint64_t ticket = begin(key, hash);
+        settle();
+        if (!isDecided(ticket)) {
+            pass(50ms);
+            settle();
+        }
+        return m_decisions.at(ticket);
+    }
+
+    bool isDecided(std::uint64_t ticket) const { return m_decisions.contains(ticket); }
+    bool runs(std::uint64_t ticket) const
+    {
+        return isDecided(ticket) && runs(m_decisions.at(ticket));
+    }
+    protocol::Outcome refusal(std::uint64_t ticket) const
+    {
+        return refusal(m_decisions.at(ticket));
+    }
+
+    static bool runs(const OrderDecision &decision)
+    {
+        return std::holds_alternative<RunOrder>(decision);
+    }
+    static protocol::Outcome refusal(const OrderDecision &decision)
+    {
+        const auto *refused = std::get_if<RefuseOrder>(&decision);
+        return refused == nullptr ? protocol::OUTCOME_UNSPECIFIED : refused->outcome;
+    }
+    static std::string answer(const OrderDecision &decision)
+    {
+        const auto *first = std::get_if<FirstAnswer>(&decision);
+        return first == nullptr ? "no answer" : first->result.body();
+    }
+
+    LedgerTime m_time{TimePoint(1000h), domain::WallTime(500000h)};
+
+    void carryOut(const AppendBatch &append)
+    {
+        if (m_log.isDown) {
+            add(m_ledger.appended(Error{ErrorKind::Unavailable, "outage", "wait"}, m_time));
+            return;
+        }
+        ++m_log.writes;
+        const bool isFree = m_log.batches.try_emplace(append.number, append.batch).second;
+        if (std::exchange(m_log.losesAnswers, false)) {
+            add(m_ledger.appended(Error{ErrorKind::Timeout, "no answer", "wait"}, m_time));
+            return;
+        }
+        if (isFree)
+            add(m_ledger.appended(Done{}, m_time));
+        else
+            add(m_ledger.appended(Error{ErrorKind::Fenced, "taken", "stop"}, m_time));
+    }
+    void carryOut(const ReadBatch &read)
+    {
+        const auto found = m_log.batches.find(read.number);
+        if (m_log.isDown)
+            add(m_ledger.read(read.number, Error{ErrorKind::Unavailable, "outage", ""}, m_time));
+        else if (found == m_log.batches.end())
+            add(m_ledger.read(read.number, Error{ErrorKind::NotFound, "none", ""}, m_time));
+        else
+            add(m_ledger.read(read.number, found->second, m_time));
+    }
+    void carryOut(const ListBatches &)
+    {
+        std::vector<std::uint64_t> numbers;
+        for (const auto &[number, batch] : m_log.batches)
+            numbers.push_back(number);
+        if (m_log.isDown)
+            add(m_ledger.listed(Error{ErrorKind::Unavailable, "outage", ""}, m_time));
+        else
+            add(m_ledger.listed(numbers, m_time));
+    }
+    void carryOut(const RemoveBatch &remove) { m_log.batches.erase(remove.number); }
+    void carryOut(const DecideOrder &) {}
+
+    void add(LedgerActions actions)
+    {
+        for (LedgerAction &action : actions) {
+            if (auto *decided = std::get_if<DecideOrder>(&action))
+                m_decisions.emplace(decided->ticket, std::move(decided->decision));
+            else
+                m_pending.push_back(std::move(action));
+        }
+    }
+
+    FakeLog &m_log;
+    SlotLedger m_ledger;
+    LedgerActions m_pending;
+    std::map<std::uint64_t, OrderDecision> m_decisions;
+    std::uint64_t m_lastTicket = 0;
+};
+
+} // namespace
+
+class SlotLedgerFixture : public testing::Test
+{
+protected:
+    FakeLog m_log;
+    Owner m_owner{m_log, "a"};
+};
+
+TEST_F(SlotLedgerFixture, begin_freshKey_runsAfterItsIntentIsWritten)
+{
+    const std::uint64_t ticket = m_owner.begin("k");
+    EXPECT_FALSE(m_owner.isDecided(ticket));
+    m_owner.settle();
+    EXPECT_TRUE(m_owner.runs(ticket));
+    EXPECT_EQ(m_log.batches.rbegin()->second.records(0).key(), "k");
+}
+
+// Guards against a second run of an order that is repeated during or after its first run.
+TEST_F(SlotLedgerFixture, begin_repeat_joinsAndGetsFirstAnswer)
+{
+    EXPECT_TRUE(Owner::runs(m_owner.order("k")));
+    const std::uint64_t joined = m_owner.begin("k");
+    EXPECT_FALSE(m_owner.isDecided(joined));
+    m_owner.finish("k", protocol::OUTCOME_ANSWERED, "placed");
+    EXPECT_EQ(Owner::answer(m_owner.m_decisions.at(joined)), "placed");
+    EXPECT_EQ(Owner::answer(m_owner.order("k")), "placed");
+}
+
+// Guards against a key that is used for two different orders by mistake.
+TEST_F(SlotLedgerFixture, begin_sameKeyOtherRequest_refused)
+{
+    m_owner.order("k", 1);
+    EXPECT_EQ(Owner::refusal(m_owner.order("k", 2)), protocol::OUTCOME_NOT_RUN);
+}
+
+// Guards against a false refusal, or a second run, when the answer to the write is lost.
+TEST_F(SlotLedgerFixture, appended_answerLost_resolvedByReadingBack)
+{
+    m_owner.order("first");
+    m_owner.pass(1s);
+    m_log.losesAnswers = true;
+    const std::uint64_t ticket = m_owner.begin("k");
+    m_owner.settle();
+    EXPECT_FALSE(m_owner.isDecided(ticket));
+    m_owner.pass(300ms);
+    m_owner.settle();
+    EXPECT_TRUE(m_owner.runs(ticket));
+}
+
+// Guards against an order that starts after its caller was told at the deadline that it did not.
+TEST_F(SlotLedgerFixture, tick_deadlineBeforeAppendIsDecided_neverRuns)
+{
+    m_owner.order("first");
+    m_owner.pass(1s);
+    const std::uint64_t ticket = m_owner.begin("k", 1, 500ms);
+    m_owner.pass(600ms);
+    EXPECT_EQ(m_owner.refusal(ticket), protocol::OUTCOME_NOT_RUN);
+    m_owner.settle();
+    EXPECT_FALSE(m_owner.runs(ticket));
+    // The key is free again, and a new owner sees that too.
+    m_owner.pass(300ms);
+    m_owner.settle();
+    Owner next(m_log, "b");
+    EXPECT_TRUE(Owner::runs(next.order("k")));
+}
+
+// Guards against an owner that was paused with an append under way and runs the order too late.
+TEST_F(SlotLedgerFixture, appended_afterPauseBeyondDeadline_neverRuns)
+{
+    m_owner.order("first");
+    m_owner.pass(1s);
+    const std::uint64_t ticket = m_owner.begin("k", 1, 500ms);
+    m_owner.m_time.now += 2s;
+    m_owner.settle();
+    EXPECT_EQ(m_owner.refusal(ticket), protocol::OUTCOME_NOT_RUN);
+}
+
+// Guards against two owners that both run an order: the paused one is fenced by the seal.
+TEST_F(SlotLedgerFixture, appended_slotSealedMeanwhile_neverRuns)
+{
+    m_owner.order("first");
+    m_owner.pass(1s);
+    const std::uint64_t paused = m_owner.begin("k");
+    Owner next(m_log, "b");
+    EXPECT_TRUE(Owner::runs(next.order("k")));
+    m_owner.settle();
+    EXPECT_FALSE(m_owner.runs(paused));
+    // The new owner runs it, so "not run" would be false for the key.
+    EXPECT_EQ(m_owner.refusal(paused), protocol::OUTCOME_UNKNOWN);
+}
+
+// Guards against a second run after the owner died between the intent and the result.
+TEST_F(SlotLedgerFixture, takeover_intentWithoutResult_unknown)
+{
+    EXPECT_TRUE(Owner::runs(m_owner.order("k")));
+    Owner next(m_log, "b");
+    EXPECT_EQ(Owner::refusal(next.order("k")), protocol::OUTCOME_UNKNOWN);
+}
+
+// Guards against a restarted owner that forgets the results of its predecessor.
+TEST_F(SlotLedgerFixture, takeover_sameIdRestarted_firstAnswer)
+{
+    m_owner.order("k");
+    m_owner.finish("k", protocol::OUTCOME_ANSWERED, "placed");
+    m_owner.pass(1s);
+    m_owner.settle();
+    Owner restarted(m_log, "a", 2);
+    EXPECT_EQ(Owner::answer(restarted.order("k")), "placed");
+}
+
+// Guards against a takeover that misses an intent written between its list and its seal.
+TEST_F(SlotLedgerFixture, takeover_appendBetweenListAndSeal_seesIt)
+{
+    m_owner.order("first");
+    m_owner.pass(1s);
+    Owner next(m_log, "b");
+    const std::uint64_t ticket = next.begin("k");
+    const LedgerAction list = next.m_pending.front();
+    next.m_pending.clear();
+    next.carryOut(std::get<ListBatches>(list));
+    EXPECT_TRUE(Owner::runs(m_owner.order("k")));
+    next.settle();
+    EXPECT_EQ(next.refusal(ticket), protocol::OUTCOME_UNKNOWN);
+}
+
+// Guards against waiting, or a false outcome, while the platform is down.
+TEST_F(SlotLedgerFixture, begin_platformDown_freshKeyNotRunKnownKeyAnswered)
+{
+    m_owner.order("known");
+    m_owner.finish("known", protocol::OUTCOME_ANSWERED, "placed");
+    m_owner.pass(1s);
+    m_owner.settle();
+    m_log.isDown = true;
+    EXPECT_EQ(Owner::refusal(m_owner.order("fresh")), protocol::OUTCOME_NOT_RUN);
+    EXPECT_EQ(Owner::answer(m_owner.order("known")), "placed");
+    m_log.isDown = false;
+    m_owner.pass(1s);
+    EXPECT_TRUE(Owner::runs(m_owner.order("fresh")));
+}
+
+// Guards against a false "not run": without the log nobody knows whether the key has run.
+TEST_F(SlotLedgerFixture, begin_platformDownBeforeTakeover_unknown)
+{
+    m_owner.order("k");
+    m_log.isDown = true;
+    Owner next(m_log, "b");
+    EXPECT_EQ(Owner::refusal(next.order("k")), protocol::OUTCOME_UNKNOWN);
+}
+
+// Guards against a former owner that writes to the number of a batch that was removed.
+TEST_F(SlotLedgerFixture, appended_afterNumberWasRemoved_neverRuns)
+{
+    m_owner.order("first");
+    const std::uint64_t sealed = m_log.batches.rbegin()->first + 1;
+    Owner next(m_log, "b");
+    next.order("k");
+    m_log.batches.erase(sealed);
+    m_owner.pass(1h);
+    EXPECT_FALSE(Owner::runs(m_owner.order("k")));
+}
+
+// Guards against a log that grows without bound, or loses answers when it is rewritten.
+TEST_F(SlotLedgerFixture, tick_manyBatches_compactedWithoutLoss)
+{
+    SlotLedgerOptions options;
+    options.maxBatches = 20;
+    options.removalAge = 30s;
+    Owner owner(m_log, "c", 1, options);
+    for (int i = 0; i < 200; ++i) {
+        const std::string key = "k" + std::to_string(i);
+        EXPECT_TRUE(Owner::runs(owner.order(key)));
+        owner.finish(key, protocol::OUTCOME_ANSWERED, key);
+        owner.pass(1s);
+        owner.settle();
+    }
+    EXPECT_LT(m_log.batches.size(), 100U);
+    Owner next(m_log, "d");
+    for (int i = 0; i < 200; ++i) {
+        const std::string key = "k" + std::to_string(i);
+        EXPECT_EQ(Owner::answer(next.order(key)), key);
+    }
+    owner.pass(25h);
+    next.pass(25h);
+    EXPECT_TRUE(Owner::runs(next.order("k0")));
+}
+
+// Guards against one write to the platform for each order under load.
+TEST_F(SlotLedgerFixture, begin_manyAtOnce_shareWrites)
+{
+    m_owner.order("first");
+    m_owner.pass(1s);
+    const std::size_t before = m_log.writes;
+    for (int i = 0; i < 100; ++i)
+        m_owner.begin("k" + std::to_string(i));
+    m_owner.settle();
+    m_owner.pass(50ms);
+    m_owner.settle();
+    EXPECT_TRUE(m_owner.runs(m_owner.m_lastTicket));
+    EXPECT_LE(m_log.writes - before, 2U);
+}
+
+} // namespace oriolerill::requests
