--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -38,6 +38,9 @@
     /// Local address of outgoing connections; empty for the system's choice.
     std::string sourceHost;
     std::size_t maxIdlePerPeer = 8;
+    /// Receive buffer of each connection; zero for the system's choice. A receiver that paces its
+    /// reads needs a small one, since the peer fills it at full speed.
+    domain::Bytes receiveBuffer;
     /// Largest whole body that send() accepts.
     domain::Bytes maxBody = domain::Bytes(16U << 20U);
     /// Idle connections older than this are closed rather than reused.
@@ -54,10 +57,11 @@
     HttpClient &operator=(const HttpClient &) = delete;
 
     /// Sends a request and reads the response head. With isFresh a new connection is used, from a
-    /// new source port. The deadline covers connecting, sending and the head.
+    /// new source port. The deadline covers connecting, sending and the head. When hasSent is given
+    /// it is set to whether any byte may have left; it has to outlive the call.
     boost::asio::awaitable<domain::Expected<std::unique_ptr<HttpExchange>>> open(
             domain::SocketAddress peer, HttpRequest request, domain::TimePoint deadline,
-            bool isFresh = false);
+            bool isFresh = false, bool *hasSent = nullptr);
 
     /// Sends a request and reads the whole response; TooLarge above HttpClientOptions::maxBody.
     boost::asio::awaitable<domain::Expected<HttpResponse>> send(domain::SocketAddress peer,
