Tell agents of other data centres the entries of their own

Cause: an agent whose first seed is in another data centre took the entries there as its own. It had no tracker, so it planned for itself and took whole copies from the origin: 7 copies for 15 endpoints, 10 of them not ready after 14 s in a run of all processes on loopback. Change: a heartbeat from an endpoint of another data centre is answered with the entries of that data centre. A new test failed before the change. Conclusion: three copies remain when all processes start at once, because the data centres do not know each other yet when the push begins.

--- a/src/agent/internal/agentprocess.cpp
+++ b/src/agent/internal/agentprocess.cpp
@@ -149,7 +149,8 @@
         , m_control(m_pool.get_executor(), m_settings.sourceHost)
         , m_store(m_client, storeOptions(m_settings, m_incarnation))
         , m_orderLog(m_pool.get_executor(), m_store)
-        , m_heartbeats(m_pool.get_executor(), m_control, [this] { return status(); },
+        , m_heartbeats(
+                  m_pool.get_executor(), m_control, [this] { return status(); },
                   heartbeatOptions(m_settings, m_incarnation))
         , m_weights(m_pool.get_executor(), m_control, m_client, m_metrics,
                   weightsOptions(m_settings, m_incarnation))
@@ -170,9 +171,11 @@
 
     Expected<Done> start()
     {
-        const auto control = m_controlServer.start(
-                [this](const protocol::ControlRequest &request,
-                        const transport::IControlServer::Reply &reply) { dispatch(request, reply); });
+        const auto control
+                = m_controlServer.start([this](const protocol::ControlRequest &request,
+                                                const transport::IControlServer::Reply &reply) {
+                      dispatch(request, reply);
+                  });
         if (!control)
             return control;
         const auto requests = m_requestServer.start(m_settings.listenRequest,
@@ -220,8 +223,8 @@
         return status;
     }
 
-    void dispatch(const protocol::ControlRequest &request,
-            const transport::IControlServer::Reply &reply)
+    void dispatch(
+            const protocol::ControlRequest &request, const transport::IControlServer::Reply &reply)
     {
         if (request.has_have_request()) {
             m_weights.handleControl(request, reply);
--- a/src/entry/internal/entryprocess.cpp
+++ b/src/entry/internal/entryprocess.cpp
@@ -176,9 +176,11 @@
 
     Expected<Done> start()
     {
-        const auto control = m_controlServer.start(
-                [this](const protocol::ControlRequest &request,
-                        const transport::IControlServer::Reply &reply) { dispatch(request, reply); });
+        const auto control
+                = m_controlServer.start([this](const protocol::ControlRequest &request,
+                                                const transport::IControlServer::Reply &reply) {
+                      dispatch(request, reply);
+                  });
         if (!control)
             return control;
         const auto peer = m_peerServer.start(m_settings.listenPeer,
@@ -216,8 +218,8 @@
     }
 
 private:
-    void dispatch(const protocol::ControlRequest &request,
-            const transport::IControlServer::Reply &reply)
+    void dispatch(
+            const protocol::ControlRequest &request, const transport::IControlServer::Reply &reply)
     {
         switch (request.body_case()) {
         case protocol::ControlRequest::kHeartbeat:
--- a/src/entry/internal/membershipservice.cpp
+++ b/src/entry/internal/membershipservice.cpp
@@ -246,9 +246,13 @@
     const auto interval
             = std::chrono::ceil<std::chrono::milliseconds>(m_table.schedule().heartbeatInterval);
     body.set_next_interval_ms(static_cast<std::uint32_t>(interval.count()));
-    body.set_entries_hash(m_table.ownEntriesHash());
-    if (heartbeat.entries_hash() != body.entries_hash()) {
-        for (const membership::EntryRecord &entry : m_table.ownEntries())
+    // An endpoint of another data centre is sent on to the entries there. It gets no hash, so that
+    // it asks for them with each heartbeat until it knows one.
+    const bool isOwn = filter.dataCentre == m_options.self.dataCentre;
+    if (isOwn)
+        body.set_entries_hash(m_table.ownEntriesHash());
+    if (!isOwn || heartbeat.entries_hash() != body.entries_hash()) {
+        for (const membership::EntryRecord &entry : m_table.entriesOf(filter.dataCentre))
             *body.add_entries() = membership::infoFromEntry(entry);
     }
     publishIfChanged(now);
--- a/src/entry/tests/controlservicestest.cpp
+++ b/src/entry/tests/controlservicestest.cpp
@@ -110,11 +110,12 @@
     }
 
     protocol::HeartbeatReply heartbeat(EntryUnderTest &entry, std::uint64_t sequence,
-            protocol::EndpointState state, domain::ConfigVersion watermark = {})
+            protocol::EndpointState state, domain::ConfigVersion watermark = {},
+            const std::string &dataCentre = "central-a")
     {
         membership::EndpointRecord record;
         record.id = domain::EndpointId("books-1");
-        record.dataCentre = domain::DataCentreId("central-a");
+        record.dataCentre = domain::DataCentreId(dataCentre);
         record.service = domain::ServiceId("books");
         record.incarnation = domain::Incarnation(1);
         record.sequence = sequence;
@@ -135,6 +136,19 @@
     std::vector<std::unique_ptr<EntryUnderTest>> m_entries;
 };
 
+// Guards against an agent that starts with a seed in another data centre and stays with the entries
+// there: it would have no tracker, and its endpoint would be unknown in its own data centre.
+TEST_F(ControlServicesFixture, heartbeat_endpointOfOtherDataCentre_toldEntriesOfItsOwn)
+{
+    EntryUnderTest &seed = add("entry-1", 1);
+    add("entry-2", 2, "west-a");
+    ASSERT_TRUE(eventually([&] { return knowEachOther(); }));
+    const protocol::HeartbeatReply reply
+            = heartbeat(seed, 1, protocol::ENDPOINT_STATE_SERVING, {}, "west-a");
+    ASSERT_EQ(reply.entries_size(), 1);
+    EXPECT_EQ(reply.entries(0).id(), "entry-2");
+}
+
 // Guards against an accepted change that does not reach every entry within 2 s.
 TEST_F(ControlServicesFixture, config_changeInStore_inForceInAllEntries)
 {
--- a/src/membership/internal/membershiptable.cpp
+++ b/src/membership/internal/membershiptable.cpp
@@ -341,7 +341,12 @@
 
 std::vector<EntryRecord> MembershipTable::ownEntries() const
 {
-    return aliveOf(m_entries.recordsOf(self().dataCentre));
+    return entriesOf(self().dataCentre);
+}
+
+std::vector<EntryRecord> MembershipTable::entriesOf(const domain::DataCentreId &dataCentre) const
+{
+    return aliveOf(m_entries.recordsOf(dataCentre));
 }
 
 MembershipSnapshot MembershipTable::snapshot(TimePoint now) const
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -63,6 +63,8 @@
     ControlSchedule schedule() const { return m_schedule; }
     const EntryRecord &self() const { return m_entries.self(); }
     std::vector<EntryRecord> ownEntries() const;
+    /// Live entries of a data centre.
+    std::vector<EntryRecord> entriesOf(const domain::DataCentreId &dataCentre) const;
     std::uint64_t ownEntriesHash() const { return m_entries.ownHash(); }
     /// Grows with each change of the members apart from their load.
     std::uint64_t changeCount() const
