Check only files whose includes changed in lint

Cause: the key of the cache held all headers, so one changed header made clang-tidy check every file. Change: the key holds the file and the project headers that the build's dependency log names. Conclusion: a second run checks only what changed.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -12,17 +12,30 @@
     clang-format --dry-run --Werror "${files[@]}"
 fi
 
-# A file is checked again when it, any header of the project or the check list has changed.
-state=$(cat .clang-tidy $(printf '%s\n' "${files[@]}" | grep '\.h$') | sha256sum | cut -d' ' -f1)
+# A file is checked again when it, a header of the project that it includes, or the check list has
+# changed. The build knows the includes.
 export TIDY_CACHE="${XDG_CACHE_HOME:-$HOME/.cache}/oriolerill-tidy"
-mkdir -p "$TIDY_CACHE"
+mkdir -p "$TIDY_CACHE" build/lint
+ninja -C build -t deps | awk -v root="$PWD/" '
+    /^[^ ].*: #deps/ { object = $1 }
+    /^    / {
+        path = $1
+        sub("^" root, "", path)
+        sub("^\\.\\./", "", path)
+        if (path ~ /^(src|standins|tests)\// && path !~ /\/generated\//)
+            files[object] = files[object] " " path
+    }
+    END { for (object in files) print files[object] }' > build/lint/includes
+
 check() {
-    local file=$1 key
-    key=$(echo "$2 $(sha256sum "$file")" | sha256sum | cut -d' ' -f1)
+    local file=$1 includes key
+    includes=$(awk -v file="$file" '$1 == file { $1 = ""; print; exit }' build/lint/includes)
+    # shellcheck disable=SC2086
+    key=$(cat .clang-tidy "$file" $includes 2>/dev/null | sha256sum | cut -d' ' -f1)
     [ -e "$TIDY_CACHE/$key" ] && return 0
     clang-tidy -p build --quiet "$file" 2>/dev/null && touch "$TIDY_CACHE/$key"
 }
 export -f check
 printf '%s\n' "${files[@]}" | grep '\.cpp$' \
-    | xargs -P "$(nproc)" -I{} bash -c 'check "$1" "$2" || exit 1' _ {} "$state"
+    | xargs -P "$(nproc)" -I{} bash -c 'check "$1" || exit 1' _ {}
 echo "lint: ${#files[@]} files clean"
