Test what callers get when connections, answers and endpoints fail

Cause: the entry's behaviour under failure was not checked.

Change: tests of CallerFront with scripted agents. An endpoint that refused a request is not asked again; one whose connection failed is only avoided while others are left, so that a service with a single endpoint survives a broken connection.

Comparing the id in the accepted frame alone is not guarded, because the end frame's id is compared too.

--- a/src/entry/internal/callerrouter.cpp
+++ b/src/entry/internal/callerrouter.cpp
@@ -35,6 +35,19 @@
             false};
 }
 
+/// Drops the targets that have failed the request, unless no other is left.
+template<class Record>
+void preferNotAvoided(std::vector<const Record *> &records, const RouteQuery &query)
+{
+    std::vector<const Record *> others;
+    for (const Record *record : records) {
+        if (!query.avoided.contains(record->id.value()))
+            others.push_back(record);
+    }
+    if (!others.empty())
+        records = std::move(others);
+}
+
 Error noEndpoint(const RouteQuery &query)
 {
     return Error{ErrorKind::Unavailable,
@@ -149,29 +162,41 @@
     return candidate;
 }
 
-Expected<Route> CallerRouter::chooseEndpoint(
-        const RouteQuery &query, const MembershipSnapshot &membership, TimePoint now)
+const EndpointRecord *CallerRouter::slotOwner(
+        const RouteQuery &query, const MembershipSnapshot &membership) const
 {
-    std::vector<const EndpointRecord *> records;
-    std::vector<routing::EndpointCandidate> candidates;
     std::vector<domain::EndpointId> serving;
     for (const EndpointRecord &record : membership.endpoints) {
-        if (!isCandidate(record, query))
-            continue;
-        serving.push_back(record.id);
-        if (query.excluded.contains(record.id.value()))
-            continue;
-        records.push_back(&record);
-        candidates.push_back(candidateOf(record, now));
+        if (isCandidate(record, query))
+            serving.push_back(record.id);
     }
+    const auto owner = routing::slotEndpoint(query.service, *query.slot, serving);
+    if (!owner || query.excluded.contains(owner->value()))
+        return nullptr;
+    const auto record = std::find_if(membership.endpoints.begin(), membership.endpoints.end(),
+            [&](const EndpointRecord &other) { return other.id == *owner; });
+    return &*record;
+}
+
+Expected<Route> CallerRouter::chooseEndpoint(
+        const RouteQuery &query, const MembershipSnapshot &membership, TimePoint now)
+{
     if (query.slot) {
-        const auto owner = routing::slotEndpoint(query.service, *query.slot, serving);
-        const auto record = std::find_if(records.begin(), records.end(),
-                [&](const EndpointRecord *other) { return owner && other->id == *owner; });
-        return record == records.end() ? Expected<Route>(noEndpoint(query)) : routeTo(**record);
+        const EndpointRecord *owner = slotOwner(query, membership);
+        return owner == nullptr ? Expected<Route>(noEndpoint(query)) : routeTo(*owner);
     }
+    std::vector<const EndpointRecord *> records;
+    for (const EndpointRecord &record : membership.endpoints) {
+        if (isCandidate(record, query) && !query.excluded.contains(record.id.value()))
+            records.push_back(&record);
+    }
+    preferNotAvoided(records, query);
     if (records.empty())
         return noEndpoint(query);
+    std::vector<routing::EndpointCandidate> candidates;
+    candidates.reserve(records.size());
+    for (const EndpointRecord *record : records)
+        candidates.push_back(candidateOf(*record, now));
     const std::optional<std::size_t> index
             = m_endpointChooser.choose(candidates, query.affinity, m_random);
     return index ? routeTo(*records[*index]) : Expected<Route>(noRoom());
@@ -186,6 +211,7 @@
                 && !query.excluded.contains(entry.id.value()))
             entries.push_back(&entry);
     }
+    preferNotAvoided(entries, query);
     if (entries.empty())
         return noEndpoint(query);
     std::uniform_int_distribution<std::size_t> any(0, entries.size() - 1);
--- a/src/entry/internal/callerrouter.h
+++ b/src/entry/internal/callerrouter.h
@@ -32,7 +32,10 @@
     std::optional<std::uint32_t> slot;
     /// Weights that an answer already begun came from.
     domain::Digest digest;
-    /// Identifiers of endpoints and entries that have failed the request.
+    /// Identifiers of endpoints and entries that have failed the request; taken when nothing else
+    /// is left.
+    std::set<std::string> avoided;
+    /// Identifiers of endpoints and entries that have refused the request.
     std::set<std::string> excluded;
     /// True for attempts from another entry, which stay in this data centre.
     bool isForwarded = false;
@@ -79,6 +82,8 @@
             const membership::MembershipSnapshot &membership, domain::TimePoint now);
     domain::Expected<Route> chooseEndpoint(const RouteQuery &query,
             const membership::MembershipSnapshot &membership, domain::TimePoint now);
+    const membership::EndpointRecord *slotOwner(
+            const RouteQuery &query, const membership::MembershipSnapshot &membership) const;
     domain::Expected<Route> chooseEntry(const domain::DataCentreId &dataCentre,
             const RouteQuery &query, const membership::MembershipSnapshot &membership);
     routing::EndpointCandidate candidateOf(
--- a/src/entry/internal/callerrun.cpp
+++ b/src/entry/internal/callerrun.cpp
@@ -94,9 +94,11 @@
     m_answer.restart();
     if (m_answer.hasSentData())
         m_query.digest = m_answer.digest();
-    // The owner of an order may answer a repeat after a lost connection, but not after a refusal.
-    if (!m_request.isOrder() || result.outcome == protocol::OUTCOME_NOT_RUN)
+    // A refusal for want of room would only be repeated; a lost connection may have been chance.
+    if (result.outcome == protocol::OUTCOME_NOT_RUN && result.isStated)
         m_query.excluded.insert(route.id);
+    else
+        m_query.avoided.insert(route.id);
 }
 
 asio::awaitable<void> CallerRun::pauseBeforeRetry(const AttemptResult &result) const
--- a/src/entry/tests/callerfronttest.cpp
+++ b/src/entry/tests/callerfronttest.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/callerfront.h"
 #include "requests/answerchecksum.h"
+#include "requests/attemptframecodec.h"
 #include "requests/attempthost.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -10,9 +11,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <deque>
+#include <thread>
 
 namespace oriolerill::entry {
 
@@ -81,14 +84,40 @@
         }
         if (m_crossedAnswers > 0) {
             --m_crossedAnswers;
-            attempt.set_request_id("someone else's");
+            attempt.set_request_id("another request");
         }
-        requests::AttemptHost::Write write
-                = [&exchange](std::string bytes) { return exchange.write(std::move(bytes)); };
+        const bool isCut = m_cutAnswers > 0;
+        if (isCut)
+            --m_cutAnswers;
+        requests::AttemptHost::Write write = [this, &exchange, isCut](std::string bytes) {
+            return writeTo(exchange, std::move(bytes), isCut);
+        };
         co_await m_host.serve(std::move(attempt), std::move(write), script());
         co_await exchange.finish({});
     }
 
+    /// A cut answer loses its end frame; an agent without heartbeats sends only what has content.
+    asio::awaitable<domain::Expected<domain::Done>> writeTo(
+            transport::HttpServerExchange &exchange, std::string bytes, bool isCut)
+    {
+        requests::AttemptFrameDecoder decoder;
+        const auto frames = decoder.feed(bytes);
+        std::string kept;
+        for (const protocol::AttemptFrame &frame : *frames) {
+            const bool isDropped
+                    = (isCut && frame.has_end()) || (!m_hasHeartbeats && frame.heartbeat());
+            protocol::AttemptFrame sent = frame;
+            if (!frame.data().empty() && m_damagedAnswers > 0) {
+                --m_damagedAnswers;
+                sent.mutable_data()->front() = '?';
+            }
+            if (!isDropped)
+                kept += requests::encodeFrame(sent);
+        }
+        domain::Expected<domain::Done> written = co_await exchange.write(std::move(kept));
+        co_return written;
+    }
+
     requests::AttemptHost::Runner script()
     {
         return [this](std::shared_ptr<RunningAttempt> running) {
@@ -120,6 +149,9 @@
     std::atomic<int> m_runs = 0;
     std::atomic<int> m_silentConnections = 0;
     std::atomic<int> m_crossedAnswers = 0;
+    std::atomic<int> m_cutAnswers = 0;
+    std::atomic<int> m_damagedAnswers = 0;
+    std::atomic<bool> m_hasHeartbeats = true;
 };
 
 protocol::AnswerHead headWith(const domain::Digest &digest)
@@ -145,6 +177,43 @@
     finishAnswered(*running);
 }
 
+asio::awaitable<void> waitLong()
+{
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, 4s);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> answerLate(std::shared_ptr<RunningAttempt> running, std::string text)
+{
+    running->setHead(headWith(domain::Digest()));
+    std::string part = text.substr(0, 2);
+    co_await running->append(std::move(part));
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, 600ms);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await running->append(text.substr(2));
+    finishAnswered(*running);
+}
+
+/// Streams three words; a broken attempt stops after six bytes.
+asio::awaitable<void> streamBroken(
+        std::shared_ptr<RunningAttempt> running, domain::Digest weights, bool isResumable)
+{
+    const std::string text = "one two three";
+    constexpr std::size_t Break = 6;
+    const std::size_t from = running->attempt().resume_offset();
+    const bool isBroken = !isResumable || running->attempt().attempt() == 1;
+    running->setHead(headWith(weights));
+    std::string part = text.substr(from, isBroken ? Break : std::string::npos);
+    co_await running->append(std::move(part));
+    if (isBroken)
+        running->fail(
+                protocol::OUTCOME_UNKNOWN, {domain::ErrorKind::Unavailable, "gone", ""}, {}, {});
+    else
+        finishAnswered(*running);
+}
+
 asio::awaitable<void> refuseOverloaded(std::shared_ptr<RunningAttempt> running)
 {
     running->fail(protocol::OUTCOME_NOT_RUN,
@@ -225,6 +294,19 @@
         return agent;
     }
 
+    void addDataCentre(const std::string &name, const domain::SocketAddress &entryAddress)
+    {
+        membership::DataCentreSummary summary;
+        summary.dataCentre = domain::DataCentreId(name);
+        summary.services[domain::ServiceId("stock")] = {3, 0, 24, {}};
+        m_membership.m_snapshot->summaries[summary.dataCentre] = summary;
+        membership::EntryRecord entry;
+        entry.id = domain::EntryId("entry of " + name);
+        entry.dataCentre = summary.dataCentre;
+        entry.requestAddress = entryAddress;
+        m_membership.m_snapshot->entries.push_back(entry);
+    }
+
     domain::Expected<transport::HttpResponse> call(const std::string &target,
             const std::string &method = "GET", const std::string &key = {},
             std::chrono::milliseconds deadline = 3s)
@@ -232,6 +314,7 @@
         transport::HttpRequest request;
         request.method = method;
         request.target = "/v1/services/" + target;
+        request.body = target;
         request.fields.add("Authorization", "Bearer shop-token");
         request.fields.add("X-Request-Deadline-Ms", std::to_string(deadline.count()));
         if (!key.empty())
@@ -270,4 +353,238 @@
     EXPECT_EQ(m_recorder.m_counts[0], 1);
 }
 
+// Guards against a refusal that waits for the deadline.
+TEST_F(CallerFrontFixture, handleCaller_noEndpoint_notRunAtOnce)
+{
+    start();
+    const TimePoint startedAt = TimePoint::clock::now();
+    const auto response = call("stock/stock/9");
+    EXPECT_LT(TimePoint::clock::now() - startedAt, 1s);
+    EXPECT_EQ(outcome(*response), "not-run");
+    EXPECT_TRUE(response->fields.value("Retry-After"));
+    EXPECT_NE(response->body.find("remedy"), std::string::npos);
+}
+
+TEST_F(CallerFrontFixture, handleCaller_wrongToken_unauthorized)
+{
+    m_config.m_snapshot->accounts.clear();
+    start();
+    EXPECT_EQ(call("stock/stock/9")->status, 401U);
+}
+
+// Guards against an answer of another request that is passed to this caller.
+TEST_F(CallerFrontFixture, handleCaller_crossedAnswer_droppedAndOwnAnswerSent)
+{
+    for (int i = 0; i < 2; ++i) {
+        addAgent("stock", [](std::shared_ptr<RunningAttempt> running) {
+            return answerWith(running, "for " + running->attempt().request_id());
+        });
+    }
+    m_agents.front().m_crossedAnswers = 1;
+    start();
+    for (int i = 0; i < 8; ++i) {
+        const auto response = call("stock/stock/9");
+        const std::string id = response->fields.valueOr("X-Oriolerill-Request-Id", "");
+        EXPECT_EQ(response->body, "for " + id);
+    }
+    EXPECT_EQ(m_agents.front().m_crossedAnswers, 0);
+}
+
+// Guards against a damaged answer that is passed on as whole.
+TEST_F(CallerFrontFixture, handleCaller_damagedAnswer_retriedWhole)
+{
+    FakeAgent &agent
+            = addAgent("stock", [](auto running) { return answerWith(running, "12 left"); });
+    agent.m_damagedAnswers = 1;
+    start();
+    EXPECT_EQ(call("stock/stock/9")->body, "12 left");
+}
+
+// Guards against a part of an answer that is passed off as the whole.
+TEST_F(CallerFrontFixture, handleCaller_answerCutBeforeEnd_retriedWhole)
+{
+    FakeAgent &agent
+            = addAgent("stock", [](auto running) { return answerWith(running, "12 left"); });
+    agent.m_cutAnswers = 1;
+    start();
+    const auto response = call("stock/stock/9");
+    EXPECT_EQ(response->body, "12 left");
+    EXPECT_EQ(agent.m_runs, 1);
+    EXPECT_EQ(agent.m_connections, 2);
+}
+
+// Guards against a caller that waits for a connection that has gone silent, and against a second
+// run of a non-idempotent request when its connection is replaced.
+TEST_F(CallerFrontFixture, handleCaller_silentConnection_reattachGetsAnswer)
+{
+    FakeAgent &agent
+            = addAgent("stock", [](auto running) { return answerWith(running, "placed"); });
+    agent.m_silentConnections = 1;
+    start();
+    const auto response = call("stock/orders", "POST");
+    EXPECT_EQ(outcome(*response), "answered");
+    EXPECT_EQ(response->body, "placed");
+    EXPECT_EQ(agent.m_runs, 1);
+}
+
+// Guards against a false "not run" and a second run: the order may have run at the dead agent.
+TEST_F(CallerFrontFixture, handleCaller_agentDiesWithOrder_unknownAndNotRetried)
+{
+    FakeAgent &dying = addAgent("stock", [this](std::shared_ptr<RunningAttempt>) {
+        m_agents.front().m_server.stopAccepting();
+        m_agents.front().m_server.closeAll();
+        return waitLong();
+    });
+    start();
+    const auto response = call("stock/orders", "POST");
+    EXPECT_EQ(outcome(*response), "unknown");
+    EXPECT_EQ(dying.m_runs, 1);
+}
+
+// Guards against "unknown" when the request never left the entry.
+TEST_F(CallerFrontFixture, handleCaller_connectionRefused_notRun)
+{
+    FakeAgent &agent = addAgent("stock", [](auto running) { return answerWith(running, ""); });
+    agent.m_server.stopAccepting();
+    std::this_thread::sleep_for(50ms);
+    start();
+    EXPECT_EQ(outcome(*call("stock/orders", "POST")), "not-run");
+}
+
+// Guards against a late answer of the first attempt that mixes with the answer of the retry.
+TEST_F(CallerFrontFixture, handleCaller_lateAnswerAfterRetry_dropped)
+{
+    m_options.attempts.maxLinks = 1;
+    for (int i = 0; i < 2; ++i) {
+        addAgent("stock", [this](std::shared_ptr<RunningAttempt> running) {
+            return running->attempt().attempt() == 1 ? answerLate(running, "first")
+                                                     : answerWith(running, "second");
+        });
+    }
+    start();
+    // Without heartbeats the first attempt is given up.
+    for (FakeAgent &agent : m_agents)
+        agent.m_hasHeartbeats = false;
+    const auto response = call("stock/stock/9");
+    EXPECT_EQ(response->body, "second");
+}
+
+// Guards against retries that multiply the load of overloaded endpoints.
+TEST_F(CallerFrontFixture, handleCaller_allOverloaded_retriesWithinBudget)
+{
+    for (int i = 0; i < 4; ++i)
+        addAgent("stock", refuseOverloaded);
+    m_options.retryBudget = {0.1, 0, 10};
+    start();
+    constexpr int Requests = 50;
+    for (int i = 0; i < Requests; ++i) {
+        const auto response = call("stock/stock/9");
+        EXPECT_EQ(outcome(*response), "not-run");
+        EXPECT_EQ(response->status, 503U);
+    }
+    int runs = 0;
+    for (const FakeAgent &agent : m_agents)
+        runs += agent.m_runs;
+    EXPECT_LE(runs, Requests + Requests / 10);
+}
+
+// Guards against a stream that is resumed at the wrong byte or from other weights.
+TEST_F(CallerFrontFixture, handleCaller_modelStreamBreaks_resumedOnSameWeights)
+{
+    const domain::Digest weights = domain::Digest::of("w1");
+    const auto script = [weights](std::shared_ptr<RunningAttempt> running) {
+        return streamBroken(running, weights, true);
+    };
+    addAgent("drafts", script, weights);
+    addAgent("drafts", script, weights);
+    addAgent(
+            "drafts", [](auto running) { return answerWith(running, "other"); },
+            domain::Digest::of("w2"));
+    start();
+    int resumed = 0;
+    for (int i = 0; i < 10; ++i) {
+        const auto response = call("drafts/v1/generate?" + std::to_string(i), "POST");
+        ASSERT_TRUE(response);
+        EXPECT_TRUE(response->body == "one two three" || response->body == "other");
+        resumed += response->body == "one two three" ? 1 : 0;
+    }
+    EXPECT_GE(resumed, 1);
+}
+
+// Guards against a broken stream that looks whole when no endpoint has the same weights.
+TEST_F(CallerFrontFixture, handleCaller_modelStreamBreaksWithoutOther_connectionAborted)
+{
+    const domain::Digest weights = domain::Digest::of("w1");
+    addAgent(
+            "drafts",
+            [weights](std::shared_ptr<RunningAttempt> running) {
+                return streamBroken(running, weights, false);
+            },
+            weights);
+    addAgent(
+            "drafts", [](auto running) { return answerWith(running, "other"); },
+            domain::Digest::of("w2"));
+    start();
+    int cut = 0;
+    for (int i = 0; i < 8; ++i) {
+        const auto response = call("drafts/v1/generate?" + std::to_string(i), "POST");
+        if (!response)
+            ++cut;
+        else
+            EXPECT_EQ(response->body, "other");
+    }
+    EXPECT_EQ(m_recorder.m_counts[static_cast<int>(observability::RequestOutcome::Cut)], cut);
+}
+
+// Guards against orders that are not kept in one place: a repeat joins at the same agent.
+TEST_F(CallerFrontFixture, handleCaller_sameOrderKey_sameOwner)
+{
+    for (int i = 0; i < 5; ++i)
+        addAgent("stock", [](auto running) { return answerWith(running, "placed"); });
+    start();
+    for (int i = 0; i < 10; ++i)
+        call("stock/orders", "POST", "key-1");
+    const auto owners = std::count_if(m_agents.begin(), m_agents.end(),
+            [](const FakeAgent &agent) { return agent.m_runs > 0; });
+    EXPECT_EQ(owners, 1);
+}
+
+// Guards against a withdrawn data centre that keeps its callers' requests.
+TEST_F(CallerFrontFixture, handleCaller_ownDataCentreWithdrawn_forwardedToOther)
+{
+    FakeAgent &local = addAgent("stock", [](auto running) { return answerWith(running, "local"); });
+    FakeAgent other(m_pool.get_executor(), domain::Incarnation(9));
+    other.m_script = [](auto running) { return answerWith(running, "other"); };
+    addDataCentre("este-a", other.m_address);
+    m_config.m_snapshot->withdrawals[m_options.dataCentre] = {m_options.dataCentre, "power", {}};
+    start();
+    EXPECT_EQ(call("stock/stock/9")->body, "other");
+    EXPECT_EQ(local.m_runs, 0);
+}
+
+// Guards against a forwarded attempt that is lost between the two entries' rules.
+TEST_F(CallerFrontFixture, handlePeer_forwardedAttempt_answeredByLocalEndpoint)
+{
+    addAgent("stock", [](auto running) { return answerWith(running, "12 left"); });
+    start();
+    transport::HttpServer peer(m_pool.get_executor(), transport::HttpServerOptions());
+    const auto address = *peer.start({"127.0.0.1", 0},
+            [this](transport::HttpServerExchange &e) { return m_front->handlePeer(e); });
+    FixedMembership awayMembership;
+    CallerFrontOptions away = m_options;
+    away.id = domain::EntryId("entry-2");
+    away.dataCentre = domain::DataCentreId("este-a");
+    awayMembership.m_snapshot->ownDataCentre = away.dataCentre;
+    m_membership.m_snapshot.swap(awayMembership.m_snapshot);
+    addDataCentre("salto-a", address);
+    m_membership.m_snapshot.swap(awayMembership.m_snapshot);
+    CallerFront front(m_pool.get_executor(), m_config, awayMembership, *m_client, m_recorder, away);
+    transport::HttpServer callers(m_pool.get_executor(), transport::HttpServerOptions());
+    m_address = *callers.start({"127.0.0.1", 0},
+            [&front](transport::HttpServerExchange &e) { return front.handleCaller(e); });
+    EXPECT_EQ(call("stock/stock/9")->body, "12 left");
+    EXPECT_EQ(call("stock/orders", "POST", "k")->body, "12 left");
+    callers.closeAll();
+}
+
 } // namespace oriolerill::entry
