--- /dev/null
+++ b/src/entry/internal/entryprocess.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "domain/expected.h"
+#include "settings/entrysettings.h"
+
+#include <memory>
+
+namespace oriolerill::entry {
+
+/// The services of one entry, from start to graceful shutdown.
+class EntryProcess
+{
+public:
+    explicit EntryProcess(settings::EntrySettings settings);
+    ~EntryProcess();
+    EntryProcess(const EntryProcess &) = delete;
+    EntryProcess &operator=(const EntryProcess &) = delete;
+
+    /// Starts to serve and returns.
+    domain::Expected<domain::Done> start();
+    /// Stops accepting, announces that the entry is leaving and waits for requests in progress, at
+    /// most for the drain time.
+    void stop();
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace oriolerill::entry
