Refuse orders early when the platform does not answer

Cause: an order waited for its deadline when a write to the platform stayed undecided, and a write above the platform's rate was tried again instead of being refused at once.

Change: an order that cannot be started within 2 s is refused as not run, and further fresh orders are refused at once while the write stays undecided. RateLimited counts as a certain refusal, as the order log on the platform reports it only without effect.

--- a/src/requests/internal/slotledger.cpp
+++ b/src/requests/internal/slotledger.cpp
@@ -46,7 +46,7 @@
 
 Error lateError()
 {
-    return Error{ErrorKind::Timeout, "the order was not recorded before its deadline and never ran",
+    return Error{ErrorKind::Timeout, "the order could not be recorded in time and never ran",
             "send the order again with the same key"};
 }
 
@@ -101,7 +101,8 @@
 LedgerActions SlotLedger::begin(std::uint64_t ticket, OrderRequest request, LedgerTime time)
 {
     LedgerActions actions;
-    Waiting waiting{ticket, std::move(request)};
+    const TimePoint startBy = std::min(request.deadline, time.now + m_options.maxStartWait);
+    Waiting waiting{ticket, std::move(request), startBy};
     if (m_phase == Phase::Open) {
         beginOpen(waiting, time, actions);
         return actions;
@@ -135,10 +136,15 @@
                 RefuseOrder{protocol::OUTCOME_NOT_RUN, noRoomError(), m_options.retryPause}});
         return;
     }
+    if (isAppendStuck(time.now)) {
+        actions.push_back(DecideOrder{waiting.ticket,
+                RefuseOrder{protocol::OUTCOME_NOT_RUN, platformError(), m_options.maxStartWait}});
+        return;
+    }
     Order &order = m_orders[id];
     order.hash = request.hash;
     order.createdAt = time.wall;
-    order.waiters.push_back({waiting.ticket, request.deadline});
+    order.waiters.push_back({waiting.ticket, waiting.startBy, request.deadline});
     m_waitedFor.insert(id);
     enqueue(recordOf(protocol::ORDER_RECORD_INTENT, id.account, id.key, order.hash, time.wall),
             time.now);
@@ -157,7 +163,7 @@
         actions.push_back(
                 DecideOrder{ticket, RefuseOrder{protocol::OUTCOME_UNKNOWN, unknownError(), {}}});
     } else {
-        order.waiters.push_back({ticket, waiting.request.deadline});
+        order.waiters.push_back({ticket, waiting.startBy, waiting.request.deadline});
     }
 }
 
@@ -221,7 +227,7 @@
         id = isDone ? m_waitedFor.erase(id) : std::next(id);
     }
     const auto late = std::stable_partition(m_waiting.begin(), m_waiting.end(),
-            [&](const Waiting &waiting) { return waiting.request.deadline > time.now; });
+            [&](const Waiting &waiting) { return waiting.startBy > time.now; });
     for (auto waiting = late; waiting != m_waiting.end(); ++waiting) {
         // The log is not read yet, so an earlier request with this key may have run.
         actions.push_back(DecideOrder{waiting->ticket,
@@ -236,8 +242,10 @@
     const RefuseOrder refusal = isRunning
             ? RefuseOrder{protocol::OUTCOME_UNKNOWN, stillRunningError(), {}}
             : RefuseOrder{protocol::OUTCOME_NOT_RUN, lateError(), m_options.retryPause};
-    const auto late = std::stable_partition(order.waiters.begin(), order.waiters.end(),
-            [&](const Waiter &waiter) { return waiter.deadline > time.now; });
+    const auto late = std::stable_partition(
+            order.waiters.begin(), order.waiters.end(), [&](const Waiter &waiter) {
+                return (isRunning ? waiter.deadline : waiter.startBy) > time.now;
+            });
     for (auto waiter = late; waiter != order.waiters.end(); ++waiter)
         actions.push_back(DecideOrder{waiter->ticket, refusal});
     order.waiters.erase(late, order.waiters.end());
@@ -259,6 +267,11 @@
 
 // ---- writing ----
 
+bool SlotLedger::isAppendStuck(TimePoint now) const
+{
+    return m_inFlight && now - m_lastAppendAt >= m_options.maxStartWait;
+}
+
 std::string SlotLedger::nextWriteId()
 {
     return m_writer + '/' + std::to_string(m_incarnation.count()) + '/'
@@ -330,7 +343,8 @@
         // The number may be taken by this very write, when the answer to it was lost.
         m_isReadingBack = true;
         actions.push_back(ReadBatch{m_inFlight->number});
-    } else if (result.error().kind == ErrorKind::Unavailable) {
+    } else if (result.error().kind == ErrorKind::Unavailable
+            || result.error().kind == ErrorKind::RateLimited) {
         onAppendRefused(result.error(), time, actions);
     } else {
         // Undecided: writing the same batch to the same number again decides it.
@@ -477,11 +491,12 @@
         const auto order = m_orders.find(id);
         if (order == m_orders.end())
             continue;
+        const bool isRunning = order->second.state == OrderState::Running;
         for (const Waiter &waiter : order->second.waiters)
-            next = std::min(next, waiter.deadline);
+            next = std::min(next, isRunning ? waiter.deadline : waiter.startBy);
     }
     for (const Waiting &waiting : m_waiting)
-        next = std::min(next, waiting.request.deadline);
+        next = std::min(next, waiting.startBy);
     if (m_inFlight && m_inFlight->retryAt)
         next = std::min(next, *m_inFlight->retryAt);
     if (m_phase == Phase::Open && !m_inFlight && !m_queue.empty())
--- a/src/requests/iorderlog.h
+++ b/src/requests/iorderlog.h
@@ -33,8 +33,8 @@
     virtual ~IOrderLog() = default;
 
     /// Creates the batch with this number. Fenced when another writer has created it; Unavailable
-    /// only when it is certain that the batch was not and will not be written. A lost answer is
-    /// resolved by reading the batch back, so the callback can come late.
+    /// or RateLimited only when it is certain that the batch was not and will not be written. A
+    /// lost answer is resolved by reading the batch back, so the callback can come late.
     virtual void append(const LedgerSlot &slot, std::uint64_t number,
             const protocol::OrderBatch &batch, AppendCallback callback)
             = 0;
--- a/src/requests/slotledger.h
+++ b/src/requests/slotledger.h
@@ -28,6 +28,8 @@
     domain::Duration resultDelay = std::chrono::milliseconds(100);
     /// Pause before a failed write or takeover is tried again.
     domain::Duration retryPause = std::chrono::milliseconds(200);
+    /// An order that could not be started for this long is refused, although its caller would wait.
+    domain::Duration maxStartWait = std::chrono::seconds(2);
     /// Pause before a slot that another owner has taken may be taken back, so that two entries with
     /// different views do not make two owners fence each other with every order.
     domain::Duration fencedPause = std::chrono::seconds(2);
@@ -129,6 +131,8 @@
     struct Waiter
     {
         std::uint64_t ticket = 0;
+        /// The order must not be started later.
+        domain::TimePoint startBy;
         domain::TimePoint deadline;
     };
     struct Order
@@ -163,6 +167,7 @@
     {
         std::uint64_t ticket = 0;
         OrderRequest request;
+        domain::TimePoint startBy;
     };
     struct BatchInfo
     {
@@ -211,6 +216,7 @@
     void moveTo(std::uint64_t number, Order &order);
     void compact(LedgerTime time);
     void removeOld(LedgerTime time, LedgerActions &actions);
+    bool isAppendStuck(domain::TimePoint now) const;
     std::string nextWriteId();
     domain::TimePoint appendDueAt() const;
 
--- a/src/requests/tests/slotledgertest.cpp
+++ b/src/requests/tests/slotledgertest.cpp
@@ -231,6 +231,20 @@
     EXPECT_TRUE(Owner::runs(next.order("k")));
 }
 
+// Guards against callers that wait for a platform that does not answer at all.
+TEST_F(SlotLedgerFixture, begin_platformSilent_refusedLongBeforeTheDeadline)
+{
+    m_owner.order("first");
+    m_owner.pass(1s);
+    const std::uint64_t ticket = m_owner.begin("k", 1, 60s);
+    m_owner.pass(3s);
+    EXPECT_EQ(m_owner.refusal(ticket), protocol::OUTCOME_NOT_RUN);
+    const std::uint64_t next = m_owner.begin("k2", 1, 60s);
+    EXPECT_EQ(m_owner.refusal(next), protocol::OUTCOME_NOT_RUN);
+    m_owner.settle();
+    EXPECT_FALSE(m_owner.runs(ticket));
+}
+
 // Guards against an owner that was paused with an append under way and runs the order too late.
 TEST_F(SlotLedgerFixture, appended_afterPauseBeyondDeadline_neverRuns)
 {
