--- a/src/requests/tests/slotledgertest.cpp
+++ b/src/requests/tests/slotledgertest.cpp
@@ -22,6 +22,7 @@
     bool isDown = false;
     bool losesAnswers = false;
     std::size_t writes = 0;
+    std::size_t reads = 0;
 };
 
 /// An owner of the slot whose actions on the log are carried out by hand or at once.
@@ -126,6 +127,7 @@
     }
     void carryOut(const ReadBatch &read)
     {
+        ++m_log.reads;
         const auto found = m_log.batches.find(read.number);
         if (m_log.isDown)
             add(m_ledger.read(read.number, Error{ErrorKind::Unavailable, "outage", ""}, m_time));
@@ -231,6 +233,20 @@
     EXPECT_TRUE(Owner::runs(next.order("k")));
 }
 
+// Guards against callers that wait for a platform that does not answer at all.
+TEST_F(SlotLedgerFixture, begin_platformSilent_refusedLongBeforeTheDeadline)
+{
+    m_owner.order("first");
+    m_owner.pass(1s);
+    const std::uint64_t ticket = m_owner.begin("k", 1, 60s);
+    m_owner.pass(3s);
+    EXPECT_EQ(m_owner.refusal(ticket), protocol::OUTCOME_NOT_RUN);
+    const std::uint64_t next = m_owner.begin("k2", 1, 60s);
+    EXPECT_EQ(m_owner.refusal(next), protocol::OUTCOME_NOT_RUN);
+    m_owner.settle();
+    EXPECT_FALSE(m_owner.runs(ticket));
+}
+
 // Guards against an owner that was paused with an append under way and runs the order too late.
 TEST_F(SlotLedgerFixture, appended_afterPauseBeyondDeadline_neverRuns)
 {
@@ -330,7 +346,7 @@
 TEST_F(SlotLedgerFixture, tick_manyBatches_compactedWithoutLoss)
 {
     SlotLedgerOptions options;
-    options.maxBatches = 20;
+    options.maxSmallBatches = 20;
     options.removalAge = 30s;
     Owner owner(m_log, "c", 1, options);
     for (int i = 0; i < 200; ++i) {
@@ -342,6 +358,9 @@
     }
     EXPECT_LT(m_log.batches.size(), 100U);
     Owner next(m_log, "d");
+    m_log.reads = 0;
+    next.order("k0");
+    EXPECT_LT(m_log.reads, 35U);
     for (int i = 0; i < 200; ++i) {
         const std::string key = "k" + std::to_string(i);
         EXPECT_EQ(Owner::answer(next.order(key)), key);
