--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -6,7 +6,7 @@
 packages=(libboost1.81-dev libboost-log1.81-dev libboost-program-options1.81-dev
     libboost-json1.81-dev libboost-thread1.81-dev libboost-url1.81-dev libnng-dev libprotobuf-dev
     protobuf-compiler libxxhash-dev libssl-dev libgtest-dev libbenchmark-dev ccache ninja-build
-    cmake g++ clang-format clang-tidy)
+    cmake curl g++ clang-format clang-tidy)
 
 missing=()
 for package in "${packages[@]}"; do
