--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,7 +24,7 @@
     origin_before=$(origin_bytes "$digest2")
     control "$(load_address)" "phase?name=push" >/dev/null
     push_start=$(now_ms)
-    apply_items push "$(rollout_item 2 "$digest2")" || fail "push"
+    rollout_item 2 "$digest2" | apply_items push || fail "push"
     wait_until 60 all_engines_ready "$digest2" || note_failure "the push did not end in 60 s"
     push_seconds=$(ratio $(($(now_ms) - push_start)) 1000)
     replicas_ready=$(engines_ready "$digest2")
@@ -56,7 +56,7 @@
 start_product || fail "entries or agents do not start"
 
 echo "demo: applying services, accounts and the rollout of version 1"
-apply_items base "$(base_items),$(rollout_item 1 "$digest1")" || fail "first document"
+{ base_items; rollout_item 1 "$digest1"; } | apply_items base || fail "first document"
 wait_until 40 all_engines_ready "$digest1" \
     || fail "only $(engines_ready "$digest1") of $ENGINES engines have version 1"
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -401,31 +401,40 @@
 account_token() { echo "token-$1"; }
 all_tokens() { list "$ACCOUNTS" account_token; }
 
-# Services, limits and accounts.
+# Configuration items, one "<kind> <name> <spec>" a line.
 base_items() {
     local i
-    echo '{"kind":"service","name":"chat","spec":{"kind":"model"}},'
-    echo '{"kind":"service","name":"orders","spec":{"kind":"plain","nonIdempotentCalls":'
-    echo '[{"method":"POST","pathPrefix":"/orders"}],"ledgerSlots":8}},'
-    echo '{"kind":"limit","name":"chat","spec":{"maxConcurrency":8,"startConcurrency":1}},'
-    echo '{"kind":"limit","name":"orders","spec":{"maxConcurrency":32,"startConcurrency":4}}'
+    echo 'service chat {"kind":"model"}'
+    echo 'service orders {"kind":"plain","nonIdempotentCalls":[{"method":"POST","pathPrefix":"/orders"}],"ledgerSlots":8}'
+    echo "limit chat {\"maxConcurrency\":${CHAT_LIMIT:-8},\"startConcurrency\":1}"
+    echo 'limit orders {"maxConcurrency":32,"startConcurrency":4}'
     for ((i = 0; i < ACCOUNTS; ++i)); do
-        echo ",{\"kind\":\"account\",\"name\":\"account$i\",\"spec\":{\"tokenSha256\":\"$(
+        echo "account account$i {\"tokenSha256\":\"$(
             account_token "$i" | tr -d '\n' | sha256sum | cut -d' ' -f1
-        )\",\"maxConcurrency\":200,\"requestsPerSecond\":5000,\"weight\":1}}"
+        )\",\"maxConcurrency\":500,\"requestsPerSecond\":20000,\"weight\":1}"
     done
 }
 
 # rollout_item VERSION DIGEST
 rollout_item() {
-    echo "{\"kind\":\"rollout\",\"name\":\"velvet\",\"spec\":{\"service\":\"chat\","
-    echo "\"model\":\"velvet\",\"modelVersion\":\"$1\",\"manifest\":\"$2\",\"dataCentres\":[],"
-    echo "\"maxUnavailablePerDataCentre\":${MAX_UNAVAILABLE:-1}}}"
+    echo "rollout velvet {\"service\":\"chat\",\"model\":\"velvet\",\"modelVersion\":\"$1\",\"manifest\":\"$2\",\"dataCentres\":[],\"maxUnavailablePerDataCentre\":${MAX_UNAVAILABLE:-1}}"
 }
 
-# apply_items NAME ITEMS: writes a document and applies it.
+# document: turns items on the standard input into an operators' document; the spec "delete" deletes.
+document() {
+    local kind name spec separator=
+    echo '{"items":['
+    while read -r kind name spec; do
+        echo "$separator{\"kind\":\"$kind\",\"name\":\"$name\","
+        if [ "$spec" = delete ]; then echo '"delete":true}'; else echo "\"spec\":$spec}"; fi
+        separator=,
+    done
+    echo ']}'
+}
+
+# apply_items NAME: applies the items on the standard input as a document, through an entry.
 apply_items() {
-    echo "{\"items\":[$2]}" >"$run_dir/$1.json"
+    document >"$run_dir/$1.json"
     apply "$run_dir/$1.json" || {
         note_failure "applying $1.json"
         tail -5 "$run_dir/apply.out" >&2
@@ -433,14 +442,18 @@
     }
 }
 
-withdraw_dc() {
-    apply_items "withdraw-$1" \
-        "{\"kind\":\"withdrawal\",\"name\":\"$1\",\"spec\":{\"reason\":\"maintenance\"}}"
-}
-return_dc() {
-    apply_items "return-$1" "{\"kind\":\"withdrawal\",\"name\":\"$1\",\"delete\":true}"
+# store_items: creates the items on the standard input in the object API, without an entry.
+store_items() {
+    local kind name spec
+    while read -r kind name spec; do
+        curl -sS -f -X PUT -H 'If-None-Match: *' --data "$spec" \
+            "http://$(platform_address)/v1/objects/config/$kind/$name" || return 1
+    done
 }
 
+withdraw_dc() { echo "withdrawal $1 {\"reason\":\"maintenance\"}" | apply_items "withdraw-$1"; }
+return_dc() { echo "withdrawal $1 delete" | apply_items "return-$1"; }
+
 # engines_ready DIGEST: how many engines have loaded this version.
 engines_ready() {
     local i urls=()
--- a/standins/loadgenerator.cpp
+++ b/standins/loadgenerator.cpp
@@ -12,6 +12,7 @@
 #include <boost/json/value.hpp>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace oriolerill::standins {
@@ -26,7 +27,6 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
-constexpr std::size_t MaxTries = 200;
 
 const char *nameOf(Kind kind)
 {
@@ -69,6 +69,17 @@
 
 } // namespace
 
+std::vector<domain::SocketAddress> parseAddresses(const std::string &text)
+{
+    std::vector<domain::SocketAddress> addresses;
+    std::istringstream stream(text);
+    for (std::string item; std::getline(stream, item, ',');) {
+        if (const auto address = domain::SocketAddress::parse(item))
+            addresses.push_back(*address);
+    }
+    return addresses;
+}
+
 LoadGenerator::LoadGenerator(asio::any_io_executor executor, LoadOptions options)
     : m_executor(std::move(executor))
     , m_options(std::move(options))
@@ -217,7 +228,7 @@
         co_return co_await placeTwiceAtOnce(order, deadline);
 
     std::size_t entry = randomIndex(m_options.entries.size());
-    for (std::size_t tries = 0; tries < MaxTries; ++tries) {
+    for (std::size_t tries = 0; tries < m_options.maxTries; ++tries) {
         const CallerAnswer answer = co_await sendOrder(order, entry++, deadline);
         if (isGood(answer)) {
             if (!isFirstExecution(answer.body, order))
@@ -232,7 +243,8 @@
             co_return false;
         }
         // A repeat of an order with an unknown outcome gets the same answer, or better.
-        if (isOutOfTime || m_options.isDirect)
+        const bool isLastTry = tries + 1 == m_options.maxTries;
+        if (isOutOfTime || isLastTry || m_options.isDirect)
             break;
         co_await pauseBeforeRetry(answer, deadline);
     }
@@ -270,7 +282,8 @@
         m_report.count("wrong_repeats");
     if (isGood(first) || isGood(second))
         co_return true;
-    for (std::size_t tries = 0; tries < MaxTries && TimePoint::clock::now() < deadline; ++tries) {
+    for (std::size_t tries = 0; tries < m_options.maxTries && TimePoint::clock::now() < deadline;
+            ++tries) {
         co_await pauseBeforeRetry(first, deadline);
         const CallerAnswer answer = co_await sendOrder(order, entry + tries, deadline);
         if (isGood(answer))
@@ -297,13 +310,12 @@
 {
     std::size_t entry = randomIndex(peersOf(request).size());
     CallerAnswer answer;
-    for (std::size_t tries = 0; tries < MaxTries; ++tries) {
+    for (std::size_t tries = 0; tries < m_options.maxTries; ++tries) {
         HttpRequest copy = request;
         answer = co_await sendOnce(std::move(copy), entry++, deadline);
         if (isGood(answer))
             co_return answer;
-        // Endpoints have no retries behind them; the comparison is with a single try.
-        if (TimePoint::clock::now() >= deadline)
+        if (TimePoint::clock::now() >= deadline || tries + 1 == m_options.maxTries)
             break;
         co_await pauseBeforeRetry(answer, deadline);
     }
@@ -385,6 +397,8 @@
     transport::HttpResponse response = textResponse("ok=1\n");
     if (target.path() == "/standin/phase")
         m_report.setPhase(target.text("name", "idle"));
+    else if (target.path() == "/standin/entries")
+        m_options.entries = parseAddresses(target.text("list"));
     else if (target.path() == "/standin/stop")
         m_isStopped = true;
     else
--- a/standins/loadgenerator.h
+++ b/standins/loadgenerator.h
@@ -17,6 +17,9 @@
 
 namespace oriolerill::standins {
 
+/// Addresses separated by commas; malformed ones are left out.
+std::vector<domain::SocketAddress> parseAddresses(const std::string &text);
+
 struct LoadOptions
 {
     /// Entries; or, for the direct mode, the endpoints of the model service.
@@ -34,6 +37,8 @@
     /// Requests a second in the open loop; 0 for the closed loop.
     double rate = 0;
     std::uint64_t maxRequests = 1000000;
+    /// Tries of a request before it counts as failed.
+    std::size_t maxTries = 200;
     domain::Duration maxTime = std::chrono::seconds(10);
     domain::Duration deadline = std::chrono::seconds(10);
     std::uint32_t generations = 1;
@@ -56,7 +61,7 @@
 
     /// Runs the load and the final comparison with the order services.
     boost::asio::awaitable<void> run();
-    /// Controls: /standin/phase?name=, /standin/stop, /standin/counters.
+    /// Controls: /standin/phase?name=, /standin/entries?list=, /standin/stop, /standin/counters.
     boost::asio::awaitable<void> handle(transport::HttpServerExchange &exchange);
 
     const LoadReport &report() const { return m_report; }
--- a/standins/loadmain.cpp
+++ b/standins/loadmain.cpp
@@ -23,16 +23,6 @@
     return items;
 }
 
-std::vector<domain::SocketAddress> addressList(const std::string &text)
-{
-    std::vector<domain::SocketAddress> addresses;
-    for (const std::string &item : splitList(text)) {
-        if (const auto address = domain::SocketAddress::parse(item))
-            addresses.push_back(*address);
-    }
-    return addresses;
-}
-
 void addOptions(po::options_description &description, LoadOptions &options)
 {
     const auto list = [] { return po::value<std::string>()->default_value(""); };
@@ -71,9 +61,9 @@
     addOptions(program.options(), options);
     if (!program.parse(argc, argv))
         return 2;
-    options.entries = addressList(program.value<std::string>("entries"));
-    options.directOrders = addressList(program.value<std::string>("direct-orders"));
-    options.audited = addressList(program.value<std::string>("audit"));
+    options.entries = parseAddresses(program.value<std::string>("entries"));
+    options.directOrders = parseAddresses(program.value<std::string>("direct-orders"));
+    options.audited = parseAddresses(program.value<std::string>("audit"));
     options.tokens = splitList(program.value<std::string>("tokens"));
     options.isDirect = program.has("direct");
     options.maxTime = std::chrono::duration_cast<domain::Duration>(
