Add integration tests with real processes

They are not registered with CTest yet: the administration API and the order ledger are not wired into the processes, so most cannot pass.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -374,7 +374,7 @@
     local i
     for ((i = 0; i < $(entry_count); ++i)); do start_entry "$i"; done
     for ((i = 0; i < $(entry_count); ++i)); do
-        wait_listening "$(entry_host "$i"):8080" "$(entry_host "$i"):8083" || return 1
+        wait_listening "$(entry_host "$i"):8080" || return 1
     done
     for ((i = 0; i < ENGINES; ++i)); do start_agent "$i"; done
     for ((i = 0; i < ORDER_SERVICES; ++i)); do start_order_agent "$i"; done
@@ -394,6 +394,7 @@
 
 # apply FILE [ENTRY]: applies an operators' document.
 apply() {
+    wait_listening "$(admin_address "${2:-0}")" || return 1
     "$bin/oriolerill" apply --admin "$(admin_address "${2:-0}")" --token "$ADMIN_TOKEN" "$1" \
         >>"$run_dir/apply.out" 2>&1
 }
--- /dev/null
+++ b/tests/silencetest.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Guards against requests that hang on connections that went silent while new ones work.
+source "$(dirname "$0")/scenario.sh"
+scenario_begin silence
+load_begin --deadline-ms 15000
+for i in 1 2; do
+    control "$(proxy_control)" "silence?a=${DCS[0]}" >/dev/null
+    sleep 3
+done
+check "silenced connections" "$(counter "$(proxy_control)" silenced)" -gt 5
+push_version_2
+check_version_2
+load_end
+check_all_answered
+check "failed orders" "$(value "$line failed_orders=0" failed_orders)" -eq 0
+scenario_end
