--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -433,8 +433,13 @@
     echo ']}'
 }
 
-# apply_items NAME: applies the items on the standard input as a document, through an entry.
+# apply_items NAME: applies the items on the standard input as a document, through an entry. With
+# FLEET_APPLY=store they are written to the object API, to tell faults of the two ways apart.
 apply_items() {
+    if [ "${FLEET_APPLY:-entry}" = store ]; then
+        store_items
+        return
+    fi
     document >"$run_dir/$1.json"
     apply "$run_dir/$1.json" || {
         note_failure "applying $1.json"
@@ -443,12 +448,19 @@
     }
 }
 
-# store_items: creates the items on the standard input in the object API, without an entry.
+# store_items: writes the items on the standard input to the object API, without an entry.
 store_items() {
-    local kind name spec
+    local kind name spec url version condition
     while read -r kind name spec; do
-        curl -sS -f -X PUT -H 'If-None-Match: *' --data "$spec" \
-            "http://$(platform_address)/v1/objects/config/$kind/$name" || return 1
+        url="http://$(platform_address)/v1/objects/config/$kind/$name"
+        version=$(curl -sS -D - -o /dev/null "$url" | tr -d '\r' | sed -n 's/^X-Version: //p')
+        condition="If-None-Match: *"
+        [ -z "$version" ] || condition="If-Match: $version"
+        if [ "$spec" = delete ]; then
+            curl -sS -f -X DELETE -H "$condition" "$url" || return 1
+        else
+            curl -sS -f -X PUT -H "$condition" --data "$spec" "$url" || return 1
+        fi
     done
 }
 
