--- a/standins/loadgenerator.cpp
+++ b/standins/loadgenerator.cpp
@@ -179,8 +179,8 @@
     json::object body;
     body["prompt"] = prompt;
     body["max_tokens"] = m_options.maxTokens;
-    HttpRequest request
-            = makeRequest(m_options.modelService, "POST", "/v1/generate", json::serialize(body));
+    HttpRequest request = makeRequest(
+            m_options.modelService, "POST", "/v1/generate", json::serialize(body), number);
     const CallerAnswer answer = co_await sendUntilAnswered(std::move(request), deadline);
     co_return isGood(answer) && checkGeneration(answer, prompt);
 }
@@ -206,7 +206,8 @@
 {
     constexpr std::size_t Items = 10000;
     const std::string item = "item" + std::to_string(randomIndex(Items));
-    HttpRequest request = makeRequest(m_options.orderService, "GET", "/stock/" + item, {});
+    HttpRequest request
+            = makeRequest(m_options.orderService, "GET", "/stock/" + item, {}, m_started);
     const CallerAnswer answer = co_await sendUntilAnswered(std::move(request), deadline);
     if (!isGood(answer))
         co_return false;
@@ -258,8 +259,8 @@
 {
     json::object body;
     body["order"] = order;
-    HttpRequest request
-            = makeRequest(m_options.orderService, "POST", "/orders", json::serialize(body));
+    HttpRequest request = makeRequest(m_options.orderService, "POST", "/orders",
+            json::serialize(body), std::hash<std::string>{}(order));
     request.fields.add("Idempotency-Key", order);
     CallerAnswer answer = co_await sendOnce(std::move(request), entry, deadline);
     if (isGood(answer))
@@ -371,14 +372,14 @@
 }
 
 HttpRequest LoadGenerator::makeRequest(const std::string &service, const std::string &method,
-        const std::string &path, std::string body)
+        const std::string &path, std::string body, std::size_t owner)
 {
     HttpRequest request;
     request.method = method;
     request.target = m_options.isDirect ? path : "/v1/services/" + service + path;
     request.body = std::move(body);
     if (!m_options.tokens.empty()) {
-        const std::string &token = m_options.tokens[randomIndex(m_options.tokens.size())];
+        const std::string &token = m_options.tokens[owner % m_options.tokens.size()];
         request.fields.add("Authorization", "Bearer " + token);
     }
     return request;
--- a/standins/loadgenerator.h
+++ b/standins/loadgenerator.h
@@ -91,8 +91,9 @@
     boost::asio::awaitable<void> collectExecutions();
     void countAnswer(const CallerAnswer &answer);
     bool checkGeneration(const CallerAnswer &answer, const std::string &prompt);
+    /// The account follows from the owner's number, so that repeats come from the same account.
     transport::HttpRequest makeRequest(const std::string &service, const std::string &method,
-            const std::string &path, std::string body);
+            const std::string &path, std::string body, std::size_t owner);
     const std::vector<domain::SocketAddress> &peersOf(const transport::HttpRequest &request) const;
     bool isOver() const;
     double randomShare();
