--- a/standins/loadgenerator.cpp
+++ b/standins/loadgenerator.cpp
@@ -12,6 +12,7 @@
 #include <boost/json/value.hpp>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace oriolerill::standins {
@@ -26,7 +27,6 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
-constexpr std::size_t MaxTries = 200;
 
 const char *nameOf(Kind kind)
 {
@@ -69,6 +69,17 @@
 
 } // namespace
 
+std::vector<domain::SocketAddress> parseAddresses(const std::string &text)
+{
+    std::vector<domain::SocketAddress> addresses;
+    std::istringstream stream(text);
+    for (std::string item; std::getline(stream, item, ',');) {
+        if (const auto address = domain::SocketAddress::parse(item))
+            addresses.push_back(*address);
+    }
+    return addresses;
+}
+
 LoadGenerator::LoadGenerator(asio::any_io_executor executor, LoadOptions options)
     : m_executor(std::move(executor))
     , m_options(std::move(options))
@@ -168,8 +179,8 @@
     json::object body;
     body["prompt"] = prompt;
     body["max_tokens"] = m_options.maxTokens;
-    HttpRequest request
-            = makeRequest(m_options.modelService, "POST", "/v1/generate", json::serialize(body));
+    HttpRequest request = makeRequest(
+            m_options.modelService, "POST", "/v1/generate", json::serialize(body), number);
     const CallerAnswer answer = co_await sendUntilAnswered(std::move(request), deadline);
     co_return isGood(answer) && checkGeneration(answer, prompt);
 }
@@ -195,7 +206,8 @@
 {
     constexpr std::size_t Items = 10000;
     const std::string item = "item" + std::to_string(randomIndex(Items));
-    HttpRequest request = makeRequest(m_options.orderService, "GET", "/stock/" + item, {});
+    HttpRequest request
+            = makeRequest(m_options.orderService, "GET", "/stock/" + item, {}, m_started);
     const CallerAnswer answer = co_await sendUntilAnswered(std::move(request), deadline);
     if (!isGood(answer))
         co_return false;
@@ -217,7 +229,7 @@
         co_return co_await placeTwiceAtOnce(order, deadline);
 
     std::size_t entry = randomIndex(m_options.entries.size());
-    for (std::size_t tries = 0; tries < MaxTries; ++tries) {
+    for (std::size_t tries = 0; tries < m_options.maxTries; ++tries) {
         const CallerAnswer answer = co_await sendOrder(order, entry++, deadline);
         if (isGood(answer)) {
             if (!isFirstExecution(answer.body, order))
@@ -232,7 +244,8 @@
             co_return false;
         }
         // A repeat of an order with an unknown outcome gets the same answer, or better.
-        if (isOutOfTime || m_options.isDirect)
+        const bool isLastTry = tries + 1 == m_options.maxTries;
+        if (isOutOfTime || isLastTry || m_options.isDirect)
             break;
         co_await pauseBeforeRetry(answer, deadline);
     }
@@ -246,8 +259,8 @@
 {
     json::object body;
     body["order"] = order;
-    HttpRequest request
-            = makeRequest(m_options.orderService, "POST", "/orders", json::serialize(body));
+    HttpRequest request = makeRequest(m_options.orderService, "POST", "/orders",
+            json::serialize(body), std::hash<std::string>{}(order));
     request.fields.add("Idempotency-Key", order);
     CallerAnswer answer = co_await sendOnce(std::move(request), entry, deadline);
     if (isGood(answer))
@@ -270,7 +283,8 @@
         m_report.count("wrong_repeats");
     if (isGood(first) || isGood(second))
         co_return true;
-    for (std::size_t tries = 0; tries < MaxTries && TimePoint::clock::now() < deadline; ++tries) {
+    for (std::size_t tries = 0; tries < m_options.maxTries && TimePoint::clock::now() < deadline;
+            ++tries) {
         co_await pauseBeforeRetry(first, deadline);
         const CallerAnswer answer = co_await sendOrder(order, entry + tries, deadline);
         if (isGood(answer))
@@ -297,13 +311,12 @@
 {
     std::size_t entry = randomIndex(peersOf(request).size());
     CallerAnswer answer;
-    for (std::size_t tries = 0; tries < MaxTries; ++tries) {
+    for (std::size_t tries = 0; tries < m_options.maxTries; ++tries) {
         HttpRequest copy = request;
         answer = co_await sendOnce(std::move(copy), entry++, deadline);
         if (isGood(answer))
             co_return answer;
-        // Endpoints have no retries behind them; the comparison is with a single try.
-        if (TimePoint::clock::now() >= deadline)
+        if (TimePoint::clock::now() >= deadline || tries + 1 == m_options.maxTries)
             break;
         co_await pauseBeforeRetry(answer, deadline);
     }
@@ -359,14 +372,14 @@
 }
 
 HttpRequest LoadGenerator::makeRequest(const std::string &service, const std::string &method,
-        const std::string &path, std::string body)
+        const std::string &path, std::string body, std::size_t owner)
 {
     HttpRequest request;
     request.method = method;
     request.target = m_options.isDirect ? path : "/v1/services/" + service + path;
     request.body = std::move(body);
     if (!m_options.tokens.empty()) {
-        const std::string &token = m_options.tokens[randomIndex(m_options.tokens.size())];
+        const std::string &token = m_options.tokens[owner % m_options.tokens.size()];
         request.fields.add("Authorization", "Bearer " + token);
     }
     return request;
@@ -385,6 +398,8 @@
     transport::HttpResponse response = textResponse("ok=1\n");
     if (target.path() == "/standin/phase")
         m_report.setPhase(target.text("name", "idle"));
+    else if (target.path() == "/standin/entries")
+        m_options.entries = parseAddresses(target.text("list"));
     else if (target.path() == "/standin/stop")
         m_isStopped = true;
     else
