Add the administration API and the apply, status and report commands

Operators need one validated way to change the configuration and to see how far a change is.

- DocumentApplier writes nothing when the document has faults, names old versions or goes beyond the operator's rights.
Writes are conditional and stop at the first failure; a lost answer is reported as unknown, and applying again carries on.
- An audit record is written before the changes and completed after them.
- The commands take several entries: status joins what each knows, report adds up their counters.

--- /dev/null
+++ b/src/admin/auditlog.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "domain/expected.h"
+#include "domain/timepoint.h"
+#include "platform/iobjectstore.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace oriolerill::admin {
+
+/// Who changed what and when, kept in the object API under "audit/<hour>/<time>-<writer>".
+///
+/// A record is written before the changes it names, so that no change lacks one, and is completed
+/// with their results. A record without results belongs to an entry that died in between.
+class AuditLog
+{
+public:
+    struct Entry
+    {
+        std::string key;
+        domain::ConfigVersion version;
+    };
+
+    /// The writer's name makes keys unique; a process start has a new one.
+    AuditLog(platform::IObjectStore &store, std::string writer);
+
+    boost::asio::awaitable<domain::Expected<Entry>> begin(
+            domain::WallTime now, std::string record, domain::TimePoint deadline);
+    boost::asio::awaitable<domain::Expected<domain::Done>> complete(
+            Entry entry, std::string record, domain::TimePoint deadline);
+    /// Records of the last hours, newest first, at most maxRecords.
+    boost::asio::awaitable<domain::Expected<std::vector<std::string>>> list(domain::WallTime now,
+            std::uint32_t hours, std::size_t maxRecords, domain::TimePoint deadline);
+
+private:
+    platform::IObjectStore &m_store;
+    std::string m_writer;
+    std::atomic<std::uint64_t> m_sequence = 0;
+};
+
+} // namespace oriolerill::admin
--- a/src/admin/commandline.h
+++ b/src/admin/commandline.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "admin/exitcode.h"
+#include "admin/iadminclient.h"
+#include "admin/idocumentplanner.h"
 #include "settings/entrysettings.h"
 
 #include <functional>
@@ -10,13 +12,24 @@
 
 namespace oriolerill::admin {
 
+/// What the command line needs from the process.
+struct CommandContext
+{
+    std::ostream &output;
+    std::ostream &errors;
+    IAdminClient &client;
+    const IDocumentPlanner &planner;
+    /// Runs the entry until it is stopped.
+    std::function<ExitCode(const settings::EntrySettings &)> serve;
+    /// Value of an environment variable; empty when it is not set.
+    std::function<std::string(const char *)> environment;
+};
+
 /// The command line of `oriolerill`: chooses the command and carries it out.
 class CommandLine
 {
 public:
-    using Serve = std::function<ExitCode(const settings::EntrySettings &)>;
-
-    CommandLine(std::ostream &output, std::ostream &errors, Serve serve);
+    explicit CommandLine(CommandContext context);
 
     /// Arguments without the program's name.
     ExitCode run(const std::vector<std::string> &arguments) const;
@@ -26,11 +39,10 @@
     ExitCode runCheck(const std::vector<std::string> &arguments) const;
     bool checkEntrySettings(const std::string &file) const;
     bool checkAgentSettings(const std::string &file) const;
+    bool checkDocument(const std::string &file) const;
     ExitCode refuse(const std::string &message) const;
 
-    std::ostream &m_output;
-    std::ostream &m_errors;
-    Serve m_serve;
+    CommandContext m_context;
 };
 
 } // namespace oriolerill::admin
--- /dev/null
+++ b/src/admin/documentapplier.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "admin/applyresult.h"
+#include "admin/auditlog.h"
+#include "admin/idocumentplanner.h"
+#include "admin/principal.h"
+#include "platform/iobjectstore.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+#include <vector>
+
+namespace oriolerill::admin {
+
+struct ApplyRequest
+{
+    std::string document;
+    bool isDryRun = false;
+    /// Conflict instead of a change when an item exists already.
+    bool onlyCreate = false;
+};
+
+/// Applies operators' documents to the object API.
+///
+/// Nothing is written when the document has faults, goes beyond the operator's rights or names an
+/// old version. Writes are conditional on the versions read; they stop at the first failure, and
+/// applying the document again carries on, because items that equal it are kept.
+class DocumentApplier
+{
+public:
+    DocumentApplier(
+            platform::IObjectStore &store, const IDocumentPlanner &planner, AuditLog &audit);
+
+    boost::asio::awaitable<ApplyResult> apply(Principal principal, ApplyRequest request,
+            domain::WallTime now, domain::TimePoint deadline);
+
+private:
+    boost::asio::awaitable<domain::Expected<std::vector<CurrentItem>>> readItems(
+            domain::TimePoint deadline);
+    boost::asio::awaitable<void> write(
+            const std::vector<PlannedItem> &items, ApplyResult &result, domain::TimePoint deadline);
+    boost::asio::awaitable<domain::Expected<domain::ConfigVersion>> writeItem(
+            const PlannedItem &item, domain::TimePoint deadline);
+    boost::asio::awaitable<void> noteConflict(
+            ItemResult &item, ApplyResult &result, domain::TimePoint deadline);
+
+    platform::IObjectStore &m_store;
+    const IDocumentPlanner &m_planner;
+    AuditLog &m_audit;
+};
+
+} // namespace oriolerill::admin
--- /dev/null
+++ b/src/admin/internal/remotecommands.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "admin/commandline.h"
+#include "domain/expected.h"
+#include "domain/socketaddress.h"
+#include "transport/httpmessage.h"
+
+#include <string>
+#include <vector>
+
+namespace oriolerill::admin::internal {
+
+struct RemoteOptions
+{
+    /// Administration addresses of entries.
+    std::vector<domain::SocketAddress> entries;
+    std::string token;
+    bool isJson = false;
+};
+
+/// The commands that talk to the administration API.
+class RemoteCommands
+{
+public:
+    RemoteCommands(const CommandContext &context, RemoteOptions options);
+
+    /// Sends the document to the first entry that answers.
+    ExitCode apply(const std::string &document, bool isDryRun) const;
+    /// Joins what all entries know; each knows the endpoints of its own data centre.
+    ExitCode status(const std::string &version) const;
+    /// Adds up the counters of all entries.
+    ExitCode report() const;
+
+private:
+    struct Answer
+    {
+        domain::SocketAddress entry;
+        domain::Expected<transport::HttpResponse> response;
+    };
+
+    Answer send(const domain::SocketAddress &entry, const std::string &method,
+            const std::string &target, const std::string &body = {}) const;
+    /// The answer of each entry.
+    std::vector<Answer> ask(const std::string &target) const;
+    ExitCode fail(const Answer &answer) const;
+    void showApplied(const std::string &body) const;
+
+    const CommandContext &m_context;
+    RemoteOptions m_options;
+};
+
+} // namespace oriolerill::admin::internal
--- a/src/distribution/internal/bulkpacer.cpp
+++ b/src/distribution/internal/bulkpacer.cpp
@@ -92,9 +92,9 @@
     }
     m_readSinceChange = 0;
     m_changedAt = now;
-    m_bytesPerSecond = std::clamp(m_bytesPerSecond,
-            static_cast<double>(m_options.minimumRate.count()),
-            static_cast<double>(m_options.maximumRate.count()));
+    m_bytesPerSecond
+            = std::clamp(m_bytesPerSecond, static_cast<double>(m_options.minimumRate.count()),
+                    static_cast<double>(m_options.maximumRate.count()));
 }
 
 TimePoint BulkPacer::reserve(domain::Bytes bytes, TimePoint now)
--- a/src/entry/internal/main.cpp
+++ b/src/entry/internal/main.cpp
@@ -1,3 +1,4 @@
+#include "admin/adminclient.h"
 #include "admin/commandline.h"
 #include "admin/exitcode.h"
 #include "entry/internal/entryprocess.h"
@@ -5,6 +6,8 @@
 #include "settings/settingsloader.h"
 #include "settings/stopsignal.h"
 
+#include <chrono>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -37,11 +40,36 @@
     return ExitCode::Ok;
 }
 
+std::string environmentVariable(const char *name)
+{
+    const char *value = std::getenv(name);
+    return value == nullptr ? "" : value;
+}
+
+/// Stands in until the configuration module plans documents.
+class PendingPlanner : public admin::IDocumentPlanner
+{
+public:
+    admin::DocumentPlan plan(
+            std::string_view document, const std::vector<admin::CurrentItem> &) const override
+    {
+        return {check(document), {}, {}};
+    }
+    std::vector<admin::ItemProblem> check(std::string_view) const override
+    {
+        return {{"", "this build cannot read documents", "use a later version"}};
+    }
+};
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    constexpr auto CommandTimeout = std::chrono::seconds(10);
     const std::vector<std::string> arguments(argv + 1, argv + argc);
-    const admin::CommandLine commandLine(std::cout, std::cerr, serve);
+    const PendingPlanner planner;
+    admin::AdminClient client(CommandTimeout);
+    const admin::CommandLine commandLine(
+            {std::cout, std::cerr, client, planner, serve, environmentVariable});
     return static_cast<int>(commandLine.run(arguments));
 }
