--- a/src/admin/internal/adminapi.cpp
+++ b/src/admin/internal/adminapi.cpp
@@ -1,7 +1,7 @@
 #include "admin/adminapi.h"
 
 #include "admin/internal/requesttarget.h"
-#include "admin/internal/versiontext.h"
+#include "config/versiontext.h"
 #include "transport/httpserver.h"
 
 #include <boost/json/array.hpp>
@@ -85,7 +85,14 @@
         spec = json::string(object.value);
     return {{"kind", object.key.substr(ConfigPrefix.size(), slash - ConfigPrefix.size())},
             {"name", slash == std::string::npos ? std::string() : object.key.substr(slash + 1)},
-            {"version", internal::toText(object.version)}, {"spec", std::move(spec)}};
+            {"version", config::toText(object.version)}, {"spec", std::move(spec)}};
+}
+
+/// The version in an entity tag.
+std::string_view unquoted(std::string_view tag)
+{
+    const bool isQuoted = tag.size() >= 2 && tag.front() == '"' && tag.back() == '"';
+    return isQuoted ? tag.substr(1, tag.size() - 2) : tag;
 }
 
 std::string keyOf(const std::string &kind, const std::string &name)
@@ -185,7 +192,7 @@
             items.push_back(toObject(object));
     }
     const json::object document
-            = {{"items", std::move(items)}, {"version", internal::toText(listed->storeVersion)}};
+            = {{"items", std::move(items)}, {"version", config::toText(listed->storeVersion)}};
     co_return jsonResponse(json::serialize(document));
 }
 
@@ -197,7 +204,7 @@
     if (!object || object->isDeleted)
         co_return notFound(kind + '/' + name);
     Response response = jsonResponse(json::serialize(toObject(*object)));
-    response.fields.add("ETag", '"' + internal::toText(object->version) + '"');
+    response.fields.add("ETag", '"' + config::toText(object->version) + '"');
     co_return response;
 }
 
@@ -221,10 +228,10 @@
     json::object item = {{"kind", target.segments()[2]}, {"name", target.segments()[3]}};
     const auto expected = request.fields.value("If-Match");
     if (expected) {
-        const auto version = internal::parseVersion(*expected);
+        const auto version = config::parseVersion(unquoted(*expected));
         if (!version)
             co_return badParameter("If-Match", "use the ETag of the item, as \"1.7\"");
-        item["version"] = internal::toText(*version);
+        item["version"] = config::toText(*version);
     }
     if (request.method == "DELETE") {
         item["delete"] = true;
@@ -280,7 +287,7 @@
     std::optional<domain::ConfigVersion> wanted;
     const std::string version = target.parameter("version");
     if (!version.empty()) {
-        wanted = internal::parseVersion(version);
+        wanted = config::parseVersion(version);
         if (!wanted)
             return badParameter("version", "use a version as 1.7");
     }
--- a/src/admin/internal/applyresult.cpp
+++ b/src/admin/internal/applyresult.cpp
@@ -1,6 +1,6 @@
 #include "admin/applyresult.h"
 
-#include "admin/internal/versiontext.h"
+#include "config/versiontext.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -17,7 +17,7 @@
 
 json::value toValue(const std::optional<domain::ConfigVersion> &version)
 {
-    return version ? json::value(internal::toText(*version)) : json::value(nullptr);
+    return version ? json::value(config::toText(*version)) : json::value(nullptr);
 }
 
 json::object toObject(const ItemResult &item)
@@ -35,7 +35,7 @@
 json::object toObject(const ItemConflict &conflict)
 {
     return {{"kind", conflict.kind}, {"name", conflict.name},
-            {"expected", internal::toText(conflict.expected)},
+            {"expected", config::toText(conflict.expected)},
             {"current", toValue(conflict.current)}};
 }
 
--- /dev/null
+++ b/src/admin/internal/configdocumentplanner.cpp
@@ -0,0 +1,102 @@
+#include "admin/configdocumentplanner.h"
+
+#include "config/applicationplan.h"
+#include "config/configdocument.h"
+#include "config/configtable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolerill::admin {
+
+namespace {
+
+std::vector<ItemProblem> toProblems(const std::vector<config::Problem> &problems)
+{
+    std::vector<ItemProblem> converted;
+    converted.reserve(problems.size());
+    for (const config::Problem &problem : problems)
+        converted.push_back({problem.path, problem.message, problem.remedy});
+    return converted;
+}
+
+std::vector<config::ConfigItem> toItems(const std::vector<CurrentItem> &current)
+{
+    std::vector<config::ConfigItem> items;
+    items.reserve(current.size());
+    for (const CurrentItem &item : current)
+        items.push_back({{item.kind, item.name}, item.version, false, item.spec});
+    return items;
+}
+
+/// The services are what a document may refer to.
+config::ConfigSnapshot toSnapshot(const std::vector<config::ConfigItem> &items)
+{
+    config::ConfigSnapshot snapshot;
+    for (const config::ConfigItem &item : items) {
+        if (item.key.kind == "service")
+            snapshot.services[domain::ServiceId(item.key.name)].id
+                    = domain::ServiceId(item.key.name);
+    }
+    return snapshot;
+}
+
+ItemAction toAction(config::ApplicationAction action)
+{
+    switch (action) {
+    case config::ApplicationAction::Skip:
+        return ItemAction::Keep;
+    case config::ApplicationAction::Create:
+        return ItemAction::Create;
+    case config::ApplicationAction::Update:
+        return ItemAction::Update;
+    case config::ApplicationAction::Delete:
+        return ItemAction::Delete;
+    }
+    return ItemAction::Keep;
+}
+
+PlannedItem toPlanned(const config::ApplicationStep &step, const std::vector<CurrentItem> &current)
+{
+    PlannedItem item;
+    item.kind = step.key.kind;
+    item.name = step.key.name;
+    item.action = toAction(step.action);
+    item.spec = step.json;
+    const auto found = std::find_if(current.begin(), current.end(), [&](const CurrentItem &other) {
+        return other.kind == item.kind && other.name == item.name;
+    });
+    if (found != current.end()) {
+        item.currentSpec = found->spec;
+        item.currentVersion = found->version;
+    }
+    return item;
+}
+
+} // namespace
+
+std::vector<ItemProblem> ConfigDocumentPlanner::check(std::string_view document) const
+{
+    return toProblems(config::parseDocument(document).problems);
+}
+
+DocumentPlan ConfigDocumentPlanner::plan(
+        std::string_view document, const std::vector<CurrentItem> &current) const
+{
+    const std::vector<config::ConfigItem> stored = toItems(current);
+    const auto parsed = config::parseDocument(document, toSnapshot(stored));
+    DocumentPlan plan;
+    plan.problems = toProblems(parsed.problems);
+    if (!plan.problems.empty())
+        return plan;
+    const config::ApplicationPlan application = config::planApplication(parsed.document, stored);
+    for (const config::VersionConflict &conflict : application.conflicts) {
+        plan.conflicts.push_back({conflict.key.kind, conflict.key.name,
+                conflict.expected.value_or(domain::ConfigVersion()), conflict.current});
+    }
+    for (const config::ApplicationStep &step : application.steps)
+        plan.items.push_back(toPlanned(step, current));
+    return plan;
+}
+
+} // namespace oriolerill::admin
--- a/src/admin/internal/statusreport.cpp
+++ b/src/admin/internal/statusreport.cpp
@@ -1,6 +1,6 @@
 #include "admin/statusreport.h"
 
-#include "admin/internal/versiontext.h"
+#include "config/versiontext.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -100,7 +100,7 @@
                 {"serving", progress.serving}, {"total", toValue(progress.total)}});
     }
     return {{"name", rollout.id.value()}, {"service", rollout.service.value()},
-            {"manifest", rollout.manifest.hex()}, {"version", internal::toText(rollout.version)},
+            {"manifest", rollout.manifest.hex()}, {"version", config::toText(rollout.version)},
             {"superseded", rollout.isSuperseded}, {"complete", rollout.isComplete()},
             {"dataCentres", std::move(dataCentres)}};
 }
@@ -118,7 +118,7 @@
     return {{"name", entry.id.value()}, {"dataCentre", entry.dataCentre.value()},
             {"alive", entry.isAlive}, {"leaving", entry.isLeaving},
             {"watermark",
-                    entry.watermark ? json::value(internal::toText(*entry.watermark))
+                    entry.watermark ? json::value(config::toText(*entry.watermark))
                                     : json::value(nullptr)},
             {"inForce", entry.hasVersion}};
 }
@@ -265,7 +265,7 @@
 std::string StatusReport::toJson() const
 {
     return json::serialize(json::object{{"dataCentre", m_ownDataCentre.value()},
-            {"version", internal::toText(m_version)},
+            {"version", config::toText(m_version)},
             {"inForce", {{"entries", entriesWithVersion()}, {"of", m_entries.size()}}},
             {"rollouts", toArray(m_rollouts)}, {"dataCentres", toArray(m_dataCentres)},
             {"entries", toArray(m_entries)}, {"endpoints", toArray(m_endpoints)}});
--- a/src/admin/tests/adminapitest.cpp
+++ b/src/admin/tests/adminapitest.cpp
@@ -1,4 +1,5 @@
 #include "admin/tests/adminfixture.h"
+#include "config/versiontext.h"
 
 namespace oriolerill::admin {
 
@@ -6,7 +7,8 @@
 
 constexpr const char *TwoItems = R"({"items":[
     {"kind":"service","name":"chat","spec":{"kind":"model"}},
-    {"kind":"rollout","name":"velvet","spec":{"service":"chat","model":"m"}}]})";
+    {"kind":"limit","name":"chat","spec":{"maxConcurrency":4}}]})";
+constexpr const char *ModelService = R"({"kind":"model"})";
 constexpr unsigned Ok = 200;
 
 domain::Error outage()
@@ -48,7 +50,7 @@
     const auto changes = parse(send("GET", "/v1/changes"));
     ASSERT_EQ(changes.at("changes").as_array().size(), 1U);
     EXPECT_EQ(changes.at("changes").at(0).at("who"), "ana");
-    EXPECT_EQ(changes.at("changes").at(0).at("items").at(1).at("name"), "velvet");
+    EXPECT_EQ(changes.at("changes").at(0).at("items").at(1).at("name"), "chat");
     EXPECT_EQ(changes.at("changes").at(0).at("items").at(1).at("state"), "done");
 }
 
@@ -78,10 +80,10 @@
 TEST_F(AdminApiTest, apply_faultyDocument_allFaultsAndNothingWritten)
 {
     const auto response = send("POST", "/v1/apply", R"({"items":[{"kind":"bad","name":"a"},
-        {"kind":"service","name":"chat","spec":{}},{"kind":"bad","name":"b"}]})");
+        {"kind":"service","name":"chat","spec":{"kind":"model"}},{"kind":"bad","name":"b"}]})");
     EXPECT_EQ(response.status, 400U);
     EXPECT_EQ(parse(response).at("error").at("problems").as_array().size(), 2U);
-    EXPECT_EQ(parse(response).at("error").at("problems").at(1).at("path"), "items[2].kind");
+    EXPECT_EQ(parse(response).at("error").at("problems").at(1).at("path"), "items[2].spec");
     EXPECT_TRUE(m_store.writes.empty());
 }
 
@@ -89,12 +91,13 @@
 // re-read.
 TEST_F(AdminApiTest, apply_oldVersion_conflictWithCurrentVersion)
 {
+    m_store.put("config/service/chat", ModelService);
     m_store.put("config/limit/chat", "{\"maxConcurrency\":1}");
     m_store.put("config/limit/chat", "{\"maxConcurrency\":2}");
     const auto response = send("POST", "/v1/apply",
-            R"({"items":[{"kind":"limit","name":"chat","version":"1.1","spec":{"a":1}}]})");
+            R"({"items":[{"kind":"limit","name":"chat","version":"1.2","spec":{"maxConcurrency":3}}]})");
     EXPECT_EQ(response.status, 409U);
-    EXPECT_EQ(parse(response).at("error").at("conflicts").at(0).at("current"), "1.2");
+    EXPECT_EQ(parse(response).at("error").at("conflicts").at(0).at("current"), "1.3");
     EXPECT_TRUE(m_store.writes.empty());
 }
 
@@ -104,15 +107,16 @@
     m_store.put("config/service/chat", "{\"kind\":\"plain\"}");
     m_store.beforeWrite = [this](const std::string &key) {
         if (key == "config/service/chat")
-            m_store.put(key, "{\"kind\":\"other\"}");
+            m_store.put(key, "{\"kind\":\"plain\",\"ledgerSlots\":2}");
     };
     const auto response = send("POST", "/v1/apply", TwoItems);
     EXPECT_EQ(response.status, 409U);
     EXPECT_EQ(parse(response).at("items").at(0).at("state"), "conflict");
     EXPECT_EQ(parse(response).at("items").at(1).at("state"), "not_tried");
-    const std::string current = internal::toText(m_store.objects["config/service/chat"].version);
+    const std::string current = config::toText(m_store.objects["config/service/chat"].version);
     EXPECT_EQ(parse(response).at("error").at("conflicts").at(0).at("current"), current.c_str());
-    EXPECT_EQ(m_store.objects["config/service/chat"].value, "{\"kind\":\"other\"}");
+    EXPECT_EQ(
+            m_store.objects["config/service/chat"].value, "{\"kind\":\"plain\",\"ledgerSlots\":2}");
 }
 
 // Guards against a lost answer that is reported as success or as "not done"; applying again helps.
@@ -142,16 +146,21 @@
 // Guards against operators who change services that are not theirs, or take them over.
 TEST_F(AdminApiTest, apply_beyondRights_forbiddenAndNothingWritten)
 {
-    const char *const documents[] = {
+    const std::string manifest
+            = R"("model":"m","modelVersion":"1","manifest":")" + std::string(64, 'a') + "\"}}]}";
+    const std::string documents[] = {
             R"({"items":[{"kind":"limit","name":"orders","spec":{}}]})",
-            R"({"items":[{"kind":"rollout","name":"r","spec":{"service":"orders"}}]})",
-            R"({"items":[{"kind":"rollout","name":"taken","spec":{"service":"chat"}}]})",
+            R"({"items":[{"kind":"rollout","name":"r","spec":{"service":"orders",)" + manifest,
+            R"({"items":[{"kind":"rollout","name":"taken","spec":{"service":"chat",)" + manifest,
             R"({"items":[{"kind":"rollout","name":"taken","delete":true}]})",
             R"({"items":[{"kind":"withdrawal","name":"salto-a","spec":{"reason":"x"}}]})",
-            R"({"items":[{"kind":"account","name":"ben","spec":{"operator":true}}]})",
+            R"({"items":[{"kind":"account","name":"ben","delete":true}]})",
     };
+    m_store.put("config/service/chat", R"({"kind":"plain"})");
+    m_store.put("config/service/orders", R"({"kind":"plain"})");
+    m_store.put("config/account/ben", "{}");
     m_store.put("config/rollout/taken", R"({"service":"orders"})");
-    for (const char *document : documents) {
+    for (const std::string &document : documents) {
         EXPECT_EQ(send("POST", "/v1/apply", document, "ben-token").status, 403U) << document;
         EXPECT_EQ(send("POST", "/v1/apply?dry_run=true", document).status, Ok) << document;
     }
@@ -162,6 +171,7 @@
 TEST_F(AdminApiTest, items_putReadDelete_conditionalByETag)
 {
     const std::string path = "/v1/items/limit/chat";
+    m_store.put("config/service/chat", ModelService);
     EXPECT_EQ(send("GET", path).status, 404U);
     EXPECT_EQ(send("PUT", path, "{\"maxConcurrency\":4}").status, Ok);
     EXPECT_EQ(send("PUT", path, "{}", "ana-token", {{"If-None-Match", "*"}}).status, 409U);
@@ -172,7 +182,7 @@
             Ok);
     EXPECT_EQ(send("DELETE", path, "", "ana-token", {{"If-Match", tag}}).status, 409U);
     EXPECT_EQ(send("DELETE", path, "", "ana-token", {{"If-Match", "tag"}}).status, 400U);
-    EXPECT_EQ(parse(send("GET", "/v1/items")).at("items").as_array().size(), 1U);
+    EXPECT_EQ(parse(send("GET", "/v1/items/limit")).at("items").as_array().size(), 1U);
     EXPECT_EQ(send("DELETE", path).status, Ok);
     EXPECT_EQ(send("GET", path).status, 404U);
 }
--- a/src/admin/tests/adminfixture.h
+++ b/src/admin/tests/adminfixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "admin/adminapi.h"
-#include "admin/tests/fakedocumentplanner.h"
+#include "admin/configdocumentplanner.h"
 #include "admin/tests/fakeobjectstore.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -101,7 +101,7 @@
     }
 
     FakeObjectStore m_store;
-    FakeDocumentPlanner m_planner;
+    ConfigDocumentPlanner m_planner;
     FakeConfigView m_config;
     FakeMembershipView m_members;
     FakeFleetView m_fleet;
--- a/src/admin/tests/commandlinetest.cpp
+++ b/src/admin/tests/commandlinetest.cpp
@@ -73,11 +73,11 @@
 // Guards against exit codes that scripts cannot tell apart.
 TEST_F(CommandLineTest, apply_failures_documentedExitCodes)
 {
-    const auto faulty = write("faulty.json", R"({"items":[{"kind":"bad","name":"a"}]})");
+    const auto faulty = write("faulty.json", R"({"items":[{"kind":"bad","name":"a","spec":{}}]})");
     EXPECT_EQ(run({"apply", faulty}), ExitCode::BadInput);
-    EXPECT_TRUE(hasError("items[0].kind: unknown kind; use a known kind")) << m_errors.str();
-    const auto old = write(
-            "old.json", R"({"items":[{"kind":"service","name":"x","version":"1.9","spec":{}}]})");
+    EXPECT_TRUE(hasError("items[0].spec: the kind \"bad\" is not known; use")) << m_errors.str();
+    const auto old = write("old.json",
+            R"({"items":[{"kind":"service","name":"x","version":"1.9","spec":{"kind":"plain"}}]})");
     EXPECT_EQ(run({"apply", old}), ExitCode::Conflict);
     EXPECT_TRUE(hasError("service/x: expected version 1.9, now -")) << m_errors.str();
     m_environment["ORIOLERILL_TOKEN"] = "wrong";
@@ -123,11 +123,11 @@
 
 TEST_F(CommandLineTest, check_files_offline)
 {
-    const auto faulty = write("faulty.json", R"({"items":[{"kind":"bad","name":"a"}]})");
+    const auto faulty = write("faulty.json", R"({"items":[{"kind":"bad","name":"a","spec":{}}]})");
     EXPECT_EQ(run({"check", m_document}), ExitCode::Ok);
     EXPECT_TRUE(hasOutput("document.json: ok"));
     EXPECT_EQ(run({"check", faulty, m_document}), ExitCode::BadInput);
-    EXPECT_TRUE(hasError("faulty.json: items[0].kind: unknown kind"));
+    EXPECT_TRUE(hasError("faulty.json: items[0].spec: the kind"));
     EXPECT_EQ(run({"check", "--settings", faulty}), ExitCode::BadInput);
     EXPECT_EQ(run({"check"}), ExitCode::BadInput);
 }
--- a/src/entry/internal/main.cpp
+++ b/src/entry/internal/main.cpp
@@ -1,5 +1,6 @@
 #include "admin/adminclient.h"
 #include "admin/commandline.h"
+#include "admin/configdocumentplanner.h"
 #include "admin/exitcode.h"
 #include "entry/internal/entryprocess.h"
 #include "observability/log.h"
@@ -46,28 +47,13 @@
     return value == nullptr ? "" : value;
 }
 
-/// Stands in until the configuration module plans documents.
-class PendingPlanner : public admin::IDocumentPlanner
-{
-public:
-    admin::DocumentPlan plan(
-            std::string_view document, const std::vector<admin::CurrentItem> &) const override
-    {
-        return {check(document), {}, {}};
-    }
-    std::vector<admin::ItemProblem> check(std::string_view) const override
-    {
-        return {{"", "this build cannot read documents", "use a later version"}};
-    }
-};
-
 } // namespace
 
 int main(int argc, char **argv)
 {
     constexpr auto CommandTimeout = std::chrono::seconds(10);
     const std::vector<std::string> arguments(argv + 1, argv + argc);
-    const PendingPlanner planner;
+    const admin::ConfigDocumentPlanner planner;
     admin::AdminClient client(CommandTimeout);
     const admin::CommandLine commandLine(
             {std::cout, std::cerr, client, planner, serve, environmentVariable});
