--- a/src/entry/internal/adminserver.cpp
+++ b/src/entry/internal/adminserver.cpp
@@ -22,23 +22,23 @@
 
 AdminServer::AdminServer(
         asio::any_io_executor executor, admin::AdminContext context, admin::AdminOptions options)
-    : m_api(context, std::move(options))
+    : m_api(std::make_shared<admin::AdminApi>(context, std::move(options)))
     , m_server(std::move(executor), serverOptions())
 {}
 
 domain::Expected<domain::SocketAddress> AdminServer::start(const domain::SocketAddress &address)
 {
-    return m_server.start(
-            address, [this](transport::HttpServerExchange &exchange) -> asio::awaitable<void> {
+    return m_server.start(address,
+            [api = m_api](transport::HttpServerExchange &exchange) -> asio::awaitable<void> {
                 transport::HttpRequest request = std::move(exchange.request());
-                transport::HttpResponse response = co_await m_api.handle(std::move(request));
+                transport::HttpResponse response = co_await api->handle(std::move(request));
                 co_await exchange.respond(std::move(response));
             });
 }
 
 void AdminServer::markLeaving()
 {
-    m_api.markLeaving();
+    m_api->markLeaving();
 }
 
 void AdminServer::stopAccepting()
--- a/src/entry/internal/adminserver.h
+++ b/src/entry/internal/adminserver.h
@@ -7,9 +7,13 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <memory>
+
 namespace oriolerill::entry {
 
 /// Serves the administration API on its own listener.
+///
+/// The parts named in the context have to live until the executor has stopped.
 class AdminServer
 {
 public:
@@ -24,7 +28,8 @@
     void stopAccepting();
 
 private:
-    admin::AdminApi m_api;
+    /// Shared with the handler, which a connection may call while the server is being destroyed.
+    std::shared_ptr<admin::AdminApi> m_api;
     transport::HttpServer m_server;
 };
 
