--- a/src/admin/internal/commandline.cpp
+++ b/src/admin/internal/commandline.cpp
@@ -37,6 +37,7 @@
 options:
   --help                       this text
   --help-settings              every key of the settings file of `oriolerill serve`
+  --settings-table             the keys of both programs as Markdown tables
   --version                    the version
 
 exit codes: 0 ok, 1 failed, 2 wrong usage or bad input, 3 conflict, 4 unavailable
@@ -183,6 +184,11 @@
         m_context.output << settings::settingsHelp(settings::entrySettingsKeys());
         return ExitCode::Ok;
     }
+    if (command == "--settings-table") {
+        m_context.output << settings::settingsTable(settings::entrySettingsKeys()) << '\n'
+                         << settings::settingsTable(settings::agentSettingsKeys());
+        return ExitCode::Ok;
+    }
     if (command == "--version") {
         m_context.output << "oriolerill " << ORIOLERILL_VERSION << '\n';
         return ExitCode::Ok;
