Show data centres of a rollout that are not known

Data centres that a rollout names are now always shown, and it is incomplete until they are known. A remote data centre without the service no longer keeps a rollout to all data centres open, and one whose endpoints all switch is not taken for complete.

--- a/src/admin/internal/statusreport.cpp
+++ b/src/admin/internal/statusreport.cpp
@@ -67,15 +67,23 @@
 }
 
 /// A summary names the digests in use but not how many endpoints use each.
-RolloutProgress remoteProgress(
-        const config::Rollout &rollout, const membership::DataCentreSummary &summary)
+RolloutProgress remoteProgress(const config::Rollout &rollout,
+        const domain::DataCentreId &dataCentre, const MembershipSnapshot &members)
 {
     RolloutProgress progress;
-    const auto service = summary.services.find(rollout.service);
-    if (service == summary.services.end())
+    const auto summary = members.summaries.find(dataCentre);
+    if (summary == members.summaries.end())
         return progress;
+    const auto service = summary->second.services.find(rollout.service);
+    if (service == summary->second.services.end()) {
+        progress.ready = 0;
+        return progress;
+    }
     progress.serving = service->second.serving;
     const std::set<domain::Digest> &digests = service->second.activeDigests;
+    // Without a serving endpoint, all of them may be on the way to the rollout's digest.
+    if (progress.serving == 0)
+        return progress;
     if (!digests.contains(rollout.manifest))
         progress.ready = 0;
     else if (digests.size() == 1)
@@ -146,6 +154,10 @@
     std::string text;
     for (const RolloutProgress &progress : rollout.dataCentres) {
         text += (text.empty() ? "" : ", ") + progress.dataCentre.value() + ' ';
+        if (!progress.ready && progress.serving == 0) {
+            text += "no endpoint known";
+            continue;
+        }
         text += progress.ready ? std::to_string(*progress.ready) : "some";
         text += " of " + std::to_string(progress.total.value_or(progress.serving)) + " ready";
         if (progress.switching.value_or(0) > 0)
@@ -183,16 +195,15 @@
     for (const auto &[id, rollout] : config.rollouts) {
         RolloutStatus status = {id, rollout.service, rollout.manifest, rollout.version};
         bool hasPlace = false;
-        for (const domain::DataCentreId &dataCentre : dataCentresOf(members)) {
-            if (!rollout.dataCentres.empty() && !rollout.dataCentres.contains(dataCentre))
-                continue;
+        const std::set<domain::DataCentreId> places
+                = rollout.dataCentres.empty() ? dataCentresOf(members) : rollout.dataCentres;
+        for (const domain::DataCentreId &dataCentre : places) {
             hasPlace = true;
             if (config.activeRollout(rollout.service, dataCentre) != &rollout)
                 continue;
-            const bool isOwn = dataCentre == members.ownDataCentre;
-            RolloutProgress progress = isOwn
+            RolloutProgress progress = dataCentre == members.ownDataCentre
                     ? localProgress(rollout, members)
-                    : remoteProgress(rollout, members.summaries.at(dataCentre));
+                    : remoteProgress(rollout, dataCentre, members);
             progress.dataCentre = dataCentre;
             status.dataCentres.push_back(std::move(progress));
         }
--- a/src/admin/internal/statustext.cpp
+++ b/src/admin/internal/statustext.cpp
@@ -103,15 +103,20 @@
             const auto places = m_progress.find(name);
             if (places == m_progress.end())
                 continue;
-            for (const auto &[dataCentre, progress] : places->second) {
-                const std::string serving = countOf(progress, "serving", "?");
-                text << "    " << dataCentre << ": " << countOf(progress, "ready", "some") << " of "
-                     << countOf(progress, "total", serving) << " ready, "
-                     << countOf(progress, "switching", "?") << " switching\n";
-            }
+            for (const auto &[dataCentre, progress] : places->second)
+                text << "    " << dataCentre << ": " << progressOf(progress) << '\n';
         }
     }
 
+    static std::string progressOf(const json::object &progress)
+    {
+        const std::string serving = countOf(progress, "serving", "0");
+        if (progress.at("ready").is_null() && serving == "0")
+            return "no endpoint known";
+        return countOf(progress, "ready", "some") + " of " + countOf(progress, "total", serving)
+                + " ready, " + countOf(progress, "switching", "?") + " switching";
+    }
+
     void writeDataCentres(std::ostream &text) const
     {
         text << "data centres:\n";
--- a/src/admin/tests/statusreporttest.cpp
+++ b/src/admin/tests/statusreporttest.cpp
@@ -83,6 +83,32 @@
     EXPECT_FALSE(report.rollouts()[1].isComplete());
 }
 
+// Guards against a rollout that looks complete although a data centre it names is missing.
+TEST_F(StatusFixture, rollouts_unknownDataCentre_incomplete)
+{
+    m_members.endpoints.resize(1);
+    config::Rollout &velvet = m_config.rollouts.at(domain::RolloutId("velvet"));
+    velvet.dataCentres = {DataCentreId("salto-a")};
+    EXPECT_TRUE(StatusReport(m_config, m_members, {}).rollouts()[1].isComplete());
+    velvet.dataCentres.insert(DataCentreId("maldonado-a"));
+    const StatusReport report(m_config, m_members, {});
+    EXPECT_FALSE(report.rollouts()[1].isComplete());
+    ASSERT_FALSE(report.progress().empty());
+    EXPECT_EQ(
+            report.progress().back().state, "maldonado-a no endpoint known, salto-a 1 of 1 ready");
+}
+
+// Guards against a rollout to all data centres that never ends because one lacks the service, or
+// that seems complete while the only remote endpoint switches.
+TEST_F(StatusFixture, rollouts_remoteWithoutServingEndpoints_onlyAbsentServiceIsComplete)
+{
+    m_members.endpoints.resize(1);
+    m_members.summaries[DataCentreId("este-a")].services.clear();
+    EXPECT_TRUE(StatusReport(m_config, m_members, {}).rollouts()[1].isComplete());
+    addSummary("este-a", 0, {});
+    EXPECT_FALSE(StatusReport(m_config, m_members, {}).rollouts()[1].isComplete());
+}
+
 // Guards against a change that is shown as in force before every entry has it.
 TEST_F(StatusFixture, entries_oneBehind_countedAgainstWantedVersion)
 {
