Remove audit records after 30 days

With each change, up to 4 expired records are removed; the entry lists at most 8 hours of records for it.

--- a/src/admin/auditlog.h
+++ b/src/admin/auditlog.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,14 +34,23 @@
             domain::WallTime now, std::string record, domain::TimePoint deadline);
     boost::asio::awaitable<domain::Expected<domain::Done>> complete(
             Entry entry, std::string record, domain::TimePoint deadline);
+    /// Removes some of the records that are older than 30 days; called with each change, so that
+    /// the removals keep up with the records and take few calls of the store at a time.
+    boost::asio::awaitable<void> prune(domain::WallTime now, domain::TimePoint deadline);
     /// Records of the last hours, newest first, at most maxRecords.
     boost::asio::awaitable<domain::Expected<std::vector<std::string>>> list(domain::WallTime now,
             std::uint32_t hours, std::size_t maxRecords, domain::TimePoint deadline);
 
 private:
+    boost::asio::awaitable<bool> findExpired(domain::WallTime now, domain::TimePoint deadline);
+
     platform::IObjectStore &m_store;
     std::string m_writer;
     std::atomic<std::uint64_t> m_sequence = 0;
+    /// Set while one call prunes; the members below belong to that call.
+    std::atomic<bool> m_isPruning = false;
+    std::optional<domain::WallTime> m_pruneHour;
+    std::vector<Entry> m_expired;
 };
 
 } // namespace oriolerill::admin
--- a/src/admin/internal/auditlog.cpp
+++ b/src/admin/internal/auditlog.cpp
@@ -14,6 +14,12 @@
 
 namespace {
 
+constexpr auto Retention = std::chrono::hours(30 * 24);
+// A new process does not know what has been removed; it looks at the last hours that expired.
+constexpr auto FirstLook = std::chrono::hours(7 * 24);
+constexpr int MaxLists = 8;
+constexpr int MaxRemovals = 4;
+
 /// "audit/20261204T03/". Records are grouped by hour to keep lists small.
 std::string prefixOf(domain::WallTime time)
 {
@@ -63,6 +69,40 @@
     co_return domain::Done{};
 }
 
+asio::awaitable<void> AuditLog::prune(domain::WallTime now, domain::TimePoint deadline)
+{
+    if (m_isPruning.exchange(true))
+        co_return;
+    bool isAnswering = co_await findExpired(now, deadline);
+    for (int i = 0; isAnswering && i < MaxRemovals && !m_expired.empty(); ++i) {
+        const Entry entry = m_expired.back();
+        auto removed = co_await m_store.remove(entry.key, entry.version, deadline);
+        // Another entry may have removed it; anything else is tried again with the next change.
+        isAnswering = removed || removed.error().kind == domain::ErrorKind::Conflict
+                || removed.error().kind == domain::ErrorKind::NotFound;
+        if (isAnswering)
+            m_expired.pop_back();
+    }
+    m_isPruning = false;
+}
+
+/// Lists further hours until one has records; false when the store does not answer.
+asio::awaitable<bool> AuditLog::findExpired(domain::WallTime now, domain::TimePoint deadline)
+{
+    const domain::WallTime expired = now - Retention;
+    domain::WallTime hour = m_pruneHour.value_or(expired - FirstLook);
+    for (int i = 0; i < MaxLists && m_expired.empty() && hour <= expired; ++i) {
+        auto listed = co_await m_store.list(prefixOf(hour), deadline);
+        if (!listed)
+            co_return false;
+        for (platform::StoredObject &object : listed->objects)
+            m_expired.push_back({std::move(object.key), object.version});
+        hour += std::chrono::hours(1);
+        m_pruneHour = hour;
+    }
+    co_return true;
+}
+
 asio::awaitable<Expected<std::vector<std::string>>> AuditLog::list(domain::WallTime now,
         std::uint32_t hours, std::size_t maxRecords, domain::TimePoint deadline)
 {
--- a/src/admin/internal/documentapplier.cpp
+++ b/src/admin/internal/documentapplier.cpp
@@ -165,6 +165,7 @@
         observability::logEvent(observability::Severity::Warning, "audit_incomplete",
                 {{"key", entry->key}, {"error", completed.error().message}});
     }
+    co_await m_audit.prune(now, deadline);
     co_return result;
 }
 
