Serve the administration API from the entry

Cause: the administration API was not reachable. Change: EntryProcess starts AdminServer on its own listener and passes the retry share and the objectives from the settings.

--- a/src/entry/internal/entryprocess.cpp
+++ b/src/entry/internal/entryprocess.cpp
@@ -1,7 +1,10 @@
 #include "entry/internal/entryprocess.h"
 
+#include "admin/configdocumentplanner.h"
 #include "config/sharedconfigtable.h"
 #include "domain/processincarnation.h"
+#include "entry/internal/adminfleetview.h"
+#include "entry/internal/adminserver.h"
 #include "entry/internal/callerfront.h"
 #include "entry/internal/configservice.h"
 #include "entry/internal/membershipservice.h"
@@ -122,6 +125,8 @@
     options.dataCentre = settings.dataCentre;
     options.incarnation = incarnation;
     options.seed = incarnation.count();
+    constexpr double Percent = 100;
+    options.retryBudget.perRequest = settings.retryPercent / Percent;
     return options;
 }
 
@@ -132,6 +137,19 @@
     return options;
 }
 
+admin::AdminOptions adminOptions(
+        const settings::EntrySettings &settings, domain::Incarnation incarnation)
+{
+    admin::AdminOptions options;
+    options.entry = settings.id;
+    options.auditWriter = settings.id.value() + '-' + std::to_string(incarnation.count());
+    options.bootstrapToken = settings.adminTokenDigest;
+    options.objectives.availability = settings.availabilityObjective;
+    options.objectives.firstByteTarget = settings.firstByteTarget;
+    options.objectives.firstByteShare = settings.firstByteObjective;
+    return options;
+}
+
 protocol::ControlReply unknownMessageReply()
 {
     protocol::ControlReply reply;
@@ -162,6 +180,10 @@
                   trackerOptions(m_settings, m_incarnation))
         , m_front(m_pool.get_executor(), m_table, m_membership, m_client, m_recorder,
                   frontOptions(m_settings, m_incarnation))
+        , m_fleet(m_settings.id, m_settings.dataCentre, m_table)
+        , m_admin(m_pool.get_executor(),
+                  {m_store, m_planner, m_table, m_membership, m_fleet, m_recorder, m_metrics},
+                  adminOptions(m_settings, m_incarnation))
         , m_controlServer(m_pool.get_executor(), m_settings.listenControl)
         , m_peerServer(m_pool.get_executor(), peerServerOptions(m_settings))
         , m_callerServer(m_pool.get_executor(), serverOptions(m_settings))
@@ -187,6 +209,9 @@
                 [this](HttpServerExchange &exchange) { return m_front.handlePeer(exchange); });
         if (!peer)
             return peer.error();
+        const auto admin = m_admin.start(m_settings.listenAdmin);
+        if (!admin)
+            return admin.error();
         m_membership.start();
         m_config.start();
         m_tracker.start();
@@ -200,6 +225,7 @@
     void stop()
     {
         const domain::TimePoint deadline = domain::TimePoint::clock::now() + m_settings.drainTime;
+        m_admin.markLeaving();
         m_membership.announceLeaving();
         std::this_thread::sleep_for(LeavingNotice);
         m_callerServer.stopAccepting();
@@ -209,6 +235,7 @@
             observability::logEvent(observability::Severity::Warning, "drain_time_exceeded",
                     {{"active", m_front.active()}});
         }
+        m_admin.stopAccepting();
         m_tracker.stop();
         m_config.stop();
         m_membership.stop();
@@ -222,8 +249,10 @@
             const protocol::ControlRequest &request, const transport::IControlServer::Reply &reply)
     {
         switch (request.body_case()) {
-        case protocol::ControlRequest::kHeartbeat:
         case protocol::ControlRequest::kMembership:
+            m_fleet.observe(request.membership(), domain::TimePoint::clock::now());
+            [[fallthrough]];
+        case protocol::ControlRequest::kHeartbeat:
             m_membership.handle(request, reply);
             return;
         case protocol::ControlRequest::kConfigPull:
@@ -252,6 +281,9 @@
     ConfigService m_config;
     TrackerService m_tracker;
     CallerFront m_front;
+    admin::ConfigDocumentPlanner m_planner;
+    AdminFleetView m_fleet;
+    AdminServer m_admin;
     transport::NngControlServer m_controlServer;
     transport::HttpServer m_peerServer;
     transport::HttpServer m_callerServer;
