--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -395,7 +395,7 @@
 # apply FILE [ENTRY]: applies an operators' document.
 apply() {
     wait_listening "$(admin_address "${2:-0}")" || return 1
-    "$bin/oriolerill" apply --admin "$(admin_address "${2:-0}")" --token "$ADMIN_TOKEN" "$1" \
+    ORIOLERILL_TOKEN=$ADMIN_TOKEN "$bin/oriolerill" apply --admin "$(admin_address "${2:-0}")" "$1" \
         >>"$run_dir/apply.out" 2>&1
 }
 
