Avoid targets whose connections failed lately

Cause: until the membership notices that a process is gone, each request ran into it again and spent the retry budget.

Change: an entry prefers other targets for 1 s after a connection failed or went silent. A deadline that passed does not count.

--- a/src/entry/internal/callerforward.cpp
+++ b/src/entry/internal/callerforward.cpp
@@ -88,7 +88,7 @@
     context->router.started(*route);
     AttemptResult result = co_await context->attemptClient.run(
             route->target, std::move(attempt), running->deadline(), sink);
-    context->router.finished(*route, result.load, TimePoint::clock::now());
+    context->router.finished(*route, result, TimePoint::clock::now());
     if (result.outcome != protocol::OUTCOME_ANSWERED) {
         running->fail(result.outcome, result.error, result.retryAfter, {});
         co_return;
--- a/src/entry/internal/callerrouter.cpp
+++ b/src/entry/internal/callerrouter.cpp
@@ -19,6 +19,8 @@
 
 // The load on an answer is newer than the membership record for about this long.
 constexpr auto StatedLoadAge = std::chrono::seconds(1);
+// Until the membership notices that a process is gone, requests would run into it again and again.
+constexpr auto AvoidTime = std::chrono::seconds(1);
 
 bool isCandidate(const EndpointRecord &record, const RouteQuery &query)
 {
@@ -35,19 +37,6 @@
             false};
 }
 
-/// Drops the targets that have failed the request, unless no other is left.
-template<class Record>
-void preferNotAvoided(std::vector<const Record *> &records, const RouteQuery &query)
-{
-    std::vector<const Record *> others;
-    for (const Record *record : records) {
-        if (!query.avoided.contains(record->id.value()))
-            others.push_back(record);
-    }
-    if (!others.empty())
-        records = std::move(others);
-}
-
 Error noEndpoint(const RouteQuery &query)
 {
     return Error{ErrorKind::Unavailable,
@@ -69,6 +58,22 @@
 
 } // namespace
 
+/// Drops the targets that have failed this request or others lately, unless no other is left.
+template<class Record>
+void CallerRouter::preferReachable(
+        std::vector<const Record *> &records, const RouteQuery &query, TimePoint now) const
+{
+    std::vector<const Record *> others;
+    for (const Record *record : records) {
+        const auto load = m_loads.find(record->id.value());
+        const bool isAvoided = load != m_loads.end() && load->second.avoidedUntil > now;
+        if (!isAvoided && !query.avoided.contains(record->id.value()))
+            others.push_back(record);
+    }
+    if (!others.empty())
+        records = std::move(others);
+}
+
 CallerRouter::CallerRouter(domain::EntryId own, DataCentreId dataCentre, std::uint64_t seed)
     : m_own(std::move(own))
     , m_dataCentre(std::move(dataCentre))
@@ -90,7 +95,7 @@
     // Forwarding an order back and forth between entries with different views would never end.
     if (query.isForwarded)
         return query.slot ? otherOwner() : noEndpoint(query);
-    return chooseEntry(*dataCentre, query, membership);
+    return chooseEntry(*dataCentre, query, membership, now);
 }
 
 std::vector<routing::DataCentreCandidate> CallerRouter::dataCentres(const RouteQuery &query,
@@ -190,7 +195,7 @@
         if (isCandidate(record, query) && !query.excluded.contains(record.id.value()))
             records.push_back(&record);
     }
-    preferNotAvoided(records, query);
+    preferReachable(records, query, now);
     if (records.empty())
         return noEndpoint(query);
     std::vector<routing::EndpointCandidate> candidates;
@@ -203,7 +208,7 @@
 }
 
 Expected<Route> CallerRouter::chooseEntry(const DataCentreId &dataCentre, const RouteQuery &query,
-        const MembershipSnapshot &membership)
+        const MembershipSnapshot &membership, TimePoint now)
 {
     std::vector<const membership::EntryRecord *> entries;
     for (const membership::EntryRecord &entry : membership.entries) {
@@ -211,7 +216,7 @@
                 && !query.excluded.contains(entry.id.value()))
             entries.push_back(&entry);
     }
-    preferNotAvoided(entries, query);
+    preferReachable(entries, query, now);
     if (entries.empty())
         return noEndpoint(query);
     std::uniform_int_distribution<std::size_t> any(0, entries.size() - 1);
@@ -225,19 +230,20 @@
     ++m_loads[route.id].inFlight;
 }
 
-void CallerRouter::finished(
-        const Route &route, const std::optional<protocol::Load> &load, TimePoint now)
+void CallerRouter::finished(const Route &route, const AttemptResult &result, TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
     OwnLoad &own = m_loads[route.id];
     --own.inFlight;
-    if (load && !route.isForward) {
-        own.stated = load;
+    if (result.load && !route.isForward) {
+        own.stated = result.load;
         own.statedAt = now;
     }
-    const bool isIdle = own.inFlight == 0 && !own.stated;
-    if (isIdle)
-        m_loads.erase(route.id);
+    // A deadline that passes says nothing about the connection.
+    const bool isUnreachable = result.outcome != protocol::OUTCOME_ANSWERED && !result.isStated
+            && !result.isReceiverGone && result.error.kind != ErrorKind::Timeout;
+    if (isUnreachable)
+        own.avoidedUntil = now + AvoidTime;
 }
 
 std::uint32_t CallerRouter::capacity(
--- a/src/entry/internal/callerrouter.h
+++ b/src/entry/internal/callerrouter.h
@@ -63,8 +63,7 @@
             const membership::MembershipSnapshot &membership, domain::TimePoint now);
     /// Counts an attempt in; it has to be finished later.
     void started(const Route &route);
-    void finished(
-            const Route &route, const std::optional<protocol::Load> &load, domain::TimePoint now);
+    void finished(const Route &route, const AttemptResult &result, domain::TimePoint now);
     /// Concurrency that this entry may use for the service, in requests.
     std::uint32_t capacity(const domain::ServiceId &service,
             const membership::MembershipSnapshot &membership) const;
@@ -75,7 +74,12 @@
         std::uint32_t inFlight = 0;
         std::optional<protocol::Load> stated;
         domain::TimePoint statedAt;
+        /// Its connections failed lately; others are preferred until then.
+        domain::TimePoint avoidedUntil;
     };
+    template<class Record>
+    void preferReachable(std::vector<const Record *> &records, const RouteQuery &query,
+            domain::TimePoint now) const;
 
     std::optional<domain::DataCentreId> chooseDataCentre(const RouteQuery &query,
             const config::ConfigSnapshot &configuration,
@@ -85,7 +89,8 @@
     const membership::EndpointRecord *slotOwner(
             const RouteQuery &query, const membership::MembershipSnapshot &membership) const;
     domain::Expected<Route> chooseEntry(const domain::DataCentreId &dataCentre,
-            const RouteQuery &query, const membership::MembershipSnapshot &membership);
+            const RouteQuery &query, const membership::MembershipSnapshot &membership,
+            domain::TimePoint now);
     routing::EndpointCandidate candidateOf(
             const membership::EndpointRecord &record, domain::TimePoint now) const;
     std::vector<routing::DataCentreCandidate> dataCentres(const RouteQuery &query,
--- a/src/entry/internal/callerrun.cpp
+++ b/src/entry/internal/callerrun.cpp
@@ -72,7 +72,7 @@
     m_context.router.started(route);
     AttemptResult result = co_await m_context.attemptClient.run(
             route.target, std::move(attempt), m_request.deadline, m_answer);
-    m_context.router.finished(route, result.load, TimePoint::clock::now());
+    m_context.router.finished(route, result, TimePoint::clock::now());
     co_return result;
 }
 
