Take fencing numbers beside the engine loop; push only new items

Cause: with real processes and the platform paused, the agent's loop waited 2 s for a number, took that for a pause of its own, dropped the number and took two more; an endpoint that still served would have closed its gate meanwhile. A watcher that listed again pushed the whole table although nothing was new. Change: the number is taken in a coroutine of its own with a limit of 1 s; a push needs an item that the table did not have.

--- a/src/agent/internal/engineservice.cpp
+++ b/src/agent/internal/engineservice.cpp
@@ -82,7 +82,9 @@
 
     // Carrying out actions.
     asio::awaitable<void> perform(SwitchAction action);
+    void startTakingFence();
     asio::awaitable<void> takeFence();
+    void useFence();
     asio::awaitable<void> orderLoad(rollout::OrderLoad order);
 
     SwitchInput input() const;
@@ -103,12 +105,14 @@
     std::optional<EngineReading> m_reading;
     unsigned m_failures = 0;
     TimePoint m_nextFenceAt;
-    bool m_hasNewFence = false;
 
     mutable std::mutex m_mutex;
     GateState m_gate;
     std::size_t m_entered = 0;
     protocol::EndpointState m_state = protocol::ENDPOINT_STATE_STARTING;
+    bool m_isTakingFence = false;
+    /// Result of the last attempt, until the loop uses it.
+    std::optional<Expected<domain::FencingNumber>> m_takenFence;
 };
 
 void EngineService::Implementation::start()
@@ -173,16 +177,11 @@
 
 asio::awaitable<void> EngineService::Implementation::step()
 {
-    // A second round uses the number that the first one has asked for.
-    for (int round = 0; round < 2; ++round) {
-        m_hasNewFence = false;
-        const std::vector<SwitchAction> actions = m_switch.step(input(), TimePoint::clock::now());
-        publishSwitch();
-        for (const SwitchAction &action : actions)
-            co_await perform(action);
-        if (!m_hasNewFence)
-            co_return;
-    }
+    useFence();
+    const std::vector<SwitchAction> actions = m_switch.step(input(), TimePoint::clock::now());
+    publishSwitch();
+    for (const SwitchAction &action : actions)
+        co_await perform(action);
 }
 
 asio::awaitable<void> EngineService::Implementation::perform(SwitchAction action)
@@ -196,28 +195,52 @@
     else if (std::holds_alternative<rollout::WithdrawGrant>(action))
         m_grants.withdrawRequest();
     else if (std::holds_alternative<rollout::TakeFence>(action))
-        co_await takeFence();
+        startTakingFence();
     else if (const auto *const order = std::get_if<rollout::OrderLoad>(&action))
         co_await orderLoad(*order);
 }
 
+// The store may take its time; meanwhile the loop goes on to read the engine, or the gate of an
+// endpoint that still serves would close.
+void EngineService::Implementation::startTakingFence()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_isTakingFence || m_takenFence || TimePoint::clock::now() < m_nextFenceAt)
+            return;
+        m_isTakingFence = true;
+    }
+    asio::co_spawn(
+            m_executor, takeFence(), [self = shared_from_this()](const std::exception_ptr &) {});
+}
+
 asio::awaitable<void> EngineService::Implementation::takeFence()
 {
-    const TimePoint now = TimePoint::clock::now();
-    if (now < m_nextFenceAt)
-        co_return;
-    const Expected<domain::FencingNumber> fence
-            = co_await m_fences.next(now + m_options.storeTimeout);
-    if (fence) {
-        m_hasNewFence = true;
-        m_switch.onFence(*fence);
-        co_return;
+    Expected<domain::FencingNumber> fence
+            = co_await m_fences.next(TimePoint::clock::now() + m_options.storeTimeout);
+    const std::scoped_lock lock(m_mutex);
+    m_takenFence = std::move(fence);
+    m_isTakingFence = false;
+}
+
+void EngineService::Implementation::useFence()
+{
+    std::optional<Expected<domain::FencingNumber>> fence;
+    {
+        const std::scoped_lock lock(m_mutex);
+        fence.swap(m_takenFence);
+    }
+    if (!fence)
+        return;
+    if (fence->hasValue()) {
+        m_switch.onFence(**fence);
+        return;
     }
+    const domain::Error &error = fence->error();
     m_nextFenceAt = TimePoint::clock::now() + FencePause;
-    const bool isSuperseded = fence.error().kind == domain::ErrorKind::Fenced;
-    m_switch.onNoFence(isSuperseded);
+    m_switch.onNoFence(error.kind == domain::ErrorKind::Fenced);
     logEvent(Severity::Warning, "engine_fence_refused",
-            {{"reason", fence.error().message}, {"remedy", fence.error().remedy}});
+            {{"reason", error.message}, {"remedy", error.remedy}});
 }
 
 asio::awaitable<void> EngineService::Implementation::orderLoad(rollout::OrderLoad order)
--- a/src/agent/internal/engineservice.h
+++ b/src/agent/internal/engineservice.h
@@ -32,7 +32,7 @@
     domain::SocketAddress source;
     domain::Duration pollInterval = std::chrono::milliseconds(100);
     domain::Duration callTimeout = std::chrono::milliseconds(500);
-    domain::Duration storeTimeout = std::chrono::seconds(2);
+    domain::Duration storeTimeout = std::chrono::seconds(1);
     rollout::EngineSwitchOptions switching;
 };
 
--- a/src/config/configtable.h
+++ b/src/config/configtable.h
@@ -18,6 +18,8 @@
 struct MergeResult
 {
     bool hasChanged = false;
+    /// False when only the watermark has moved on.
+    bool hasNewItems = false;
     /// False when changes before the delta's base are missing; the watermark then stays.
     bool isContiguous = true;
     /// Items whose JSON is not valid; their last valid content stays in force.
--- a/src/config/internal/configtable.cpp
+++ b/src/config/internal/configtable.cpp
@@ -103,17 +103,17 @@
     const bool isCurrentList = delta.complete() && watermark >= m_watermark;
     for (const protocol::ConfigItem &item : delta.items()) {
         if (adopt(fromMessage(item), isCurrentList, result))
-            result.hasChanged = true;
+            result.hasNewItems = true;
     }
     result.isContiguous = delta.complete() || fromProtocol(delta.base()) <= m_watermark;
     if (isCurrentList) {
         removeMissing(delta, result);
         m_tombstoneHorizon = watermark;
     }
-    if (result.isContiguous && watermark > m_watermark) {
+    const bool isAhead = result.isContiguous && watermark > m_watermark;
+    if (isAhead)
         m_watermark = watermark;
-        result.hasChanged = true;
-    }
+    result.hasChanged = result.hasNewItems || isAhead;
     dropOldTombstones();
     return result;
 }
@@ -158,7 +158,7 @@
             continue;
         replace(record, ConfigItem{key, watermark, true, {}});
         record.spec.reset();
-        result.hasChanged = true;
+        result.hasNewItems = true;
     }
 }
 
--- a/src/entry/internal/configservice.cpp
+++ b/src/entry/internal/configservice.cpp
@@ -91,7 +91,7 @@
     std::optional<domain::SocketAddress> choosePullPeer();
     void pullFrom(const domain::SocketAddress &peer);
     void mergeAndPush(const protocol::ConfigDelta &delta);
-    void merge(const protocol::ConfigDelta &delta);
+    config::MergeResult merge(const protocol::ConfigDelta &delta);
     void push(const protocol::ConfigDelta &delta, const std::vector<std::string> &targets);
     protocol::ControlRequest request() const;
 
@@ -237,23 +237,23 @@
             });
 }
 
-void ConfigService::Implementation::merge(const protocol::ConfigDelta &delta)
+config::MergeResult ConfigService::Implementation::merge(const protocol::ConfigDelta &delta)
 {
-    const config::MergeResult result = m_table.merge(delta);
+    config::MergeResult result = m_table.merge(delta);
     for (const config::ItemKey &key : result.invalid) {
         logEvent(Severity::Error, "config_item_invalid",
                 {{"item", key.objectKey()}, {"remedy", "apply a valid document for this item"}});
     }
+    return result;
 }
 
 void ConfigService::Implementation::mergeAndPush(const protocol::ConfigDelta &delta)
 {
     const ConfigVersion before = m_table.watermark();
-    merge(delta);
-    const protocol::ConfigDelta news = m_table.deltaSince(before, config::DeltaFilter());
     // A watermark that only moves on travels with the pulls.
-    if (news.items_size() == 0 && !news.complete())
+    if (!merge(delta).hasNewItems)
         return;
+    const protocol::ConfigDelta news = m_table.deltaSince(before, config::DeltaFilter());
     logEvent(Severity::Info, "config_changed",
             {{"watermark", config::toText(m_table.watermark())}, {"items", news.items_size()}});
     std::vector<std::string> targets;
