Test that a slow store does not close the gate of a serving endpoint

Cause: the fault was only seen with real processes. Change: a test with a store that takes 1.2 s for a write; benchmark counters for the bytes of a heartbeat and its reply. Conclusion: guarded.

--- a/src/agent/tests/engineservicetest.cpp
+++ b/src/agent/tests/engineservicetest.cpp
@@ -149,6 +149,19 @@
     EXPECT_GT(m_fence, 40U);
 }
 
+// Guards against a slow store that takes an endpoint out of service which still serves: the gate
+// closes once, for the switch itself.
+TEST_F(EngineServiceFixture, switch_slowStore_servesUntilNumberIsThere)
+{
+    m_manifest = Digest::of(std::string_view("old")).hex();
+    m_store.writeTime = 1200ms;
+    startService();
+    ASSERT_TRUE(eventually([&] { return m_service->state().isOpen; }));
+    rollOut();
+    EXPECT_TRUE(eventually([&] { return m_service->state().activeDigest == wantedWeights; }));
+    EXPECT_EQ(m_service->state().epoch, 1U);
+}
+
 // Guards against orders by a process that has been replaced.
 TEST_F(EngineServiceFixture, start_laterProcessHoldsNumbers_noOrder)
 {
--- a/src/membership/tests/membershipbench.cpp
+++ b/src/membership/tests/membershipbench.cpp
@@ -72,6 +72,11 @@
     protocol::ControlRequest request;
     *request.mutable_heartbeat() = heartbeat(0, sequence);
     state.counters["request_bytes"] = static_cast<double>(request.ByteSizeLong());
+    protocol::ControlReply reply;
+    reply.mutable_heartbeat()->set_entry_incarnation(table.self().incarnation.count());
+    reply.mutable_heartbeat()->set_next_interval_ms(4000);
+    reply.mutable_heartbeat()->set_entries_hash(table.ownEntriesHash());
+    state.counters["reply_bytes"] = static_cast<double>(reply.ByteSizeLong());
 }
 
 void expireAndPlan(benchmark::State &state)
--- a/src/platform/tests/fakeobjectstore.h
+++ b/src/platform/tests/fakeobjectstore.h
@@ -26,6 +26,8 @@
     /// Watches fail until the objects are listed.
     std::atomic<bool> hasForgottenChanges = false;
     std::atomic<int> answersToLose = 0;
+    /// Time that a write takes; set before use.
+    domain::Duration writeTime = {};
     std::atomic<int> lists = 0;
     std::atomic<int> watches = 0;
     /// Runs between a reader's list and its writes.
@@ -67,6 +69,10 @@
     Result<domain::ConfigVersion> create(
             std::string key, std::string value, domain::TimePoint /*deadline*/) override
     {
+        if (writeTime > domain::Duration()) {
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, writeTime);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
         co_return change(key, value, {}, false);
     }
     Result<domain::ConfigVersion> update(std::string key, std::string value,
