--- a/src/requests/internal/slotledger.cpp
+++ b/src/requests/internal/slotledger.cpp
@@ -46,7 +46,7 @@
 
 Error lateError()
 {
-    return Error{ErrorKind::Timeout, "the order was not recorded before its deadline and never ran",
+    return Error{ErrorKind::Timeout, "the order could not be recorded in time and never ran",
             "send the order again with the same key"};
 }
 
@@ -101,7 +101,8 @@
 LedgerActions SlotLedger::begin(std::uint64_t ticket, OrderRequest request, LedgerTime time)
 {
     LedgerActions actions;
-    Waiting waiting{ticket, std::move(request)};
+    const TimePoint startBy = std::min(request.deadline, time.now + m_options.maxStartWait);
+    Waiting waiting{ticket, std::move(request), startBy};
     if (m_phase == Phase::Open) {
         beginOpen(waiting, time, actions);
         return actions;
@@ -135,10 +136,15 @@
                 RefuseOrder{protocol::OUTCOME_NOT_RUN, noRoomError(), m_options.retryPause}});
         return;
     }
+    if (isAppendStuck(time.now)) {
+        actions.push_back(DecideOrder{waiting.ticket,
+                RefuseOrder{protocol::OUTCOME_NOT_RUN, platformError(), m_options.maxStartWait}});
+        return;
+    }
     Order &order = m_orders[id];
     order.hash = request.hash;
     order.createdAt = time.wall;
-    order.waiters.push_back({waiting.ticket, request.deadline});
+    order.waiters.push_back({waiting.ticket, waiting.startBy, request.deadline});
     m_waitedFor.insert(id);
     enqueue(recordOf(protocol::ORDER_RECORD_INTENT, id.account, id.key, order.hash, time.wall),
             time.now);
@@ -157,7 +163,7 @@
         actions.push_back(
                 DecideOrder{ticket, RefuseOrder{protocol::OUTCOME_UNKNOWN, unknownError(), {}}});
     } else {
-        order.waiters.push_back({ticket, waiting.request.deadline});
+        order.waiters.push_back({ticket, waiting.startBy, waiting.request.deadline});
     }
 }
 
@@ -221,7 +227,7 @@
         id = isDone ? m_waitedFor.erase(id) : std::next(id);
     }
     const auto late = std::stable_partition(m_waiting.begin(), m_waiting.end(),
-            [&](const Waiting &waiting) { return waiting.request.deadline > time.now; });
+            [&](const Waiting &waiting) { return waiting.startBy > time.now; });
     for (auto waiting = late; waiting != m_waiting.end(); ++waiting) {
         // The log is not read yet, so an earlier request with this key may have run.
         actions.push_back(DecideOrder{waiting->ticket,
@@ -236,8 +242,10 @@
     const RefuseOrder refusal = isRunning
             ? RefuseOrder{protocol::OUTCOME_UNKNOWN, stillRunningError(), {}}
             : RefuseOrder{protocol::OUTCOME_NOT_RUN, lateError(), m_options.retryPause};
-    const auto late = std::stable_partition(order.waiters.begin(), order.waiters.end(),
-            [&](const Waiter &waiter) { return waiter.deadline > time.now; });
+    const auto late = std::stable_partition(
+            order.waiters.begin(), order.waiters.end(), [&](const Waiter &waiter) {
+                return (isRunning ? waiter.deadline : waiter.startBy) > time.now;
+            });
     for (auto waiter = late; waiter != order.waiters.end(); ++waiter)
         actions.push_back(DecideOrder{waiter->ticket, refusal});
     order.waiters.erase(late, order.waiters.end());
@@ -259,6 +267,11 @@
 
 // ---- writing ----
 
+bool SlotLedger::isAppendStuck(TimePoint now) const
+{
+    return m_inFlight && now - m_lastAppendAt >= m_options.maxStartWait;
+}
+
 std::string SlotLedger::nextWriteId()
 {
     return m_writer + '/' + std::to_string(m_incarnation.count()) + '/'
@@ -302,7 +315,11 @@
     batch.set_writer(m_writer);
     batch.set_incarnation(m_incarnation.count());
     batch.set_write_id(nextWriteId());
-    batch.set_first_live(m_batches.empty() ? m_nextNumber : m_batches.begin()->first);
+    for (const auto &[number, info] : m_batches) {
+        if (info.liveRecords > 0)
+            batch.add_live(number);
+    }
+    batch.set_first_live(batch.live().empty() ? m_nextNumber : batch.live(0));
     std::size_t bytes = 0;
     while (!m_queue.empty()) {
         const std::size_t size = m_queue.front().record.ByteSizeLong();
@@ -330,7 +347,8 @@
         // The number may be taken by this very write, when the answer to it was lost.
         m_isReadingBack = true;
         actions.push_back(ReadBatch{m_inFlight->number});
-    } else if (result.error().kind == ErrorKind::Unavailable) {
+    } else if (result.error().kind == ErrorKind::Unavailable
+            || result.error().kind == ErrorKind::RateLimited) {
         onAppendRefused(result.error(), time, actions);
     } else {
         // Undecided: writing the same batch to the same number again decides it.
@@ -369,6 +387,7 @@
     m_nextNumber = written.number + 1;
     m_lastSuccess = time;
     m_batches[written.number].seenAt = time.now;
+    m_batches[written.number].bytes = written.batch.ByteSizeLong();
     for (const OrderRecord &record : written.batch.records()) {
         const OrderId id{record.account(), record.key()};
         const auto found = m_orders.find(id);
@@ -477,11 +496,12 @@
         const auto order = m_orders.find(id);
         if (order == m_orders.end())
             continue;
+        const bool isRunning = order->second.state == OrderState::Running;
         for (const Waiter &waiter : order->second.waiters)
-            next = std::min(next, waiter.deadline);
+            next = std::min(next, isRunning ? waiter.deadline : waiter.startBy);
     }
     for (const Waiting &waiting : m_waiting)
-        next = std::min(next, waiting.request.deadline);
+        next = std::min(next, waiting.startBy);
     if (m_inFlight && m_inFlight->retryAt)
         next = std::min(next, *m_inFlight->retryAt);
     if (m_phase == Phase::Open && !m_inFlight && !m_queue.empty())
@@ -491,16 +511,22 @@
     return next == TimePoint::max() ? std::nullopt : std::optional<TimePoint>(next);
 }
 
+bool SlotLedger::isSmall(const BatchInfo &info) const
+{
+    constexpr std::size_t SmallShare = 4;
+    return info.liveRecords > 0 && info.bytes < m_options.maxBatchBytes / SmallShare;
+}
+
 void SlotLedger::compact(LedgerTime time)
 {
-    // The oldest half is rewritten at once, so that each record is rewritten seldom.
     constexpr std::size_t MaxQueued = 100;
-    if (m_batches.size() <= m_options.maxBatches || m_queue.size() > MaxQueued)
+    const auto small = std::count_if(m_batches.begin(), m_batches.end(),
+            [this](const auto &batch) { return isSmall(batch.second); });
+    if (static_cast<std::size_t>(small) <= m_options.maxSmallBatches || m_queue.size() > MaxQueued)
         return;
-    auto last = m_batches.begin();
-    std::advance(last, static_cast<std::ptrdiff_t>(m_batches.size() / 2));
     for (const auto &[id, order] : m_orders) {
-        if (order.batch == 0 || order.batch >= last->first)
+        const auto batch = m_batches.find(order.batch);
+        if (batch == m_batches.end() || !isSmall(batch->second))
             continue;
         if (order.state == OrderState::Done) {
             enqueueResult(id, order, time.now);
--- a/src/requests/slotledger.h
+++ b/src/requests/slotledger.h
@@ -28,6 +28,8 @@
     domain::Duration resultDelay = std::chrono::milliseconds(100);
     /// Pause before a failed write or takeover is tried again.
     domain::Duration retryPause = std::chrono::milliseconds(200);
+    /// An order that could not be started for this long is refused, although its caller would wait.
+    domain::Duration maxStartWait = std::chrono::seconds(2);
     /// Pause before a slot that another owner has taken may be taken back, so that two entries with
     /// different views do not make two owners fence each other with every order.
     domain::Duration fencedPause = std::chrono::seconds(2);
@@ -38,8 +40,9 @@
     domain::Duration removalAge = std::chrono::minutes(10);
     /// Time for which results are kept.
     domain::Duration retention = std::chrono::hours(24);
-    /// Records are rewritten together when the log has more batches than this.
-    std::size_t maxBatches = 256;
+    /// Records of small batches are rewritten together when there are more such batches than this,
+    /// so that a takeover has few to read.
+    std::size_t maxSmallBatches = 64;
     std::size_t maxBatchBytes = 512U << 10U;
     std::size_t maxOrders = 200'000;
     /// Batches that are read at the same time during a takeover.
@@ -129,6 +132,8 @@
     struct Waiter
     {
         std::uint64_t ticket = 0;
+        /// The order must not be started later.
+        domain::TimePoint startBy;
         domain::TimePoint deadline;
     };
     struct Order
@@ -163,10 +168,12 @@
     {
         std::uint64_t ticket = 0;
         OrderRequest request;
+        domain::TimePoint startBy;
     };
     struct BatchInfo
     {
         std::size_t liveRecords = 0;
+        std::size_t bytes = 0;
         domain::TimePoint seenAt;
     };
 
@@ -178,6 +185,8 @@
     void onRelisted(
             const std::vector<std::uint64_t> &numbers, LedgerTime time, LedgerActions &actions);
     void readMore(LedgerActions &actions);
+    void chooseLive(std::uint64_t number, const protocol::OrderBatch &batch);
+    bool isSmall(const BatchInfo &info) const;
     void onTakeoverRead(std::uint64_t number, const domain::Expected<protocol::OrderBatch> &batch,
             LedgerTime time, LedgerActions &actions);
     void onMissingChecked(
@@ -211,6 +220,7 @@
     void moveTo(std::uint64_t number, Order &order);
     void compact(LedgerTime time);
     void removeOld(LedgerTime time, LedgerActions &actions);
+    bool isAppendStuck(domain::TimePoint now) const;
     std::string nextWriteId();
     domain::TimePoint appendDueAt() const;
 
@@ -235,7 +245,10 @@
     domain::TimePoint m_lastAppendAt;
     LedgerTime m_lastSuccess;
     domain::TimePoint m_housekeepingAt;
-    // Takeover: batches still to be read, being read, read, and listed but not found.
+    // Takeover: batches still to be read, being read, read, and listed but not found. Until the
+    // newest batch with records is found, which names the others that matter, they are read from
+    // the end.
+    bool m_isSeekingNewest = false;
     std::deque<std::uint64_t> m_toRead;
     std::set<std::uint64_t> m_reading;
     std::map<std::uint64_t, protocol::OrderBatch> m_readBatches;
