--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -50,7 +50,8 @@
     /// Tells the peers at once that this entry is leaving.
     void setLeaving();
 
-    /// Judges silent members and takes over the endpoints of entries that have gone.
+    /// Judges silent members, unless this process was paused itself, and takes over the endpoints
+    /// of entries that have gone.
     void expire(domain::TimePoint now);
 
     /// The exchanges due now, none for peers with one under way.
@@ -63,6 +64,8 @@
     ControlSchedule schedule() const { return m_schedule; }
     const EntryRecord &self() const { return m_entries.self(); }
     std::vector<EntryRecord> ownEntries() const;
+    /// Live entries of a data centre.
+    std::vector<EntryRecord> entriesOf(const domain::DataCentreId &dataCentre) const;
     std::uint64_t ownEntriesHash() const { return m_entries.ownHash(); }
     /// Grows with each change of the members apart from their load.
     std::uint64_t changeCount() const
@@ -114,6 +117,7 @@
     std::uint64_t m_summaryChanges = 0;
     std::uint64_t m_selfChanges = 0;
     std::size_t m_nextPeer = 0;
+    domain::TimePoint m_expiredAt;
     domain::TimePoint m_nextExchangeAt;
     domain::TimePoint m_nextSummaryAt;
     bool m_isIntroduced = false;
