Refuse the deletion of a service that is still needed

A service could be deleted while rollouts and limits named it, which would stay behind without effect. The document is now refused with the items that need the service, unless it deletes them too.

--- a/src/admin/internal/configdocumentplanner.cpp
+++ b/src/admin/internal/configdocumentplanner.cpp
@@ -1,8 +1,8 @@
 #include "admin/configdocumentplanner.h"
 
+#include "admin/internal/servicereference.h"
 #include "config/applicationplan.h"
 #include "config/configdocument.h"
-#include "config/configtable.h"
 
 #include <algorithm>
 #include <utility>
@@ -73,6 +73,34 @@
     return item;
 }
 
+bool isChanged(const config::ConfigDocument &document, const CurrentItem &item)
+{
+    return std::any_of(document.items.begin(), document.items.end(), [&](const auto &change) {
+        return change.key.kind == item.kind && change.key.name == item.name;
+    });
+}
+
+/// Deletions of services that stored items, which the document leaves alone, still need.
+std::vector<ItemProblem> neededServices(
+        const config::ConfigDocument &document, const std::vector<CurrentItem> &current)
+{
+    std::vector<ItemProblem> problems;
+    for (std::size_t i = 0; i < document.items.size(); ++i) {
+        const config::DocumentItem &change = document.items[i];
+        if (change.key.kind != "service" || !change.isDelete)
+            continue;
+        for (const CurrentItem &item : current) {
+            const auto service = internal::neededService(item.kind, item.name, item.spec);
+            if (service.value() != change.key.name || isChanged(document, item))
+                continue;
+            problems.push_back({"items[" + std::to_string(i) + ']',
+                    "the service is still needed by " + item.kind + ' ' + item.name,
+                    "delete " + item.kind + ' ' + item.name + " in the same document"});
+        }
+    }
+    return problems;
+}
+
 } // namespace
 
 std::vector<ItemProblem> ConfigDocumentPlanner::check(std::string_view document) const
@@ -87,6 +115,8 @@
     const auto parsed = config::parseDocument(document, toSnapshot(stored));
     DocumentPlan plan;
     plan.problems = toProblems(parsed.problems);
+    if (plan.problems.empty())
+        plan.problems = neededServices(parsed.document, current);
     if (!plan.problems.empty())
         return plan;
     const config::ApplicationPlan application = config::planApplication(parsed.document, stored);
--- a/src/admin/internal/principal.cpp
+++ b/src/admin/internal/principal.cpp
@@ -1,27 +1,11 @@
 #include "admin/principal.h"
 
-#include <boost/json/parse.hpp>
-#include <boost/json/value.hpp>
+#include "admin/internal/servicereference.h"
 
 #include <utility>
 
 namespace oriolerill::admin {
 
-namespace {
-
-/// The service named in the spec of a rollout; empty when there is none.
-domain::ServiceId serviceOf(const std::string &spec)
-{
-    boost::json::error_code code;
-    const boost::json::value value = boost::json::parse(spec, code);
-    const auto *object = code ? nullptr : value.if_object();
-    const auto *member = object == nullptr ? nullptr : object->if_contains("service");
-    const auto *text = member == nullptr ? nullptr : member->if_string();
-    return domain::ServiceId(text == nullptr ? std::string() : std::string(*text));
-}
-
-} // namespace
-
 Principal::Principal(std::string name, std::set<domain::ServiceId> services)
     : m_name(std::move(name))
     , m_services(std::move(services))
@@ -38,9 +22,10 @@
         return isOperatorOf(domain::ServiceId(item.name));
     if (item.kind != "rollout")
         return isOperatorOfAll();
-    const bool mayWrite = item.spec.empty() || isOperatorOf(serviceOf(item.spec));
-    const bool mayReplace = item.currentSpec.empty() || isOperatorOf(serviceOf(item.currentSpec));
-    return mayWrite && mayReplace;
+    const auto mayUse = [&](const std::string &spec) {
+        return spec.empty() || isOperatorOf(internal::neededService(item.kind, item.name, spec));
+    };
+    return mayUse(item.spec) && mayUse(item.currentSpec);
 }
 
 } // namespace oriolerill::admin
--- /dev/null
+++ b/src/admin/internal/servicereference.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "domain/strongid.h"
+
+#include <string>
+
+namespace oriolerill::admin::internal {
+
+/// The service that an item needs, from the JSON of its spec; empty when there is none.
+domain::ServiceId neededService(
+        const std::string &kind, const std::string &name, const std::string &spec);
+
+} // namespace oriolerill::admin::internal
--- a/src/admin/tests/adminapitest.cpp
+++ b/src/admin/tests/adminapitest.cpp
@@ -87,6 +87,19 @@
     EXPECT_TRUE(m_store.writes.empty());
 }
 
+// Guards against rollouts and limits that are left behind without their service.
+TEST_F(AdminApiTest, apply_deletionOfNeededService_refusedUnlessAllGo)
+{
+    send("POST", "/v1/apply", TwoItems);
+    EXPECT_EQ(send("DELETE", "/v1/items/service/chat").status, 400U);
+    EXPECT_TRUE(m_store.objects.contains("config/service/chat"));
+    const auto response = send("POST", "/v1/apply",
+            R"({"items":[{"kind":"limit","name":"chat","delete":true},
+                {"kind":"service","name":"chat","delete":true}]})");
+    EXPECT_EQ(response.status, 200U) << response.body;
+    EXPECT_FALSE(m_store.objects.contains("config/service/chat"));
+}
+
 // Guards against operators who overwrite each other's change: the loser gets the version to
 // re-read.
 TEST_F(AdminApiTest, apply_oldVersion_conflictWithCurrentVersion)
