Allow an agent 100 calls a second at the platform

Change: an agent may make 100 calls a second; the rate still gives way when the store refuses calls.

--- a/src/agent/internal/agentprocess.cpp
+++ b/src/agent/internal/agentprocess.cpp
@@ -61,6 +61,9 @@
         const settings::AgentSettings &settings, domain::Incarnation incarnation)
 {
     platform::ObjectStoreOptions options;
+    // Order records make most of an agent's calls. The rate gives way when the store refuses calls.
+    constexpr double OrderCallsPerSecond = 100;
+    options.callsPerSecond = OrderCallsPerSecond;
     options.addresses = {settings.platformAddress};
     options.answerTimeout = settings.platformTimeout;
     options.seed = incarnation.count();
