--- a/src/agent/internal/weightsservice.h
+++ b/src/agent/internal/weightsservice.h
@@ -36,7 +36,7 @@
     domain::SocketAddress origin;
     /// Memory for chunks; fetches in progress add up to 8 chunks.
     domain::Bytes memory = domain::Bytes(1U << 30U);
-    std::size_t maxUploads = 8;
+    std::size_t maxUploads = 16;
     /// Hosts of the engine on this VM, whose downloads are not limited.
     std::set<std::string> localHosts = {"127.0.0.1"};
     distribution::BulkPacerOptions pacing;
--- a/src/distribution/internal/versionswarm.cpp
+++ b/src/distribution/internal/versionswarm.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Time for agents to report what they hold and fetch to a tracker that takes over.
-constexpr domain::Duration TakeoverTime = 1500ms;
+// Time for agents to report what they hold and fetch to a tracker that takes over: two intervals.
+constexpr domain::Duration TakeoverTime = 500ms;
 constexpr domain::Duration AdoptedFetchTime = 10s;
 constexpr domain::Duration BadSourceAvoidance = 60s;
 constexpr domain::Duration FailedSourceAvoidance = 1s;
--- a/src/distribution/tests/swarmfaulttest.cpp
+++ b/src/distribution/tests/swarmfaulttest.cpp
@@ -65,6 +65,19 @@
     EXPECT_LE(m_driver.maxWanCopies(), 1.1);
 }
 
+// Guards against duplicates that add up over many tracker changes.
+TEST_P(SwarmFaultFixture, push_trackersReplacedEverySecond_finishesWithoutSecondCopy)
+{
+    const auto isDone = [this] { return m_driver.isDone(*m_manifest); };
+    for (int i = 0; i < 60 && !m_driver.runUntil(isDone, 1s); ++i) {
+        for (std::size_t site = 0; site < 3; ++site)
+            m_driver.replaceTracker(site);
+    }
+    ASSERT_TRUE(isDone());
+    EXPECT_LE(m_driver.originCopies(), 1.2);
+    EXPECT_LE(m_driver.maxWanCopies(), 1.1);
+}
+
 // Guards against a transfer that ends with its trackers.
 TEST_P(SwarmFaultFixture, push_trackersGoneForGood_agentsFinishAlone)
 {
@@ -102,6 +115,16 @@
     ASSERT_TRUE(m_driver.runToEnd(*m_manifest, 60s));
 }
 
+// Guards against a data centre that insists on the origin for chunks that others hold.
+TEST_P(SwarmFaultFixture, push_originGoneAndDataCentreReplaced_refilledFromOthers)
+{
+    ASSERT_TRUE(m_driver.runToEnd(*m_manifest, 60s));
+    m_driver.isOriginUp = false;
+    for (std::size_t agent = 0; agent < 5; ++agent)
+        m_driver.restartAgent(agent);
+    ASSERT_TRUE(m_driver.runToEnd(*m_manifest, 60s));
+}
+
 // Guards against regions that stop for one that cannot be reached.
 TEST_P(SwarmFaultFixture, push_regionCutAndBack_othersFinishThenItCatchesUp)
 {
--- a/src/entry/internal/trackerservice.cpp
+++ b/src/entry/internal/trackerservice.cpp
@@ -142,7 +142,7 @@
 
         std::mutex mutex;
         SwarmPlanner planner;
-        TimePoint lastReport;
+        std::atomic<TimePoint> lastReport;
         std::map<Digest, TimePoint> configuredAt;
     };
 
@@ -181,6 +181,9 @@
     {
         const std::scoped_lock lock(m_mutex);
         std::shared_ptr<Role> &role = m_roles[service];
+        // After a pause, another entry may have granted switches meanwhile.
+        if (role && now - role->lastReport.load() > m_options.grantLease)
+            role.reset();
         if (!role) {
             distribution::SwarmOptions options;
             options.dataCentre = m_options.dataCentre;
@@ -268,8 +271,7 @@
         {
             const std::scoped_lock lock(m_mutex);
             std::erase_if(m_roles, [now](const auto &entry) {
-                const std::scoped_lock roleLock(entry.second->mutex);
-                return now - entry.second->lastReport > IdleLifetime;
+                return now - entry.second->lastReport.load() > IdleLifetime;
             });
             roles = m_roles;
         }
