Take manifests from the origin once per data centre

Cause: with real processes every data centre but one waited for the answer of another tracker before it could learn the manifest, and nothing else can start before. Change: the first agent of each data centre takes the manifest from the origin; other data centres are the fallback.

--- a/src/distribution/internal/versionswarm.h
+++ b/src/distribution/internal/versionswarm.h
@@ -206,7 +206,6 @@
     SwarmSite m_ownSite;
     std::vector<Route> m_routes;
     std::size_t m_regionCount = 1;
-    bool m_isManifestFromOrigin = true;
     domain::TimePoint m_nextReview;
 
     std::uint32_t m_originFetches = 0;
--- a/src/distribution/internal/versionswarmplan.cpp
+++ b/src/distribution/internal/versionswarmplan.cpp
@@ -74,15 +74,11 @@
     }
     if (!source && isImporting)
         return;
-    if (!source) {
-        for (const RemoteSite &remote : m_remotes) {
-            if (!source)
-                source = remote.pickForManifest(m_sources, random(count), now);
-        }
-    }
-    const bool isOwnTurn = m_isManifestFromOrigin || now > m_importsFrom + StallTime;
-    if (!source && isOwnTurn && !m_sources.isAvoided(SourceTable::Origin, now))
+    // A manifest is small, so each data centre takes it from the origin at once.
+    if (!source && !m_sources.isAvoided(SourceTable::Origin, now))
         source = SourceTable::Origin;
+    for (std::size_t i = 0; i < m_remotes.size() && !source; ++i)
+        source = m_remotes[i].pickForManifest(m_sources, random(count), now);
     if (!source)
         return;
     state.manifestDeadline = now + ManifestFetchTime;
--- a/src/distribution/internal/versionswarmroutes.cpp
+++ b/src/distribution/internal/versionswarmroutes.cpp
@@ -1,8 +1,6 @@
 // The routes of VersionSwarm between data centres.
 #include "distribution/internal/versionswarm.h"
 
-#include "distribution/manifestchunk.h"
-
 #include <algorithm>
 #include <chrono>
 
@@ -64,8 +62,6 @@
     }
     const RelayPlan relay(std::move(live), m_options.dataCentre, m_options.originRegion);
     m_regionCount = std::max<std::size_t>(relay.regionCount(), 1);
-    const std::uint64_t manifestItem = itemKey(m_manifest, ManifestChunk);
-    m_isManifestFromOrigin = relay.upstream(manifestItem) == RelayPlan::Origin;
     m_routes.clear();
     m_routes.push_back({RelayPlan::Origin, HaveMap(m_chunkCount)});
     for (std::size_t i = 0; i < m_remotes.size(); ++i)
