Keep long answers whole when their reader starts late, breaks or is slow

Cause: an attempt's connection was attached after its run had started, so a quick answer of 8 MB overran the buffer and was lost; without a connection the buffer overran as well. The entry read frames without bound for a slow caller.

The deadlines' default and limit are options of CallerFront.

handleCaller_longStream_wholeWithChecksum got a refusal before.

--- a/src/entry/internal/attemptlink.cpp
+++ b/src/entry/internal/attemptlink.cpp
@@ -2,6 +2,10 @@
 
 #include "requests/attemptframecodec.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <utility>
 
 namespace oriolerill::entry {
@@ -22,6 +26,18 @@
     return !frames.empty() && frames.back().has_end();
 }
 
+/// Leaves data in the connection while the receiver is slow, so that the sender slows down.
+asio::awaitable<void> waitForRoom(LinkEvents &events)
+{
+    constexpr auto PollInterval = std::chrono::milliseconds(2);
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor);
+    while (events.isFull() && !events.isAbandoned()) {
+        timer.expires_after(PollInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 asio::awaitable<void> readFrames(
         std::shared_ptr<LinkEvents> events, transport::HttpExchange &exchange, LinkTarget target)
 {
@@ -51,6 +67,7 @@
         }
         isComplete = isComplete || hasEnd(*frames);
         events->push(target.link, std::move(*frames));
+        co_await waitForRoom(*events);
     }
 }
 
@@ -77,6 +94,13 @@
     m_signal->notify();
 }
 
+bool LinkEvents::isFull()
+{
+    constexpr std::size_t MaxEvents = 32;
+    const std::scoped_lock lock(m_mutex);
+    return m_events.size() > MaxEvents;
+}
+
 std::optional<LinkEvent> LinkEvents::take()
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/entry/internal/attemptlink.h
+++ b/src/entry/internal/attemptlink.h
@@ -46,6 +46,9 @@
     /// The next event; none at the time point.
     boost::asio::awaitable<std::optional<LinkEvent>> pop(domain::TimePoint until);
 
+    /// True while the receiver lags so far behind that the connections should not be read.
+    bool isFull();
+
     /// Tells the connections that nobody waits any more.
     void abandon() { m_isAbandoned = true; }
     bool isAbandoned() const { return m_isAbandoned; }
--- a/src/entry/internal/callerfront.cpp
+++ b/src/entry/internal/callerfront.cpp
@@ -80,8 +80,8 @@
     ActiveRequest active(*this);
     const auto configuration = configView.snapshot();
     const domain::RequestId id = nextRequestId();
-    const domain::Expected<CallerRequest> request
-            = parseCallerRequest(exchange.request(), *configuration, id, startedAt);
+    const domain::Expected<CallerRequest> request = parseCallerRequest(
+            exchange.request(), *configuration, options.deadlines, id, startedAt);
     if (!request) {
         CallerAnswer answer(exchange, id, false);
         co_await answer.refuse(protocol::OUTCOME_NOT_RUN, request.error(), {});
@@ -114,11 +114,12 @@
     recorder.record(record);
 }
 
-CallerFront::CallerFront(asio::any_io_executor executor, const config::IConfigView &configView,
-        const membership::IMembershipView &membershipView, transport::HttpClient &client,
-        observability::IRequestRecorder &recorder, CallerFrontOptions options)
+CallerFront::CallerFront(const asio::any_io_executor &executor,
+        const config::IConfigView &configView, const membership::IMembershipView &membershipView,
+        transport::HttpClient &client, observability::IRequestRecorder &recorder,
+        CallerFrontOptions options)
     : m_implementation(std::make_shared<Implementation>(
-            std::move(executor), configView, membershipView, client, recorder, std::move(options)))
+            executor, configView, membershipView, client, recorder, std::move(options)))
 {}
 
 CallerFront::~CallerFront() = default;
--- a/src/entry/internal/callerfront.h
+++ b/src/entry/internal/callerfront.h
@@ -5,6 +5,7 @@
 #include "domain/strongid.h"
 #include "domain/timepoint.h"
 #include "entry/internal/attemptclient.h"
+#include "entry/internal/callerrequest.h"
 #include "membership/imembershipview.h"
 #include "observability/irequestrecorder.h"
 #include "routing/accountadmission.h"
@@ -30,6 +31,7 @@
     std::uint64_t seed = 0;
     /// Attempts for one request, the first one included.
     unsigned maxAttempts = 4;
+    DeadlineLimits deadlines;
     AttemptClientOptions attempts;
     routing::RetryBudgetOptions retryBudget;
     routing::AccountAdmissionOptions admission;
@@ -42,7 +44,7 @@
 {
 public:
     /// The references have to outlive the executor's work.
-    CallerFront(boost::asio::any_io_executor executor, const config::IConfigView &configView,
+    CallerFront(const boost::asio::any_io_executor &executor, const config::IConfigView &configView,
             const membership::IMembershipView &membershipView, transport::HttpClient &client,
             observability::IRequestRecorder &recorder, CallerFrontOptions options);
     ~CallerFront();
--- a/src/entry/internal/callerrequest.cpp
+++ b/src/entry/internal/callerrequest.cpp
@@ -21,8 +21,6 @@
 namespace {
 
 constexpr std::string_view ServicePrefix = "/v1/services/";
-constexpr milliseconds DefaultDeadline = std::chrono::seconds(30);
-constexpr milliseconds MaxDeadline = std::chrono::minutes(10);
 constexpr std::size_t MaxKeyLength = 256;
 // Prompts that share this many bytes are likely to share a cached prefix.
 constexpr std::size_t AffinityPrefix = 256;
@@ -44,18 +42,19 @@
     return std::binary_search(Names.begin(), Names.end(), lowerCase(name));
 }
 
-Expected<milliseconds> parseDeadline(const transport::HttpFields &fields)
+Expected<domain::Duration> parseDeadline(
+        const transport::HttpFields &fields, const DeadlineLimits &limits)
 {
     const std::optional<std::string> text = fields.value("X-Request-Deadline-Ms");
     if (!text)
-        return DefaultDeadline;
+        return limits.fallback;
     std::uint32_t count = 0;
     const auto [end, code] = std::from_chars(text->data(), text->data() + text->size(), count);
     if (code != std::errc() || end != text->data() + text->size() || count == 0) {
         return Error{ErrorKind::InvalidInput, "X-Request-Deadline-Ms is not a positive number",
                 "send the time that the request may take, in milliseconds"};
     }
-    return std::min(milliseconds(count), MaxDeadline);
+    return std::min<domain::Duration>(milliseconds(count), limits.max);
 }
 
 Expected<bool> parseBatch(const transport::HttpFields &fields)
@@ -135,7 +134,8 @@
 }
 
 Expected<CallerRequest> parseCallerRequest(transport::HttpRequest &request,
-        const config::ConfigSnapshot &snapshot, domain::RequestId id, TimePoint now)
+        const config::ConfigSnapshot &snapshot, const DeadlineLimits &limits, domain::RequestId id,
+        TimePoint now)
 {
     CallerRequest parsed;
     parsed.id = std::move(id);
@@ -154,7 +154,7 @@
         return service.error();
     parsed.service = *service;
 
-    const Expected<milliseconds> allowed = parseDeadline(request.fields);
+    const Expected<domain::Duration> allowed = parseDeadline(request.fields, limits);
     const Expected<bool> isBatch = parseBatch(request.fields);
     if (!allowed)
         return allowed.error();
--- a/src/entry/internal/callerrequest.h
+++ b/src/entry/internal/callerrequest.h
@@ -22,6 +22,13 @@
     bool isIdempotent = true;
     domain::IdempotencyKey key;
     bool isBatch = false;
+    /// Time that a request may take, when it says nothing and at most.
+    struct DeadlineLimits
+    {
+        domain::Duration fallback = std::chrono::seconds(30);
+        domain::Duration max = std::chrono::minutes(5);
+    };
+
     /// xxh64 of the beginning of the prompt; none for plain services.
     std::optional<std::uint64_t> affinity;
     /// The attempt without what differs between attempts.
@@ -32,12 +39,20 @@
     bool isOrder() const { return !isIdempotent && !key.isEmpty(); }
 };
 
+/// Time that a request may take, when it says nothing and at most.
+struct DeadlineLimits
+{
+    domain::Duration fallback = std::chrono::seconds(30);
+    domain::Duration max = std::chrono::minutes(5);
+};
+
 /// xxh64 of the beginning of a model request's prompt.
 std::uint64_t promptPrefixHash(const std::string &body);
 
 /// Checks token, service, deadline, priority and key. Unauthorized, NotFound and InvalidInput say
 /// what is wrong.
 domain::Expected<CallerRequest> parseCallerRequest(transport::HttpRequest &request,
-        const config::ConfigSnapshot &snapshot, domain::RequestId id, domain::TimePoint now);
+        const config::ConfigSnapshot &snapshot, const DeadlineLimits &limits, domain::RequestId id,
+        domain::TimePoint now);
 
 } // namespace oriolerill::entry
--- a/src/entry/tests/callerfronttest.cpp
+++ b/src/entry/tests/callerfronttest.cpp
@@ -120,7 +120,7 @@
 
     requests::AttemptHost::Runner script()
     {
-        return [this](std::shared_ptr<RunningAttempt> running) {
+        return [this](const std::shared_ptr<RunningAttempt> &running) {
             ++m_runs;
             return m_script(std::move(running));
         };
@@ -214,6 +214,16 @@
         finishAnswered(*running);
 }
 
+asio::awaitable<void> streamLong(
+        std::shared_ptr<RunningAttempt> running, domain::Digest weights, std::size_t size)
+{
+    constexpr std::size_t Piece = 100'000;
+    running->setHead(headWith(weights));
+    for (std::size_t sent = 0; sent < size; sent += Piece)
+        co_await running->append(std::string(std::min(Piece, size - sent), 'x'));
+    finishAnswered(*running);
+}
+
 asio::awaitable<void> refuseOverloaded(std::shared_ptr<RunningAttempt> running)
 {
     running->fail(protocol::OUTCOME_NOT_RUN,
@@ -386,7 +396,7 @@
 TEST_F(CallerFrontFixture, handleCaller_crossedAnswer_droppedAndOwnAnswerSent)
 {
     for (int i = 0; i < 2; ++i) {
-        addAgent("stock", [](std::shared_ptr<RunningAttempt> running) {
+        addAgent("stock", [](const std::shared_ptr<RunningAttempt> &running) {
             return answerWith(running, "for " + running->attempt().request_id());
         });
     }
@@ -440,7 +450,7 @@
 // Guards against a false "not run" and a second run: the order may have run at the dead agent.
 TEST_F(CallerFrontFixture, handleCaller_agentDiesWithOrder_unknownAndNotRetried)
 {
-    FakeAgent &dying = addAgent("stock", [this](std::shared_ptr<RunningAttempt>) {
+    FakeAgent &dying = addAgent("stock", [this](const std::shared_ptr<RunningAttempt> &) {
         m_agents.front().m_server.stopAccepting();
         m_agents.front().m_server.closeAll();
         return waitLong();
@@ -461,12 +471,41 @@
     EXPECT_EQ(outcome(*call("stock/orders", "POST")), "not-run");
 }
 
+// Guards against requests that run into a dead endpoint until the membership notices it.
+TEST_F(CallerFrontFixture, handleCaller_silentEndpoint_avoidedByNextRequests)
+{
+    for (int i = 0; i < 2; ++i)
+        addAgent("stock", [](auto running) { return answerWith(running, "12 left"); });
+    m_agents.front().m_silentConnections = 100;
+    start();
+    for (int i = 0; i < 12; ++i)
+        EXPECT_EQ(call("stock/stock/9")->body, "12 left");
+    EXPECT_LE(m_agents.front().m_connections, 2);
+}
+
+// Guards against a slow caller that makes the entry hold a whole answer in memory, or cuts it.
+TEST_F(CallerFrontFixture, handleCaller_longStream_wholeWithChecksum)
+{
+    const domain::Digest weights = domain::Digest::of("w1");
+    constexpr std::size_t Size = 8U << 20U;
+    addAgent(
+            "drafts",
+            [weights](const std::shared_ptr<RunningAttempt> &running) {
+                return streamLong(running, weights, Size);
+            },
+            weights);
+    start();
+    const auto response = call("drafts/v1/generate", "POST");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->body.size(), Size);
+}
+
 // Guards against a late answer of the first attempt that mixes with the answer of the retry.
 TEST_F(CallerFrontFixture, handleCaller_lateAnswerAfterRetry_dropped)
 {
     m_options.attempts.maxLinks = 1;
     for (int i = 0; i < 2; ++i) {
-        addAgent("stock", [this](std::shared_ptr<RunningAttempt> running) {
+        addAgent("stock", [this](const std::shared_ptr<RunningAttempt> &running) {
             return running->attempt().attempt() == 1 ? answerLate(running, "first")
                                                      : answerWith(running, "second");
         });
@@ -502,7 +541,7 @@
 TEST_F(CallerFrontFixture, handleCaller_modelStreamBreaks_resumedOnSameWeights)
 {
     const domain::Digest weights = domain::Digest::of("w1");
-    const auto script = [weights](std::shared_ptr<RunningAttempt> running) {
+    const auto script = [weights](const std::shared_ptr<RunningAttempt> &running) {
         return streamBroken(running, weights, true);
     };
     addAgent("drafts", script, weights);
@@ -527,7 +566,7 @@
     const domain::Digest weights = domain::Digest::of("w1");
     addAgent(
             "drafts",
-            [weights](std::shared_ptr<RunningAttempt> running) {
+            [weights](const std::shared_ptr<RunningAttempt> &running) {
                 return streamBroken(running, weights, false);
             },
             weights);
--- a/src/requests/answerbuffer.h
+++ b/src/requests/answerbuffer.h
@@ -41,7 +41,8 @@
     const std::optional<protocol::AnswerEnd> &end() const { return m_end; }
     std::uint64_t length() const { return m_checksum.length(); }
     std::size_t heldBytes() const { return m_heldBytes; }
-    /// True when the reader at this offset would lose data if the given amount were added.
+    /// True when a reader at this offset lags too far behind to add the given amount. Half of the
+    /// bound is kept for data that was sent to a reader but lost with its connection.
     bool wouldOverrun(std::uint64_t offset, std::size_t size) const;
     /// True when data that the cursor still needs is gone.
     bool isLost(const Cursor &cursor) const { return cursor.offset < m_firstOffset; }
--- a/src/requests/internal/answerbuffer.cpp
+++ b/src/requests/internal/answerbuffer.cpp
@@ -44,7 +44,7 @@
 
 bool AnswerBuffer::wouldOverrun(std::uint64_t offset, std::size_t size) const
 {
-    return m_checksum.length() + size > offset + m_maxBytes;
+    return m_checksum.length() + size > offset + m_maxBytes / 2;
 }
 
 std::vector<protocol::AttemptFrame> AnswerBuffer::next(Cursor &cursor) const
--- a/src/requests/internal/attempthost.cpp
+++ b/src/requests/internal/attempthost.cpp
@@ -220,12 +220,10 @@
     std::shared_ptr<StrandSignal> m_signal;
 };
 
-asio::awaitable<void> sendAnswer(std::shared_ptr<RunningAttempt> running, std::uint64_t offset,
-        std::string first, AttemptHost::Write write, domain::Duration heartbeatInterval)
+asio::awaitable<void> sendAnswer(std::shared_ptr<RunningAttempt> running,
+        std::shared_ptr<StrandSignal> signal, std::string first, AttemptHost::Write write,
+        domain::Duration heartbeatInterval)
 {
-    const auto executor = co_await asio::this_coro::executor;
-    const auto signal = std::make_shared<StrandSignal>(executor);
-    const Attachment attachment(running, signal, offset);
     std::string bytes = std::move(first);
     for (;;) {
         const RunningAttempt::Output output = running->next(signal);
@@ -256,11 +254,15 @@
     const std::uint64_t offset = attempt.reattach() ? attempt.received_bytes() : 0;
     std::string accepted = acceptedFrame(attempt, state->incarnation);
     State::Begun begun = state->begin(attempt);
+    const auto strand = co_await asio::this_coro::executor;
+    const auto signal = std::make_shared<StrandSignal>(strand);
+    // Attached before the run starts, or a quick answer could overrun the buffer unread.
+    const Attachment attachment(begun.attempt, signal, offset);
     if (begun.isNew) {
         asio::co_spawn(asio::make_strand(state->executor),
                 State::run(state, begun.attempt, std::move(runner)), asio::detached);
     }
-    co_await sendAnswer(std::move(begun.attempt), offset, std::move(accepted), std::move(write),
+    co_await sendAnswer(begun.attempt, signal, std::move(accepted), std::move(write),
             state->options.heartbeatInterval);
 }
 
--- a/src/requests/internal/runningattempt.cpp
+++ b/src/requests/internal/runningattempt.cpp
@@ -33,6 +33,9 @@
 
 bool RunningAttempt::mustWait(std::size_t size) const
 {
+    const bool isAbandoned = TimePoint::clock::now() - m_detachedAt >= MaxReaderStall;
+    if (m_readers.empty())
+        return !isAbandoned && m_buffer.wouldOverrun(m_detachedOffset, size);
     return std::any_of(m_readers.begin(), m_readers.end(),
             [&](const auto &reader) { return m_buffer.wouldOverrun(reader.second.offset, size); });
 }
@@ -113,7 +116,11 @@
 void RunningAttempt::detach(const std::shared_ptr<StrandSignal> &reader)
 {
     const std::scoped_lock lock(m_mutex);
-    m_readers.erase(reader);
+    const auto found = m_readers.find(reader);
+    if (found == m_readers.end())
+        return;
+    m_detachedOffset = found->second.offset;
+    m_readers.erase(found);
     m_detachedAt = TimePoint::clock::now();
     if (m_producer)
         m_producer->notify();
--- a/src/requests/runningattempt.h
+++ b/src/requests/runningattempt.h
@@ -68,6 +68,8 @@
     std::map<std::shared_ptr<StrandSignal>, AnswerBuffer::Cursor> m_readers;
     std::shared_ptr<StrandSignal> m_producer;
     domain::TimePoint m_detachedAt;
+    /// How far the reader had come that left last.
+    std::uint64_t m_detachedOffset = 0;
 };
 
 } // namespace oriolerill::requests
--- a/src/routing/tests/routingtest.cpp
+++ b/src/routing/tests/routingtest.cpp
@@ -215,8 +215,8 @@
 {
     const domain::ServiceId service("orders");
     std::vector<domain::EndpointId> serving;
-    for (int i = 0; i < 6; ++i)
-        serving.emplace_back("e" + std::to_string(i));
+    for (const char *name : {"e0", "e1", "e2", "e3", "e4", "e5"})
+        serving.emplace_back(name);
     for (std::uint32_t slot = 0; slot < 32; ++slot) {
         const auto owner = *slotEndpoint(service, slot, serving);
         auto rest = serving;
