--- a/src/entry/internal/main.cpp
+++ b/src/entry/internal/main.cpp
@@ -1,10 +1,14 @@
+#include "admin/adminclient.h"
 #include "admin/commandline.h"
+#include "admin/configdocumentplanner.h"
 #include "admin/exitcode.h"
 #include "entry/internal/entryprocess.h"
 #include "observability/log.h"
 #include "settings/settingsloader.h"
 #include "settings/stopsignal.h"
 
+#include <chrono>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -37,11 +41,21 @@
     return ExitCode::Ok;
 }
 
+std::string environmentVariable(const char *name)
+{
+    const char *value = std::getenv(name);
+    return value == nullptr ? "" : value;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    constexpr auto CommandTimeout = std::chrono::seconds(10);
     const std::vector<std::string> arguments(argv + 1, argv + argc);
-    const admin::CommandLine commandLine(std::cout, std::cerr, serve);
+    const admin::ConfigDocumentPlanner planner;
+    admin::AdminClient client(CommandTimeout);
+    const admin::CommandLine commandLine(
+            {std::cout, std::cerr, client, planner, serve, environmentVariable});
     return static_cast<int>(commandLine.run(arguments));
 }
--- a/src/platform/tests/fakeobjectstore.h
+++ b/src/platform/tests/fakeobjectstore.h
@@ -23,8 +23,11 @@
     using Result = boost::asio::awaitable<domain::Expected<T>>;
 
     std::atomic<bool> isDown = false;
+    /// Watches fail until the objects are listed.
     std::atomic<bool> hasForgottenChanges = false;
     std::atomic<int> answersToLose = 0;
+    /// Time that a write takes; set before use.
+    domain::Duration writeTime = {};
     std::atomic<int> lists = 0;
     std::atomic<int> watches = 0;
     /// Runs between a reader's list and its writes.
@@ -57,6 +60,7 @@
         ++lists;
         if (isDown)
             co_return down();
+        hasForgottenChanges = false;
         ObjectList result = select(prefix, {}, false);
         if (afterList)
             afterList();
@@ -65,6 +69,10 @@
     Result<domain::ConfigVersion> create(
             std::string key, std::string value, domain::TimePoint /*deadline*/) override
     {
+        if (writeTime > domain::Duration()) {
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, writeTime);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
         co_return change(key, value, {}, false);
     }
     Result<domain::ConfigVersion> update(std::string key, std::string value,
@@ -84,7 +92,7 @@
         while (true) {
             if (isDown)
                 co_return down();
-            if (hasForgottenChanges.exchange(false))
+            if (hasForgottenChanges)
                 co_return domain::Error{domain::ErrorKind::NotFound, "gone", "list again"};
             ObjectList changes = select(prefix, after, true);
             if (!changes.objects.empty() || domain::TimePoint::clock::now() >= deadline)
