--- a/src/entry/tests/callerfronttest.cpp
+++ b/src/entry/tests/callerfronttest.cpp
@@ -122,7 +122,7 @@
     {
         return [this](const std::shared_ptr<RunningAttempt> &running) {
             ++m_runs;
-            return m_script(std::move(running));
+            return m_script(running);
         };
     }
 
