--- a/src/agent/internal/requestproxy.cpp
+++ b/src/agent/internal/requestproxy.cpp
@@ -193,7 +193,8 @@
 RequestProxy::RequestProxy(const asio::any_io_executor &executor, rollout::IEngineGate &gate,
         const config::IConfigView &configView, transport::HttpClient &client,
         requests::IOrderLog *orderLog, RequestProxyOptions options)
-    : m_implementation(std::make_shared<Implementation>(executor, gate, configView, client, orderLog, std::move(options)))
+    : m_implementation(std::make_shared<Implementation>(
+            executor, gate, configView, client, orderLog, std::move(options)))
 {}
 
 RequestProxy::~RequestProxy() = default;
