Set the test's VM list before the services read it

Cause: ThreadSanitizer reported the test's own write beside the reader. Change: the list is set first.

--- a/src/entry/tests/controlservicestest.cpp
+++ b/src/entry/tests/controlservicestest.cpp
@@ -219,10 +219,10 @@
 // Guards against data centres that never learn of each other, or keep a stale summary as fresh.
 TEST_F(ControlServicesFixture, members_otherDataCentreCutOff_summaryNotFresh)
 {
-    add("west-1", 1, "west-a");
-    EntryUnderTest &entry = add("entry-2", 2);
     m_store.vms = {{domain::VmId("west-1"), domain::DataCentreId("west-a"),
             domain::RegionId("west"), "entry", "127.0.0.1:1", "", false}};
+    add("west-1", 1, "west-a");
+    EntryUnderTest &entry = add("entry-2", 2);
     const auto isFresh = [&] {
         const auto snapshot = entry.members.snapshot();
         const auto found = snapshot->summaries.find(domain::DataCentreId("west-a"));
