--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -79,6 +79,13 @@
         --origin "$(origin_host):18001" --size "$SIZE" | tail -1
 }
 
+# Warms the engines and their agents' limits up.
+warm_up() {
+    start_load warmup --concurrency 24 --seconds 4 --seed $((seed + 1000))
+    wait "${pids[warmup]}"
+    unset 'pids[warmup]'
+}
+
 # Largest count of bytes among the links whose name begins with the prefix.
 max_link() {
     control "$(proxy_control)" counters | sed -n "s/^link=$1[^ ]* bytes=//p" | sort -n | tail -1
@@ -98,6 +105,7 @@
 
 burst() {
     start_fleet
+    warm_up
     start_load load --concurrency 12 --seconds 50 --seed "$seed"
     wait_listening "$(load_address)" || exit 1
     sleep 4
@@ -165,10 +173,7 @@
     start_fleet
     local load=(--concurrency 32 --seconds 30 --tries 1 --generations 1 --lookups 0 --orders 0
         --give-up-share 1 --seed "$seed") at_limit new_work line baseline
-    # Warms the engines up.
-    start_load warmup --concurrency 16 --seconds 4 --generations 1 --lookups 0 --orders 0
-    wait "${pids[warmup]}"
-    unset 'pids[warmup]'
+    warm_up
     start_load load "${load[@]}"
     wait_listening "$(load_address)" || exit 1
     sleep 3
