--- a/src/admin/internal/adminapi.cpp
+++ b/src/admin/internal/adminapi.cpp
@@ -319,7 +319,10 @@
 
 HttpResponse AdminApi::metrics() const
 {
-    return textResponse(m_context.metrics.exposition(), "text/plain; version=0.0.4");
+    const auto sums = m_context.burn.sums(std::chrono::system_clock::now());
+    const observability::BurnReport report(sums, m_options.objectives);
+    return textResponse(
+            m_context.metrics.exposition() + report.toMetrics(), "text/plain; version=0.0.4");
 }
 
 StatusReport AdminApi::statusReport(std::optional<domain::ConfigVersion> wanted) const
--- a/src/observability/burnreport.h
+++ b/src/observability/burnreport.h
@@ -79,6 +79,9 @@
 
     std::string toText() const;
     std::string toJson() const;
+    /// Burn rates and requests of the windows as gauges in the Prometheus text format. The lines of
+    /// combinations are left out, because their number grows with the product of the labels.
+    std::string toMetrics() const;
 
 private:
     void addLine(const BurnScope &scope, const WindowCounts &counts);
--- a/src/observability/internal/burnreport.cpp
+++ b/src/observability/internal/burnreport.cpp
@@ -128,6 +128,43 @@
         appendWindow(text, BurnWindows[i].name, line.counts[i], line.rates[i]);
 }
 
+bool isCombination(const BurnScope &scope)
+{
+    const int parts = (scope.account.isEmpty() ? 0 : 1) + (scope.dataCentre.isEmpty() ? 0 : 1)
+            + (scope.service.isEmpty() ? 0 : 1);
+    return parts > 1;
+}
+
+/// The names in a scope need no escape: they are names of configuration items.
+std::string labelsOf(const BurnScope &scope, std::string_view window)
+{
+    return "{account=\"" + scope.account.value() + "\",data_centre=\"" + scope.dataCentre.value()
+            + "\",service=\"" + scope.service.value() + "\",window=\"" + std::string(window) + '"';
+}
+
+void appendRates(std::ostream &text, const BurnLine &line, std::size_t window)
+{
+    const std::string labels = labelsOf(line.scope, BurnWindows[window].name);
+    text << "oriolerill_burn_rate" << labels << ",objective=\"availability\"} "
+         << line.rates[window].availability << "\noriolerill_burn_rate" << labels
+         << ",objective=\"first_byte\"} " << line.rates[window].firstByte << '\n';
+}
+
+void appendRequests(std::ostream &text, const BurnLine &line, std::size_t window)
+{
+    const std::string labels = labelsOf(line.scope, BurnWindows[window].name);
+    const BurnCounts &counts = line.counts[window];
+    const auto append = [&](const char *outcome, std::uint64_t count) {
+        text << "oriolerill_requests_in_window" << labels << ",outcome=\"" << outcome << "\"} "
+             << count << '\n';
+    };
+    append("answered", counts.answered);
+    append("late", counts.late);
+    append("refused", counts.refused);
+    append("cut", counts.cut);
+    append("unknown", counts.unknown);
+}
+
 json::object toObject(const BurnLine &line)
 {
     json::object windows;
@@ -196,6 +233,22 @@
     return text.str();
 }
 
+std::string BurnReport::toMetrics() const
+{
+    std::ostringstream text;
+    text << "# TYPE oriolerill_burn_rate gauge\n";
+    for (const BurnLine &line : m_lines) {
+        for (std::size_t i = 0; !isCombination(line.scope) && i < BurnWindows.size(); ++i)
+            appendRates(text, line, i);
+    }
+    text << "# TYPE oriolerill_requests_in_window gauge\n";
+    for (const BurnLine &line : m_lines) {
+        for (std::size_t i = 0; !isCombination(line.scope) && i < BurnWindows.size(); ++i)
+            appendRequests(text, line, i);
+    }
+    return text.str();
+}
+
 std::string BurnReport::toJson() const
 {
     json::array progress;
--- a/src/observability/tests/burntest.cpp
+++ b/src/observability/tests/burntest.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace oriolerill::observability {
 
 using namespace std::chrono_literals;
@@ -126,6 +128,25 @@
     EXPECT_NE(report.toJson().find("\"refused\":2"), std::string::npos);
 }
 
+// Guards against as many series as there are combinations of account, data centre and service.
+TEST_F(BurnFixture, toMetrics_oneKey_singleScopesOnly)
+{
+    add("shop", RequestOutcome::Answered, 3, 1min);
+    add("shop", RequestOutcome::Cut, 1, 1min);
+    const std::string text = BurnReport(m_recorder.sums(m_now), m_objectives).toMetrics();
+    // 1 of 4 failed against 1 %.
+    EXPECT_NE(text.find("oriolerill_burn_rate{account=\"shop\",data_centre=\"\",service=\"\","
+                        "window=\"5m\",objective=\"availability\"} 25\n"),
+            std::string::npos)
+            << text;
+    EXPECT_NE(text.find("oriolerill_requests_in_window{account=\"\",data_centre=\"\","
+                        "service=\"chat\",window=\"3d\",outcome=\"cut\"} 1\n"),
+            std::string::npos)
+            << text;
+    // Two types and the scopes all, account, data centre and service with 4 windows of 7 values.
+    EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 2 + 4 * 4 * 7);
+}
+
 TEST_F(BurnFixture, fromJson_otherText_refused)
 {
     for (const char *text : {"", "[]", "{}", "{\"keys\":[{}]}", "{\"keys\":[{\"account\":1}]}"})
