--- a/src/agent/internal/agentprocess.cpp
+++ b/src/agent/internal/agentprocess.cpp
@@ -174,7 +174,7 @@
 
     Expected<Done> start()
     {
-        const auto control
+        auto control
                 = m_controlServer.start([this](const protocol::ControlRequest &request,
                                                 const transport::IControlServer::Reply &reply) {
                       dispatch(request, reply);
