Free the request of a finished attempt with its answer

Cause: attempts are remembered for 2 minutes, and each kept the caller's body for that time. Conclusion: the tests of requests, agent and CallerFront pass; memory was not measured.

--- a/src/requests/internal/runningattempt.cpp
+++ b/src/requests/internal/runningattempt.cpp
@@ -145,6 +145,9 @@
 {
     const std::scoped_lock lock(m_mutex);
     m_buffer.release();
+    // Only the run reads these, and it is over.
+    m_attempt.clear_body();
+    m_attempt.clear_headers();
 }
 
 void RunningAttempt::notifyReaders()
--- a/src/requests/runningattempt.h
+++ b/src/requests/runningattempt.h
@@ -54,7 +54,7 @@
     void attach(const std::shared_ptr<StrandSignal> &reader, std::uint64_t offset);
     void detach(const std::shared_ptr<StrandSignal> &reader);
     Output next(const std::shared_ptr<StrandSignal> &reader);
-    /// Frees the buffered answer.
+    /// Frees the buffered answer and the request of a finished attempt.
     void release();
 
 private:
