Wait briefly for room instead of refusing or cutting at once

Change: a request waits up to 300 ms for room, batch requests do not; a begun answer waits up to 5 s for an endpoint that can continue it, outside the retry budget. The default and the longest deadline come from the settings.

--- a/src/entry/internal/callerfront.h
+++ b/src/entry/internal/callerfront.h
@@ -31,6 +31,10 @@
     std::uint64_t seed = 0;
     /// Attempts for one request, the first one included.
     unsigned maxAttempts = 4;
+    /// A request waits at most this long for room at an endpoint before it is refused.
+    domain::Duration maxQueueTime = std::chrono::milliseconds(300);
+    /// An answer that has begun waits at most this long for an endpoint that can continue it.
+    domain::Duration maxResumeTime = std::chrono::seconds(5);
     DeadlineLimits deadlines;
     AttemptClientOptions attempts;
     routing::RetryBudgetOptions retryBudget;
--- a/src/entry/internal/callerrequest.h
+++ b/src/entry/internal/callerrequest.h
@@ -23,12 +23,6 @@
     domain::IdempotencyKey key;
     bool isBatch = false;
     /// Time that a request may take, when it says nothing and at most.
-    struct DeadlineLimits
-    {
-        domain::Duration fallback = std::chrono::seconds(30);
-        domain::Duration max = std::chrono::minutes(5);
-    };
-
     /// xxh64 of the beginning of the prompt; none for plain services.
     std::optional<std::uint64_t> affinity;
     /// The attempt without what differs between attempts.
--- a/src/entry/internal/callerrun.cpp
+++ b/src/entry/internal/callerrun.cpp
@@ -21,6 +21,9 @@
 
 constexpr auto DefaultRetryAfter = std::chrono::seconds(1);
 constexpr auto OrderRetryPause = std::chrono::milliseconds(250);
+constexpr auto RoomCheckInterval = std::chrono::milliseconds(20);
+// A begun answer is lost when it is not continued, so it may try more often than a new request.
+constexpr unsigned MaxResumeAttempts = 20;
 
 RouteQuery queryOf(const CallerRequest &request)
 {
@@ -85,7 +88,9 @@
     facts.isFinal = result.isStated && result.error.kind == domain::ErrorKind::Conflict;
     facts.hasSentData = m_answer.hasSentData();
     facts.isResumable = m_request.isModel() && !m_answer.digest().isNone();
-    return requests::mayRetry(facts) && m_attempts < m_context.options.maxAttempts
+    const unsigned maxAttempts
+            = facts.hasSentData ? MaxResumeAttempts : m_context.options.maxAttempts;
+    return requests::mayRetry(facts) && m_attempts < maxAttempts
             && TimePoint::clock::now() < m_request.deadline;
 }
 
@@ -111,11 +116,42 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+bool CallerRun::mayWait(const domain::Error &error, TimePoint now)
+{
+    const bool hasBegun = m_answer.hasSentData();
+    const bool isForRoom = error.kind == domain::ErrorKind::Overloaded
+            || m_error.kind == domain::ErrorKind::Overloaded;
+    // Batch requests leave the room that comes free to interactive ones.
+    if (!hasBegun && (!isForRoom || m_request.isBatch))
+        return false;
+    if (!m_waitUntil) {
+        const CallerFrontOptions &options = m_context.options;
+        const TimePoint end = now + (hasBegun ? options.maxResumeTime : options.maxQueueTime);
+        m_waitUntil = std::min(end, m_request.deadline);
+    }
+    return now + RoomCheckInterval < *m_waitUntil;
+}
+
+/// Waits a short time when the endpoints are full; false when the request is to be given up.
+asio::awaitable<bool> CallerRun::waitForRoom(domain::Error error)
+{
+    if (!mayWait(error, TimePoint::clock::now()))
+        co_return false;
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, RoomCheckInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    m_query.excluded.clear();
+    co_return true;
+}
+
 asio::awaitable<RequestOutcome> CallerRun::execute()
 {
     for (;;) {
         const Expected<Route> route = chooseRoute();
         if (!route) {
+            domain::Error error = route.error();
+            if (co_await waitForRoom(std::move(error)))
+                continue;
             if (m_outcome == protocol::OUTCOME_UNSPECIFIED) {
                 m_outcome = protocol::OUTCOME_NOT_RUN;
                 m_error = route.error();
@@ -132,7 +168,8 @@
             const Expected<domain::Done> finished = co_await m_answer.finish();
             co_return finished ? RequestOutcome::Answered : RequestOutcome::Cut;
         }
-        if (!mayRetry(result) || !m_context.tryRetry())
+        const bool isResume = m_answer.hasSentData();
+        if (!mayRetry(result) || (!isResume && !m_context.tryRetry()))
             co_return co_await giveUp();
         prepareRetry(*route, result);
         co_await pauseBeforeRetry(result);
--- a/src/entry/internal/callerrun.h
+++ b/src/entry/internal/callerrun.h
@@ -8,6 +8,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <optional>
+
 namespace oriolerill::entry {
 
 /// Carries one admitted request through its attempts to a final answer.
@@ -25,6 +27,8 @@
     bool mayRetry(const AttemptResult &result) const;
     void prepareRetry(const Route &route, const AttemptResult &result);
     boost::asio::awaitable<void> pauseBeforeRetry(const AttemptResult &result) const;
+    bool mayWait(const domain::Error &error, domain::TimePoint now);
+    boost::asio::awaitable<bool> waitForRoom(domain::Error error);
     boost::asio::awaitable<observability::RequestOutcome> giveUp();
 
     CallerContext &m_context;
@@ -32,6 +36,8 @@
     CallerAnswer &m_answer;
     RouteQuery m_query;
     unsigned m_attempts = 0;
+    /// Until when the request may wait for room; set when it first finds none.
+    std::optional<domain::TimePoint> m_waitUntil;
     protocol::Outcome m_outcome = protocol::OUTCOME_UNSPECIFIED;
     domain::Error m_error;
     domain::Duration m_retryAfter = {};
--- a/src/entry/internal/entryprocess.cpp
+++ b/src/entry/internal/entryprocess.cpp
@@ -127,6 +127,8 @@
     options.seed = incarnation.count();
     constexpr double Percent = 100;
     options.retryBudget.perRequest = settings.retryPercent / Percent;
+    options.deadlines.fallback = settings.defaultDeadline;
+    options.deadlines.max = settings.maxDeadline;
     return options;
 }
 
--- a/src/entry/tests/callerfronttest.cpp
+++ b/src/entry/tests/callerfronttest.cpp
@@ -560,6 +560,41 @@
     EXPECT_GE(resumed, 1);
 }
 
+// Guards against a stream that is cut because the only other endpoint has no room at that moment.
+TEST_F(CallerFrontFixture, handleCaller_modelStreamBreaksOtherFull_resumedWhenRoomComes)
+{
+    const domain::Digest weights = domain::Digest::of("w1");
+    std::atomic<int> refusals = 0;
+    for (int i = 0; i < 2; ++i) {
+        addAgent(
+                "drafts",
+                [&refusals, weights](const std::shared_ptr<RunningAttempt> &running) {
+                    const bool isFirst = running->attempt().attempt() == 1;
+                    if (!isFirst && ++refusals < 8)
+                        return refuseOverloaded(running);
+                    return streamBroken(running, weights, true);
+                },
+                weights);
+    }
+    start();
+    const auto response = call("drafts/v1/generate", "POST");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->body, "one two three");
+}
+
+// Guards against a refusal when room comes within a few milliseconds.
+TEST_F(CallerFrontFixture, handleCaller_fullForAMoment_answered)
+{
+    std::atomic<int> runs = 0;
+    addAgent("stock", [&runs](const std::shared_ptr<RunningAttempt> &running) {
+        return ++runs < 3 ? refuseOverloaded(running) : answerWith(running, "nine");
+    });
+    start();
+    const auto response = call("stock/stock/9");
+    EXPECT_EQ(outcome(*response), "answered");
+    EXPECT_EQ(response->body, "nine");
+}
+
 // Guards against a broken stream that looks whole when no endpoint has the same weights.
 TEST_F(CallerFrontFixture, handleCaller_modelStreamBreaksWithoutOther_connectionAborted)
 {
