--- a/src/distribution/internal/swarmplanner.cpp
+++ b/src/distribution/internal/swarmplanner.cpp
@@ -24,6 +24,9 @@
 
 constexpr int MissedReports = 5;
 constexpr domain::Duration ReportGrace = 1s;
+// Finished agents report often to a new tracker, so that its successor soon knows them too when
+// trackers change in quick succession.
+constexpr domain::Duration YoungTime = 5s;
 
 std::uint32_t milliseconds(domain::Duration duration)
 {
@@ -41,6 +44,7 @@
         , m_sources(m_options.minimumSlots)
         , m_links(m_options.minimumSlots)
         , m_grants(startedAt, m_options.grantLease)
+        , m_youngUntil(startedAt + YoungTime)
     {}
 
     void configure(const Digest &manifest, std::uint32_t priority,
@@ -74,7 +78,8 @@
         entry.swarm->plan(member, slots, now, plan);
         const bool isComplete = entry.swarm->isComplete(member);
         answerGrant(report, id, *manifest, now, plan);
-        const bool isIdle = isComplete && !report.wants_switch_grant() && !report.switching();
+        const bool isIdle = now >= m_youngUntil && isComplete && !report.wants_switch_grant()
+                && !report.switching();
         const domain::Duration interval
                 = isIdle ? m_options.idleReportInterval : m_options.activeReportInterval;
         plan.set_next_report_ms(milliseconds(interval));
@@ -270,6 +275,7 @@
     SourceTable m_sources;
     SourceTable m_links;
     internal::SwitchGrantTable m_grants;
+    TimePoint m_youngUntil;
     std::size_t m_maxUnavailable = 1;
     std::unordered_map<Digest, Version> m_versions;
     std::unordered_map<EndpointId, std::unique_ptr<Agent>> m_agents;
--- a/src/distribution/internal/versionswarmroutes.cpp
+++ b/src/distribution/internal/versionswarmroutes.cpp
@@ -97,7 +97,9 @@
     for (RemoteSite &remote : m_remotes) {
         if (remote.nextQuery > now)
             continue;
-        remote.nextQuery = now + m_options.queryInterval;
+        remote.nextQuery = now
+                + std::max(m_options.queryInterval,
+                        m_options.queryIntervalPerChunk * static_cast<int>(m_chunkCount));
         due.push_back(remote.site().dataCentre);
     }
     return due;
--- a/src/distribution/swarmoptions.h
+++ b/src/distribution/swarmoptions.h
@@ -19,8 +19,10 @@
     domain::Duration grantLease = std::chrono::seconds(10);
     domain::Duration activeReportInterval = std::chrono::milliseconds(200);
     domain::Duration idleReportInterval = std::chrono::seconds(2);
-    /// Time between questions to another data centre about a version.
-    domain::Duration queryInterval = std::chrono::milliseconds(400);
+    /// Least time between questions to another data centre about a version, and what each chunk
+    /// adds to it: an answer grows with the chunks.
+    domain::Duration queryInterval = std::chrono::milliseconds(100);
+    domain::Duration queryIntervalPerChunk = std::chrono::microseconds(40);
     /// Parallel fetches that an agent, a source or a link between sites is always allowed.
     std::size_t minimumSlots = 4;
 };
--- a/src/entry/internal/trackerservice.cpp
+++ b/src/entry/internal/trackerservice.cpp
@@ -43,7 +43,7 @@
 
 namespace {
 
-constexpr domain::Duration QueryTick = 100ms;
+constexpr domain::Duration QueryTick = 50ms;
 // Sites and priorities are compared this often rather than with each report.
 constexpr domain::Duration ConfigureInterval = 500ms;
 constexpr domain::Duration IdleLifetime = 10min;
