--- a/src/agent/internal/agentprocess.cpp
+++ b/src/agent/internal/agentprocess.cpp
@@ -61,6 +61,9 @@
         const settings::AgentSettings &settings, domain::Incarnation incarnation)
 {
     platform::ObjectStoreOptions options;
+    // Order records make most of an agent's calls. The rate gives way when the store refuses calls.
+    constexpr double OrderCallsPerSecond = 100;
+    options.callsPerSecond = OrderCallsPerSecond;
     options.addresses = {settings.platformAddress};
     options.answerTimeout = settings.platformTimeout;
     options.seed = incarnation.count();
@@ -171,7 +174,7 @@
 
     Expected<Done> start()
     {
-        const auto control
+        auto control
                 = m_controlServer.start([this](const protocol::ControlRequest &request,
                                                 const transport::IControlServer::Reply &reply) {
                       dispatch(request, reply);
--- a/src/requests/runningattempt.h
+++ b/src/requests/runningattempt.h
@@ -54,7 +54,7 @@
     void attach(const std::shared_ptr<StrandSignal> &reader, std::uint64_t offset);
     void detach(const std::shared_ptr<StrandSignal> &reader);
     Output next(const std::shared_ptr<StrandSignal> &reader);
-    /// Frees the buffered answer.
+    /// Frees the buffered answer and the request of a finished attempt.
     void release();
 
 private:
@@ -68,6 +68,8 @@
     std::map<std::shared_ptr<StrandSignal>, AnswerBuffer::Cursor> m_readers;
     std::shared_ptr<StrandSignal> m_producer;
     domain::TimePoint m_detachedAt;
+    /// How far the reader had come that left last.
+    std::uint64_t m_detachedOffset = 0;
 };
 
 } // namespace oriolerill::requests
