--- a/standins/loadmain.cpp
+++ b/standins/loadmain.cpp
@@ -39,6 +39,7 @@
     description.add_options()("seconds", po::value<double>()->default_value(10), "time of the run");
     description.add_options()(
             "deadline-ms", po::value<unsigned>()->default_value(10000), "time for each request");
+    description.add_options()("tries", po::value(&options.maxTries), "tries of a request");
     description.add_options()("generations", po::value(&options.generations), "share in the mix");
     description.add_options()("lookups", po::value(&options.lookups), "share in the mix");
     description.add_options()("orders", po::value(&options.orders), "share in the mix");
