Keep answers whole while their endpoint drains for a switch

Cause: closing the admission gate changed its epoch, so every stream that was running when an endpoint began to drain was taken for one on mixed weights and resumed elsewhere. Change: the epoch changes with the load order, with an unplanned close and with other weights, not with draining. Conclusion: a planned switch waits for its attempts and breaks none.

--- a/src/rollout/engineswitch.h
+++ b/src/rollout/engineswitch.h
@@ -172,10 +172,16 @@
     void endGrant(std::vector<SwitchAction> &actions);
     bool hasFence() const { return m_fence && *m_fence > m_highestFence; }
     void open(const domain::Digest &digest);
+    /// Closes the gate; attempts that are inside keep their epoch.
+    void closeForSwitch();
+    /// Closes the gate because the weights may change or have changed.
     void close();
+    void endEpoch();
 
     EngineSwitchOptions m_options;
     GateState m_gate;
+    /// Weights of the current epoch; none when no attempt can belong to it.
+    domain::Digest m_epochDigest;
     SwitchPhase m_phase = SwitchPhase::Starting;
     bool m_hasServed = false;
     std::optional<domain::TimePoint> m_steppedAt;
--- a/src/rollout/internal/engineswitch.cpp
+++ b/src/rollout/internal/engineswitch.cpp
@@ -158,7 +158,7 @@
         actions.emplace_back(TakeFence{});
         return;
     }
-    close();
+    closeForSwitch();
     m_phase = SwitchPhase::Draining;
     if (isDrained(input, reading, now))
         order(*input.desired, now, actions);
@@ -187,6 +187,7 @@
         actions.emplace_back(TakeFence{});
         return;
     }
+    endEpoch();
     m_order = Order{desired.manifest, *m_fence, now, false};
     m_highestFence = *m_fence;
     m_fence.reset();
@@ -245,21 +246,33 @@
 {
     m_phase = SwitchPhase::Serving;
     m_hasServed = true;
-    if (m_gate.isOpen && m_gate.activeDigest == digest)
-        return;
-    if (m_gate.isOpen)
-        ++m_gate.epoch;
+    if (m_epochDigest != digest)
+        endEpoch();
+    m_epochDigest = digest;
     m_gate.isOpen = true;
     m_gate.activeDigest = digest;
 }
 
-void EngineSwitch::close()
+void EngineSwitch::closeForSwitch()
 {
     if (!m_gate.isOpen)
         return;
     m_emptySince.reset();
     m_gate.isOpen = false;
     m_gate.activeDigest = Digest();
+}
+
+void EngineSwitch::close()
+{
+    closeForSwitch();
+    endEpoch();
+}
+
+void EngineSwitch::endEpoch()
+{
+    if (m_epochDigest.isNone())
+        return;
+    m_epochDigest = Digest();
     ++m_gate.epoch;
 }
 
--- a/src/rollout/tests/engineswitchtest.cpp
+++ b/src/rollout/tests/engineswitchtest.cpp
@@ -230,6 +230,36 @@
     EXPECT_TRUE(isServing(newWeights));
 }
 
+// Guards against answers that are broken off because their endpoint drains for a switch: the
+// weights stay the same until the last attempt has left.
+TEST_F(EngineSwitchFixture, switch_attemptInProgress_epochKeptUntilOrder)
+{
+    const std::uint64_t epoch = machine.gate().epoch;
+    input.desired->manifest = newWeights;
+    input.entered = 1;
+    run(2s);
+    EXPECT_EQ(machine.phase(), SwitchPhase::Draining);
+    EXPECT_FALSE(machine.gate().isOpen);
+    EXPECT_EQ(machine.gate().epoch, epoch);
+    input.entered = 0;
+    run(3s);
+    EXPECT_TRUE(isServing(newWeights));
+    EXPECT_GT(machine.gate().epoch, epoch);
+}
+
+// Guards against an answer from mixed weights when the engine restarts while it is drained.
+TEST_F(EngineSwitchFixture, draining_engineRestarts_epochChanges)
+{
+    const std::uint64_t epoch = machine.gate().epoch;
+    input.desired->manifest = newWeights;
+    input.entered = 1;
+    run(2s);
+    ASSERT_EQ(machine.phase(), SwitchPhase::Draining);
+    engine.restart();
+    tick();
+    EXPECT_GT(machine.gate().epoch, epoch);
+}
+
 // Guards against requests to an engine that has lost its weights.
 TEST_F(EngineSwitchFixture, serving_engineLosesWeights_closesAndLoads)
 {
