Count contention per service and wait briefly for a share

Cause: admission compared the requests in flight of all services with the capacity of one. Callers obey Retry-After, so the p99 was one second. Change: in-flight requests are counted per service; a request above its share waits up to 300 ms, batch requests do not. Orders may try 12 times, because a slot changes its owner within about 2 s. Refused and cut requests are logged. Conclusion: orders still take seconds at p99 after a data centre returns.

--- a/src/entry/internal/callerfront.cpp
+++ b/src/entry/internal/callerfront.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace oriolerill::entry {
@@ -33,7 +34,7 @@
     {
         if (!m_account.isEmpty()) {
             const std::scoped_lock lock(m_context.admissionMutex);
-            m_context.admission.leave(m_account);
+            m_context.admission.leave(m_account, m_service);
         }
         --m_context.active;
     }
@@ -45,10 +46,11 @@
         const auto membership = m_context.membershipView.snapshot();
         const std::uint32_t capacity = m_context.router.capacity(request.service.id, *membership);
         const std::scoped_lock lock(m_context.admissionMutex);
-        auto refusal = m_context.admission.enter(
-                request.account, request.isBatch, capacity, TimePoint::clock::now());
+        auto refusal = m_context.admission.enter(request.account, request.service.id,
+                request.isBatch, capacity, TimePoint::clock::now());
         if (!refusal) {
             m_account = request.account.id;
+            m_service = request.service.id;
             m_context.retryBudget.onRequest();
         }
         return refusal;
@@ -57,8 +59,27 @@
 private:
     CallerContext &m_context;
     domain::AccountId m_account;
+    domain::ServiceId m_service;
 };
 
+/// Admits a request; one that finds its share of the capacity in use waits a short time for it.
+asio::awaitable<std::optional<routing::AdmissionRefusal>> admitInTime(
+        ActiveRequest &active, const CallerRequest &request, TimePoint latest)
+{
+    constexpr auto CheckInterval = std::chrono::milliseconds(20);
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor);
+    for (;;) {
+        std::optional<routing::AdmissionRefusal> refusal = active.admit(request);
+        const bool mayWait = refusal && refusal->error.kind == domain::ErrorKind::Overloaded
+                && !request.isBatch && TimePoint::clock::now() + CheckInterval < latest;
+        if (!mayWait)
+            co_return refusal;
+        timer.expires_after(CheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 } // namespace
 
 class CallerFront::Implementation : public CallerContext
@@ -88,7 +109,9 @@
         co_return;
     }
     CallerAnswer answer(exchange, id, request->isModel());
-    const std::optional<routing::AdmissionRefusal> refusal = active.admit(*request);
+    const TimePoint latest = std::min(startedAt + options.maxQueueTime, request->deadline);
+    const std::optional<routing::AdmissionRefusal> refusal
+            = co_await admitInTime(active, *request, latest);
     if (refusal) {
         co_await answer.refuse(protocol::OUTCOME_NOT_RUN, refusal->error, refusal->retryAfter);
         record(*request, answer, startedAt, RequestOutcome::NotRun);
--- a/src/entry/internal/callerrun.cpp
+++ b/src/entry/internal/callerrun.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/callerrun.h"
 
+#include "observability/log.h"
 #include "requests/retryrule.h"
 #include "routing/slotowner.h"
 
@@ -24,6 +25,8 @@
 constexpr auto RoomCheckInterval = std::chrono::milliseconds(20);
 // A begun answer is lost when it is not continued, so it may try more often than a new request.
 constexpr unsigned MaxResumeAttempts = 20;
+// A slot of the order ledger changes its owner within about 2 s.
+constexpr unsigned MaxOrderAttempts = 12;
 
 RouteQuery queryOf(const CallerRequest &request)
 {
@@ -88,12 +91,17 @@
     facts.isFinal = result.isStated && result.error.kind == domain::ErrorKind::Conflict;
     facts.hasSentData = m_answer.hasSentData();
     facts.isResumable = m_request.isModel() && !m_answer.digest().isNone();
-    const unsigned maxAttempts
-            = facts.hasSentData ? MaxResumeAttempts : m_context.options.maxAttempts;
-    return requests::mayRetry(facts) && m_attempts < maxAttempts
+    return requests::mayRetry(facts) && m_attempts < maxAttempts()
             && TimePoint::clock::now() < m_request.deadline;
 }
 
+unsigned CallerRun::maxAttempts() const
+{
+    if (m_answer.hasSentData())
+        return MaxResumeAttempts;
+    return m_request.isOrder() ? MaxOrderAttempts : m_context.options.maxAttempts;
+}
+
 void CallerRun::prepareRetry(const Route &route, const AttemptResult &result)
 {
     m_answer.restart();
@@ -179,10 +187,20 @@
 asio::awaitable<RequestOutcome> CallerRun::giveUp()
 {
     if (m_answer.hasSentData()) {
+        observability::logEvent(observability::Severity::Warning, "answer_cut",
+                {{"request", m_request.attempt.request_id()},
+                        {"service", m_request.service.id.value()},
+                        {"sent_bytes", m_answer.sentBytes()}, {"attempts", m_attempts},
+                        {"error", m_error.message}});
         m_answer.abort();
         co_return RequestOutcome::Cut;
     }
     const bool isNotRun = m_outcome == protocol::OUTCOME_NOT_RUN;
+    observability::logEvent(observability::Severity::Debug, "request_refused",
+            {{"request", m_request.attempt.request_id()}, {"service", m_request.service.id.value()},
+                    {"account", m_request.account.id.value()},
+                    {"outcome", isNotRun ? "not_run" : "unknown"}, {"attempts", m_attempts},
+                    {"error", m_error.message}});
     if (isNotRun)
         m_retryAfter = std::max<domain::Duration>(m_retryAfter, DefaultRetryAfter);
     const bool mayRepeat = isNotRun || m_request.isIdempotent || m_request.isOrder();
--- a/src/entry/internal/callerrun.h
+++ b/src/entry/internal/callerrun.h
@@ -25,6 +25,7 @@
     protocol::Attempt nextAttempt(const Route &route);
     boost::asio::awaitable<AttemptResult> attemptAt(Route route);
     bool mayRetry(const AttemptResult &result) const;
+    unsigned maxAttempts() const;
     void prepareRetry(const Route &route, const AttemptResult &result);
     boost::asio::awaitable<void> pauseBeforeRetry(const AttemptResult &result) const;
     bool mayWait(const domain::Error &error, domain::TimePoint now);
--- a/src/routing/accountadmission.h
+++ b/src/routing/accountadmission.h
@@ -23,20 +23,19 @@
     double contention = 0.5;
 };
 
-/// Admits requests by account: each has a limit on concurrency and rate, and under contention a
-/// share of the capacity by weight. Not safe for concurrent use.
+/// Admits requests by account: each has a limit on concurrency and rate over all services, and a
+/// share by weight of each service's capacity under contention. Not safe for concurrent use.
 class AccountAdmission
 {
 public:
     explicit AccountAdmission(AccountAdmissionOptions options);
 
     /// Admits the request, which has to leave() later, or says why not. Capacity is the concurrency
-    /// that this process may use, in requests.
-    std::optional<AdmissionRefusal> enter(const config::Account &account, bool isBatch,
-            std::uint32_t capacity, domain::TimePoint now);
-    void leave(const domain::AccountId &account);
-
-    std::uint32_t inFlight() const { return m_inFlight; }
+    /// of the service that this process may use, in requests.
+    std::optional<AdmissionRefusal> enter(const config::Account &account,
+            const domain::ServiceId &service, bool isBatch, std::uint32_t capacity,
+            domain::TimePoint now);
+    void leave(const domain::AccountId &account, const domain::ServiceId &service);
 
 private:
     struct Usage
@@ -46,13 +45,20 @@
         double tokens = 0;
         domain::TimePoint refilledAt;
     };
+    /// Requests in flight at one service.
+    struct ServiceLoad
+    {
+        std::uint32_t inFlight = 0;
+        std::map<domain::AccountId, std::uint32_t> accounts;
+    };
 
     Usage &usageOf(const config::Account &account, domain::TimePoint now);
-    double shareOf(const Usage &usage, std::uint32_t capacity) const;
+    double shareOf(const domain::AccountId &account, const ServiceLoad &load,
+            std::uint32_t capacity) const;
 
     AccountAdmissionOptions m_options;
     std::map<domain::AccountId, Usage> m_usages;
-    std::uint32_t m_inFlight = 0;
+    std::map<domain::ServiceId, ServiceLoad> m_services;
 };
 
 } // namespace oriolerill::routing
--- a/src/routing/internal/accountadmission.cpp
+++ b/src/routing/internal/accountadmission.cpp
@@ -46,21 +46,24 @@
     return usage;
 }
 
-double AccountAdmission::shareOf(const Usage &usage, std::uint32_t capacity) const
+double AccountAdmission::shareOf(
+        const domain::AccountId &account, const ServiceLoad &load, std::uint32_t capacity) const
 {
+    const double own = m_usages.at(account).weight;
+    double weights = own;
+    for (const auto &[id, inFlight] : load.accounts) {
+        if (id != account)
+            weights += m_usages.at(id).weight;
+    }
     // Without another active account there is nobody to be fair to; the endpoints' own limits hold.
-    if (m_inFlight == usage.inFlight)
+    if (weights == own)
         return std::numeric_limits<double>::infinity();
-    double weights = 0;
-    for (const auto &[id, other] : m_usages) {
-        if (other.inFlight > 0 || &other == &usage)
-            weights += other.weight;
-    }
-    return std::max(1.0, capacity * usage.weight / weights);
+    return std::max(1.0, capacity * own / weights);
 }
 
-std::optional<AdmissionRefusal> AccountAdmission::enter(
-        const config::Account &account, bool isBatch, std::uint32_t capacity, domain::TimePoint now)
+std::optional<AdmissionRefusal> AccountAdmission::enter(const config::Account &account,
+        const domain::ServiceId &service, bool isBatch, std::uint32_t capacity,
+        domain::TimePoint now)
 {
     Usage &usage = usageOf(account, now);
     if (usage.inFlight >= account.maxConcurrency) {
@@ -69,24 +72,34 @@
     }
     if (usage.tokens < 1)
         return rateLimited("the account has reached its request rate", "send requests more slowly");
-    const bool isContended = m_inFlight + 1 > capacity * m_options.contention;
-    if (isContended && isBatch && m_inFlight > 0)
+    ServiceLoad &load = m_services[service];
+    const bool isContended = load.inFlight + 1 > capacity * m_options.contention;
+    if (isContended && isBatch && load.inFlight > 0)
         return overloaded("batch requests wait while interactive ones need the capacity");
-    if (isContended && usage.inFlight >= shareOf(usage, capacity))
+    const auto own = load.accounts.find(account.id);
+    const std::uint32_t used = own == load.accounts.end() ? 0 : own->second;
+    if (isContended && used >= shareOf(account.id, load, capacity))
         return overloaded("the account has used its share of the capacity");
     usage.tokens -= 1;
     ++usage.inFlight;
-    ++m_inFlight;
+    ++load.inFlight;
+    ++load.accounts[account.id];
     return std::nullopt;
 }
 
-void AccountAdmission::leave(const domain::AccountId &account)
+void AccountAdmission::leave(const domain::AccountId &account, const domain::ServiceId &service)
 {
     const auto usage = m_usages.find(account);
-    if (usage == m_usages.end() || usage->second.inFlight == 0)
+    const auto load = m_services.find(service);
+    if (usage == m_usages.end() || load == m_services.end())
+        return;
+    const auto used = load->second.accounts.find(account);
+    if (used == load->second.accounts.end())
         return;
     --usage->second.inFlight;
-    --m_inFlight;
+    --load->second.inFlight;
+    if (--used->second == 0)
+        load->second.accounts.erase(used);
 }
 
 } // namespace oriolerill::routing
--- a/src/routing/tests/routingtest.cpp
+++ b/src/routing/tests/routingtest.cpp
@@ -51,6 +51,7 @@
     TimePoint m_now{1h};
     EndpointChooser m_chooser{EndpointChooserOptions()};
     AccountAdmission m_admission{AccountAdmissionOptions()};
+    const domain::ServiceId m_service{"drafts"};
 };
 
 // Guards against prompts that lose their cached prefix although their endpoint has room.
@@ -127,28 +128,38 @@
     EXPECT_EQ(share(10s), 1.0);
 }
 
+// Guards against long requests of one service that use up the shares of another.
+TEST_F(RoutingFixture, admission_otherServiceBusy_shareUnaffected)
+{
+    constexpr std::uint32_t Capacity = 3;
+    for (int i = 0; i < 20; ++i)
+        m_admission.enter(
+                account("chat" + std::to_string(i)), domain::ServiceId("chat"), false, 40, m_now);
+    EXPECT_FALSE(m_admission.enter(account("chat0"), m_service, false, Capacity, m_now));
+}
+
 // Guards against one greedy account that starves the others.
 TEST_F(RoutingFixture, enter_greedyAccountUnderContention_othersAdmitted)
 {
     constexpr std::uint32_t Capacity = 20;
-    ASSERT_FALSE(m_admission.enter(account("small"), false, Capacity, m_now));
+    ASSERT_FALSE(m_admission.enter(account("small"), m_service, false, Capacity, m_now));
     int greedy = 0;
     for (int i = 0; i < 60; ++i)
-        greedy += m_admission.enter(account("greedy"), false, Capacity, m_now) ? 0 : 1;
+        greedy += m_admission.enter(account("greedy"), m_service, false, Capacity, m_now) ? 0 : 1;
     EXPECT_LE(greedy, 10);
     for (int i = 0; i < 9; ++i)
-        EXPECT_FALSE(m_admission.enter(account("small"), false, Capacity, m_now));
+        EXPECT_FALSE(m_admission.enter(account("small"), m_service, false, Capacity, m_now));
 }
 
 // Guards against batch work that delays interactive requests.
 TEST_F(RoutingFixture, enter_batchUnderContention_refusedWithRetryAfter)
 {
     for (int i = 0; i < 6; ++i)
-        m_admission.enter(account("a"), false, 10, m_now);
-    const auto batch = m_admission.enter(account("a"), true, 10, m_now);
+        m_admission.enter(account("a"), m_service, false, 10, m_now);
+    const auto batch = m_admission.enter(account("a"), m_service, true, 10, m_now);
     ASSERT_TRUE(batch);
     EXPECT_GT(batch->retryAfter, 0s);
-    EXPECT_FALSE(m_admission.enter(account("a"), false, 10, m_now));
+    EXPECT_FALSE(m_admission.enter(account("a"), m_service, false, 10, m_now));
 }
 
 TEST_F(RoutingFixture, enter_aboveRate_refusedUntilRefilled)
@@ -157,9 +168,9 @@
     limited.requestsPerSecond = 5;
     limited.maxConcurrency = 100;
     for (int i = 0; i < 5; ++i)
-        EXPECT_FALSE(m_admission.enter(limited, false, 100, m_now));
-    EXPECT_TRUE(m_admission.enter(limited, false, 100, m_now));
-    EXPECT_FALSE(m_admission.enter(limited, false, 100, m_now + 300ms));
+        EXPECT_FALSE(m_admission.enter(limited, m_service, false, 100, m_now));
+    EXPECT_TRUE(m_admission.enter(limited, m_service, false, 100, m_now));
+    EXPECT_FALSE(m_admission.enter(limited, m_service, false, 100, m_now + 300ms));
 }
 
 // Guards against retries that multiply an overload.
