Take the log level of script runs from the environment

Cause: a run with debug logs needed a change of the script. Change: LOG_LEVEL is a default in scripts/lib.sh.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -22,7 +22,7 @@
 SERVICE_OPTIONS=(--capacity 64 --service-us 2000)
 ADMIN_TOKEN=bootstrap-token
 ACCOUNTS=10
-LOG_LEVEL=info
+LOG_LEVEL=${LOG_LEVEL:-info}
 
 run_dir=
 declare -A pids=()
