Give the tracker the region of the weight store and bulk reads a small buffer

Cause: without the region of the weight store the planner spread relays over all links alike, so a link out of the store's region carried 0.72 copies instead of a half. Peers filled the receive buffer at full speed, so paced reads had no effect. Change: setting [origin] region of the entry; the agent fetches weights with an HTTP client of its own with a receive buffer of 256 KiB.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -36,7 +36,7 @@
 all_regions=(montevideo litoral este norte sur)
 DCS=("${all_dcs[@]:0:dcs}")
 REGIONS=("${all_regions[@]:0:dcs}")
-SIZE=12582912
+SIZE=${SIZE:-12582912}
 if [ "$ENGINES" -gt 30 ]; then
     # All links share one proxy process, so many endpoints get slower links and less to load.
     SIZE=4194304
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -303,6 +303,8 @@
 control = $vm:18082
 [network]
 source_host = $vm
+[origin]
+region = ${REGIONS[0]}
 [platform]
 address = $(platform_host):18000
 [seeds]
--- a/src/agent/internal/agentprocess.cpp
+++ b/src/agent/internal/agentprocess.cpp
@@ -57,6 +57,16 @@
     return options;
 }
 
+transport::HttpClientOptions bulkClientOptions(const settings::AgentSettings &settings)
+{
+    // A peer fills the receive buffer at full speed, so a large one takes in a whole chunk and paced
+    // reads have no effect.
+    constexpr domain::Bytes ReceiveBuffer(256U << 10U);
+    transport::HttpClientOptions options = clientOptions(settings);
+    options.receiveBuffer = ReceiveBuffer;
+    return options;
+}
+
 platform::ObjectStoreOptions storeOptions(
         const settings::AgentSettings &settings, domain::Incarnation incarnation)
 {
@@ -149,13 +159,14 @@
         : m_settings(std::move(settings))
         , m_pool(m_settings.workers)
         , m_client(m_pool.get_executor(), clientOptions(m_settings))
+        , m_bulkClient(m_pool.get_executor(), bulkClientOptions(m_settings))
         , m_control(m_pool.get_executor(), m_settings.sourceHost)
         , m_store(m_client, storeOptions(m_settings, m_incarnation))
         , m_orderLog(m_pool.get_executor(), m_store)
         , m_heartbeats(
                   m_pool.get_executor(), m_control, [this] { return status(); },
                   heartbeatOptions(m_settings, m_incarnation))
-        , m_weights(m_pool.get_executor(), m_control, m_client, m_metrics,
+        , m_weights(m_pool.get_executor(), m_control, m_bulkClient, m_metrics,
                   weightsOptions(m_settings, m_incarnation))
         , m_engine(m_pool.get_executor(), m_client, m_store, m_heartbeats, m_weights, m_weights,
                   engineOptions(m_settings, m_incarnation))
@@ -262,6 +273,7 @@
     asio::thread_pool m_pool;
     observability::Metrics m_metrics;
     transport::HttpClient m_client;
+    transport::HttpClient m_bulkClient;
     transport::NngControlClient m_control;
     platform::ObjectStoreClient m_store;
     platform::PlatformOrderLog m_orderLog;
--- a/src/entry/internal/entryprocess.cpp
+++ b/src/entry/internal/entryprocess.cpp
@@ -113,6 +113,7 @@
     options.entry = settings.id;
     options.dataCentre = settings.dataCentre;
     options.region = settings.region;
+    options.originRegion = settings.originRegion;
     options.incarnation = incarnation;
     return options;
 }
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -31,6 +31,8 @@
     domain::SocketAddress advertiseControl;
     std::string sourceHost;
 
+    /// Empty when unknown.
+    domain::RegionId originRegion;
     domain::SocketAddress platformAddress;
     domain::Duration platformTimeout = std::chrono::milliseconds(1000);
     std::vector<domain::SocketAddress> seedEntries;
--- a/src/settings/internal/settingskeys.cpp
+++ b/src/settings/internal/settingskeys.cpp
@@ -87,6 +87,8 @@
     keys.identifier({"entry", "region", Required}, settings.region, "region of the data centre");
     keys.whole({"entry", "workers"}, settings.workers, WorkerRange, "threads", "worker threads");
     addEntryAddresses(keys, settings);
+    keys.identifier({"origin", "region"}, settings.originRegion,
+            "region of the weight store; a push then spreads its copies evenly over the links");
     addPlatform(keys, settings.platformAddress, settings.platformTimeout);
     addSeeds(keys, settings.seedEntries);
     keys.duration({"requests", "default_deadline_ms"}, settings.defaultDeadline, DeadlineRange,
