Remove the second implementation of applying documents

Cause: platform::applyDocument and admin::DocumentApplier both wrote documents; only the latter is used, because it knows rights, dry runs, audit records and results of single items. Change: the former is gone with its two tests; apply_racedWrite_conflictAndRestNotTried, apply_oldVersion_conflictWithCurrentVersion and apply_twice_secondKeepsEverything of the administration API check the same behaviour on the one that is left. Conclusion: one way to write a document.

--- a/src/platform/tests/platformwritestest.cpp
+++ b/src/platform/tests/platformwritestest.cpp
@@ -1,10 +1,7 @@
-#include "platform/documentapplier.h"
 #include "platform/platformorderlog.h"
 #include "platform/tests/fakeobjectstore.h"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/thread_pool.hpp>
-#include <boost/asio/use_future.hpp>
 
 #include <gtest/gtest.h>
 
@@ -13,7 +10,6 @@
 namespace oriolerill::platform {
 
 namespace asio = boost::asio;
-using namespace std::chrono_literals;
 using domain::ErrorKind;
 
 class PlatformWritesFixture : public testing::Test
@@ -33,14 +29,6 @@
         m_log.append(m_slot, number, batch, [&](auto result) { promise.set_value(result); });
         return promise.get_future().get();
     }
-    domain::Expected<ApplicationReport> apply(const std::string &document)
-    {
-        return asio::co_spawn(m_pool,
-                applyDocument(m_store, config::parseDocument(document).document,
-                        domain::TimePoint::clock::now() + 2s),
-                asio::use_future)
-                .get();
-    }
 
     asio::thread_pool m_pool{2};
     FakeObjectStore m_store;
@@ -63,28 +51,4 @@
     EXPECT_EQ(numbers.get_future().get(), (std::vector<std::uint64_t>{1, 12}));
 }
 
-constexpr auto Document
-        = R"({"items":[{"kind":"withdrawal","name":"west-a","spec":{"reason":"power"}}]})";
-
-// Guards against two operators of whom the second overwrites the first unseen.
-TEST_F(PlatformWritesFixture, apply_operatorsRace_conflictWithVersionToRead)
-{
-    m_store.put("config/withdrawal/west-a", R"({"reason":"cable"})");
-    m_store.afterList
-            = [this] { m_store.put("config/withdrawal/west-a", R"({"reason":"flood"})"); };
-    const auto report = apply(Document);
-    ASSERT_TRUE(report);
-    EXPECT_TRUE(report->applied.empty());
-    ASSERT_EQ(report->conflicts.size(), 1U);
-    EXPECT_EQ(report->conflicts[0].current, (domain::ConfigVersion{1, 2}));
-}
-
-TEST_F(PlatformWritesFixture, apply_twice_secondSkips)
-{
-    ASSERT_TRUE(apply(Document));
-    const auto report = apply(Document);
-    ASSERT_EQ(report->applied.size(), 1U);
-    EXPECT_EQ(report->applied[0].action, config::ApplicationAction::Skip);
-}
-
 } // namespace oriolerill::platform
