Let bulk reads keep a rate that finishes the tail of a push

Cause: pacing lowered each source to 512 KiB/s as soon as chunks added 5 ms of delay, and the rate grew back by 3% a chunk. When few chunks were left, the links of the VMs stood at a third of their rate for 4 s of a push of 24 MB. Change: the target delay is 10 ms and the lowest rate of a source 1 MiB/s.

--- a/src/distribution/bulkpacer.h
+++ b/src/distribution/bulkpacer.h
@@ -12,10 +12,10 @@
 struct BulkPacerOptions
 {
     /// Queueing delay that bulk traffic may add to a link.
-    domain::Duration targetDelay = std::chrono::milliseconds(5);
+    domain::Duration targetDelay = std::chrono::milliseconds(10);
     domain::BytesPerSecond startRate = domain::BytesPerSecond(8U << 20U);
     /// Bulk traffic never stops altogether, whatever delay other traffic causes.
-    domain::BytesPerSecond minimumRate = domain::BytesPerSecond(512U << 10U);
+    domain::BytesPerSecond minimumRate = domain::BytesPerSecond(1U << 20U);
     domain::BytesPerSecond maximumRate = domain::BytesPerSecond(2U << 30U);
 };
 
