--- a/src/admin/tests/apidocumenttest.cpp
+++ b/src/admin/tests/apidocumenttest.cpp
@@ -57,7 +57,7 @@
         else if (example.kind == "json problems")
             compareProblems(example);
         else if (example.kind == "http get")
-            getAll(example);
+            requestAll(example);
         else
             return;
         ++m_runs;
@@ -75,7 +75,7 @@
             paths.push_back(problem.at("path"));
         EXPECT_EQ(paths, boost::json::parse(example.text).as_array()) << m_answer.body;
     }
-    void getAll(const Example &example)
+    void requestAll(const Example &example)
     {
         std::istringstream stream(example.text);
         for (std::string line; std::getline(stream, line);)
