Poll the engine more often while it is being switched

Cause: each step of a switch waited for the next reading of the engine, 100 ms apart, and an endpoint is out of service meanwhile. Change: 20 ms between readings from the wish for a grant until the engine is ready; 100 ms otherwise.

--- a/src/agent/internal/engineservice.cpp
+++ b/src/agent/internal/engineservice.cpp
@@ -138,7 +138,9 @@
     while (!m_isStopped) {
         co_await readEngine();
         co_await step();
-        co_await sleep(m_options.pollInterval);
+        const SwitchPhase phase = m_switch.phase();
+        const bool isQuick = isSwitching(phase) || phase == SwitchPhase::AwaitingGrant;
+        co_await sleep(isQuick ? m_options.switchInterval : m_options.pollInterval);
     }
 }
 
