--- a/src/agent/internal/main.cpp
+++ b/src/agent/internal/main.cpp
@@ -1,8 +1,10 @@
 #include "agent/internal/agentprocess.h"
+#include "domain/leafresult.h"
 #include "observability/log.h"
 #include "settings/settingsloader.h"
 #include "settings/stopsignal.h"
 
+#include <boost/leaf/handle_errors.hpp>
 #include <boost/program_options.hpp>
 
 #include <iostream>
@@ -12,6 +14,7 @@
 namespace {
 
 using namespace oriolerill;
+namespace leaf = boost::leaf;
 using observability::logEvent;
 using observability::Severity;
 static_assert(static_cast<int>(settings::LogLevel::Error) == static_cast<int>(Severity::Error));
@@ -40,18 +43,22 @@
     const settings::StopSignal signal;
     observability::startLogging(static_cast<Severity>(settings.logLevel), settings.id.value());
     agent::AgentProcess process(settings);
-    const auto started = process.start();
-    if (!started) {
-        logEvent(Severity::Error, "start_failed",
-                {{"error", started.error().message}, {"remedy", started.error().remedy}});
-        return started.error().kind == domain::ErrorKind::Unavailable ? Unavailable : Failed;
-    }
-    logEvent(Severity::Info, "started", {{"version", ORIOLERILL_VERSION}});
-    const int number = signal.wait();
-    logEvent(Severity::Info, "stopping", {{"signal", number}});
-    process.stop();
-    logEvent(Severity::Info, "stopped");
-    return Ok;
+    return leaf::try_handle_all(
+            [&]() -> leaf::result<int> {
+                BOOST_LEAF_CHECK(domain::toLeaf(process.start()));
+                logEvent(Severity::Info, "started", {{"version", ORIOLERILL_VERSION}});
+                const int number = signal.wait();
+                logEvent(Severity::Info, "stopping", {{"signal", number}});
+                process.stop();
+                logEvent(Severity::Info, "stopped");
+                return Ok;
+            },
+            [](const domain::Error &error) {
+                logEvent(Severity::Error, "start_failed",
+                        {{"error", error.message}, {"remedy", error.remedy}});
+                return error.kind == domain::ErrorKind::Unavailable ? Unavailable : Failed;
+            },
+            [] { return Failed; });
 }
 
 int run(const options::variables_map &values)
--- a/src/entry/internal/main.cpp
+++ b/src/entry/internal/main.cpp
@@ -2,13 +2,16 @@
 #include "admin/commandline.h"
 #include "admin/configdocumentplanner.h"
 #include "admin/exitcode.h"
+#include "domain/leafresult.h"
 #include "entry/internal/entryprocess.h"
 #include "observability/log.h"
 #include "settings/settingsloader.h"
 #include "settings/stopsignal.h"
 
+#include <boost/leaf/handle_errors.hpp>
 #include <chrono>
 #include <cstdlib>
+
 #include <iostream>
 #include <string>
 #include <vector>
@@ -16,6 +19,7 @@
 namespace {
 
 using namespace oriolerill;
+namespace leaf = boost::leaf;
 using admin::ExitCode;
 using observability::logEvent;
 using observability::Severity;
@@ -26,19 +30,23 @@
     const settings::StopSignal signal;
     observability::startLogging(static_cast<Severity>(settings.logLevel), settings.id.value());
     entry::EntryProcess process(settings);
-    const auto started = process.start();
-    if (!started) {
-        logEvent(Severity::Error, "start_failed",
-                {{"error", started.error().message}, {"remedy", started.error().remedy}});
-        return started.error().kind == domain::ErrorKind::Unavailable ? ExitCode::Unavailable
-                                                                      : ExitCode::Failed;
-    }
-    logEvent(Severity::Info, "started", {{"version", ORIOLERILL_VERSION}});
-    const int number = signal.wait();
-    logEvent(Severity::Info, "stopping", {{"signal", number}});
-    process.stop();
-    logEvent(Severity::Info, "stopped");
-    return ExitCode::Ok;
+    return leaf::try_handle_all(
+            [&]() -> leaf::result<ExitCode> {
+                BOOST_LEAF_CHECK(domain::toLeaf(process.start()));
+                logEvent(Severity::Info, "started", {{"version", ORIOLERILL_VERSION}});
+                const int number = signal.wait();
+                logEvent(Severity::Info, "stopping", {{"signal", number}});
+                process.stop();
+                logEvent(Severity::Info, "stopped");
+                return ExitCode::Ok;
+            },
+            [](const domain::Error &error) {
+                logEvent(Severity::Error, "start_failed",
+                        {{"error", error.message}, {"remedy", error.remedy}});
+                return error.kind == domain::ErrorKind::Unavailable ? ExitCode::Unavailable
+                                                                    : ExitCode::Failed;
+            },
+            [] { return ExitCode::Failed; });
 }
 
 std::string environmentVariable(const char *name)
