--- a/src/admin/adminapi.h
+++ b/src/admin/adminapi.h
@@ -8,10 +8,10 @@
 #include "admin/statusreport.h"
 #include "config/iconfigview.h"
 #include "membership/imembershipview.h"
+#include "objectstore/iobjectstore.h"
 #include "observability/burnrecorder.h"
 #include "observability/burnreport.h"
 #include "observability/metrics.h"
-#include "platform/iobjectstore.h"
 #include "transport/httpmessage.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -24,7 +24,7 @@
 /// The parts of the process that the administration API shows or changes.
 struct AdminContext
 {
-    platform::IObjectStore &store;
+    objectstore::IObjectStore &store;
     const IDocumentPlanner &planner;
     const config::IConfigView &config;
     const membership::IMembershipView &members;
--- a/src/admin/auditlog.h
+++ b/src/admin/auditlog.h
@@ -2,7 +2,7 @@
 
 #include "domain/expected.h"
 #include "domain/timepoint.h"
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -28,7 +28,7 @@
     };
 
     /// The writer's name makes keys unique; a process start has a new one.
-    AuditLog(platform::IObjectStore &store, std::string writer);
+    AuditLog(objectstore::IObjectStore &store, std::string writer);
 
     boost::asio::awaitable<domain::Expected<Entry>> begin(
             domain::WallTime now, std::string record, domain::TimePoint deadline);
@@ -44,7 +44,7 @@
 private:
     boost::asio::awaitable<bool> findExpired(domain::WallTime now, domain::TimePoint deadline);
 
-    platform::IObjectStore &m_store;
+    objectstore::IObjectStore &m_store;
     std::string m_writer;
     std::atomic<std::uint64_t> m_sequence = 0;
     /// Set while one call prunes; the members below belong to that call.
--- a/src/admin/commandline.h
+++ b/src/admin/commandline.h
@@ -4,6 +4,8 @@
 #include "admin/iadminclient.h"
 #include "admin/idocumentplanner.h"
 #include "settings/entrysettings.h"
+#include "settings/fleetsettings.h"
+#include "settings/settingsproblem.h"
 
 #include <functional>
 #include <ostream>
@@ -23,6 +25,8 @@
     std::function<ExitCode(const settings::EntrySettings &)> serve;
     /// Value of an environment variable; empty when it is not set.
     std::function<std::string(const char *)> environment;
+    /// Runs an entry of a fleet until it is stopped; the file is read again when it changes.
+    std::function<ExitCode(const settings::RelaySettings &, const std::string &file)> relay;
 };
 
 /// The command line of `oriolerill`: chooses the command and carries it out.
@@ -36,9 +40,10 @@
 
 private:
     ExitCode runServe(const std::vector<std::string> &arguments) const;
+    ExitCode runRelay(const std::vector<std::string> &arguments) const;
     ExitCode runCheck(const std::vector<std::string> &arguments) const;
-    bool checkEntrySettings(const std::string &file) const;
-    bool checkAgentSettings(const std::string &file) const;
+    bool checkSettings(
+            const std::string &file, const std::vector<settings::SettingsProblem> &problems) const;
     bool checkDocument(const std::string &file) const;
     ExitCode refuse(const std::string &message) const;
 
--- a/src/admin/documentapplier.h
+++ b/src/admin/documentapplier.h
@@ -4,7 +4,7 @@
 #include "admin/auditlog.h"
 #include "admin/idocumentplanner.h"
 #include "admin/principal.h"
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -30,7 +30,7 @@
 {
 public:
     DocumentApplier(
-            platform::IObjectStore &store, const IDocumentPlanner &planner, AuditLog &audit);
+            objectstore::IObjectStore &store, const IDocumentPlanner &planner, AuditLog &audit);
 
     boost::asio::awaitable<ApplyResult> apply(Principal principal, ApplyRequest request,
             domain::WallTime now, domain::TimePoint deadline);
@@ -45,7 +45,7 @@
     boost::asio::awaitable<void> noteConflict(
             ItemResult &item, ApplyResult &result, domain::TimePoint deadline);
 
-    platform::IObjectStore &m_store;
+    objectstore::IObjectStore &m_store;
     const IDocumentPlanner &m_planner;
     AuditLog &m_audit;
 };
--- a/src/admin/internal/adminapi.cpp
+++ b/src/admin/internal/adminapi.cpp
@@ -76,7 +76,7 @@
 }
 
 /// JSON of an item with its place; a value that is no JSON is shown as a string.
-json::object toObject(const platform::StoredObject &object)
+json::object toObject(const objectstore::StoredObject &object)
 {
     const std::size_t slash = object.key.find('/', ConfigPrefix.size());
     json::error_code code;
@@ -187,7 +187,7 @@
     if (!listed)
         co_return errorResponse(listed.error());
     json::array items;
-    for (const platform::StoredObject &object : listed->objects) {
+    for (const objectstore::StoredObject &object : listed->objects) {
         if (!object.isDeleted)
             items.push_back(toObject(object));
     }
--- a/src/admin/internal/auditlog.cpp
+++ b/src/admin/internal/auditlog.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-AuditLog::AuditLog(platform::IObjectStore &store, std::string writer)
+AuditLog::AuditLog(objectstore::IObjectStore &store, std::string writer)
     : m_store(store)
     , m_writer(std::move(writer))
 {}
@@ -95,7 +95,7 @@
         auto listed = co_await m_store.list(prefixOf(hour), deadline);
         if (!listed)
             co_return false;
-        for (platform::StoredObject &object : listed->objects)
+        for (objectstore::StoredObject &object : listed->objects)
             m_expired.push_back({std::move(object.key), object.version});
         hour += std::chrono::hours(1);
         m_pruneHour = hour;
@@ -112,10 +112,10 @@
         auto listed = co_await m_store.list(prefix, deadline);
         if (!listed)
             co_return listed.error();
-        std::vector<platform::StoredObject> &objects = listed->objects;
+        std::vector<objectstore::StoredObject> &objects = listed->objects;
         std::sort(objects.begin(), objects.end(),
                 [](const auto &a, const auto &b) { return a.key > b.key; });
-        for (platform::StoredObject &object : objects) {
+        for (objectstore::StoredObject &object : objects) {
             if (records.size() < maxRecords)
                 records.push_back(std::move(object.value));
         }
--- a/src/admin/internal/commandline.cpp
+++ b/src/admin/internal/commandline.cpp
@@ -22,7 +22,9 @@
 
 commands:
   serve --settings FILE        run an entry until SIGTERM or SIGINT
-  check [--settings FILE]... [--agent-settings FILE]... [DOCUMENT]...
+  relay --settings FILE        run an entry of a fleet whose endpoints the platform lists
+  check [--settings FILE]... [--agent-settings FILE]... [--relay-settings FILE]...
+        [--relay-agent-settings FILE]... [DOCUMENT]...
                                check settings and documents, offline
   apply DOCUMENT [--dry-run]   apply a document of configuration items
   status [--version VERSION]   rollouts, data centres, members; how far a version is in force
@@ -36,7 +38,7 @@
 
 options:
   --help                       this text
-  --help-settings              every key of the settings file of `oriolerill serve`
+  --help-settings              every key of the settings files of `serve` and `relay`
   --settings-table             the keys of both programs as Markdown tables
   --version                    the version
 
@@ -181,12 +183,16 @@
         return ExitCode::Ok;
     }
     if (command == "--help-settings") {
-        m_context.output << settings::settingsHelp(settings::entrySettingsKeys());
+        m_context.output << settings::settingsHelp(settings::entrySettingsKeys())
+                         << "\nkeys of the settings file of `oriolerill relay`:\n\n"
+                         << settings::settingsHelp(settings::relaySettingsKeys());
         return ExitCode::Ok;
     }
     if (command == "--settings-table") {
         m_context.output << settings::settingsTable(settings::entrySettingsKeys()) << '\n'
-                         << settings::settingsTable(settings::agentSettingsKeys());
+                         << settings::settingsTable(settings::agentSettingsKeys()) << '\n'
+                         << settings::settingsTable(settings::relaySettingsKeys()) << '\n'
+                         << settings::settingsTable(settings::relayAgentSettingsKeys());
         return ExitCode::Ok;
     }
     if (command == "--version") {
@@ -196,6 +202,8 @@
     try {
         if (command == "serve")
             return runServe(rest);
+        if (command == "relay")
+            return runRelay(rest);
         if (command == "check")
             return runCheck(rest);
         if (command == "apply")
@@ -221,40 +229,54 @@
     return m_context.serve(loaded.settings);
 }
 
+ExitCode CommandLine::runRelay(const Strings &arguments) const
+{
+    options::options_description known;
+    known.add_options()("settings", options::value<std::string>()->required());
+    const options::variables_map values = parse(arguments, known, 0);
+    const std::string file = values["settings"].as<std::string>();
+    const auto loaded = settings::loadRelaySettings(file);
+    if (!report(loaded, m_context.errors))
+        return ExitCode::BadInput;
+    return m_context.relay(loaded.settings, file);
+}
+
 ExitCode CommandLine::runCheck(const Strings &arguments) const
 {
     options::options_description known;
-    known.add_options()("settings", repeated())("agent-settings", repeated());
+    known.add_options()("settings", repeated())("agent-settings", repeated())(
+            "relay-settings", repeated())("relay-agent-settings", repeated());
     const options::variables_map values = parse(arguments, known, -1);
     const Strings entries = values["settings"].as<Strings>();
     const Strings agents = values["agent-settings"].as<Strings>();
+    const Strings relays = values["relay-settings"].as<Strings>();
+    const Strings relayAgents = values["relay-agent-settings"].as<Strings>();
     const Strings documents = values["document"].as<Strings>();
-    if (entries.empty() && agents.empty() && documents.empty())
+    if (entries.empty() && agents.empty() && relays.empty() && relayAgents.empty()
+            && documents.empty())
         return refuse("no file is given to check");
     bool isGood = true;
     for (const std::string &file : entries)
-        isGood = checkEntrySettings(file) && isGood;
+        isGood = checkSettings(file, settings::loadEntrySettings(file).problems) && isGood;
     for (const std::string &file : agents)
-        isGood = checkAgentSettings(file) && isGood;
+        isGood = checkSettings(file, settings::loadAgentSettings(file).problems) && isGood;
+    for (const std::string &file : relays)
+        isGood = checkSettings(file, settings::loadRelaySettings(file).problems) && isGood;
+    for (const std::string &file : relayAgents)
+        isGood = checkSettings(file, settings::loadRelayAgentSettings(file).problems) && isGood;
     for (const std::string &file : documents)
         isGood = checkDocument(file) && isGood;
     return isGood ? ExitCode::Ok : ExitCode::BadInput;
 }
 
-bool CommandLine::checkEntrySettings(const std::string &file) const
+bool CommandLine::checkSettings(
+        const std::string &file, const std::vector<settings::SettingsProblem> &problems) const
 {
-    const bool isGood = report(settings::loadEntrySettings(file), m_context.errors);
-    if (isGood)
-        m_context.output << file << ": ok\n";
-    return isGood;
-}
-
-bool CommandLine::checkAgentSettings(const std::string &file) const
-{
-    const bool isGood = report(settings::loadAgentSettings(file), m_context.errors);
-    if (isGood)
+    for (const settings::SettingsProblem &problem : problems)
+        m_context.errors << problem << '\n';
+    if (problems.empty())
         m_context.output << file << ": ok\n";
-    return isGood;
+    return problems.empty();
 }
 
 bool CommandLine::checkDocument(const std::string &file) const
--- a/src/admin/internal/documentapplier.cpp
+++ b/src/admin/internal/documentapplier.cpp
@@ -126,7 +126,7 @@
 } // namespace
 
 DocumentApplier::DocumentApplier(
-        platform::IObjectStore &store, const IDocumentPlanner &planner, AuditLog &audit)
+        objectstore::IObjectStore &store, const IDocumentPlanner &planner, AuditLog &audit)
     : m_store(store)
     , m_planner(planner)
     , m_audit(audit)
@@ -176,7 +176,7 @@
     if (!listed)
         co_return listed.error();
     std::vector<CurrentItem> items;
-    for (platform::StoredObject &object : listed->objects) {
+    for (objectstore::StoredObject &object : listed->objects) {
         const std::size_t slash = object.key.find('/', Prefix.size());
         if (object.isDeleted || slash == std::string::npos)
             continue;
--- a/src/admin/tests/fakeobjectstore.h
+++ b/src/admin/tests/fakeobjectstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 
 #include <deque>
 #include <functional>
@@ -10,7 +10,7 @@
 namespace oriolerill::admin {
 
 /// The object API in memory, with failures and races that a test sets.
-class FakeObjectStore : public platform::IObjectStore
+class FakeObjectStore : public objectstore::IObjectStore
 {
 public:
     template<class Value>
@@ -21,7 +21,7 @@
     /// Answers to the next writes; none lets the write through. The error takes its place.
     std::deque<std::optional<domain::Error>> writeErrors;
     std::optional<domain::Error> readError;
-    std::map<std::string, platform::StoredObject> objects;
+    std::map<std::string, objectstore::StoredObject> objects;
     std::vector<std::string> writes;
 
     domain::ConfigVersion put(const std::string &key, std::string value)
@@ -31,7 +31,7 @@
         return version;
     }
 
-    Result<platform::StoredObject> read(std::string key, domain::TimePoint) override
+    Result<objectstore::StoredObject> read(std::string key, domain::TimePoint) override
     {
         if (readError)
             co_return *readError;
@@ -40,11 +40,11 @@
             co_return domain::Error{domain::ErrorKind::NotFound, key + " does not exist", "-"};
         co_return found->second;
     }
-    Result<platform::ObjectList> list(std::string prefix, domain::TimePoint) override
+    Result<objectstore::ObjectList> list(std::string prefix, domain::TimePoint) override
     {
         if (readError)
             co_return *readError;
-        platform::ObjectList list;
+        objectstore::ObjectList list;
         list.storeVersion = {1, m_revision};
         for (const auto &[key, object] : objects) {
             if (key.starts_with(prefix))
@@ -70,14 +70,14 @@
             objects.erase(key);
         co_return version;
     }
-    Result<platform::ObjectList> watch(
+    Result<objectstore::ObjectList> watch(
             std::string, domain::ConfigVersion, domain::TimePoint) override
     {
-        co_return platform::ObjectList();
+        co_return objectstore::ObjectList();
     }
-    Result<std::vector<platform::ListedVm>> listVms(domain::TimePoint) override
+    Result<std::vector<objectstore::ListedVm>> listVms(domain::TimePoint) override
     {
-        co_return std::vector<platform::ListedVm>();
+        co_return std::vector<objectstore::ListedVm>();
     }
 
 private:
--- a/src/agent/internal/enginefences.cpp
+++ b/src/agent/internal/enginefences.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-EngineFences::EngineFences(platform::IObjectStore &store, const domain::EndpointId &endpoint,
+EngineFences::EngineFences(objectstore::IObjectStore &store, const domain::EndpointId &endpoint,
         domain::Incarnation incarnation)
     : m_store(store)
     , m_key("fence/" + endpoint.value())
@@ -26,7 +26,7 @@
 
 asio::awaitable<Expected<Done>> EngineFences::prepare(TimePoint deadline)
 {
-    const Expected<platform::StoredObject> object = co_await m_store.read(m_key, deadline);
+    const Expected<objectstore::StoredObject> object = co_await m_store.read(m_key, deadline);
     if (object)
         m_allocator.onRead(object->value, object->version);
     else if (object.error().kind == ErrorKind::NotFound)
--- a/src/agent/internal/enginefences.h
+++ b/src/agent/internal/enginefences.h
@@ -2,7 +2,7 @@
 
 #include "domain/expected.h"
 #include "domain/strongid.h"
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 #include "rollout/fenceallocator.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -15,7 +15,7 @@
 class EngineFences
 {
 public:
-    EngineFences(platform::IObjectStore &store, const domain::EndpointId &endpoint,
+    EngineFences(objectstore::IObjectStore &store, const domain::EndpointId &endpoint,
             domain::Incarnation incarnation);
 
     /// Reads the stored number, as a process does when it starts.
@@ -28,7 +28,7 @@
 private:
     boost::asio::awaitable<domain::Expected<domain::Done>> reserve(domain::TimePoint deadline);
 
-    platform::IObjectStore &m_store;
+    objectstore::IObjectStore &m_store;
     std::string m_key;
     rollout::FenceAllocator m_allocator;
 };
--- a/src/agent/internal/engineservice.cpp
+++ b/src/agent/internal/engineservice.cpp
@@ -50,7 +50,7 @@
 {
 public:
     Implementation(asio::any_io_executor executor, transport::HttpClient &client,
-            platform::IObjectStore &store, const config::IConfigView &config,
+            objectstore::IObjectStore &store, const config::IConfigView &config,
             distribution::IWeightsProvider &weights, distribution::ISwitchGrants &grants,
             EngineServiceOptions options)
         : m_executor(std::move(executor))
@@ -334,7 +334,7 @@
 }
 
 EngineService::EngineService(asio::any_io_executor executor, transport::HttpClient &client,
-        platform::IObjectStore &store, const config::IConfigView &config,
+        objectstore::IObjectStore &store, const config::IConfigView &config,
         distribution::IWeightsProvider &weights, distribution::ISwitchGrants &grants,
         EngineServiceOptions options)
     : m_implementation(std::make_shared<Implementation>(
--- a/src/agent/internal/engineservice.h
+++ b/src/agent/internal/engineservice.h
@@ -4,7 +4,7 @@
 #include "distribution/iswitchgrants.h"
 #include "distribution/iweightsprovider.h"
 #include "domain/socketaddress.h"
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 #include "protocol/control.pb.h"
 #include "rollout/engineswitch.h"
 #include "rollout/ienginegate.h"
@@ -47,7 +47,7 @@
 {
 public:
     EngineService(boost::asio::any_io_executor executor, transport::HttpClient &client,
-            platform::IObjectStore &store, const config::IConfigView &config,
+            objectstore::IObjectStore &store, const config::IConfigView &config,
             distribution::IWeightsProvider &weights, distribution::ISwitchGrants &grants,
             EngineServiceOptions options);
     ~EngineService() override;
--- a/src/agent/tests/engineservicetest.cpp
+++ b/src/agent/tests/engineservicetest.cpp
@@ -1,6 +1,6 @@
 #include "agent/internal/engineservice.h"
 #include "config/sharedconfigtable.h"
-#include "platform/tests/fakeobjectstore.h"
+#include "objectstore/tests/fakeobjectstore.h"
 #include "transport/httpserver.h"
 
 #include <boost/asio/thread_pool.hpp>
@@ -115,7 +115,7 @@
     boost::asio::thread_pool m_pool{3};
     transport::HttpServer m_engine{m_pool.get_executor(), {}};
     transport::HttpClient m_client{m_pool.get_executor(), {}};
-    platform::FakeObjectStore m_store;
+    objectstore::FakeObjectStore m_store;
     config::SharedConfigTable m_config;
     ReadyWeights m_weights;
     EngineServiceOptions m_options;
--- a/src/entry/internal/configservice.cpp
+++ b/src/entry/internal/configservice.cpp
@@ -36,12 +36,12 @@
 // One pull in five goes to another data centre, in case the own one is cut off from the platform.
 constexpr unsigned PullsPerRemotePull = 5;
 
-protocol::ConfigDelta deltaFrom(const platform::ObjectList &list, const ConfigVersion &base)
+protocol::ConfigDelta deltaFrom(const objectstore::ObjectList &list, const ConfigVersion &base)
 {
     protocol::ConfigDelta delta;
     config::toProtocol(base, delta.mutable_base());
     config::toProtocol(list.storeVersion, delta.mutable_watermark());
-    for (const platform::StoredObject &object : list.objects) {
+    for (const objectstore::StoredObject &object : list.objects) {
         const std::optional<config::ItemKey> key = config::parseObjectKey(object.key);
         if (!key)
             continue;
@@ -61,7 +61,7 @@
     : public std::enable_shared_from_this<ConfigService::Implementation>
 {
 public:
-    Implementation(asio::any_io_executor executor, platform::IObjectStore &store,
+    Implementation(asio::any_io_executor executor, objectstore::IObjectStore &store,
             transport::IControlClient &control, const membership::IMembershipView &members,
             config::SharedConfigTable &table, ConfigServiceOptions options)
         : m_executor(std::move(executor))
@@ -96,7 +96,7 @@
     protocol::ControlRequest request() const;
 
     asio::any_io_executor m_executor;
-    platform::IObjectStore &m_store;
+    objectstore::IObjectStore &m_store;
     transport::IControlClient &m_control;
     const membership::IMembershipView &m_members;
     config::SharedConfigTable &m_table;
@@ -127,7 +127,7 @@
     const TimePoint now = TimePoint::clock::now();
     const std::string prefix(config::ObjectPrefix);
     if (needsList || base == ConfigVersion()) {
-        const Expected<platform::ObjectList> list
+        const Expected<objectstore::ObjectList> list
                 = co_await m_store.list(prefix, now + m_options.callTimeout);
         if (!list)
             co_return list.error();
@@ -135,7 +135,7 @@
         delta.set_complete(true);
         co_return delta;
     }
-    const Expected<platform::ObjectList> changes
+    const Expected<objectstore::ObjectList> changes
             = co_await m_store.watch(prefix, base, now + m_options.watchTime);
     if (!changes)
         co_return changes.error();
@@ -300,7 +300,7 @@
     return reply;
 }
 
-ConfigService::ConfigService(asio::any_io_executor executor, platform::IObjectStore &store,
+ConfigService::ConfigService(asio::any_io_executor executor, objectstore::IObjectStore &store,
         transport::IControlClient &control, const membership::IMembershipView &members,
         config::SharedConfigTable &table, ConfigServiceOptions options)
     : m_implementation(std::make_shared<Implementation>(
--- a/src/entry/internal/configservice.h
+++ b/src/entry/internal/configservice.h
@@ -5,7 +5,7 @@
 #include "domain/quantity.h"
 #include "domain/strongid.h"
 #include "membership/imembershipview.h"
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 #include "transport/icontrolclient.h"
 #include "transport/icontrolserver.h"
 
@@ -36,7 +36,7 @@
 class ConfigService : public config::IConfigView
 {
 public:
-    ConfigService(boost::asio::any_io_executor executor, platform::IObjectStore &store,
+    ConfigService(boost::asio::any_io_executor executor, objectstore::IObjectStore &store,
             transport::IControlClient &control, const membership::IMembershipView &members,
             config::SharedConfigTable &table, ConfigServiceOptions options);
     ~ConfigService() override;
--- a/src/entry/internal/membershipservice.cpp
+++ b/src/entry/internal/membershipservice.cpp
@@ -29,10 +29,10 @@
 // Changes of load alone are published at this pace.
 constexpr auto LongestSnapshotAge = std::chrono::milliseconds(500);
 
-std::vector<ListedMember> membersFrom(const std::vector<platform::ListedVm> &vms)
+std::vector<ListedMember> membersFrom(const std::vector<objectstore::ListedVm> &vms)
 {
     std::vector<ListedMember> members;
-    for (const platform::ListedVm &vm : vms) {
+    for (const objectstore::ListedVm &vm : vms) {
         ListedMember member;
         member.id = vm.id;
         member.dataCentre = vm.dataCentre;
@@ -55,7 +55,7 @@
 {
 public:
     Implementation(asio::any_io_executor executor, transport::IControlClient &control,
-            platform::IObjectStore &store, const config::SharedConfigTable &configTable,
+            objectstore::IObjectStore &store, const config::SharedConfigTable &configTable,
             MembershipServiceOptions options)
         : m_executor(std::move(executor))
         , m_control(control)
@@ -86,7 +86,7 @@
 
     asio::any_io_executor m_executor;
     transport::IControlClient &m_control;
-    platform::IObjectStore &m_store;
+    objectstore::IObjectStore &m_store;
     const config::SharedConfigTable &m_configTable;
     MembershipServiceOptions m_options;
     std::atomic<bool> m_isStopped = false;
@@ -187,7 +187,7 @@
 {
     asio::steady_timer timer(m_executor);
     while (!m_isStopped) {
-        const Expected<std::vector<platform::ListedVm>> vms
+        const Expected<std::vector<objectstore::ListedVm>> vms
                 = co_await m_store.listVms(TimePoint::clock::now() + VmListTimeout);
         if (vms) {
             const std::vector<ListedMember> members = membersFrom(*vms);
@@ -272,7 +272,7 @@
 }
 
 MembershipService::MembershipService(asio::any_io_executor executor,
-        transport::IControlClient &control, platform::IObjectStore &store,
+        transport::IControlClient &control, objectstore::IObjectStore &store,
         const config::SharedConfigTable &table, MembershipServiceOptions options)
     : m_implementation(std::make_shared<Implementation>(
             std::move(executor), control, store, table, std::move(options)))
--- a/src/entry/internal/membershipservice.h
+++ b/src/entry/internal/membershipservice.h
@@ -3,7 +3,7 @@
 #include "config/sharedconfigtable.h"
 #include "domain/socketaddress.h"
 #include "membership/imembershipview.h"
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 #include "transport/icontrolclient.h"
 #include "transport/icontrolserver.h"
 
@@ -33,7 +33,7 @@
 public:
     /// Heartbeat replies carry configuration from the table.
     MembershipService(boost::asio::any_io_executor executor, transport::IControlClient &control,
-            platform::IObjectStore &store, const config::SharedConfigTable &table,
+            objectstore::IObjectStore &store, const config::SharedConfigTable &table,
             MembershipServiceOptions options);
     ~MembershipService() override;
     MembershipService(const MembershipService &) = delete;
--- a/src/entry/tests/controlservicestest.cpp
+++ b/src/entry/tests/controlservicestest.cpp
@@ -2,7 +2,7 @@
 #include "entry/internal/membershipservice.h"
 #include "membership/memberinfo.h"
 #include "membership/tests/fakecontrolnetwork.h"
-#include "platform/tests/fakeobjectstore.h"
+#include "objectstore/tests/fakeobjectstore.h"
 
 #include <boost/asio/thread_pool.hpp>
 
@@ -36,7 +36,7 @@
 struct EntryUnderTest
 {
     EntryUnderTest(boost::asio::thread_pool &pool, membership::FakeControlNetwork &network,
-            platform::IObjectStore &store, const membership::EntryRecord &self,
+            objectstore::IObjectStore &store, const membership::EntryRecord &self,
             std::vector<domain::SocketAddress> seeds)
         : address(self.controlAddress)
         , members(pool.get_executor(), network, store, table, {self, std::move(seeds), 50ms})
@@ -132,7 +132,7 @@
 
     boost::asio::thread_pool m_pool{4};
     membership::FakeControlNetwork m_network{m_pool.get_executor()};
-    platform::FakeObjectStore m_store;
+    objectstore::FakeObjectStore m_store;
     std::vector<std::unique_ptr<EntryUnderTest>> m_entries;
 };
 
--- a/src/platform/internal/objectcodec.cpp
+++ b/src/objectstore/internal/objectcodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/objectcodec.h"
+#include "objectstore/internal/objectcodec.h"
 
 #include "config/versiontext.h"
 
@@ -8,7 +8,7 @@
 #include <cctype>
 #include <optional>
 
-namespace oriolerill::platform::internal {
+namespace oriolerill::objectstore::internal {
 
 namespace json = boost::json;
 using domain::Error;
@@ -171,4 +171,4 @@
     return error;
 }
 
-} // namespace oriolerill::platform::internal
+} // namespace oriolerill::objectstore::internal
--- a/src/platform/internal/objectcodec.h
+++ b/src/objectstore/internal/objectcodec.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "domain/expected.h"
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace oriolerill::platform::internal {
+namespace oriolerill::objectstore::internal {
 
 /// Percent-encodes all but unreserved characters and "/".
 std::string encodeKey(std::string_view key);
@@ -17,4 +17,4 @@
 /// The error that the store gave in the body of a refusal.
 domain::Error parseStoreError(unsigned status, std::string_view body);
 
-} // namespace oriolerill::platform::internal
+} // namespace oriolerill::objectstore::internal
--- a/src/platform/internal/objectstoreclient.cpp
+++ b/src/objectstore/internal/objectstoreclient.cpp
@@ -1,9 +1,9 @@
-#include "platform/objectstoreclient.h"
+#include "objectstore/objectstoreclient.h"
 
 #include "config/versiontext.h"
-#include "platform/internal/objectcodec.h"
-#include "platform/internal/outagebackoff.h"
-#include "platform/internal/ratebudget.h"
+#include "objectstore/internal/objectcodec.h"
+#include "objectstore/internal/outagebackoff.h"
+#include "objectstore/internal/ratebudget.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -13,7 +13,7 @@
 #include <mutex>
 #include <optional>
 
-namespace oriolerill::platform {
+namespace oriolerill::objectstore {
 
 namespace asio = boost::asio;
 using domain::ConfigVersion;
@@ -427,4 +427,4 @@
     co_return internal::parseVmList(result.response.body);
 }
 
-} // namespace oriolerill::platform
+} // namespace oriolerill::objectstore
--- a/src/platform/internal/outagebackoff.cpp
+++ b/src/objectstore/internal/outagebackoff.cpp
@@ -1,8 +1,8 @@
-#include "platform/internal/outagebackoff.h"
+#include "objectstore/internal/outagebackoff.h"
 
 #include <algorithm>
 
-namespace oriolerill::platform::internal {
+namespace oriolerill::objectstore::internal {
 
 OutageBackoff::OutageBackoff(std::uint64_t seed)
     : m_random(seed)
@@ -24,4 +24,4 @@
     m_retryAt = now + m_pause / 2 + domain::Duration(jitter(m_random));
 }
 
-} // namespace oriolerill::platform::internal
+} // namespace oriolerill::objectstore::internal
--- a/src/platform/internal/outagebackoff.h
+++ b/src/objectstore/internal/outagebackoff.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <random>
 
-namespace oriolerill::platform::internal {
+namespace oriolerill::objectstore::internal {
 
 /// When to try an address of the store again after failures.
 ///
@@ -32,4 +32,4 @@
     domain::TimePoint m_retryAt;
 };
 
-} // namespace oriolerill::platform::internal
+} // namespace oriolerill::objectstore::internal
--- a/src/platform/internal/ratebudget.cpp
+++ b/src/objectstore/internal/ratebudget.cpp
@@ -1,9 +1,9 @@
-#include "platform/internal/ratebudget.h"
+#include "objectstore/internal/ratebudget.h"
 
 #include <algorithm>
 #include <chrono>
 
-namespace oriolerill::platform::internal {
+namespace oriolerill::objectstore::internal {
 
 using Seconds = std::chrono::duration<double>;
 
@@ -58,4 +58,4 @@
     }
 }
 
-} // namespace oriolerill::platform::internal
+} // namespace oriolerill::objectstore::internal
--- a/src/platform/internal/ratebudget.h
+++ b/src/objectstore/internal/ratebudget.h
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-namespace oriolerill::platform::internal {
+namespace oriolerill::objectstore::internal {
 
 /// Token bucket that bounds the calls of one process.
 ///
@@ -33,4 +33,4 @@
     domain::TimePoint m_nextHalvingAt;
 };
 
-} // namespace oriolerill::platform::internal
+} // namespace oriolerill::objectstore::internal
--- a/src/platform/internal/platformorderlog.cpp
+++ b/src/objectstore/internal/storedorderlog.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformorderlog.h"
+#include "objectstore/storedorderlog.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,7 +8,7 @@
 #include <charconv>
 #include <string_view>
 
-namespace oriolerill::platform {
+namespace oriolerill::objectstore {
 
 namespace asio = boost::asio;
 using domain::Done;
@@ -64,7 +64,7 @@
 
 } // namespace
 
-class PlatformOrderLog::Implementation
+class StoredOrderLog::Implementation
 {
 public:
     Implementation(asio::any_io_executor executor, IObjectStore &store, OrderLogOptions options)
@@ -91,7 +91,7 @@
     std::atomic<bool> m_isStopped = false;
 };
 
-asio::awaitable<Expected<OrderBatch>> PlatformOrderLog::Implementation::read(std::string key)
+asio::awaitable<Expected<OrderBatch>> StoredOrderLog::Implementation::read(std::string key)
 {
     const Expected<StoredObject> object = co_await m_store.read(std::move(key), callDeadline());
     if (!object)
@@ -99,7 +99,7 @@
     co_return parseBatch(*object);
 }
 
-asio::awaitable<Expected<Done>> PlatformOrderLog::Implementation::readBack(
+asio::awaitable<Expected<Done>> StoredOrderLog::Implementation::readBack(
         std::string key, std::string writeId)
 {
     const Expected<OrderBatch> batch = co_await read(key);
@@ -110,7 +110,7 @@
     co_return Done();
 }
 
-asio::awaitable<Expected<Done>> PlatformOrderLog::Implementation::append(
+asio::awaitable<Expected<Done>> StoredOrderLog::Implementation::append(
         std::string key, std::string value, std::string writeId)
 {
     bool isUnknown = false;
@@ -140,7 +140,7 @@
             "the next owner of the slot reads the log"};
 }
 
-asio::awaitable<Expected<std::vector<std::uint64_t>>> PlatformOrderLog::Implementation::list(
+asio::awaitable<Expected<std::vector<std::uint64_t>>> StoredOrderLog::Implementation::list(
         std::string prefix)
 {
     const Expected<ObjectList> objects = co_await m_store.list(prefix, callDeadline());
@@ -157,7 +157,7 @@
     co_return numbers;
 }
 
-asio::awaitable<void> PlatformOrderLog::Implementation::remove(std::string key)
+asio::awaitable<void> StoredOrderLog::Implementation::remove(std::string key)
 {
     const Expected<StoredObject> object = co_await m_store.read(key, callDeadline());
     // A batch that stays is removed by the next pass over the log.
@@ -179,17 +179,17 @@
 
 } // namespace
 
-PlatformOrderLog::PlatformOrderLog(
+StoredOrderLog::StoredOrderLog(
         asio::any_io_executor executor, IObjectStore &store, OrderLogOptions options)
     : m_implementation(std::make_shared<Implementation>(std::move(executor), store, options))
 {}
 
-PlatformOrderLog::~PlatformOrderLog()
+StoredOrderLog::~StoredOrderLog()
 {
     m_implementation->stop();
 }
 
-void PlatformOrderLog::append(const LedgerSlot &slot, std::uint64_t number, const OrderBatch &batch,
+void StoredOrderLog::append(const LedgerSlot &slot, std::uint64_t number, const OrderBatch &batch,
         AppendCallback callback)
 {
     start(m_implementation,
@@ -198,20 +198,20 @@
             std::move(callback));
 }
 
-void PlatformOrderLog::read(const LedgerSlot &slot, std::uint64_t number, ReadCallback callback)
+void StoredOrderLog::read(const LedgerSlot &slot, std::uint64_t number, ReadCallback callback)
 {
     start(m_implementation, m_implementation->read(keyOf(slot, number)), std::move(callback));
 }
 
-void PlatformOrderLog::list(const LedgerSlot &slot, ListCallback callback)
+void StoredOrderLog::list(const LedgerSlot &slot, ListCallback callback)
 {
     start(m_implementation, m_implementation->list(prefixOf(slot)), std::move(callback));
 }
 
-void PlatformOrderLog::remove(const LedgerSlot &slot, std::uint64_t number)
+void StoredOrderLog::remove(const LedgerSlot &slot, std::uint64_t number)
 {
     asio::co_spawn(m_implementation->executor(), m_implementation->remove(keyOf(slot, number)),
             [owner = m_implementation](const std::exception_ptr &) {});
 }
 
-} // namespace oriolerill::platform
+} // namespace oriolerill::objectstore
--- a/src/platform/iobjectstore.h
+++ b/src/objectstore/iobjectstore.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace oriolerill::platform {
+namespace oriolerill::objectstore {
 
 struct StoredObject
 {
@@ -76,4 +76,4 @@
             = 0;
 };
 
-} // namespace oriolerill::platform
+} // namespace oriolerill::objectstore
--- a/src/platform/objectstoreclient.h
+++ b/src/objectstore/objectstoreclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "domain/socketaddress.h"
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 #include "transport/httpclient.h"
 
 #include <chrono>
@@ -9,7 +9,7 @@
 #include <memory>
 #include <vector>
 
-namespace oriolerill::platform {
+namespace oriolerill::objectstore {
 
 struct ObjectStoreOptions
 {
@@ -57,4 +57,4 @@
     std::shared_ptr<Implementation> m_implementation;
 };
 
-} // namespace oriolerill::platform
+} // namespace oriolerill::objectstore
--- a/src/platform/platformorderlog.h
+++ b/src/objectstore/storedorderlog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 #include "requests/iorderlog.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -9,7 +9,7 @@
 #include <chrono>
 #include <memory>
 
-namespace oriolerill::platform {
+namespace oriolerill::objectstore {
 
 struct OrderLogOptions
 {
@@ -20,14 +20,14 @@
 /// Order log on objects "orders/<service>/<slot>/<number, 12 digits>".
 ///
 /// An append whose outcome is unknown is repeated until the store says whether the batch is there.
-class PlatformOrderLog : public requests::IOrderLog
+class StoredOrderLog : public requests::IOrderLog
 {
 public:
-    PlatformOrderLog(boost::asio::any_io_executor executor, IObjectStore &store,
+    StoredOrderLog(boost::asio::any_io_executor executor, IObjectStore &store,
             OrderLogOptions options = {});
-    ~PlatformOrderLog() override;
-    PlatformOrderLog(const PlatformOrderLog &) = delete;
-    PlatformOrderLog &operator=(const PlatformOrderLog &) = delete;
+    ~StoredOrderLog() override;
+    StoredOrderLog(const StoredOrderLog &) = delete;
+    StoredOrderLog &operator=(const StoredOrderLog &) = delete;
 
     void append(const requests::LedgerSlot &slot, std::uint64_t number,
             const protocol::OrderBatch &batch, AppendCallback callback) override;
@@ -41,4 +41,4 @@
     std::shared_ptr<Implementation> m_implementation;
 };
 
-} // namespace oriolerill::platform
+} // namespace oriolerill::objectstore
--- a/src/platform/tests/fakeobjectstore.h
+++ b/src/objectstore/tests/fakeobjectstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/iobjectstore.h"
+#include "objectstore/iobjectstore.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -13,7 +13,7 @@
 #include <map>
 #include <mutex>
 
-namespace oriolerill::platform {
+namespace oriolerill::objectstore {
 
 /// An object store in memory, with outages, forgotten changes and lost answers.
 class FakeObjectStore : public IObjectStore
@@ -161,4 +161,4 @@
     std::map<std::string, StoredObject> m_objects;
 };
 
-} // namespace oriolerill::platform
+} // namespace oriolerill::objectstore
--- a/src/platform/tests/objectstoreclienttest.cpp
+++ b/src/objectstore/tests/objectstoreclienttest.cpp
@@ -1,6 +1,6 @@
-#include "platform/objectstoreclient.h"
-#include "platform/internal/outagebackoff.h"
-#include "platform/internal/ratebudget.h"
+#include "objectstore/objectstoreclient.h"
+#include "objectstore/internal/outagebackoff.h"
+#include "objectstore/internal/ratebudget.h"
 #include "transport/httpserver.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -12,7 +12,7 @@
 #include <map>
 #include <mutex>
 
-namespace oriolerill::platform {
+namespace oriolerill::objectstore {
 
 namespace asio = boost::asio;
 using namespace std::chrono_literals;
@@ -247,4 +247,4 @@
     EXPECT_GT(retries.size(), 90U);
 }
 
-} // namespace oriolerill::platform
+} // namespace oriolerill::objectstore
--- a/src/platform/tests/platformwritestest.cpp
+++ b/src/objectstore/tests/storewritestest.cpp
@@ -1,5 +1,5 @@
-#include "platform/platformorderlog.h"
-#include "platform/tests/fakeobjectstore.h"
+#include "objectstore/storedorderlog.h"
+#include "objectstore/tests/fakeobjectstore.h"
 
 #include <boost/asio/thread_pool.hpp>
 
@@ -7,7 +7,7 @@
 
 #include <future>
 
-namespace oriolerill::platform {
+namespace oriolerill::objectstore {
 
 namespace asio = boost::asio;
 using domain::ErrorKind;
@@ -32,7 +32,7 @@
 
     asio::thread_pool m_pool{2};
     FakeObjectStore m_store;
-    PlatformOrderLog m_log{m_pool.get_executor(), m_store, {}};
+    StoredOrderLog m_log{m_pool.get_executor(), m_store, {}};
     requests::LedgerSlot m_slot{domain::ServiceId("books"), 3};
 };
 
@@ -51,4 +51,4 @@
     EXPECT_EQ(numbers.get_future().get(), (std::vector<std::uint64_t>{1, 12}));
 }
 
-} // namespace oriolerill::platform
+} // namespace oriolerill::objectstore
