--- a/src/observability/internal/log.cpp
+++ b/src/observability/internal/log.cpp
@@ -2,13 +2,19 @@
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 
 #include <chrono>
-#include <iostream>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include <poll.h>
+#include <unistd.h>
 
 namespace oriolerill::observability {
 
@@ -18,6 +24,78 @@
 
 using Logger = logging::sources::severity_logger_mt<Severity>;
 
+/// Lines of one event that are written in a second; further ones are counted. Enough for each
+/// request of a busy entry, and a bound on what a failure at scale can cost.
+constexpr std::uint32_t MaxLinesPerSecond = 400;
+
+/// Writes lines to standard output without waiting: a reader that stalls must not stall requests.
+class OutputBackend : public logging::sinks::basic_formatted_sink_backend<char,
+                              logging::sinks::synchronized_feeding>
+{
+public:
+    void consume(const logging::record_view & /*record*/, const std::string &line)
+    {
+        pollfd output = {STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+            ++m_lost;
+            return;
+        }
+        std::string text;
+        if (m_lost > 0)
+            text = "event=log_lines_lost lines=" + std::to_string(m_lost) + '\n';
+        text += line + '\n';
+        // A pipe that can be written takes a line of this size whole.
+        if (::write(STDOUT_FILENO, text.data(), text.size()) < 0)
+            ++m_lost;
+        else
+            m_lost = 0;
+    }
+
+private:
+    std::uint64_t m_lost = 0;
+};
+
+/// Counts the lines of each event.
+class LineBudget
+{
+public:
+    /// Whether a line may be written now; dropped tells how many were not before it.
+    bool take(std::string_view event, std::chrono::steady_clock::time_point now,
+            std::uint64_t &dropped)
+    {
+        const std::scoped_lock lock(m_mutex);
+        Count &count = m_counts.try_emplace(std::string(event)).first->second;
+        if (now - count.second >= std::chrono::seconds(1)) {
+            count.second = now;
+            count.lines = 0;
+        }
+        if (count.lines >= MaxLinesPerSecond) {
+            ++count.dropped;
+            return false;
+        }
+        ++count.lines;
+        dropped = std::exchange(count.dropped, 0);
+        return true;
+    }
+
+private:
+    struct Count
+    {
+        std::chrono::steady_clock::time_point second;
+        std::uint32_t lines = 0;
+        std::uint64_t dropped = 0;
+    };
+
+    std::mutex m_mutex;
+    std::map<std::string, Count> m_counts;
+};
+
+LineBudget &lineBudget()
+{
+    static LineBudget budget;
+    return budget;
+}
+
 std::string &processLabel()
 {
     static std::string label;
@@ -63,10 +141,10 @@
 void startLogging(Severity lowest, std::string_view processName)
 {
     processLabel() = processName;
-    logging::add_console_log(std::cerr,
-            logging::keywords::format = logging::expressions::stream
-                    << logging::expressions::smessage,
-            logging::keywords::auto_flush = true);
+    using Sink = logging::sinks::synchronous_sink<OutputBackend>;
+    const auto sink = boost::make_shared<Sink>();
+    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+    logging::core::get()->add_sink(sink);
     logging::core::get()->set_filter(logging::expressions::attr<Severity>("Severity") >= lowest);
 }
 
@@ -74,6 +152,9 @@
 {
     using std::chrono::milliseconds;
     static Logger logger;
+    std::uint64_t dropped = 0;
+    if (!lineBudget().take(event, std::chrono::steady_clock::now(), dropped))
+        return;
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
     std::string line = "ts_ms=";
     line += std::to_string(std::chrono::duration_cast<milliseconds>(sinceEpoch).count());
@@ -89,6 +170,8 @@
         line += '=';
         appendValue(line, field.value());
     }
+    if (dropped > 0)
+        line += " dropped_before=" + std::to_string(dropped);
     BOOST_LOG_SEV(logger, severity) << line;
 }
 
--- a/src/observability/log.h
+++ b/src/observability/log.h
@@ -45,10 +45,12 @@
     std::string m_value;
 };
 
-/// Sends log lines to standard error; lines below the severity are dropped.
+/// Sends log lines to standard output; lines below the severity are dropped. Writing never waits:
+/// lines are lost, and counted, while the reader stalls.
 void startLogging(Severity lowest, std::string_view processName);
 
-/// Writes one line for an event, named in lower case with underscores.
+/// Writes one line for an event, named in lower case with underscores. Lines of one event are
+/// bounded per second; the next line tells how many were dropped.
 void logEvent(
         Severity severity, std::string_view event, std::initializer_list<LogField> fields = {});
 
--- a/src/relay/internal/callersession.cpp
+++ b/src/relay/internal/callersession.cpp
@@ -83,7 +83,9 @@
     const auto self = shared_from_this();
     try {
         bool isOpen = true;
-        while (isOpen)
+        // An answer that began before the stop has promised to keep its connection; closing it
+        // unread lets the caller repeat at once, while a request taken now could not be ended.
+        while (isOpen && !m_context.isIntakeClosed)
             isOpen = co_await serveOne();
     } catch (const std::exception &error) {
         observability::logEvent(observability::Severity::Error, "session_failed",
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -97,7 +97,7 @@
         const bool isTaken = m_relay.dispatcher.setConfig(shared);
         logEvent(Severity::Info, isTaken ? "config_in_force" : "config_older",
                 {{"version", shared->version()}, {"revision", object.version.revision},
-                        {"routes", shared->routeCount()}});
+                        {"routes", shared->routes().size()}});
     }
 }
 
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -67,12 +67,20 @@
     protocol::LoadSubscription subscription;
     subscription.set_entry(m_entry.value());
     subscription.set_data_centre(m_dataCentre.value());
-    const std::string bytes = subscription.SerializeAsString();
+    std::map<domain::ServiceId, double> demands;
     const auto config = m_dispatcher.config();
     for (const auto &[id, endpoint] : m_dispatcher.endpoints().endpoints()) {
         const routing::ServiceSpec *service = config ? config->service(endpoint.service) : nullptr;
         if (service == nullptr || !service->engine)
             continue;
+        const auto demand = demands.find(endpoint.service);
+        if (demand == demands.end()) {
+            const double perSecond = static_cast<double>(m_dispatcher.takeDemand(endpoint.service))
+                    / std::chrono::duration<double>(SubscriptionInterval).count();
+            demands[endpoint.service] = perSecond;
+        }
+        subscription.set_demand(demands[endpoint.service]);
+        const std::string bytes = subscription.SerializeAsString();
         boost::system::error_code code;
         const auto host = asio::ip::make_address_v4(endpoint.address.host, code);
         // A lost subscription is sent again within a second.
@@ -103,6 +111,8 @@
         report.weightsVersion = message.weights_version();
         report.pace = message.pace();
         report.isSwitching = message.is_switching();
+        report.grant = message.grant();
+        report.entries = message.entries();
         const TimePoint now = TimePoint::clock::now();
         m_dispatcher.onReport(*address, message.engine_started_at_ms(), report, now);
         m_counts[*address] = {message.entries(), now};
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -14,7 +14,10 @@
     EndpointConnections &connections;
     observability::Metrics &metrics;
     std::size_t requestsInFlight = 0;
+    /// The process ends soon: each answer closes its connection.
     bool isStopping = false;
+    /// No further request is read from any connection.
+    bool isIntakeClosed = false;
     /// The store has not been heard from since then; none while it answers.
     std::optional<domain::TimePoint> storeLostAt;
 };
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -212,6 +212,7 @@
         co_await timer.async_wait(UseTuple);
         boost::system::error_code code;
         m_acceptor.close(code);
+        m_relay.isIntakeClosed = true;
         // A caller that sends on one of them just now sees that nothing was read, and repeats.
         for (const auto &session : m_sessions) {
             if (session->isIdle())
--- /dev/null
+++ b/src/relay/tests/relayfixture.h
@@ -0,0 +1,256 @@
+#pragma once
+
+#include "relay/internal/callersession.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace oriolerill::relay {
+
+/// An endpoint that answers as a script says, over plain sockets, so that it can break the rules of
+/// the protocol. One thread a connection.
+class ScriptedEndpoint
+{
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+    /// Gets each request as it was received; writes what it likes. False closes the connection.
+    using Script = std::function<bool(Socket &, const std::string &request)>;
+
+    explicit ScriptedEndpoint(Script script)
+        : m_script(std::move(script))
+        , m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , m_thread([this] { acceptAll(); })
+    {}
+
+    ~ScriptedEndpoint()
+    {
+        m_isStopping = true;
+        Socket wake(m_context);
+        boost::system::error_code code;
+        wake.connect(m_acceptor.local_endpoint(), code);
+        m_thread.join();
+        for (std::thread &thread : m_connections)
+            thread.join();
+    }
+
+    domain::SocketAddress address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+    std::vector<std::string> requests() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_requests;
+    }
+
+    /// Whether a connection was closed by the entry while a script was still running.
+    bool wasCancelled() const { return m_wasCancelled; }
+    void noteCancelled() { m_wasCancelled = true; }
+
+private:
+    void acceptAll()
+    {
+        for (;;) {
+            Socket socket(m_context);
+            boost::system::error_code code;
+            m_acceptor.accept(socket, code);
+            if (m_isStopping || code)
+                return;
+            m_connections.emplace_back(
+                    [this, socket = std::move(socket)]() mutable { serve(socket); });
+        }
+    }
+
+    void serve(Socket &socket)
+    {
+        std::string received;
+        for (;;) {
+            const std::size_t end = received.find("\r\n\r\n");
+            if (end == std::string::npos) {
+                char bytes[4096];
+                boost::system::error_code code;
+                const std::size_t size = socket.read_some(boost::asio::buffer(bytes), code);
+                if (code)
+                    return;
+                received.append(bytes, size);
+                continue;
+            }
+            const std::string request = std::exchange(received, "");
+            {
+                const std::scoped_lock lock(m_mutex);
+                m_requests.push_back(request);
+            }
+            if (!m_script(socket, request))
+                return;
+        }
+    }
+
+    Script m_script;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_requests;
+    std::atomic<bool> m_isStopping = false;
+    std::atomic<bool> m_wasCancelled = false;
+    std::vector<std::thread> m_connections;
+    std::thread m_thread;
+};
+
+inline void write(boost::asio::ip::tcp::socket &socket, const std::string &text)
+{
+    boost::system::error_code code;
+    boost::asio::write(socket, boost::asio::buffer(text), code);
+}
+
+/// Value of a header field in a request or answer; empty without one.
+inline std::string fieldOf(const std::string &message, const std::string &name)
+{
+    const std::size_t at = message.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return "";
+    const std::size_t begin = at + name.size() + 4;
+    return message.substr(begin, message.find("\r\n", begin) - begin);
+}
+
+/// Sessions of an entry on one thread, in front of scripted endpoints.
+class RelayFixture : public testing::Test
+{
+protected:
+    RelayFixture()
+        : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {}
+
+    ~RelayFixture() override
+    {
+        boost::asio::post(m_context, [this] { m_context.stop(); });
+        if (m_thread.joinable())
+            m_thread.join();
+        // The scripts end when their connections do.
+        m_connections.closeIdle();
+        m_endpoints.clear();
+    }
+
+    ScriptedEndpoint &addEndpoint(ScriptedEndpoint::Script script)
+    {
+        m_endpoints.push_back(std::make_unique<ScriptedEndpoint>(std::move(script)));
+        routing::ListedEndpoint listed;
+        listed.id = domain::EndpointId("e" + std::to_string(m_endpoints.size()));
+        listed.service = domain::ServiceId("s");
+        listed.address = m_endpoints.back()->address();
+        listed.slots = 4;
+        m_listed.push_back(listed);
+        return *m_endpoints.back();
+    }
+
+    static routing::Route route(const std::string &prefix, routing::RequestKind kind)
+    {
+        routing::Route route;
+        route.name = prefix;
+        route.host = "h.example";
+        route.pathPrefix = prefix;
+        route.kind = kind;
+        route.isResumable = kind == routing::RequestKind::Stream;
+        route.services = {{domain::ServiceId("s"), 1}};
+        route.timeout = std::chrono::milliseconds(1500);
+        route.maxEndpoints = kind == routing::RequestKind::NonIdempotent ? 1 : 2;
+        return route;
+    }
+
+    void start()
+    {
+        routing::ServiceSpec service;
+        service.id = domain::ServiceId("s");
+        auto config = std::make_shared<routing::ServingConfig>(1,
+                std::vector{route("/read/", routing::RequestKind::Idempotent),
+                        route("/order/", routing::RequestKind::NonIdempotent),
+                        route("/stream/", routing::RequestKind::Stream)},
+                std::vector{service}, routing::CallerLimits());
+        config->addAccount("secret", {domain::AccountId("shop"), std::nullopt, {}});
+        m_dispatcher.setConfig(config);
+        m_dispatcher.endpoints().replaceAll(m_listed, domain::TimePoint::clock::now());
+        boost::asio::co_spawn(m_context, acceptAll(), boost::asio::detached);
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    boost::asio::awaitable<void> acceptAll()
+    {
+        for (;;) {
+            boost::asio::ip::tcp::socket socket(m_context);
+            co_await m_acceptor.async_accept(socket, boost::asio::use_awaitable);
+            auto session = std::make_shared<internal::CallerSession>(m_relay, std::move(socket));
+            boost::asio::co_spawn(m_context, session->run(), boost::asio::detached);
+        }
+    }
+
+    boost::asio::ip::tcp::socket connect()
+    {
+        boost::asio::ip::tcp::socket socket(m_callerContext);
+        socket.connect(m_acceptor.local_endpoint());
+        return socket;
+    }
+
+    static std::string request(const std::string &method, const std::string &path,
+            const std::string &more = "", const std::string &body = "")
+    {
+        std::string text = method + " " + path
+                + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nKey: secret\r\n";
+        if (!body.empty())
+            text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        return text + more + "\r\n" + body;
+    }
+
+    /// Sends on a connection of its own, which the entry is told to close, and reads to the end.
+    std::string call(const std::string &text)
+    {
+        auto socket = connect();
+        write(socket, text);
+        return readAll(socket);
+    }
+
+    static std::string readAll(boost::asio::ip::tcp::socket &socket)
+    {
+        std::string answer;
+        boost::system::error_code code;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), code);
+        return answer;
+    }
+
+    static unsigned statusOf(const std::string &answer)
+    {
+        return answer.size() < 12 ? 0 : std::stoul(answer.substr(9, 3));
+    }
+
+    static std::string answer(const std::string &id, const std::string &body,
+            const std::string &status = "200 OK", const std::string &more = "")
+    {
+        return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id + "\r\nServer-Signature: sig\r\n"
+                + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static constexpr const char *Close = "Connection: close\r\n";
+
+    boost::asio::io_context m_context{1};
+    boost::asio::io_context m_callerContext;
+    routing::Dispatcher m_dispatcher{routing::DispatcherOptions()};
+    internal::EndpointConnections m_connections{m_context};
+    observability::Metrics m_metrics;
+    internal::RelayContext m_relay{m_dispatcher, m_connections, m_metrics};
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::unique_ptr<ScriptedEndpoint>> m_endpoints;
+    std::vector<routing::ListedEndpoint> m_listed;
+    std::thread m_thread;
+};
+
+} // namespace oriolerill::relay
--- a/src/relayagent/internal/enginelink.cpp
+++ b/src/relayagent/internal/enginelink.cpp
@@ -60,7 +60,7 @@
 }
 
 asio::awaitable<Expected<std::string>> EngineLink::readStaged(
-        domain::ModelId model, std::uint32_t piece)
+        const domain::ModelId &model, std::uint32_t piece)
 {
     return call("GET", platform::stageGetTarget(model, piece), "");
 }
--- a/src/relayagent/internal/enginelink.h
+++ b/src/relayagent/internal/enginelink.h
@@ -23,7 +23,7 @@
     boost::asio::awaitable<domain::Expected<std::set<std::uint32_t>>> listStaged(
             domain::ModelId model);
     boost::asio::awaitable<domain::Expected<std::string>> readStaged(
-            domain::ModelId model, std::uint32_t piece);
+            const domain::ModelId &model, std::uint32_t piece);
     boost::asio::awaitable<domain::Expected<domain::Done>> stage(
             domain::ModelId model, std::uint32_t piece, std::string bytes);
     /// Orders the engine to load what is staged; Conflict when its state does not allow it now.
--- a/src/relayagent/internal/fleetview.cpp
+++ b/src/relayagent/internal/fleetview.cpp
@@ -35,8 +35,10 @@
         co_return !m_model.isEmpty() && m_origin;
     }
     if (const routing::ServiceSpec *service = config->service(m_service);
-            service != nullptr && !service->models.empty())
+            service != nullptr && !service->models.empty()) {
         m_model = service->models.front();
+        m_speed = service->engine.value_or(m_speed);
+    }
     for (const auto &[id, service] : config->services()) {
         if (service.origin)
             m_origin = service.origin;
--- a/src/relayagent/internal/fleetview.h
+++ b/src/relayagent/internal/fleetview.h
@@ -3,6 +3,7 @@
 #include "distribution/piecesources.h"
 #include "domain/socketaddress.h"
 #include "objectstore/iobjectstore.h"
+#include "routing/servingconfig.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -25,6 +26,7 @@
     boost::asio::awaitable<bool> readMembers();
 
     const domain::ModelId &model() const { return m_model; }
+    const routing::EngineSpeed &speed() const { return m_speed; }
     const std::optional<domain::SocketAddress> &origin() const { return m_origin; }
     /// Members of the service, this VM among them once it is listed.
     const std::vector<distribution::PushMember> &members() const { return m_members; }
@@ -38,6 +40,7 @@
     domain::ServiceId m_service;
     distribution::PushMember m_self;
     domain::ModelId m_model;
+    routing::EngineSpeed m_speed;
     std::optional<domain::SocketAddress> m_origin;
     std::vector<distribution::PushMember> m_members;
 };
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
+#include <functional>
 
 namespace oriolerill::relayagent::internal {
 
@@ -21,8 +23,6 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto ReportInterval = std::chrono::milliseconds(100);
-/// Entries of other data centres get each second report: bytes between data centres are priced.
-constexpr std::uint64_t RemoteEvery = 2;
 /// Entries subscribe each second; three lost datagrams and a pause are forgiven. A longer time
 /// counts entries that have gone, which only makes each entry's part of a bound smaller.
 constexpr auto SubscriberLife = std::chrono::milliseconds(6000);
@@ -30,13 +30,13 @@
 
 } // namespace
 
-LoadReporter::LoadReporter(asio::io_context &context, EngineLink &engine,
-        domain::DataCentreId dataCentre, const domain::SocketAddress &listen)
+LoadReporter::LoadReporter(
+        asio::io_context &context, EngineLink &engine, const domain::SocketAddress &listen)
     : m_context(context)
     , m_engine(engine)
-    , m_dataCentre(std::move(dataCentre))
     , m_listen(listen)
     , m_socket(context)
+    , m_grants(std::hash<std::string>{}(listen.host))
 {}
 
 domain::Expected<domain::Done> LoadReporter::open()
@@ -67,8 +67,7 @@
         if (code || !message.ParseFromArray(bytes.data(), static_cast<int>(size)))
             continue;
         const bool isNew = m_subscribers.count(sender) == 0;
-        m_subscribers[sender]
-                = {message.data_centre() == m_dataCentre.value(), TimePoint::clock::now()};
+        m_subscribers[sender] = {message.demand(), TimePoint::clock::now()};
         if (isNew) {
             logEvent(Severity::Info, "entry_subscribed",
                     {{"entry", message.entry()}, {"data_centre", message.data_centre()},
@@ -95,7 +94,7 @@
         });
         // An engine that does not answer is not reported; entries see its reports grow old.
         if (m_state)
-            send(m_sequence % RemoteEvery == 0);
+            send();
         timer.expires_after(ReportInterval);
         co_await timer.async_wait(UseTuple);
     }
@@ -107,10 +106,16 @@
         return;
     m_isSwitching = isSwitching;
     if (m_state)
-        send(true);
+        send();
 }
 
-void LoadReporter::send(bool isToAll)
+void LoadReporter::setModel(const domain::ModelId &model, const routing::EngineSpeed &speed)
+{
+    m_model = model;
+    m_speed = speed;
+}
+
+void LoadReporter::send()
 {
     protocol::LoadReport message;
     message.set_endpoint_address(m_engine.address().toString());
@@ -123,10 +128,22 @@
     message.set_is_switching(m_isSwitching);
     message.set_entries(static_cast<std::uint32_t>(m_subscribers.size()));
     message.set_engine_started_at_ms(m_state->startedAtMs);
-    const std::string bytes = message.SerializeAsString();
+    routing::PlaceCount count;
+    count.slots = std::max(m_speed.slots, 1U);
+    count.running = m_state->running;
+    count.waiting = m_state->waiting;
+    const double releaseMs = m_speed.releaseMs() * std::max(m_state->pace, 1.0);
+    count.endedPerSecond = releaseMs > 0 ? 1000 / releaseMs : 0;
+    count.reportSeconds = std::chrono::duration<double>(ReportInterval).count();
+    std::vector<double> demands;
+    for (const auto &[entry, subscriber] : m_subscribers)
+        demands.push_back(subscriber.demand);
+    const double places = m_isSwitching ? 0 : routing::grantablePlaces(count);
+    const std::vector<std::uint32_t> grants = m_grants.split(places, demands);
+    std::size_t position = 0;
     for (const auto &[entry, subscriber] : m_subscribers) {
-        if (!isToAll && !subscriber.isLocal)
-            continue;
+        message.set_grant(grants[position++]);
+        const std::string bytes = message.SerializeAsString();
         boost::system::error_code code;
         // A lost report is replaced by the next one.
         m_socket.send_to(asio::buffer(bytes), entry, 0, code);
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -6,6 +6,8 @@
 #include "domain/timepoint.h"
 #include "relayagent/internal/enginelink.h"
 #include "rollout/enginestate.h"
+#include "routing/placegrants.h"
+#include "routing/servingconfig.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,7 +24,7 @@
 {
 public:
     LoadReporter(boost::asio::io_context &context, EngineLink &engine,
-            domain::DataCentreId dataCentre, const domain::SocketAddress &listen);
+            const domain::SocketAddress &listen);
 
     domain::Expected<domain::Done> open();
     boost::asio::awaitable<void> receiveSubscriptions();
@@ -32,26 +34,27 @@
     const std::optional<rollout::EngineState> &state() const { return m_state; }
     /// Tells entries, now and with each further report, whether the engine is about to switch.
     void setSwitching(bool isSwitching);
-    /// Model whose version is reported.
-    void setModel(const domain::ModelId &model) { m_model = model; }
+    /// Model whose version is reported, and how fast the engine is.
+    void setModel(const domain::ModelId &model, const routing::EngineSpeed &speed);
 
 private:
     struct Subscriber
     {
-        bool isLocal = false;
+        double demand = 0;
         domain::TimePoint seenAt;
     };
 
-    void send(bool isToAll);
+    void send();
 
     boost::asio::io_context &m_context;
     EngineLink &m_engine;
-    domain::DataCentreId m_dataCentre;
     domain::SocketAddress m_listen;
     boost::asio::ip::udp::socket m_socket;
     std::map<boost::asio::ip::udp::endpoint, Subscriber> m_subscribers;
     std::optional<rollout::EngineState> m_state;
     domain::ModelId m_model;
+    routing::EngineSpeed m_speed;
+    routing::PlaceGrants m_grants;
     bool m_isSwitching = false;
     std::uint64_t m_sequence = 0;
 };
--- a/src/relayagent/internal/relayagentprocess.cpp
+++ b/src/relayagent/internal/relayagentprocess.cpp
@@ -52,7 +52,7 @@
         , m_settingsFile(std::move(settingsFile))
         , m_store(m_context.get_executor(), m_settings.storeAddress)
         , m_engine(m_context.get_executor(), m_settings.engineAddress)
-        , m_reporter(m_context, m_engine, m_settings.dataCentre, m_settings.listenLoad)
+        , m_reporter(m_context, m_engine, m_settings.listenLoad)
         , m_fleet(m_store, m_settings.service, m_settings.engineAddress, m_settings.dataCentre)
         , m_keeper(m_context, m_engine, m_reporter, m_fleet, m_metrics, m_settings.listenPeers.port,
                   schedule(m_settings), pacer(m_settings))
--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -181,7 +181,7 @@
     m_hasOriginFailed = false;
     const bool isRead = co_await m_fleet.readConfig();
     if (isRead)
-        m_reporter.setModel(m_fleet.model());
+        m_reporter.setModel(m_fleet.model(), m_fleet.speed());
     co_return isRead;
 }
 
--- a/src/rollout/switchschedule.h
+++ b/src/rollout/switchschedule.h
@@ -19,7 +19,7 @@
     /// The last group switches at this share, about when entries stop to send to older versions.
     /// An engine takes about two seconds to end what it runs, a quarter of the bound: so one group
     /// is back when the next one begins.
-    double lastShare = 0.84;
+    double lastShare = 0.78;
     domain::Duration bound = std::chrono::milliseconds(8000);
 };
 
--- /dev/null
+++ b/src/rollout/tests/pushplantest.cpp
@@ -0,0 +1,100 @@
+#include "rollout/pushplan.h"
+#include "rollout/switchschedule.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace oriolerill::rollout {
+
+using namespace std::chrono_literals;
+using domain::TimePoint;
+
+class PushPlanFixture : public testing::Test
+{
+protected:
+    WantedVersion wanted(std::uint64_t number, TimePoint namedAt, double share) const
+    {
+        WantedVersion version;
+        version.number = number;
+        version.namedAt = namedAt;
+        version.turnAt = namedAt + 5s;
+        version.fallbackAt = namedAt + 6500ms;
+        version.boundAt = namedAt + 8s;
+        version.heldShare = share;
+        return version;
+    }
+
+    TimePoint m_start{1h};
+    PushPlan m_plan;
+};
+
+// Guards against two half versions: a newer one is named while the older one is nearly there.
+TEST_F(PushPlanFixture, decide_newerNamedDuringTransfer_olderFinishedFirst)
+{
+    const auto decision
+            = m_plan.decide({wanted(3, m_start + 2s, 0), wanted(2, m_start, 0.6)}, 1, m_start + 2s);
+    EXPECT_EQ(decision.fetch, 2U);
+    const auto early
+            = m_plan.decide({wanted(3, m_start + 1s, 0), wanted(2, m_start, 0.1)}, 1, m_start + 1s);
+    EXPECT_EQ(early.fetch, 3U);
+}
+
+// Guards against engines that are useless from the older version's bound until the newest version
+// has arrived, because the origin is down.
+TEST_F(PushPlanFixture, decide_newestStalled_olderTakenAtItsTurn)
+{
+    WantedVersion newest = wanted(3, m_start + 2s, 0.9);
+    newest.isStalled = true;
+    const std::vector<WantedVersion> versions = {newest, wanted(2, m_start, 1)};
+    EXPECT_FALSE(m_plan.decide(versions, 1, m_start + 4s).isDue);
+    const auto decision = m_plan.decide(versions, 1, m_start + 5s);
+    EXPECT_EQ(decision.stage, 2U);
+    EXPECT_TRUE(decision.isDue);
+}
+
+// Guards against two switches in a row where one will do.
+TEST_F(PushPlanFixture, decide_newestNearlyThere_olderWaitsUntilItsBound)
+{
+    const std::vector<WantedVersion> versions
+            = {wanted(3, m_start + 2s, 0.8), wanted(2, m_start, 1)};
+    EXPECT_FALSE(m_plan.decide(versions, 1, m_start + 6s).isDue);
+    EXPECT_TRUE(m_plan.decide(versions, 1, m_start + 8s).isDue);
+}
+
+// Guards against an engine that waits for its turn although entries send it nothing any more.
+TEST_F(PushPlanFixture, decide_olderVersionRequiredAlready_newestTakenAtOnce)
+{
+    const std::vector<WantedVersion> versions = {wanted(3, m_start + 4s, 1), wanted(2, m_start, 1)};
+    EXPECT_FALSE(m_plan.decide(versions, 1, m_start + 6s).isDue);
+    EXPECT_TRUE(m_plan.decide(versions, 1, m_start + 6600ms).isDue);
+}
+
+// Guards against empty engines that wait although they serve nobody.
+TEST_F(PushPlanFixture, decide_emptyEngine_switchesAsSoonAsComplete)
+{
+    EXPECT_TRUE(m_plan.decide({wanted(2, m_start, 1)}, 0, m_start + 1s).isDue);
+}
+
+// Guards against more than about a third of a data centre that takes no new work at a time.
+TEST(SwitchSchedule, switchAt_membersOfOneDataCentre_threeGroupsWithinBound)
+{
+    const SwitchSchedule schedule;
+    const distribution::WeightsVersion version{domain::ModelId("m"), 2};
+    const TimePoint named{1h};
+    for (const std::size_t count : {3U, 5U, 8U, 17U}) {
+        std::vector<std::string> members;
+        for (std::size_t i = 0; i < count; ++i)
+            members.push_back("10.0.0." + std::to_string(i));
+        std::map<TimePoint, std::size_t> groups;
+        for (const std::string &member : members)
+            ++groups[schedule.switchAt(version, member, members, named)];
+        EXPECT_EQ(groups.size(), 3U);
+        for (const auto &[at, size] : groups) {
+            EXPECT_LE(size, (count + 2) / 3);
+            EXPECT_LT(at, named + 7s);
+        }
+    }
+}
+
+} // namespace oriolerill::rollout
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -37,12 +37,19 @@
     EndpointLoadOptions load;
     EndpointListOptions list;
     PlacementOptions placement;
-    /// A request that would start later than this share of its objective is refused: a place is
-    /// better given to a request that is answered in time.
-    double latestStartShare = 1.0;
-    /// Shortest and longest time after which a refused caller is told to come back.
-    domain::Duration shortestReturn = std::chrono::milliseconds(150);
+    /// A request that would wait for a place longer than this share of the strictest objective of
+    /// its service is refused: a place is better given to a request that is answered in time. One
+    /// bound for all kinds of requests of a service, so that none of them is starved by the others;
+    /// the rest of the objective is for reading the prompt and for what reports do not show yet.
+    double longestWaitShare = 0.45;
+    /// When a refused caller is told to come back: after this time, spread over as much again, plus
+    /// what the endpoints need to end their queues. A place comes free each few milliseconds over
+    /// all engines, so coming back soon has the same chance as coming back late, and only an answer
+    /// soon is in time for the caller.
+    domain::Duration shortestReturn = std::chrono::milliseconds(60);
     domain::Duration longestReturn = std::chrono::milliseconds(1500);
+    /// The same when no endpoint may take the request at all, which does not pass so quickly.
+    domain::Duration shortestReturnWithout = std::chrono::milliseconds(300);
     /// Entries assumed until agents tell how many they hear of.
     std::size_t assumedEntries = 12;
     std::uint64_t seed = 1;
@@ -116,25 +123,29 @@
     domain::ServiceId drawService(const Route &route);
     void onRequest(const domain::ServiceId &service, domain::TimePoint now);
     bool tryRetry(const domain::ServiceId &service, domain::TimePoint now);
+    /// Requests for the service since the last call.
+    std::uint64_t takeDemand(const domain::ServiceId &service);
     DispatchDecision choose(const DispatchQuery &query, domain::TimePoint now);
     /// The request was handed to the endpoint that was chosen.
     void onSent(const Dispatch &dispatch, domain::TimePoint now);
 
 private:
-    bool mayTake(const ListedEndpoint &endpoint, const DispatchQuery &query,
-            domain::TimePoint now) const;
+    bool mayTake(const ListedEndpoint &endpoint, const DispatchQuery &query) const;
     bool isCold(const ListedEndpoint &endpoint, const ServiceSpec &service,
             domain::TimePoint now) const;
     std::optional<std::uint64_t> weightsOf(const ListedEndpoint &endpoint,
             const domain::ModelId &model, domain::TimePoint now) const;
     double startMs(const ListedEndpoint &endpoint, const ServiceSpec &service,
             const CallerRequest &request, domain::TimePoint now);
+    double longestWaitMs(const domain::ServiceId &service) const;
     Refusal refuse(RefusalReason reason, double waitMs);
     RetryBudget &retries(const domain::ServiceId &service, domain::TimePoint now);
     RetryBudgetOptions retryOptions() const;
 
     DispatcherOptions m_options;
     std::shared_ptr<const ServingConfig> m_config;
+    /// Strictest objective of the routes to each service.
+    std::map<domain::ServiceId, domain::Duration> m_objectives;
     std::set<domain::DataCentreId> m_withdrawn;
     EndpointList m_endpoints;
     WeightsRequirement m_weights;
@@ -142,6 +153,7 @@
     Placement m_placement;
     std::map<domain::EndpointId, EndpointLoad> m_loads;
     std::map<domain::ServiceId, RetryBudget> m_retries;
+    std::map<domain::ServiceId, std::uint64_t> m_demand;
     std::size_t m_entries;
     std::mt19937_64 m_random;
 };
--- a/src/routing/endpointload.h
+++ b/src/routing/endpointload.h
@@ -26,6 +26,10 @@
     double pace = 1.0;
     /// The engine is about to load other weights: what it gets now waits for them.
     bool isSwitching = false;
+    /// Requests that this entry may send until the next report.
+    std::uint32_t grant = 0;
+    /// Entries that share the engine's places.
+    std::uint32_t entries = 1;
 };
 
 struct EndpointLoadOptions
@@ -69,6 +73,10 @@
     std::uint32_t inFlight() const { return m_inFlight; }
     /// Requests that run or wait there, as far as this entry knows.
     double busy(domain::TimePoint now) const;
+    /// Milliseconds until the engine has ended the queue that this entry knows of.
+    double queueMs(const EngineSpeed &speed, domain::TimePoint now) const;
+    /// Milliseconds until a request that is sent now would get a place.
+    double expectedWaitMs(const EngineSpeed &speed, domain::TimePoint now) const;
     /// Milliseconds until a request with such a prompt would give its first event.
     double expectedStartMs(
             const EngineSpeed &speed, std::uint32_t promptTokens, domain::TimePoint now) const;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "routing/dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolerill::routing {
 
@@ -19,6 +20,13 @@
     if (m_config && config->version() <= m_config->version())
         return false;
     m_config = std::move(config);
+    m_objectives.clear();
+    for (const Route &route : m_config->routes()) {
+        for (const WeightedService &part : route.services) {
+            const auto known = m_objectives.try_emplace(part.service, route.objective).first;
+            known->second = std::min(known->second, route.objective);
+        }
+    }
     return true;
 }
 
@@ -78,6 +86,7 @@
     options.perRequest = m_options.retryRatio * m_options.retryUsedShare;
     options.perSecond = part / 2 / m_options.retryWindowSeconds;
     options.max = std::max(part / 2, 1.0);
+    options.initial = options.max;
     return options;
 }
 
@@ -89,6 +98,12 @@
 void Dispatcher::onRequest(const domain::ServiceId &service, domain::TimePoint now)
 {
     retries(service, now).onRequest();
+    ++m_demand[service];
+}
+
+std::uint64_t Dispatcher::takeDemand(const domain::ServiceId &service)
+{
+    return std::exchange(m_demand[service], 0);
 }
 
 bool Dispatcher::tryRetry(const domain::ServiceId &service, domain::TimePoint now)
@@ -116,8 +131,7 @@
     return service.coldPerSecond > 0 && now < endpoint.coldUntil;
 }
 
-bool Dispatcher::mayTake(
-        const ListedEndpoint &endpoint, const DispatchQuery &query, domain::TimePoint now) const
+bool Dispatcher::mayTake(const ListedEndpoint &endpoint, const DispatchQuery &query) const
 {
     if (endpoint.service != query.service || endpoint.isDraining
             || query.excluded.count(endpoint.id) > 0 || m_withdrawn.count(endpoint.dataCentre) > 0)
@@ -146,10 +160,20 @@
     return known.busy(now) + ahead * UsualRunMs / slots + known.failureCostMs();
 }
 
+double Dispatcher::longestWaitMs(const domain::ServiceId &service) const
+{
+    const auto objective = m_objectives.find(service);
+    if (objective == m_objectives.end())
+        return 0;
+    return std::chrono::duration<double, std::milli>(objective->second).count()
+            * m_options.longestWaitShare;
+}
+
 Refusal Dispatcher::refuse(RefusalReason reason, double waitMs)
 {
     using std::chrono::milliseconds;
-    const auto shortest = m_options.shortestReturn;
+    const auto shortest = reason == RefusalReason::Full ? m_options.shortestReturn
+                                                        : m_options.shortestReturnWithout;
     const auto wait = std::chrono::duration_cast<domain::Duration>(
             std::chrono::duration<double, std::milli>(waitMs));
     // Spread over the same time again, so that those who return do not arrive together.
@@ -177,7 +201,7 @@
             : service->coldPerSecond * m_options.coldOverage + m_options.coldSlack;
     for (const auto &[id, endpoint] : m_endpoints.endpoints()) {
         listed += endpoint.service == query.service ? 1 : 0;
-        if (service == nullptr || !mayTake(endpoint, query, now))
+        if (service == nullptr || !mayTake(endpoint, query))
             continue;
         std::optional<std::uint64_t> version;
         if (service->engine) {
@@ -207,14 +231,16 @@
         return refusal;
     }
     const PlacementCandidate &best = pool[*chosen];
-    const double objectiveMs
-            = std::chrono::duration<double, std::milli>(query.route->objective).count();
-    const double latestMs = objectiveMs * m_options.latestStartShare;
-    if (service->engine && best.startMs > latestMs) {
-        Refusal refusal = refuse(RefusalReason::Full, best.startMs - latestMs);
-        refusal.listed = listed;
-        refusal.usable = usable;
-        return refusal;
+    if (service->engine) {
+        const double waitMs = load(best.endpoint).expectedWaitMs(*service->engine, now);
+        const double longestMs = longestWaitMs(query.service);
+        if (waitMs > longestMs) {
+            const double queueMs = load(best.endpoint).queueMs(*service->engine, now);
+            Refusal refusal = refuse(RefusalReason::Full, std::max(queueMs - longestMs, 0.0));
+            refusal.listed = listed;
+            refusal.usable = usable;
+            return refusal;
+        }
     }
     const ListedEndpoint *endpoint = m_endpoints.find(best.endpoint);
     Dispatch dispatch;
--- a/src/routing/internal/endpointload.cpp
+++ b/src/routing/internal/endpointload.cpp
@@ -94,25 +94,38 @@
     return std::max<double>(m_inFlight, reported + static_cast<double>(m_sent.size()));
 }
 
+double EndpointLoad::queueMs(const EngineSpeed &speed, domain::TimePoint now) const
+{
+    const double queue = busy(now) - std::max<double>(speed.slots, 1);
+    return std::max(queue, 0.0) * speed.releaseMs();
+}
+
+double EndpointLoad::expectedWaitMs(const EngineSpeed &speed, domain::TimePoint now) const
+{
+    const double slots = std::max<double>(speed.slots, 1);
+    double expected = busy(now) + 1;
+    if (hasFreshReport(now) && m_report.sequence > 0) {
+        // What is sent beyond the grant meets what other entries send by the same right.
+        const double beyond = static_cast<double>(m_sent.size()) + 1 - m_report.grant;
+        expected += std::max(beyond, 0.0) * m_report.entries / 2;
+    }
+    const double ahead = expected - slots;
+    const double pace = hasFreshReport(now) ? std::max(m_report.pace, 1.0) : 1.0;
+    return ahead <= 0 ? 0 : ahead * speed.releaseMs() * pace;
+}
+
 double EndpointLoad::expectedStartMs(
         const EngineSpeed &speed, std::uint32_t promptTokens, domain::TimePoint now) const
 {
     const double slots = std::max<double>(speed.slots, 1);
-    const double current = busy(now);
-    const double writers = std::min(current, slots);
+    const double writers = std::min(busy(now), slots);
     const double stepMs = speed.stepMs + speed.stepMsPerWriter * writers;
     const double readRate = std::max(speed.promptTokensPerMs, 1.0);
-    const double usualReadMs = speed.usualPromptTokens / readRate;
     // What was sent since the report is still to be read, one prompt after another.
-    const double unread = static_cast<double>(m_sent.size()) + m_report.waiting;
-    double startMs = stepMs + promptTokens / readRate + std::min(unread, slots) * usualReadMs;
-    const double ahead = current + 1 - slots;
-    if (ahead > 0) {
-        const double holdMs = stepMs * speed.usualAnswerTokens + usualReadMs;
-        startMs += ahead * holdMs / slots;
-    }
+    const double unread = std::min(static_cast<double>(m_sent.size()) + m_report.waiting, slots);
+    const double readMs = (promptTokens + unread * speed.usualPromptTokens) / readRate;
     const double pace = hasFreshReport(now) ? std::max(m_report.pace, 1.0) : 1.0;
-    return startMs * pace;
+    return expectedWaitMs(speed, now) + (stepMs + readMs) * pace;
 }
 
 } // namespace oriolerill::routing
--- a/src/routing/internal/retrybudget.cpp
+++ b/src/routing/internal/retrybudget.cpp
@@ -6,7 +6,7 @@
 
 RetryBudget::RetryBudget(RetryBudgetOptions options, domain::TimePoint now)
     : m_options(options)
-    , m_tokens(options.perSecond)
+    , m_tokens(options.initial.value_or(options.perSecond))
     , m_refilledAt(now)
 {}
 
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -2,6 +2,8 @@
 
 #include "domain/timepoint.h"
 
+#include <optional>
+
 namespace oriolerill::routing {
 
 struct RetryBudgetOptions
@@ -11,6 +13,8 @@
     /// Retries a second that are allowed without any requests.
     double perSecond = 5;
     double max = 50;
+    /// Retries allowed at the start; none allows those of one second.
+    std::optional<double> initial;
 };
 
 /// Bounds the retries of a process by a share of its requests, so that an overload is not made
--- a/src/routing/servingconfig.h
+++ b/src/routing/servingconfig.h
@@ -68,6 +68,15 @@
     double promptTokensPerMs = 0;
     double usualPromptTokens = 0;
     double usualAnswerTokens = 0;
+
+    /// Time between two ends when all places are taken. Writers share the steps, but each prompt is
+    /// read between them and delays them all.
+    double releaseMs() const
+    {
+        const double places = slots > 0 ? slots : 1;
+        const double readMs = promptTokensPerMs > 0 ? usualPromptTokens / promptTokensPerMs : 0;
+        return (stepMs + stepMsPerWriter * places) * usualAnswerTokens / places + readMs;
+    }
 };
 
 struct ServiceSpec
@@ -114,7 +123,7 @@
 
     std::uint64_t version() const { return m_version; }
     const CallerLimits &limits() const { return m_limits; }
-    std::size_t routeCount() const { return m_routes.size(); }
+    const std::vector<Route> &routes() const { return m_routes; }
     bool hasAccounts() const { return m_hasAccounts; }
     void setHasAccounts() { m_hasAccounts = true; }
 
--- /dev/null
+++ b/src/routing/tests/dispatchertest.cpp
@@ -0,0 +1,318 @@
+#include "routing/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace oriolerill::routing {
+
+using namespace std::chrono_literals;
+using domain::DataCentreId;
+using domain::EndpointId;
+using domain::ModelId;
+using domain::RegionId;
+using domain::ServiceId;
+using domain::TimePoint;
+
+namespace {
+
+constexpr std::uint32_t Slots = 16;
+
+ServiceSpec engineService()
+{
+    ServiceSpec service;
+    service.id = ServiceId("models");
+    service.coldPerSecond = 36;
+    service.models = {ModelId("m")};
+    service.engine = EngineSpeed{Slots, 6.73, 0.0219, 30.6, 964, 119};
+    return service;
+}
+
+Route streamRoute()
+{
+    Route route;
+    route.name = "quotes";
+    route.host = "h.example";
+    route.pathPrefix = "/q/";
+    route.kind = RequestKind::Stream;
+    route.isResumable = true;
+    route.services = {{ServiceId("models"), 1}};
+    route.objective = 400ms;
+    route.timeout = 6s;
+    route.maxEndpoints = 2;
+    return route;
+}
+
+ListedEndpoint endpoint(int number, const std::string &dataCentre = "a")
+{
+    ListedEndpoint endpoint;
+    endpoint.id = EndpointId("e" + std::to_string(number));
+    endpoint.service = ServiceId("models");
+    endpoint.address = {"10.0.0." + std::to_string(number + 1), 80};
+    endpoint.dataCentre = DataCentreId(dataCentre);
+    endpoint.slots = Slots;
+    endpoint.weights[ModelId("m")] = 1;
+    return endpoint;
+}
+
+} // namespace
+
+class DispatcherFixture : public testing::Test
+{
+protected:
+    DispatcherFixture()
+    {
+        m_request.model = ModelId("m");
+        m_request.promptTokens = 900;
+        m_query.route = &m_route;
+        m_query.request = &m_request;
+        m_query.service = ServiceId("models");
+    }
+
+    DispatcherOptions options(std::uint64_t seed) const
+    {
+        DispatcherOptions options;
+        options.dataCentre = DataCentreId("a");
+        options.regions
+                = {{DataCentreId("a"), RegionId("north")}, {DataCentreId("b"), RegionId("south")}};
+        options.assumedEntries = 8;
+        options.seed = seed;
+        return options;
+    }
+
+    void prepare(Dispatcher &dispatcher, int count)
+    {
+        dispatcher.setConfig(std::make_shared<ServingConfig>(
+                1, std::vector{m_route}, std::vector{engineService()}, CallerLimits()));
+        std::vector<ListedEndpoint> listed;
+        listed.reserve(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i)
+            listed.push_back(endpoint(i));
+        dispatcher.endpoints().replaceAll(listed, m_now);
+    }
+
+    void report(Dispatcher &dispatcher, int number, std::uint32_t running,
+            std::uint64_t version = 1, bool isSwitching = false)
+    {
+        EngineReport engineReport;
+        engineReport.sequence = ++m_sequence;
+        engineReport.running = running;
+        engineReport.weightsVersion = version;
+        engineReport.isSwitching = isSwitching;
+        dispatcher.onReport(endpoint(number).address, 0, engineReport, m_now);
+    }
+
+    /// Name of the chosen endpoint; empty when refused.
+    std::string chosen(Dispatcher &dispatcher)
+    {
+        const DispatchDecision decision = dispatcher.choose(m_query, m_now);
+        const auto *dispatch = std::get_if<Dispatch>(&decision);
+        if (dispatch == nullptr)
+            return "";
+        dispatcher.onSent(*dispatch, m_now);
+        return dispatch->endpoint.value();
+    }
+
+    TimePoint m_now{1h};
+    Route m_route = streamRoute();
+    CallerRequest m_request;
+    DispatchQuery m_query;
+    std::uint64_t m_sequence = 0;
+};
+
+// Guards against herds: between two reports every entry sees the same free endpoint.
+TEST_F(DispatcherFixture, choose_burstAtTwoEntriesBetweenReports_noEndpointOverfilled)
+{
+    constexpr int Endpoints = 6;
+    Dispatcher first(options(1));
+    Dispatcher second(options(2));
+    std::map<std::string, int> sent;
+    for (Dispatcher *dispatcher : {&first, &second}) {
+        prepare(*dispatcher, Endpoints);
+        for (int i = 0; i < Endpoints; ++i)
+            report(*dispatcher, i, 8);
+    }
+    // 48 places are free; a burst of 36 arrives at two entries before the next report.
+    for (int i = 0; i < 18; ++i) {
+        ++sent[chosen(first)];
+        ++sent[chosen(second)];
+    }
+    EXPECT_EQ(sent.count(""), 0U);
+    for (const auto &[name, count] : sent)
+        EXPECT_LE(count, 8 + 2) << name;
+}
+
+// Guards against waiting rooms: a request that would start after its objective is refused at once
+// and told when to come back.
+TEST_F(DispatcherFixture, choose_allEnginesFarOverfull_refusedWithReturnTime)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 3);
+    for (int i = 0; i < 3; ++i)
+        report(dispatcher, i, Slots + 12);
+    const DispatchDecision decision = dispatcher.choose(m_query, m_now);
+    const auto *refusal = std::get_if<Refusal>(&decision);
+    ASSERT_NE(refusal, nullptr);
+    EXPECT_EQ(refusal->reason, RefusalReason::Full);
+    EXPECT_EQ(refusal->listed, 3U);
+    EXPECT_GE(refusal->retryAfter, 150ms);
+    EXPECT_LE(refusal->retryAfter, 1500ms);
+}
+
+// Guards against refused callers who all come back in the same moment.
+TEST_F(DispatcherFixture, refuse_manyAtOnce_returnTimesSpread)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 1);
+    report(dispatcher, 0, Slots + 12);
+    std::set<domain::Duration> times;
+    for (int i = 0; i < 20; ++i) {
+        const DispatchDecision decision = dispatcher.choose(m_query, m_now);
+        times.insert(std::get<Refusal>(decision).retryAfter);
+    }
+    EXPECT_GE(times.size(), 15U);
+    EXPECT_GE(*times.rbegin() - *times.begin(), 100ms);
+}
+
+// Guards against new work behind an order to load weights, which would wait for seconds.
+TEST_F(DispatcherFixture, choose_loadOrderAnnounced_endpointLeftOut)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 3);
+    report(dispatcher, 0, 0, 1, true);
+    report(dispatcher, 1, 4);
+    report(dispatcher, 2, 4);
+    for (int i = 0; i < 10; ++i)
+        EXPECT_NE(chosen(dispatcher), "e0");
+}
+
+// Guards against requests that begin on an older version after the operator's bound.
+TEST_F(DispatcherFixture, choose_versionNamedLongAgo_olderEnginesLeftOut)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 3);
+    dispatcher.weights().onNamed(ModelId("m"), 2, false, m_now);
+    m_now += 5s;
+    report(dispatcher, 0, 0, 1);
+    report(dispatcher, 1, 8, 2);
+    report(dispatcher, 2, 0, 1);
+    EXPECT_NE(chosen(dispatcher), "");
+    m_now += 2s;
+    report(dispatcher, 0, 0, 1);
+    report(dispatcher, 1, 8, 2);
+    report(dispatcher, 2, 0, 1);
+    const DispatchDecision decision = dispatcher.choose(m_query, m_now);
+    const auto *dispatch = std::get_if<Dispatch>(&decision);
+    ASSERT_NE(dispatch, nullptr);
+    EXPECT_EQ(dispatch->endpoint, EndpointId("e1"));
+    EXPECT_EQ(dispatch->weightsVersion, 2U);
+}
+
+// Guards against a cold endpoint that falls over because all entries see its free places at once:
+// bound of the operator 36 x 1.5 + 5 = 59 requests in any second over all entries.
+TEST_F(DispatcherFixture, choose_coldReturnAtEightEntries_boundKeptInAnySecond)
+{
+    constexpr int Entries = 8;
+    std::vector<std::unique_ptr<Dispatcher>> entries;
+    for (int i = 0; i < Entries; ++i) {
+        entries.push_back(std::make_unique<Dispatcher>(options(i + 1)));
+        prepare(*entries.back(), 0);
+        entries.back()->setEntries(Entries);
+        ListedEndpoint cold = endpoint(0);
+        cold.coldUntil = m_now + 1h;
+        entries.back()->endpoints().replaceAll({cold}, m_now);
+    }
+    std::deque<TimePoint> sent;
+    std::size_t most = 0;
+    for (int step = 0; step < 400; ++step) {
+        m_now += 10ms;
+        for (const auto &entry : entries) {
+            report(*entry, 0, 0);
+            if (!chosen(*entry).empty())
+                sent.push_back(m_now);
+        }
+        while (!sent.empty() && sent.front() + 1s <= m_now)
+            sent.pop_front();
+        most = std::max(most, sent.size());
+    }
+    EXPECT_LE(most, 59U);
+    // A tenth of what it bears is the least that makes it worth its place.
+    EXPECT_GE(most, 6U);
+}
+
+// Guards against entries that together exceed the operator's bound on repeats in a window: 0.2 of
+// the requests and 104 more in any ten seconds.
+TEST_F(DispatcherFixture, tryRetry_allRequestsFailAtEightEntries_boundKeptInAnyWindow)
+{
+    constexpr int Entries = 8;
+    std::vector<std::unique_ptr<Dispatcher>> entries;
+    for (int i = 0; i < Entries; ++i) {
+        DispatcherOptions entryOptions = options(i + 1);
+        entryOptions.retryExtra = 104;
+        entries.push_back(std::make_unique<Dispatcher>(entryOptions));
+        entries.back()->setEntries(Entries);
+    }
+    std::deque<TimePoint> requests;
+    std::deque<TimePoint> retries;
+    const ServiceId service("models");
+    for (int step = 0; step < 4000; ++step) {
+        m_now += 10ms;
+        Dispatcher &entry = *entries[step % Entries];
+        entry.onRequest(service, m_now);
+        requests.push_back(m_now);
+        if (entry.tryRetry(service, m_now))
+            retries.push_back(m_now);
+        for (std::deque<TimePoint> *times : {&requests, &retries}) {
+            while (times->front() + 10s <= m_now && times->size() > 1)
+                times->pop_front();
+        }
+        ASSERT_LE(retries.size(), 0.2 * requests.size() + 104);
+    }
+    EXPECT_GT(retries.size(), 100U);
+}
+
+// Guards against work for a withdrawn data centre, a draining endpoint or a foreign region.
+TEST_F(DispatcherFixture, choose_withdrawnDrainingOrForeign_neverChosen)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 0);
+    ListedEndpoint draining = endpoint(0);
+    draining.isDraining = true;
+    dispatcher.endpoints().replaceAll({draining, endpoint(1, "b"), endpoint(2)}, m_now);
+    dispatcher.setWithdrawn({DataCentreId("a")});
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(chosen(dispatcher), "e1");
+    dispatcher.setWithdrawn({});
+    m_route.allowedRegions = {RegionId("north")};
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(chosen(dispatcher), "e2");
+}
+
+// Guards against a configuration that goes back, for example after a stale read.
+TEST_F(DispatcherFixture, setConfig_olderVersion_refused)
+{
+    Dispatcher dispatcher(options(1));
+    const auto config = [](std::uint64_t version) {
+        return std::make_shared<ServingConfig>(
+                version, std::vector<Route>(), std::vector<ServiceSpec>(), CallerLimits());
+    };
+    EXPECT_TRUE(dispatcher.setConfig(config(7)));
+    EXPECT_FALSE(dispatcher.setConfig(config(5)));
+    EXPECT_FALSE(dispatcher.setConfig(config(7)));
+    EXPECT_EQ(dispatcher.config()->version(), 7U);
+}
+
+// Guards against a stream that is continued with other weights than it began with.
+TEST_F(DispatcherFixture, choose_pinnedWeights_onlyThatVersion)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 2);
+    report(dispatcher, 0, 0, 2);
+    report(dispatcher, 1, 8, 1);
+    m_query.pinnedWeights = 1;
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(chosen(dispatcher), "e1");
+}
+
+} // namespace oriolerill::routing
--- /dev/null
+++ b/src/routing/tests/endpointlisttest.cpp
@@ -0,0 +1,83 @@
+#include "routing/endpointlist.h"
+
+#include <gtest/gtest.h>
+
+namespace oriolerill::routing {
+
+using namespace std::chrono_literals;
+using domain::EndpointId;
+using domain::TimePoint;
+
+namespace {
+
+ListedEndpoint endpoint(const std::string &id)
+{
+    ListedEndpoint endpoint;
+    endpoint.id = EndpointId(id);
+    return endpoint;
+}
+
+} // namespace
+
+class EndpointListFixture : public testing::Test
+{
+protected:
+    EndpointListFixture()
+    {
+        std::vector<ListedEndpoint> all;
+        all.reserve(6);
+        for (int i = 0; i < 6; ++i)
+            all.push_back(endpoint("e" + std::to_string(i)));
+        m_list.replaceAll(all, m_now);
+    }
+
+    bool has(const std::string &id) const { return m_list.find(EndpointId(id)) != nullptr; }
+
+    TimePoint m_now{1h};
+    EndpointList m_list;
+};
+
+// Guards against endpoints lost to entries that lapsed while the store was away: they are back
+// within two seconds of its return, or gone.
+TEST_F(EndpointListFixture, replaceAll_afterOutage_keptTwoSecondsThenGone)
+{
+    m_list.onStoreBack(m_now);
+    m_list.replaceAll({endpoint("e0")}, m_now + 50ms);
+    EXPECT_TRUE(has("e3"));
+    m_list.apply({endpoint("e4")}, {}, m_now + 1s);
+    m_list.expire(m_now + 1990ms);
+    EXPECT_TRUE(has("e3"));
+    m_list.expire(m_now + 2001ms);
+    EXPECT_FALSE(has("e3"));
+    EXPECT_TRUE(has("e4"));
+}
+
+// Guards against new work for an endpoint that has left, without an outage.
+TEST_F(EndpointListFixture, apply_singleRemoval_goneAtOnce)
+{
+    m_list.apply({}, {EndpointId("e1")}, m_now);
+    EXPECT_FALSE(has("e1"));
+}
+
+// Guards against an outage that no call of this process failed in: half of the list vanishes.
+// The drain bound of two seconds holds all the same.
+TEST_F(EndpointListFixture, apply_massRemovalWithoutNotice_keptLessThanDrainBound)
+{
+    m_list.apply({}, {EndpointId("e1"), EndpointId("e2"), EndpointId("e3")}, m_now);
+    EXPECT_TRUE(has("e2"));
+    m_list.expire(m_now + 1900ms);
+    EXPECT_FALSE(has("e2"));
+}
+
+// Guards against a draining endpoint that is kept because it left during an outage.
+TEST_F(EndpointListFixture, replaceAll_drainingMissingAfterOutage_goneAtOnce)
+{
+    ListedEndpoint draining = endpoint("e5");
+    draining.isDraining = true;
+    m_list.apply({draining}, {}, m_now);
+    m_list.onStoreBack(m_now);
+    m_list.replaceAll({endpoint("e0")}, m_now);
+    EXPECT_FALSE(has("e5"));
+}
+
+} // namespace oriolerill::routing
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -15,7 +15,7 @@
     domain::Duration bound = std::chrono::milliseconds(8000);
     /// The requirement is in force this long before the bound: a request that is sent now may wait
     /// at its endpoint before it begins.
-    domain::Duration margin = std::chrono::milliseconds(1200);
+    domain::Duration margin = std::chrono::milliseconds(1700);
     /// A version found at the start of this process was named at an unknown time before. It is
     /// required this soon, when the operator's rules begin to bind a process that has just started.
     domain::Duration graceAtStart = std::chrono::milliseconds(2500);
