Notice callers that left during a freeze; list again after a store failure; explain failures from their id

The connection is now asked before each send. A watch begun in an outage may never be answered, so a failure is followed by a list with a short deadline. Beyond its grant an entry counts some of the others, not all: with 42 entries free places were refused.

--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -80,6 +80,9 @@
 void StoreFollower::onFailure(const domain::Error &error)
 {
     ++m_failures;
+    // A watch begun in an outage may never be answered, even after it. A list is, and costs the
+    // same; its short deadline shows the return of the store early.
+    m_hasList = false;
     if (m_failures > 1)
         return;
     logEvent(Severity::Warning, "store_lost",
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -29,7 +29,8 @@
     domain::Duration watchTime = std::chrono::milliseconds(5000);
     /// Time beyond the wait after which a watch counts as lost.
     domain::Duration answerTime = std::chrono::milliseconds(1000);
-    domain::Duration listTime = std::chrono::milliseconds(2500);
+    /// Ample for a store that is sixty times slower than the 4 ms that it states.
+    domain::Duration listTime = std::chrono::milliseconds(1500);
     /// Pause after changes, so that several changes cost one call.
     domain::Duration changePause = std::chrono::milliseconds(0);
     domain::Duration firstRetryPause = std::chrono::milliseconds(100);
--- /dev/null
+++ b/src/objectstore/tests/storefollowertest.cpp
@@ -0,0 +1,150 @@
+#include "objectstore/storefollower.h"
+#include "objectstore/tests/fakeobjectstore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <gtest/gtest.h>
+
+namespace oriolerill::objectstore {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using domain::ConfigVersion;
+using domain::Error;
+using domain::ErrorKind;
+using domain::Expected;
+using domain::TimePoint;
+
+namespace {
+
+/// Answers calls from a script and notes them.
+class ScriptedStore : public IObjectStore
+{
+public:
+    asio::awaitable<Expected<StoredObject>> read(std::string, TimePoint) override
+    {
+        co_return unavailable();
+    }
+    asio::awaitable<Expected<ObjectList>> list(std::string, TimePoint) override
+    {
+        calls += 'l';
+        co_return next();
+    }
+    asio::awaitable<Expected<ConfigVersion>> create(std::string, std::string, TimePoint) override
+    {
+        co_return unavailable();
+    }
+    asio::awaitable<Expected<ConfigVersion>> update(
+            std::string, std::string, ConfigVersion, TimePoint) override
+    {
+        co_return unavailable();
+    }
+    asio::awaitable<Expected<ConfigVersion>> remove(std::string, ConfigVersion, TimePoint) override
+    {
+        co_return unavailable();
+    }
+    asio::awaitable<Expected<ObjectList>> watch(
+            std::string, ConfigVersion after, TimePoint) override
+    {
+        calls += 'w';
+        watchedFrom.push_back(after.revision);
+        co_return next();
+    }
+    asio::awaitable<Expected<std::vector<ListedVm>>> listVms(TimePoint) override
+    {
+        co_return unavailable();
+    }
+
+    static Error unavailable() { return {ErrorKind::Unavailable, "down", "wait"}; }
+
+    static ObjectList objects(std::uint64_t revision, std::vector<std::string> names = {})
+    {
+        ObjectList list;
+        for (std::string &name : names)
+            list.objects.push_back({"endpoints/" + std::move(name), "{}", {0, revision}, false});
+        list.storeVersion = {0, revision};
+        return list;
+    }
+
+    std::vector<Expected<ObjectList>> answers;
+    std::string calls;
+    std::vector<std::uint64_t> watchedFrom;
+    std::function<void()> onExhausted;
+
+private:
+    Expected<ObjectList> next()
+    {
+        if (answers.empty()) {
+            onExhausted();
+            return unavailable();
+        }
+        Expected<ObjectList> answer = answers.front();
+        answers.erase(answers.begin());
+        return answer;
+    }
+};
+
+} // namespace
+
+class StoreFollowerFixture : public testing::Test
+{
+protected:
+    void run()
+    {
+        m_store.onExhausted = [this] { m_context.stop(); };
+        StoreFollowerOptions options;
+        options.firstRetryPause = 1ms;
+        options.longestRetryPause = 2ms;
+        StoreFollower follower(m_context, m_store, "endpoints",
+                {[this](const ObjectList &list) { m_seen += "L" + text(list); },
+                        [this](const ObjectList &list) { m_seen += "C" + text(list); },
+                        [this] { m_seen += "lost "; }, [this] { m_seen += "back "; }},
+                options);
+        asio::co_spawn(m_context, follower.run(), asio::detached);
+        m_context.run();
+    }
+
+    static std::string text(const ObjectList &list)
+    {
+        return std::to_string(list.objects.size()) + " ";
+    }
+
+    asio::io_context m_context;
+    ScriptedStore m_store;
+    std::string m_seen;
+};
+
+// Guards against changes that are missed or taken twice: each watch goes on from the last revision.
+TEST_F(StoreFollowerFixture, run_listThenChanges_eachRevisionOnce)
+{
+    m_store.answers = {ScriptedStore::objects(5, {"a", "b"}), ScriptedStore::objects(7, {"c"}),
+            ScriptedStore::objects(7)};
+    run();
+    EXPECT_EQ(m_store.calls, "lwww");
+    EXPECT_EQ(m_store.watchedFrom, (std::vector<std::uint64_t>{5, 7, 7}));
+    EXPECT_EQ(m_seen, "L2 C1 lost ");
+}
+
+// Guards against a gap when the store has dropped its history.
+TEST_F(StoreFollowerFixture, run_historyGone_listedAgain)
+{
+    m_store.answers = {ScriptedStore::objects(5, {"a"}), Error{ErrorKind::NotFound, "410", "list"},
+            ScriptedStore::objects(9, {"a", "b"})};
+    run();
+    EXPECT_EQ(m_store.calls, "lwlw");
+    EXPECT_EQ(m_seen, "L1 L2 lost ");
+}
+
+// Guards against a watch begun in an outage that is never answered: after a failure the whole
+// collection is read, and loss and return are told once each.
+TEST_F(StoreFollowerFixture, run_outage_listedOnReturnAndToldOnce)
+{
+    m_store.answers = {ScriptedStore::objects(5, {"a"}), ScriptedStore::unavailable(),
+            ScriptedStore::unavailable(), ScriptedStore::objects(6, {"a"})};
+    run();
+    EXPECT_EQ(m_store.calls, "lwllw");
+    EXPECT_EQ(m_seen, "L1 lost back L1 lost ");
+}
+
+} // namespace oriolerill::objectstore
--- a/src/relay/internal/callerwatch.cpp
+++ b/src/relay/internal/callerwatch.cpp
@@ -19,18 +19,20 @@
                     [self = shared_from_this(), &socket](boost::system::error_code code) {
                         if (self->m_isStopped || code == asio::error::operation_aborted)
                             return;
-                        char byte = 0;
-                        const auto size
-                                = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-                        // With bytes waiting the caller has sent its next request already; the end
-                        // of the connection cannot be seen behind them.
-                        const bool isGone = size == 0
-                                || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-                        if (isGone)
+                        if (hasLeft(socket))
                             self->m_onGone();
                     }));
 }
 
+bool CallerWatch::hasLeft(tcp::socket &socket)
+{
+    char byte = 0;
+    const auto size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    // With bytes waiting the caller has sent its next request already; the end of the connection
+    // cannot be seen behind them.
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void CallerWatch::stop()
 {
     m_isStopped = true;
--- a/src/relay/internal/callerwatch.h
+++ b/src/relay/internal/callerwatch.h
@@ -15,6 +15,9 @@
     /// The callback runs at most once, and never after stop().
     void start(boost::asio::ip::tcp::socket &socket, std::function<void()> onGone);
     void stop();
+    /// Looks at the connection now. After the process stood still, timers run before the events of
+    /// connections, and a request must not be sent on for a caller that left meanwhile.
+    static bool hasLeft(boost::asio::ip::tcp::socket &socket);
 
 private:
     bool m_isStopped = false;
--- a/src/relay/internal/endpointconnections.cpp
+++ b/src/relay/internal/endpointconnections.cpp
@@ -17,8 +17,6 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-/// Most idle connections kept to one endpoint; about the places of an engine that one entry fills.
-constexpr std::size_t MaxIdle = 16;
 /// An endpoint that acknowledges nothing for this long counts as gone; the platform's links lose
 /// packets at times, and this leaves room for two repeats of one.
 constexpr auto EndpointSilence = std::chrono::milliseconds(1500);
@@ -73,11 +71,11 @@
 
 void EndpointConnections::giveBack(const domain::EndpointId &endpoint,
         const std::shared_ptr<EndpointConnection> &connection, domain::Duration idleTime,
-        domain::TimePoint now)
+        std::size_t maxIdle, domain::TimePoint now)
 {
     IdleList &idle = m_idle[endpoint];
     // Bytes behind the answer belong to no request, so the connection cannot be trusted any more.
-    if (connection->buffer.size() > 0 || idle.size() >= MaxIdle)
+    if (connection->buffer.size() > 0 || idle.size() >= maxIdle)
         return;
     connection->idleSince = now;
     connection->idleDeadline = now + idleTime;
--- a/src/relay/internal/endpointconnections.h
+++ b/src/relay/internal/endpointconnections.h
@@ -47,10 +47,10 @@
             const domain::EndpointId &endpoint, domain::Duration maxAge, domain::TimePoint now);
     boost::asio::awaitable<domain::Expected<std::shared_ptr<EndpointConnection>>> connect(
             domain::SocketAddress address, domain::TimePoint deadline);
-    /// Keeps a connection for later, at most for the idle time.
+    /// Keeps a connection for later, at most for the idle time and as one of so many.
     void giveBack(const domain::EndpointId &endpoint,
             const std::shared_ptr<EndpointConnection> &connection, domain::Duration idleTime,
-            domain::TimePoint now);
+            std::size_t maxIdle, domain::TimePoint now);
     void closeIdle();
     std::uint64_t connectCount() const { return m_connects; }
 
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -17,9 +17,9 @@
 
 namespace {
 
-/// Changes of endpoints come in series; several cost one call. Small beside the bound of two
-/// seconds for a leaving endpoint.
-constexpr auto EndpointChangePause = std::chrono::milliseconds(150);
+/// Changes of endpoints come in series, and several cost one call of the store. The pause is this
+/// share of the bound for a leaving endpoint.
+constexpr int EndpointPausesPerDrainBound = 5;
 
 std::string nameOf(const StoredObject &object)
 {
@@ -35,11 +35,12 @@
 
 } // namespace
 
-FleetFollower::FleetFollower(
-        asio::io_context &context, objectstore::IObjectStore &store, RelayContext &relay)
+FleetFollower::FleetFollower(asio::io_context &context, objectstore::IObjectStore &store,
+        RelayContext &relay, domain::Duration drainBound)
     : m_context(context)
     , m_store(store)
     , m_relay(relay)
+    , m_drainBound(drainBound)
 {}
 
 bool FleetFollower::isComplete() const
@@ -65,7 +66,7 @@
                     [this] { m_relay.storeLostAt.reset(); }},
             {});
     objectstore::StoreFollowerOptions endpointOptions;
-    endpointOptions.changePause = EndpointChangePause;
+    endpointOptions.changePause = m_drainBound / EndpointPausesPerDrainBound;
     follow("endpoints",
             {[this](const ObjectList &objects) { onEndpoints(objects, true); },
                     [this](const ObjectList &objects) { onEndpoints(objects, false); }, {},
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -14,7 +14,7 @@
 {
 public:
     FleetFollower(boost::asio::io_context &context, objectstore::IObjectStore &store,
-            RelayContext &relay);
+            RelayContext &relay, domain::Duration drainBound);
 
     void start();
     /// Configuration and endpoints are known.
@@ -31,6 +31,7 @@
     boost::asio::io_context &m_context;
     objectstore::IObjectStore &m_store;
     RelayContext &m_relay;
+    domain::Duration m_drainBound;
     std::vector<std::unique_ptr<objectstore::StoreFollower>> m_followers;
     bool m_hasEndpoints = false;
     bool m_hasWithdrawals = false;
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace oriolerill::relay::internal {
 
@@ -57,6 +58,27 @@
 constexpr auto AnswerSlack = milliseconds(120);
 /// Endpoints that may refuse one request before the caller is refused.
 constexpr std::uint32_t MaxAttempts = 4;
+std::string_view toString(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Delivered:
+        return "delivered";
+    case AttemptEnd::FailedAnswer:
+        return "failed_answer";
+    case AttemptEnd::NotRun:
+        return "not_run";
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::Lost:
+        return "lost";
+    case AttemptEnd::CallerGone:
+        return "caller_gone";
+    case AttemptEnd::TimedOut:
+        return "timed_out";
+    }
+    return "lost";
+}
+
 /// When a refused caller is told to come back while this entry knows no configuration yet.
 constexpr auto StartRetryAfter = milliseconds(500);
 /// Without word from the store for this long, a route or key that is unknown here may be new.
@@ -157,6 +179,10 @@
             last = AttemptEnd::TimedOut;
             break;
         }
+        if (m_isCallerGone || CallerWatch::hasLeft(m_caller.socket())) {
+            logEnd("caller_gone", 0);
+            co_return false;
+        }
         m_query.pinnedWeights = m_isStreamBegun ? m_weights : std::nullopt;
         const routing::DispatchDecision decision = m_context.dispatcher.choose(m_query, now);
         if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
@@ -221,10 +247,18 @@
     ++m_attempts;
     m_lastEndpoint = dispatch.endpoint;
     m_expectedStartMs = dispatch.startMs;
+    const TimePoint chosenAt = TimePoint::clock::now();
+    const routing::EndpointLoad &chosen = m_context.dispatcher.load(dispatch.endpoint);
+    m_busy = chosen.busy(chosenAt);
+    m_reportAgeMs = chosen.hasFreshReport(chosenAt)
+            ? std::chrono::duration_cast<milliseconds>(chosen.reportAge(chosenAt)).count()
+            : -1;
     const AttemptEnd end = co_await exchange(dispatch);
     const TimePoint now = TimePoint::clock::now();
     routing::EndpointLoad &load = m_context.dispatcher.load(dispatch.endpoint);
     const bool wasSent = end != AttemptEnd::NotSent;
+    // A caller that left while the connection was opened says nothing about the endpoint.
+    const bool isEndpointsFault = !m_isCallerGone;
     if (wasSent)
         load.onEnded();
     switch (end) {
@@ -239,7 +273,8 @@
         break;
     case AttemptEnd::NotSent:
     case AttemptEnd::Lost:
-        load.onFailure(now);
+        if (isEndpointsFault)
+            load.onFailure(now);
         break;
     case AttemptEnd::CallerGone:
     case AttemptEnd::TimedOut:
@@ -249,8 +284,7 @@
     if (end != AttemptEnd::Delivered) {
         logEvent(Severity::Info, "attempt_ended",
                 {{"request", m_about.id.value()}, {"endpoint", dispatch.endpoint.value()},
-                        {"end", static_cast<int>(end)}, {"detail", m_detail},
-                        {"busy", load.busy(now)}});
+                        {"end", toString(end)}, {"detail", m_detail}, {"busy", load.busy(now)}});
     }
     co_return m_isCallerGone ? AttemptEnd::CallerGone : end;
 }
@@ -372,8 +406,9 @@
             const domain::Duration idle = head.keepAlive
                     ? std::max<domain::Duration>(*head.keepAlive - IdleMargin, milliseconds(100))
                     : DefaultIdleTime;
-            m_context.connections.giveBack(
-                    dispatch.endpoint, m_connection, idle, TimePoint::clock::now());
+            m_context.connections.giveBack(dispatch.endpoint, m_connection, idle,
+                    m_context.dispatcher.maxIdleConnections(m_query.service),
+                    TimePoint::clock::now());
         }
         if (end == AttemptEnd::Delivered && !isStream && !co_await deliverWhole())
             co_return AttemptEnd::CallerGone;
@@ -579,7 +614,8 @@
                     {"account", m_account == nullptr ? "" : m_account->id.value()},
                     {"config", m_config ? m_config->version() : 0},
                     {"endpoint", m_lastEndpoint.value()}, {"attempts", m_attempts},
-                    {"runs", m_runs}, {"expected_ms", m_expectedStartMs},
+                    {"runs", m_runs}, {"expected_ms", std::llround(m_expectedStartMs)},
+                    {"busy", std::llround(m_busy)}, {"report_age_ms", m_reportAgeMs},
                     {"first_ms", m_firstByteAt ? msSince(*m_firstByteAt) : -1},
                     {"total_ms", msSince(now)}, {"events", m_events.eventCount()},
                     {"detail", m_detail}});
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -95,6 +95,9 @@
     std::optional<std::uint64_t> m_weights;
     domain::EndpointId m_lastEndpoint;
     double m_expectedStartMs = 0;
+    /// What the last choice went by: requests known to be at the endpoint, and the report's age.
+    double m_busy = 0;
+    std::int64_t m_reportAgeMs = -1;
     std::optional<domain::TimePoint> m_firstByteAt;
     std::string m_detail;
 
--- /dev/null
+++ b/src/relay/tests/explaintest.cpp
@@ -0,0 +1,103 @@
+#include "observability/log.h"
+#include "relay/tests/relayfixture.h"
+
+#include <map>
+#include <sstream>
+
+namespace oriolerill::relay {
+
+using Socket = ScriptedEndpoint::Socket;
+
+namespace {
+
+/// Fields of a log line; quoted values without their quotes.
+std::map<std::string, std::string> fieldsOf(const std::string &line)
+{
+    std::map<std::string, std::string> fields;
+    for (std::size_t at = 0; at < line.size();) {
+        const std::size_t equals = line.find('=', at);
+        if (equals == std::string::npos)
+            break;
+        const std::string name = line.substr(at, equals - at);
+        const bool isQuoted = equals + 1 < line.size() && line[equals + 1] == '"';
+        const std::size_t begin = equals + (isQuoted ? 2 : 1);
+        const std::size_t end = std::min(line.find(isQuoted ? '"' : ' ', begin), line.size());
+        fields[name] = line.substr(begin, end - begin);
+        at = end + (isQuoted ? 2 : 1);
+    }
+    return fields;
+}
+
+} // namespace
+
+/// Follows docs/OPERATIONS.md by program: from the id of a failed request to its cause.
+class ExplainFixture : public RelayFixture
+{
+protected:
+    static void SetUpTestSuite()
+    {
+        observability::startLogging(observability::Severity::Info, "explain-test");
+    }
+
+    /// Lines of the request, in order.
+    static std::vector<std::map<std::string, std::string>> linesOf(
+            const std::string &log, const std::string &request)
+    {
+        std::vector<std::map<std::string, std::string>> lines;
+        std::istringstream stream(log);
+        for (std::string line; std::getline(stream, line);) {
+            auto fields = fieldsOf(line);
+            if (fields["request"] == request)
+                lines.push_back(std::move(fields));
+        }
+        return lines;
+    }
+};
+
+// Guards against a refused request whose lines do not tell why no endpoint could take it.
+TEST_F(ExplainFixture, log_refusedRequest_reasonAndCounts)
+{
+    start();
+    testing::internal::CaptureStdout();
+    EXPECT_EQ(statusOf(call(request("POST", "/order/1", Close, "o"))), 503U);
+    const auto lines = linesOf(testing::internal::GetCapturedStdout(), "a1");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_EQ(lines[0].at("event"), "request_ended");
+    EXPECT_EQ(lines[0].at("outcome"), "refused");
+    EXPECT_EQ(lines[0].at("runs"), "0");
+    EXPECT_NE(lines[0].at("detail").find("no endpoint may take"), std::string::npos);
+}
+
+// Guards against a lost answer whose lines do not name the endpoint and what was seen there.
+TEST_F(ExplainFixture, log_lostAnswer_endpointAndWhatWasSeen)
+{
+    addEndpoint([](Socket &, const std::string &) { return false; });
+    start();
+    testing::internal::CaptureStdout();
+    EXPECT_EQ(statusOf(call(request("POST", "/order/1", Close, "o"))), 502U);
+    const auto lines = linesOf(testing::internal::GetCapturedStdout(), "a1");
+    ASSERT_EQ(lines.size(), 2U);
+    EXPECT_EQ(lines[0].at("event"), "attempt_ended");
+    EXPECT_EQ(lines[0].at("endpoint"), "e1");
+    EXPECT_EQ(lines[0].at("end"), "lost");
+    EXPECT_NE(lines[0].at("detail").find("awaiting the answer"), std::string::npos);
+    EXPECT_EQ(lines[1].at("outcome"), "unknown");
+    EXPECT_EQ(lines[1].at("runs"), "1");
+}
+
+// Guards against a rejected key whose line does not tell by which configuration it was judged.
+TEST_F(ExplainFixture, log_rejectedKey_versionOfTheConfiguration)
+{
+    start();
+    testing::internal::CaptureStdout();
+    EXPECT_EQ(statusOf(call("GET /read/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n"
+                            "Key: unknown\r\nConnection: close\r\n\r\n")),
+            401U);
+    const auto lines = linesOf(testing::internal::GetCapturedStdout(), "a1");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_EQ(lines[0].at("outcome"), "rejected");
+    EXPECT_EQ(lines[0].at("config"), "1");
+    EXPECT_NE(lines[0].at("detail").find("key"), std::string::npos);
+}
+
+} // namespace oriolerill::relay
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -1,3 +1,4 @@
+#include "relay/internal/callerwatch.h"
 #include "relay/tests/relayfixture.h"
 
 #include <chrono>
@@ -218,6 +219,26 @@
     EXPECT_TRUE(added.wasCancelled());
 }
 
+// Guards against a request that is sent on for a caller that left while the process stood still:
+// the connection tells it before any event of the connection has been handled (trouble-2 on
+// txsatchel-orders-grown, GONE).
+TEST_F(RelayFixture, hasLeft_callerClosedBeforeAnyEvent_seenAtOnce)
+{
+    auto caller = connect();
+    Socket accepted(m_context);
+    m_acceptor.accept(accepted);
+    EXPECT_FALSE(internal::CallerWatch::hasLeft(accepted));
+    write(caller, "next request");
+    std::this_thread::sleep_for(20ms);
+    EXPECT_FALSE(internal::CallerWatch::hasLeft(accepted));
+    auto second = connect();
+    Socket acceptedSecond(m_context);
+    m_acceptor.accept(acceptedSecond);
+    second.close();
+    std::this_thread::sleep_for(20ms);
+    EXPECT_TRUE(internal::CallerWatch::hasLeft(acceptedSecond));
+}
+
 // Guards against a request that is taken long after the stop has begun, on a connection whose
 // answer began before it and promised to be kept (hunt on probador-rill, trouble-2 --seed
 // 210122612196).
--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -31,7 +31,7 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto StepInterval = milliseconds(50);
 /// The list of members is read again this often while pieces are missing.
-constexpr auto MembersInterval = milliseconds(1000);
+constexpr auto MembersInterval = milliseconds(2500);
 /// Model and origin are read again this often while they are unknown.
 constexpr auto ConfigInterval = milliseconds(500);
 /// And this often while the origin fails.
@@ -52,6 +52,21 @@
 /// Versions whose pieces are kept: the newest, and the one before for VMs that join meanwhile.
 constexpr std::size_t KeptVersions = 2;
 
+std::string_view toString(FetchEnd end)
+{
+    switch (end) {
+    case FetchEnd::Stored:
+        return "stored";
+    case FetchEnd::Corrupted:
+        return "corrupted";
+    case FetchEnd::Absent:
+        return "absent";
+    case FetchEnd::Failed:
+        return "failed";
+    }
+    return "failed";
+}
+
 std::string peerTarget(const distribution::WeightsVersion &version, const std::string &what)
 {
     return "/v1/weights/" + version.model.value() + '/' + std::to_string(version.number) + '/'
@@ -220,13 +235,24 @@
     if (servedVersion() != 0 && wantedVersions().empty())
         co_return;
     const TimePoint now = TimePoint::clock::now();
-    if (m_membersReadAt == TimePoint() || now - m_membersReadAt > MembersInterval) {
+    const bool isFirstRead = m_membersReadAt == TimePoint();
+    const bool isFetching = !isNewestComplete();
+    if (isFirstRead || (isFetching && now - m_membersReadAt > MembersInterval)) {
         m_membersReadAt = now;
         co_await m_fleet.readMembers();
     }
     co_await advance(wantedVersions());
 }
 
+bool WeightsKeeper::isNewestComplete() const
+{
+    const std::vector<std::uint64_t> wanted = wantedVersions();
+    if (wanted.empty())
+        return false;
+    const auto found = m_transfers.find({m_fleet.model(), wanted.front()});
+    return found != m_transfers.end() && found->second->isComplete();
+}
+
 asio::awaitable<void> WeightsKeeper::advance(std::vector<std::uint64_t> numbers)
 {
     std::vector<rollout::WantedVersion> wanted;
@@ -438,7 +464,7 @@
         logEvent(final == FetchEnd::Stored ? Severity::Debug : Severity::Warning, "piece_fetched",
                 {{"version", version.number}, {"piece", fetch.piece},
                         {"source", fetch.source.isOrigin() ? "origin" : fetch.source.host},
-                        {"end", static_cast<int>(final)}, {"bytes", size},
+                        {"end", toString(final)}, {"bytes", size},
                         {"ms", std::chrono::duration_cast<milliseconds>(now - begun).count()},
                         {"reason", response ? "" : response.error().message}});
     }
--- a/src/relayagent/internal/weightskeeper.h
+++ b/src/relayagent/internal/weightskeeper.h
@@ -50,6 +50,7 @@
     rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer) const;
     void bringInWhenDue(const Transfer &transfer, bool isDue);
     std::uint64_t servedVersion() const;
+    bool isNewestComplete() const;
     boost::asio::awaitable<Transfer> transferOf(Version version);
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> fetchManifest(
             Version version);
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -126,6 +126,9 @@
     /// Requests for the service since the last call.
     std::uint64_t takeDemand(const domain::ServiceId &service);
     DispatchDecision choose(const DispatchQuery &query, domain::TimePoint now);
+    /// Idle connections to one endpoint of the service that this entry may keep: its part of what
+    /// the endpoint takes from all entries, less the half for requests in progress.
+    std::size_t maxIdleConnections(const domain::ServiceId &service) const;
     /// The request was handed to the endpoint that was chosen.
     void onSent(const Dispatch &dispatch, domain::TimePoint now);
 
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -253,6 +253,16 @@
     return dispatch;
 }
 
+std::size_t Dispatcher::maxIdleConnections(const domain::ServiceId &service) const
+{
+    /// About the places of an engine; more are never in use at a time.
+    constexpr std::size_t Most = 16;
+    const ServiceSpec *spec = m_config ? m_config->service(service) : nullptr;
+    if (spec == nullptr || spec->maxConnections == 0)
+        return Most;
+    return std::clamp<std::size_t>(spec->maxConnections / m_entries / 2, 1, Most);
+}
+
 void Dispatcher::onSent(const Dispatch &dispatch, domain::TimePoint now)
 {
     load(dispatch.endpoint).onSent(now);
--- a/src/routing/internal/endpointload.cpp
+++ b/src/routing/internal/endpointload.cpp
@@ -105,9 +105,12 @@
     const double slots = std::max<double>(speed.slots, 1);
     double expected = busy(now) + 1;
     if (hasFreshReport(now) && m_report.sequence > 0) {
-        // What is sent beyond the grant meets what other entries send by the same right.
+        // What is sent beyond the grant meets what other entries send by the same right: some of
+        // them, not all, and at most a quarter of the places, so that an engine with many free
+        // places may be used beyond the grant when a burst arrives at one of many entries.
         const double beyond = static_cast<double>(m_sent.size()) + 1 - m_report.grant;
-        expected += std::max(beyond, 0.0) * m_report.entries / 2;
+        const double others = std::min(m_report.entries / 2.0, slots / 4);
+        expected += std::max(beyond, 0.0) * others;
     }
     const double ahead = expected - slots;
     const double pace = hasFreshReport(now) ? std::max(m_report.pace, 1.0) : 1.0;
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -175,6 +175,24 @@
     EXPECT_GE(*times.rbegin() - *times.begin(), 100ms);
 }
 
+// Guards against refusals by one of many entries in whose hands a burst falls, while the engines
+// have free places: with 42 entries a grant is a fraction of a place for each.
+TEST_F(DispatcherFixture, choose_burstAtOneOfManyEntries_freePlacesUsedBeyondGrants)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 10);
+    for (int i = 0; i < 10; ++i) {
+        EngineReport engineReport;
+        engineReport.sequence = 1;
+        engineReport.running = 9;
+        engineReport.weightsVersion = 1;
+        engineReport.entries = 42;
+        dispatcher.onReport(endpoint(i).address, 0, engineReport, m_now);
+    }
+    for (int i = 0; i < 10; ++i)
+        EXPECT_NE(chosen(dispatcher), "") << i;
+}
+
 // Guards against new work behind an order to load weights, which would wait for seconds.
 TEST_F(DispatcherFixture, choose_loadOrderAnnounced_endpointLeftOut)
 {
--- a/src/settings/tests/settingsdocumenttest.cpp
+++ b/src/settings/tests/settingsdocumenttest.cpp
@@ -25,11 +25,13 @@
 
 // Guards against a guide that lacks a key or names an old default. `oriolerill --settings-table`
 // prints the tables.
-TEST(SettingsDocument, operatorsGuide_bothPrograms_currentTables)
+TEST(SettingsDocument, operatorsGuide_allCommands_currentTables)
 {
     const std::string guide = readGuide();
     EXPECT_NE(guide.find(settingsTable(entrySettingsKeys())), std::string::npos);
     EXPECT_NE(guide.find(settingsTable(agentSettingsKeys())), std::string::npos);
+    EXPECT_NE(guide.find(settingsTable(relaySettingsKeys())), std::string::npos);
+    EXPECT_NE(guide.find(settingsTable(relayAgentSettingsKeys())), std::string::npos);
 }
 
 } // namespace oriolerill::settings
--- a/src/settings/tests/settingstest.cpp
+++ b/src/settings/tests/settingstest.cpp
@@ -139,7 +139,8 @@
 // Guards against keys that an operator cannot look up.
 TEST_F(SettingsFixture, keys_everyKey_isDescribedOnce)
 {
-    for (const auto &keys : {entrySettingsKeys(), agentSettingsKeys()}) {
+    for (const auto &keys : {entrySettingsKeys(), agentSettingsKeys(), relaySettingsKeys(),
+                 relayAgentSettingsKeys()}) {
         const std::string help = settingsHelp(keys);
         for (const KeyDescription &key : keys) {
             EXPECT_FALSE(key.description.empty()) << key.name;
@@ -155,4 +156,19 @@
     }
 }
 
+// Guards against an entry that starts without knowing its region, or with pairs that are none.
+TEST_F(SettingsFixture, parse_relayRegions_checkedAgainstDataCentre)
+{
+    const auto text = [](const std::string &regions) {
+        return "[entry]\nid = e1\ndata_centre = a\n[fleet]\nregions = " + regions
+                + "\n[listen]\ncaller = 127.0.0.1:1\nstatus = 127.0.0.1:2\n"
+                  "metrics = 127.0.0.1:3\nload = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n";
+    };
+    const auto good = parseRelaySettings("relay.ini", text("a=north,b=south"));
+    EXPECT_TRUE(good.problems.empty());
+    EXPECT_EQ(good.settings.regions.at("b"), "south");
+    EXPECT_EQ(parseRelaySettings("relay.ini", text("b=south")).problems.size(), 1U);
+    EXPECT_FALSE(parseRelaySettings("relay.ini", text("a:north")).problems.empty());
+}
+
 } // namespace oriolerill::settings
