--- a/src/routing/internal/endpointlist.cpp
+++ b/src/routing/internal/endpointlist.cpp
@@ -14,6 +14,7 @@
     for (const ListedEndpoint &endpoint : endpoints)
         listed.insert(endpoint.id);
     std::vector<EndpointChange> changes;
+    changes.reserve(endpoints.size() + m_endpoints.size());
     for (const ListedEndpoint &endpoint : endpoints)
         changes.push_back({endpoint.id, endpoint});
     for (const auto &[id, endpoint] : m_endpoints) {
