Let a short-lived tracker reach the chunks that are still absent

Cause: the first agent that reports to a new tracker owns every chunk, because nothing is known to be held yet. Each plan looks at 64 entries of its list, and entries of chunks that arrived since counted as looked at.

Entries that are removed no longer count; each is removed once.

Ruled out: the wait at a takeover (500 ms of the second are left), the replies of the other data centres (all 200 chunks were known), links and sources.

--- a/src/distribution/internal/versionswarmplan.cpp
+++ b/src/distribution/internal/versionswarmplan.cpp
@@ -111,13 +111,16 @@
 {
     std::vector<std::uint32_t> &owned = m_members[member].owned;
     std::size_t scanned = 0;
-    for (std::size_t i = owned.size(); i-- > 0 && scanned < MaxScanned; ++scanned) {
+    for (std::size_t i = owned.size(); i-- > 0 && scanned < MaxScanned;) {
         const std::uint32_t chunk = owned[i];
+        // An entry is removed once, so that only those that stay count as scanned. Otherwise a
+        // tracker that lives for a few plans only never gets to what is still absent.
         if (m_owners[chunk] != member || !m_rarity.absent().test(chunk)) {
             owned[i] = owned.back();
             owned.pop_back();
             continue;
         }
+        ++scanned;
         if (m_importing.test(chunk))
             continue;
         if (const std::optional<Import> import = pickImport(chunk, now)) {
