Begin the requests to a cold endpoint in the order of the entries

Cause: with 42 entries the part of each is half a request a second, counted as one request in two seconds.

Agents tell each entry its place among those that subscribe. An entry whose part is below one request waits its place's share of the window after it has seen the endpoint cold.

--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -115,23 +115,24 @@
         report.entries = message.entries();
         const TimePoint now = TimePoint::clock::now();
         m_dispatcher.onReport(*address, message.engine_started_at_ms(), report, now);
-        m_counts[*address] = {message.entries(), now};
+        m_counts[*address] = {{message.entries(), message.rank()}, now};
     }
 }
 
 void LoadListener::countEntries(TimePoint now)
 {
-    std::size_t most = 0;
+    routing::EntryShare most{0, 0};
     for (const auto &[agent, count] : m_counts) {
-        if (now - count.at <= CountLife)
-            most = std::max(most, count.entries);
+        if (now - count.at <= CountLife && count.share.entries > most.entries)
+            most = count.share;
     }
+    const routing::EntryShare &before = m_dispatcher.share();
     // Without any report the last count stands: too many entries is the safe error.
-    if (most == 0 || most == m_dispatcher.entries())
+    if (most.entries == 0 || (most.entries == before.entries && most.rank == before.rank))
         return;
     observability::logEvent(observability::Severity::Info, "entries_counted",
-            {{"entries", most}, {"before", m_dispatcher.entries()}});
-    m_dispatcher.setEntries(most);
+            {{"entries", most.entries}, {"rank", most.rank}, {"before", before.entries}});
+    m_dispatcher.setShare(most);
 }
 
 } // namespace oriolerill::relay::internal
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -29,7 +29,7 @@
 private:
     struct EntryCount
     {
-        std::size_t entries = 0;
+        routing::EntryShare share;
         domain::TimePoint at;
     };
 
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -142,6 +142,7 @@
     const std::vector<std::uint32_t> grants = m_grants.split(places, demands);
     std::size_t position = 0;
     for (const auto &[entry, subscriber] : m_subscribers) {
+        message.set_rank(static_cast<std::uint32_t>(position));
         message.set_grant(grants[position++]);
         const std::string bytes = message.SerializeAsString();
         boost::system::error_code code;
--- a/src/routing/coldallowance.h
+++ b/src/routing/coldallowance.h
@@ -18,25 +18,42 @@
     domain::Duration window = std::chrono::milliseconds(1100);
 };
 
+/// How many entries share a bound, and the place of this one in their order.
+struct EntryShare
+{
+    std::size_t entries = 1;
+    std::size_t rank = 0;
+};
+
 /// This entry's part of the requests that a cold endpoint bears.
 ///
 /// Load pattern: an endpoint returns empty-handed in the middle of a busy day, and every entry sees
 /// its free places at once. The bound holds for all entries together, without a coordinator,
-/// because each keeps to its own part. Not safe for concurrent use.
+/// because each keeps to its own part. With more entries than requests in the bound a part is less
+/// than one request a window; the entries then begin one after another in the order of their ranks,
+/// because all of them see the endpoint at the same moment. Not safe for concurrent use.
 class ColdAllowance
 {
 public:
     explicit ColdAllowance(ColdAllowanceOptions options = {});
 
-    /// Whether a request may be sent to the cold endpoint now. The bound is in requests a second
-    /// over all entries; entries is how many share it.
-    bool hasRoom(const domain::EndpointId &endpoint, double bound, std::size_t entries,
-            domain::TimePoint now);
+    /// Whether a request may be sent now to an endpoint that is cold until coldUntil. The bound is
+    /// in requests a second over all entries.
+    bool hasRoom(const domain::EndpointId &endpoint, domain::TimePoint coldUntil, double bound,
+            const EntryShare &share, domain::TimePoint now);
     void onSent(const domain::EndpointId &endpoint, domain::TimePoint now);
 
 private:
+    /// One time of being cold, as far as this entry has seen it.
+    struct Period
+    {
+        domain::TimePoint begunAt;
+        domain::TimePoint coldUntil;
+        std::deque<domain::TimePoint> sent;
+    };
+
     ColdAllowanceOptions m_options;
-    std::map<domain::EndpointId, std::deque<domain::TimePoint>> m_sent;
+    std::map<domain::EndpointId, Period> m_periods;
 };
 
 } // namespace oriolerill::routing
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -111,8 +111,9 @@
     EndpointList &endpoints() { return m_endpoints; }
     const EndpointList &endpoints() const { return m_endpoints; }
     WeightsRequirement &weights() { return m_weights; }
-    void setEntries(std::size_t entries);
-    std::size_t entries() const { return m_entries; }
+    /// How many entries there are, and the place of this one among them.
+    void setShare(EntryShare share);
+    const EntryShare &share() const { return m_share; }
 
     /// A report of the engine at an address; startedAtMs tells which process there it is about.
     void onReport(const domain::SocketAddress &address, std::uint64_t startedAtMs,
@@ -157,7 +158,7 @@
     std::map<domain::EndpointId, EndpointLoad> m_loads;
     std::map<domain::ServiceId, RetryBudget> m_retries;
     std::map<domain::ServiceId, std::uint64_t> m_demand;
-    std::size_t m_entries;
+    EntryShare m_share;
     std::mt19937_64 m_random;
 };
 
--- a/src/routing/internal/coldallowance.cpp
+++ b/src/routing/internal/coldallowance.cpp
@@ -9,18 +9,31 @@
     : m_options(options)
 {}
 
-bool ColdAllowance::hasRoom(const domain::EndpointId &endpoint, double bound, std::size_t entries,
-        domain::TimePoint now)
+bool ColdAllowance::hasRoom(const domain::EndpointId &endpoint, domain::TimePoint coldUntil,
+        double bound, const EntryShare &share, domain::TimePoint now)
 {
-    const double part
-            = bound * m_options.usedShare / static_cast<double>(std::max<std::size_t>(entries, 1));
+    const auto entries = static_cast<double>(std::max<std::size_t>(share.entries, 1));
+    const double part = bound * m_options.usedShare / entries;
     if (part <= 0)
         return false;
     // Below one request a window, one request is allowed in a window that is longer by as much.
     const auto allowed = std::max<std::size_t>(1, static_cast<std::size_t>(std::floor(part)));
     const double stretch = part < 1 ? 1 / part : 1;
     const auto window = std::chrono::duration_cast<domain::Duration>(m_options.window * stretch);
-    std::deque<domain::TimePoint> &sent = m_sent[endpoint];
+    const auto known = m_periods.find(endpoint);
+    if (known == m_periods.end() || known->second.coldUntil <= now) {
+        std::erase_if(
+                m_periods, [now](const auto &entry) { return entry.second.coldUntil <= now; });
+        m_periods[endpoint].begunAt = now;
+    }
+    Period &period = m_periods[endpoint];
+    period.coldUntil = std::max(period.coldUntil, coldUntil);
+    if (part < 1) {
+        const double before = static_cast<double>(share.rank) / entries;
+        if (now < period.begunAt + std::chrono::duration_cast<domain::Duration>(window * before))
+            return false;
+    }
+    std::deque<domain::TimePoint> &sent = period.sent;
     while (!sent.empty() && sent.front() + window <= now)
         sent.pop_front();
     return sent.size() < allowed;
@@ -28,7 +41,7 @@
 
 void ColdAllowance::onSent(const domain::EndpointId &endpoint, domain::TimePoint now)
 {
-    m_sent[endpoint].push_back(now);
+    m_periods[endpoint].sent.push_back(now);
 }
 
 } // namespace oriolerill::routing
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -11,7 +11,7 @@
     , m_weights(m_options.weights)
     , m_cold(m_options.cold)
     , m_placement(m_options.placement)
-    , m_entries(m_options.assumedEntries)
+    , m_share{m_options.assumedEntries, 0}
     , m_random(m_options.seed)
 {}
 
@@ -35,9 +35,10 @@
     m_withdrawn = std::move(dataCentres);
 }
 
-void Dispatcher::setEntries(std::size_t entries)
+void Dispatcher::setShare(EntryShare share)
 {
-    m_entries = std::max<std::size_t>(entries, 1);
+    m_share.entries = std::max<std::size_t>(share.entries, 1);
+    m_share.rank = std::min(share.rank, m_share.entries - 1);
     for (auto &[service, budget] : m_retries)
         budget.configure(retryOptions());
 }
@@ -80,8 +81,8 @@
 {
     // A token bucket gives at most its content and what flows in; both together are this entry's
     // part of the extra repeats in a window.
-    const double part
-            = m_options.retryExtra * m_options.retryUsedShare / static_cast<double>(m_entries);
+    const double part = m_options.retryExtra * m_options.retryUsedShare
+            / static_cast<double>(m_share.entries);
     RetryBudgetOptions options;
     options.perRequest = m_options.retryRatio * m_options.retryUsedShare;
     options.perSecond = part / 2 / m_options.retryWindowSeconds;
@@ -210,7 +211,9 @@
             if (!version || *version < lowest || isOther)
                 continue;
         }
-        if (isCold(endpoint, *service, now) && !m_cold.hasRoom(id, coldBound, m_entries, now))
+        const bool isBeyondAllowance = isCold(endpoint, *service, now)
+                && !m_cold.hasRoom(id, endpoint.coldUntil, coldBound, m_share, now);
+        if (isBeyondAllowance)
             continue;
         const EndpointLoad &known = load(id);
         const PlacementCandidate candidate{id, startMs(endpoint, *service, *query.request, now),
@@ -260,7 +263,7 @@
     const ServiceSpec *spec = m_config ? m_config->service(service) : nullptr;
     if (spec == nullptr || spec->maxConnections == 0)
         return Most;
-    return std::clamp<std::size_t>(spec->maxConnections / m_entries / 2, 1, Most);
+    return std::clamp<std::size_t>(spec->maxConnections / m_share.entries / 2, 1, Most);
 }
 
 void Dispatcher::onSent(const Dispatch &dispatch, domain::TimePoint now)
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -236,7 +236,7 @@
     for (int i = 0; i < Entries; ++i) {
         entries.push_back(std::make_unique<Dispatcher>(options(i + 1)));
         prepare(*entries.back(), 0);
-        entries.back()->setEntries(Entries);
+        entries.back()->setShare({Entries, 0});
         ListedEndpoint cold = endpoint(0);
         cold.coldUntil = m_now + 1h;
         entries.back()->endpoints().replaceAll({cold}, m_now);
@@ -269,7 +269,7 @@
         DispatcherOptions entryOptions = options(i + 1);
         entryOptions.retryExtra = 104;
         entries.push_back(std::make_unique<Dispatcher>(entryOptions));
-        entries.back()->setEntries(Entries);
+        entries.back()->setShare({Entries, 0});
     }
     std::deque<TimePoint> requests;
     std::deque<TimePoint> retries;
