Fetch pieces from peers that tell what they hold, with equal parts for first takers

Rendezvous hashing alone made one member of a data centre the first taker of up to 8 of 48 pieces, each sent to 13 others; requests for pieces that were not there yet took the places of those that were; takers of other data centres waited among the local ones.

- Each member is first taker of an equal number of pieces.
- Agents of a data centre tell each other by datagram what they hold; a VM fetches the rarest piece from the less loaded of two holders.
Asking takers without such word remains, two at a time.

--- a/src/distribution/internal/piecesources.cpp
+++ b/src/distribution/internal/piecesources.cpp
@@ -7,7 +7,8 @@
 
 namespace oriolerill::distribution {
 
-PieceSources::PieceSources(WeightsVersion version, PushMember self, std::vector<PushMember> members)
+PieceSources::PieceSources(WeightsVersion version, PushMember self, std::vector<PushMember> members,
+        std::size_t pieces)
     : m_version(std::move(version))
     , m_self(std::move(self))
     , m_members(std::move(members))
@@ -16,6 +17,37 @@
             [this](const PushMember &member) { return member.host == m_self.host; });
     if (!isListed)
         m_members.push_back(m_self);
+    assignFirstTakers(pieces);
+}
+
+/// Each piece in turn goes to the highest ranked member that has not got its part yet, so that a
+/// change of the list moves few pieces.
+void PieceSources::assignFirstTakers(std::size_t pieces)
+{
+    std::map<domain::DataCentreId, std::vector<std::size_t>> positions;
+    for (std::size_t i = 0; i < m_members.size(); ++i)
+        positions[m_members[i].dataCentre].push_back(i);
+    for (const auto &[dataCentre, local] : positions) {
+        const std::size_t most = (pieces + local.size() - 1) / local.size();
+        std::vector<std::size_t> taken(local.size(), 0);
+        std::vector<std::size_t> &first = m_firstTakers[dataCentre];
+        first.reserve(pieces);
+        for (std::uint32_t piece = 0; piece < pieces; ++piece) {
+            const std::string key = keyOf(piece);
+            std::size_t best = local.size();
+            std::uint64_t bestWeight = 0;
+            for (std::size_t i = 0; i < local.size(); ++i) {
+                const std::uint64_t weight
+                        = domain::rendezvousWeight(key, m_members[local[i]].host);
+                if (taken[i] < most && (best == local.size() || weight > bestWeight)) {
+                    best = i;
+                    bestWeight = weight;
+                }
+            }
+            ++taken[best];
+            first.push_back(local[best]);
+        }
+    }
 }
 
 std::string PieceSources::keyOf(std::uint32_t piece) const
@@ -24,15 +56,22 @@
             + std::to_string(piece);
 }
 
-std::vector<std::string> PieceSources::ranked(
-        const std::string &key, const domain::DataCentreId &dataCentre) const
+std::vector<std::string> PieceSources::takers(
+        std::uint32_t piece, const domain::DataCentreId &dataCentre) const
 {
     std::vector<std::string> hosts;
     for (const PushMember &member : m_members) {
         if (member.dataCentre == dataCentre)
             hosts.push_back(member.host);
     }
-    return domain::rendezvousRank(key, std::move(hosts));
+    std::vector<std::string> ranked = domain::rendezvousRank(keyOf(piece), std::move(hosts));
+    const auto firstTakers = m_firstTakers.find(dataCentre);
+    if (firstTakers != m_firstTakers.end()) {
+        const std::string &first = m_members[firstTakers->second[piece]].host;
+        const auto position = std::find(ranked.begin(), ranked.end(), first);
+        std::rotate(ranked.begin(), position, position + 1);
+    }
+    return ranked;
 }
 
 std::vector<std::string> PieceSources::holders(const std::string &key, bool isLocal) const
@@ -63,14 +102,14 @@
 bool PieceSources::isFirstTaker(std::uint32_t piece) const
 {
     const std::string key = keyOf(piece);
-    return holders(key, true).empty() && ranked(key, m_self.dataCentre).front() == m_self.host;
+    return holders(key, true).empty() && takers(piece, m_self.dataCentre).front() == m_self.host;
 }
 
 std::size_t PieceSources::rankOfSelf(std::uint32_t piece) const
 {
-    const std::vector<std::string> takers = ranked(keyOf(piece), m_self.dataCentre);
+    const std::vector<std::string> ranked = takers(piece, m_self.dataCentre);
     return static_cast<std::size_t>(
-            std::find(takers.begin(), takers.end(), m_self.host) - takers.begin());
+            std::find(ranked.begin(), ranked.end(), m_self.host) - ranked.begin());
 }
 
 std::uint32_t PieceSources::seedOfSelf() const
@@ -100,15 +139,15 @@
     add(holders(key, true), HoldersTried);
     if (!isFirstTaker(piece)) {
         // Only takers of a higher rank: two members that wait for each other would never end.
-        std::vector<std::string> takers = ranked(key, m_self.dataCentre);
-        takers.erase(std::find(takers.begin(), takers.end(), m_self.host), takers.end());
-        add(takers, TakersTried);
+        std::vector<std::string> ranked = takers(piece, m_self.dataCentre);
+        ranked.erase(std::find(ranked.begin(), ranked.end(), m_self.host), ranked.end());
+        add(ranked, TakersTried);
     }
     add(holders(key, false), HoldersTried);
     for (const domain::DataCentreId &dataCentre : dataCentreRank(key)) {
         if (dataCentre == m_self.dataCentre)
             break;
-        add(ranked(key, dataCentre), TakersTried);
+        add(takers(piece, dataCentre), TakersTried);
     }
     sources.push_back({});
     return sources;
--- a/src/distribution/internal/versiontransfer.cpp
+++ b/src/distribution/internal/versiontransfer.cpp
@@ -28,10 +28,11 @@
 {
     m_order.resize(m_pieces.size());
     std::iota(m_order.begin(), m_order.end(), 0U);
-    std::mt19937 random(m_sources->seedOfSelf());
-    std::shuffle(m_order.begin(), m_order.end(), random);
-    std::stable_partition(m_order.begin(), m_order.end(),
+    m_random.seed(m_sources->seedOfSelf());
+    std::shuffle(m_order.begin(), m_order.end(), m_random);
+    const auto others = std::stable_partition(m_order.begin(), m_order.end(),
             [this](std::uint32_t piece) { return m_sources->isFirstTaker(piece); });
+    m_ownCount = static_cast<std::size_t>(others - m_order.begin());
 }
 
 bool VersionTransfer::offer(std::uint32_t piece, std::string bytes)
@@ -51,15 +52,11 @@
     const auto patience = m_options.patience
             + m_options.patienceStep * static_cast<int>(m_sources->rankOfSelf(piece));
     const bool isImpatient = now - m_progressAt > patience;
-    const auto isPaused = [&](const std::string &host) {
-        const auto paused = m_pausedUntil.find(host);
-        return paused != m_pausedUntil.end() && now < paused->second;
-    };
-    const bool mayAskOrigin = !isPaused("") && m_underWayOrigin < m_options.parallelOrigin;
+    const bool mayAskOrigin = !isPaused("", now) && m_underWayOrigin < m_options.parallelOrigin;
     for (const PieceSource &source : m_sources->sources(piece)) {
         if (source.isOrigin())
             return mayAskOrigin ? std::optional(source) : std::nullopt;
-        if (!isPaused(source.host) && !(isImpatient && mayAskOrigin))
+        if (!isPaused(source.host, now) && !(isImpatient && mayAskOrigin))
             return source;
     }
     return std::nullopt;
@@ -69,29 +66,131 @@
 {
     if (!m_sources || m_underWay >= m_parallel)
         return std::nullopt;
-    std::optional<PieceFetch> chosen;
-    for (const std::uint32_t piece : m_order) {
-        if (m_pieces[piece].bytes || m_pieces[piece].isUnderWay)
-            continue;
-        const auto source = sourceOf(piece, now);
-        if (!source)
-            continue;
-        chosen = PieceFetch{piece, *source};
-        break;
-    }
+    std::optional<PieceFetch> chosen = nextOwn(now);
+    if (!chosen)
+        chosen = nextHeld(now);
+    if (!chosen)
+        chosen = nextBlind(now);
     if (chosen) {
         m_pieces[chosen->piece].isUnderWay = true;
         ++m_underWay;
+        ++m_underWayOf[chosen->kind];
         m_underWayOrigin += chosen->source.isOrigin() ? 1 : 0;
     }
     return chosen;
 }
 
+bool VersionTransfer::isMissing(std::uint32_t piece) const
+{
+    return !m_pieces[piece].bytes && !m_pieces[piece].isUnderWay;
+}
+
+bool VersionTransfer::isPaused(const std::string &host, domain::TimePoint now) const
+{
+    const auto paused = m_pausedUntil.find(host);
+    return paused != m_pausedUntil.end() && now < paused->second;
+}
+
+std::optional<PieceFetch> VersionTransfer::nextOwn(domain::TimePoint now) const
+{
+    if (underWay(FetchKind::Own) >= m_options.parallelOwn)
+        return std::nullopt;
+    for (std::size_t i = 0; i < m_ownCount; ++i) {
+        const std::uint32_t piece = m_order[i];
+        if (!isMissing(piece))
+            continue;
+        if (const auto source = sourceOf(piece, now))
+            return PieceFetch{piece, *source, FetchKind::Own};
+    }
+    return std::nullopt;
+}
+
+/// The piece that the fewest peers hold, so that all of them soon have something to give, from the
+/// less loaded of two holders drawn by chance: all would choose the one with the shortest queue.
+std::optional<PieceFetch> VersionTransfer::nextHeld(domain::TimePoint now)
+{
+    if (underWay(FetchKind::Held) >= m_options.parallelHeld)
+        return std::nullopt;
+    std::optional<std::uint32_t> rarest;
+    std::vector<const std::string *> rarestHolders;
+    std::vector<const std::string *> holders;
+    for (const std::uint32_t piece : m_order) {
+        if (!isMissing(piece))
+            continue;
+        holders.clear();
+        for (const auto &[host, peer] : m_peers) {
+            if (now - peer.toldAt <= m_options.holdingsLife && peer.held.test(piece)
+                    && !isPaused(host, now))
+                holders.push_back(&host);
+        }
+        const bool isRarer = !holders.empty() && (!rarest || holders.size() < rarestHolders.size());
+        if (isRarer) {
+            rarest = piece;
+            std::swap(rarestHolders, holders);
+        }
+    }
+    if (!rarest)
+        return std::nullopt;
+    std::uniform_int_distribution<std::size_t> draw(0, rarestHolders.size() - 1);
+    const std::string *first = rarestHolders[draw(m_random)];
+    const std::string *second = rarestHolders[draw(m_random)];
+    Peer &firstPeer = m_peers.at(*first);
+    Peer &secondPeer = m_peers.at(*second);
+    const bool isFirstLess = firstPeer.waiting <= secondPeer.waiting;
+    ++(isFirstLess ? firstPeer : secondPeer).waiting;
+    return PieceFetch{*rarest, {isFirstLess ? *first : *second}, FetchKind::Held};
+}
+
+std::optional<PieceFetch> VersionTransfer::nextBlind(domain::TimePoint now) const
+{
+    if (underWay(FetchKind::Blind) >= m_options.parallelBlind)
+        return std::nullopt;
+    for (std::size_t i = m_ownCount; i < m_order.size(); ++i) {
+        if (!isMissing(m_order[i]))
+            continue;
+        if (const auto source = sourceOf(m_order[i], now))
+            return PieceFetch{m_order[i], *source, FetchKind::Blind};
+    }
+    return std::nullopt;
+}
+
+std::size_t VersionTransfer::underWay(FetchKind kind) const
+{
+    const auto found = m_underWayOf.find(kind);
+    return found == m_underWayOf.end() ? 0 : found->second;
+}
+
+void VersionTransfer::onHoldings(
+        const std::string &host, HaveMap held, std::uint32_t waiting, domain::TimePoint now)
+{
+    if (held.size() == m_pieces.size())
+        m_peers[host] = {std::move(held), waiting, now};
+}
+
+bool VersionTransfer::isShared(domain::TimePoint now) const
+{
+    return !isComplete() || std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        const Peer &peer = entry.second;
+        return now - peer.toldAt <= m_options.holdingsLife && !peer.held.isFull();
+    });
+}
+
+HaveMap VersionTransfer::held() const
+{
+    HaveMap held(m_pieces.size());
+    for (std::size_t piece = 0; piece < m_pieces.size(); ++piece) {
+        if (m_pieces[piece].bytes)
+            held.set(piece);
+    }
+    return held;
+}
+
 FetchEnd VersionTransfer::onEnd(
         const PieceFetch &fetch, FetchEnd end, std::string bytes, domain::TimePoint now)
 {
     m_pieces[fetch.piece].isUnderWay = false;
     --m_underWay;
+    --m_underWayOf[fetch.kind];
     m_underWayOrigin -= fetch.source.isOrigin() ? 1 : 0;
     if (end == FetchEnd::Stored && !m_pieces[fetch.piece].bytes
             && !offer(fetch.piece, std::move(bytes)))
--- a/src/distribution/piecesources.h
+++ b/src/distribution/piecesources.h
@@ -4,6 +4,7 @@
 #include "domain/strongid.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -33,12 +34,15 @@
 ///
 /// Each piece leaves the origin once, to one member of one data centre; one member of each further
 /// data centre fetches it from there; all others fetch it inside their data centre. Who that is
-/// follows from rendezvous hashing of the piece over the members. VMs that join later fetch from
-/// members that serve the version already.
+/// follows from rendezvous hashing of the piece over the members, with an equal number of pieces
+/// for each of them: the one who is first sends the piece to all others, and the push is over when
+/// the busiest member has sent all of its own. VMs that join later fetch from members that serve
+/// the version already.
 class PieceSources
 {
 public:
-    PieceSources(WeightsVersion version, PushMember self, std::vector<PushMember> members);
+    PieceSources(WeightsVersion version, PushMember self, std::vector<PushMember> members,
+            std::size_t pieces);
 
     /// Sources of a piece in the order in which they are to be tried; the origin is always the
     /// last.
@@ -54,8 +58,10 @@
 
 private:
     std::string keyOf(std::uint32_t piece) const;
-    std::vector<std::string> ranked(
-            const std::string &key, const domain::DataCentreId &dataCentre) const;
+    void assignFirstTakers(std::size_t pieces);
+    /// Members of a data centre in the order in which they take the piece.
+    std::vector<std::string> takers(
+            std::uint32_t piece, const domain::DataCentreId &dataCentre) const;
     std::vector<std::string> holders(const std::string &key, bool isLocal) const;
     std::vector<domain::DataCentreId> dataCentreRank(const std::string &key) const;
 
@@ -63,6 +69,8 @@
     PushMember m_self;
     /// Other members and this one.
     std::vector<PushMember> m_members;
+    /// Position in m_members of the first taker of each piece, by data centre.
+    std::map<domain::DataCentreId, std::vector<std::size_t>> m_firstTakers;
 };
 
 } // namespace oriolerill::distribution
--- a/src/distribution/versiontransfer.h
+++ b/src/distribution/versiontransfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "distribution/havemap.h"
 #include "distribution/piecesources.h"
 #include "distribution/weightsversion.h"
 #include "domain/timepoint.h"
@@ -8,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -15,13 +17,21 @@
 
 struct VersionTransferOptions
 {
-    /// Most pieces fetched at a time. Two would keep a link busy; the others wait at peers that are
-    /// still fetching the piece themselves. A fetch that ends by its deadline halves the number, a
-    /// piece that comes adds one: on a link that has become narrow, pieces asked for together would
-    /// form a queue of seconds, behind which requests wait too.
-    std::size_t parallel = 6;
+    /// Most pieces fetched at a time. A fetch that ends by its deadline halves the number, a piece
+    /// that comes adds one: on a link that has become narrow, pieces asked for together would form
+    /// a queue of seconds, behind which requests wait too.
+    std::size_t parallel = 12;
+    /// Of these, pieces that their sources are known to hold. Two keep a link busy; the third
+    /// covers the way of the next request.
+    std::size_t parallelHeld = 4;
+    /// Of these, pieces that others wait for and that their sources may still be fetching.
+    std::size_t parallelOwn = 6;
+    /// Of these, pieces asked for without word of who holds them, in case no word arrives.
+    std::size_t parallelBlind = 2;
     /// Of these, pieces fetched from the origin, which takes few connections in all.
     std::size_t parallelOrigin = 2;
+    /// Word of what a peer holds counts for this long; it comes each 100 ms.
+    domain::Duration holdingsLife = std::chrono::milliseconds(1000);
     /// A source that fails is not asked again for this long.
     domain::Duration sourcePause = std::chrono::milliseconds(1500);
     /// Members that are not the first to fetch a piece turn to the origin for it once no piece has
@@ -33,10 +43,21 @@
     std::uint32_t manifestDoubt = 3;
 };
 
+/// Why a fetch was begun; each kind has a limit of its own.
+enum class FetchKind {
+    /// Others wait for this VM to have the piece.
+    Own,
+    /// The source has told that it holds the piece.
+    Held,
+    /// The source should have the piece some time.
+    Blind,
+};
+
 struct PieceFetch
 {
     std::uint32_t piece = 0;
     PieceSource source;
+    FetchKind kind = FetchKind::Blind;
 };
 
 enum class FetchEnd {
@@ -65,6 +86,12 @@
     void setSources(std::shared_ptr<const PieceSources> sources);
     /// Bytes that are there already, for example staged before a restart; checked as all others.
     bool offer(std::uint32_t piece, std::string bytes);
+    /// What a peer of this data centre holds of this version, and how many requests wait there.
+    void onHoldings(
+            const std::string &host, HaveMap held, std::uint32_t waiting, domain::TimePoint now);
+    HaveMap held() const;
+    /// Whether this VM or a peer that was heard of lately still lacks pieces.
+    bool isShared(domain::TimePoint now) const;
     /// The next fetch to begin; none while enough are under way or nothing is missing.
     std::optional<PieceFetch> next(domain::TimePoint now);
     /// Ends a fetch; with bytes when some came. Tells what became of it.
@@ -87,7 +114,20 @@
         bool isUnderWay = false;
     };
 
+    struct Peer
+    {
+        HaveMap held;
+        std::uint32_t waiting = 0;
+        domain::TimePoint toldAt;
+    };
+
     void setOrder();
+    bool isMissing(std::uint32_t piece) const;
+    bool isPaused(const std::string &host, domain::TimePoint now) const;
+    std::optional<PieceFetch> nextOwn(domain::TimePoint now) const;
+    std::optional<PieceFetch> nextHeld(domain::TimePoint now);
+    std::size_t underWay(FetchKind kind) const;
+    std::optional<PieceFetch> nextBlind(domain::TimePoint now) const;
     std::optional<PieceSource> sourceOf(std::uint32_t piece, domain::TimePoint now) const;
 
     PieceManifest m_manifest;
@@ -100,10 +140,15 @@
     domain::TimePoint m_progressAt;
     std::size_t m_held = 0;
     std::size_t m_underWay = 0;
+    std::map<FetchKind, std::size_t> m_underWayOf;
+    std::map<std::string, Peer> m_peers;
+    std::mt19937 m_random;
     std::size_t m_parallel;
     std::size_t m_underWayOrigin = 0;
     /// Pieces in the order in which this VM fetches them.
     std::vector<std::uint32_t> m_order;
+    /// How many of them come first because others wait for them.
+    std::size_t m_ownCount = 0;
     std::uint32_t m_mismatches = 0;
 };
 
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -64,7 +64,8 @@
 
 void LoadListener::sendSubscriptions()
 {
-    protocol::LoadSubscription subscription;
+    protocol::AgentDatagram datagram;
+    protocol::LoadSubscription &subscription = *datagram.mutable_subscription();
     subscription.set_entry(m_entry.value());
     subscription.set_data_centre(m_dataCentre.value());
     std::map<domain::ServiceId, double> demands;
@@ -80,7 +81,7 @@
             demands[endpoint.service] = perSecond;
         }
         subscription.set_demand(demands[endpoint.service]);
-        const std::string bytes = subscription.SerializeAsString();
+        const std::string bytes = datagram.SerializeAsString();
         boost::system::error_code code;
         const auto host = asio::ip::make_address_v4(endpoint.address.host, code);
         // A lost subscription is sent again within a second.
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -54,7 +54,7 @@
     return domain::Done{};
 }
 
-asio::awaitable<void> LoadReporter::receiveSubscriptions()
+asio::awaitable<void> LoadReporter::receive()
 {
     std::array<char, MaxDatagram> bytes;
     udp::endpoint sender;
@@ -63,9 +63,14 @@
                 = co_await m_socket.async_receive_from(asio::buffer(bytes), sender, UseTuple);
         if (code == asio::error::operation_aborted)
             co_return;
-        protocol::LoadSubscription message;
-        if (code || !message.ParseFromArray(bytes.data(), static_cast<int>(size)))
+        protocol::AgentDatagram datagram;
+        if (code || !datagram.ParseFromArray(bytes.data(), static_cast<int>(size)))
             continue;
+        if (datagram.has_holdings() && m_onHoldings)
+            m_onHoldings(sender.address().to_string(), datagram.holdings());
+        if (!datagram.has_subscription())
+            continue;
+        const protocol::LoadSubscription &message = datagram.subscription();
         const bool isNew = m_subscribers.count(sender) == 0;
         m_subscribers[sender] = {message.demand(), TimePoint::clock::now()};
         if (isNew) {
@@ -109,6 +114,21 @@
         send();
 }
 
+void LoadReporter::tell(
+        const protocol::PieceHoldings &holdings, const std::vector<std::string> &hosts)
+{
+    protocol::AgentDatagram datagram;
+    *datagram.mutable_holdings() = holdings;
+    const std::string bytes = datagram.SerializeAsString();
+    for (const std::string &host : hosts) {
+        boost::system::error_code code;
+        const auto address = asio::ip::make_address_v4(host, code);
+        // A lost datagram is replaced by the next one.
+        if (!code && host != m_listen.host)
+            m_socket.send_to(asio::buffer(bytes), {address, m_listen.port}, 0, code);
+    }
+}
+
 void LoadReporter::setModel(const domain::ModelId &model, const routing::EngineSpeed &speed)
 {
     m_model = model;
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -4,6 +4,7 @@
 #include "domain/socketaddress.h"
 #include "domain/strongid.h"
 #include "domain/timepoint.h"
+#include "protocol/control.pb.h"
 #include "relayagent/internal/enginelink.h"
 #include "rollout/enginestate.h"
 #include "routing/placegrants.h"
@@ -13,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 
@@ -27,9 +29,16 @@
             const domain::SocketAddress &listen);
 
     domain::Expected<domain::Done> open();
-    boost::asio::awaitable<void> receiveSubscriptions();
+    /// Takes what entries and other agents send to this VM.
+    boost::asio::awaitable<void> receive();
     boost::asio::awaitable<void> report();
 
+    using HoldingsHandler
+            = std::function<void(const std::string &host, const protocol::PieceHoldings &holdings)>;
+    void onHoldings(HoldingsHandler handler) { m_onHoldings = std::move(handler); }
+    /// Sends to the agents of other VMs what this one holds.
+    void tell(const protocol::PieceHoldings &holdings, const std::vector<std::string> &hosts);
+
     /// The newest state; none while the engine does not answer.
     const std::optional<rollout::EngineState> &state() const { return m_state; }
     /// Tells entries, now and with each further report, whether the engine is about to switch.
@@ -57,6 +66,7 @@
     routing::PlaceGrants m_grants;
     bool m_isSwitching = false;
     std::uint64_t m_sequence = 0;
+    HoldingsHandler m_onHoldings;
 };
 
 } // namespace oriolerill::relayagent::internal
--- a/src/relayagent/internal/relayagentprocess.cpp
+++ b/src/relayagent/internal/relayagentprocess.cpp
@@ -67,7 +67,7 @@
         if (auto opened = m_reporter.open(); !opened)
             return opened;
         const auto answerPeer = [this](transport::HttpServerExchange &exchange) {
-            return m_keeper.answerPeer(exchange);
+            return m_keeper.exchange().answer(exchange);
         };
         if (auto started = m_peerServer.start(m_settings.listenPeers, answerPeer); !started)
             return started.error();
@@ -77,7 +77,7 @@
         if (auto started = m_metricsServer.start(m_settings.listenMetrics, answerMetrics); !started)
             return started.error();
         asio::co_spawn(m_context, m_follower.run(), asio::detached);
-        asio::co_spawn(m_context, m_reporter.receiveSubscriptions(), asio::detached);
+        asio::co_spawn(m_context, m_reporter.receive(), asio::detached);
         asio::co_spawn(m_context, m_reporter.report(), asio::detached);
         asio::co_spawn(m_context, m_keeper.run(), asio::detached);
         asio::co_spawn(m_context, handleSignals(), asio::detached);
--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -3,13 +3,11 @@
 #include "observability/log.h"
 #include "platform/fleetcodec.h"
 
-#include <boost/algorithm/string/split.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <cstdlib>
 #include <functional>
 
 namespace oriolerill::relayagent::internal {
@@ -30,14 +28,16 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto StepInterval = milliseconds(50);
+/// Peers hear of new pieces this often; a piece takes 42 ms over a VM's link.
+constexpr auto TellInterval = milliseconds(100);
+/// And of what has not changed this often, in case a datagram was lost.
+constexpr auto TellAgainInterval = milliseconds(400);
 /// The list of members is read again this often while pieces are missing.
 constexpr auto MembersInterval = milliseconds(2500);
 /// Model and origin are read again this often while they are unknown.
 constexpr auto ConfigInterval = milliseconds(500);
 /// And this often while the origin fails.
 constexpr auto OriginConfigInterval = milliseconds(1500);
-/// A peer holds a request for a piece that it does not have yet for this long.
-constexpr auto PeerHold = milliseconds(600);
 /// A piece takes 42 ms over a VM's link; with several at a time and the hold, this is ample.
 constexpr auto PeerTime = milliseconds(1500);
 constexpr auto OriginTime = milliseconds(2500);
@@ -69,12 +69,6 @@
     return "failed";
 }
 
-std::string peerTarget(const distribution::WeightsVersion &version, const std::string &what)
-{
-    return "/v1/weights/" + version.model.value() + '/' + std::to_string(version.number) + '/'
-            + what;
-}
-
 /// Bytes of all pieces under way wait in this VM's link, in front of requests to the engine. Small
 /// receive buffers bound them to what a link that became narrow carries in half a second.
 transport::HttpClientOptions peerOptions()
@@ -93,52 +87,6 @@
     return options;
 }
 
-struct PeerRequest
-{
-    distribution::WeightsVersion version;
-    /// "manifest" or the number of a piece.
-    std::string what;
-};
-
-std::optional<PeerRequest> parsePeerTarget(const std::string &target)
-{
-    std::vector<std::string> parts;
-    boost::algorithm::split(parts, target, [](char c) { return c == '/'; });
-    constexpr std::size_t Parts = 6;
-    if (parts.size() != Parts || parts[1] != "v1" || parts[2] != "weights")
-        return std::nullopt;
-    PeerRequest request;
-    request.version.model = domain::ModelId(parts[3]);
-    request.version.number = std::strtoull(parts[4].c_str(), nullptr, 10);
-    request.what = parts[5];
-    return request;
-}
-
-/// Own form of a manifest between agents: one digest a line.
-std::string formatManifest(const PieceManifest &manifest)
-{
-    std::string text;
-    for (const domain::Digest &piece : manifest.pieces)
-        text += piece.hex() + '\n';
-    return text;
-}
-
-std::optional<PieceManifest> parseManifest(
-        const distribution::WeightsVersion &version, const std::string &text)
-{
-    PieceManifest manifest{version, {}};
-    std::vector<std::string> lines;
-    boost::algorithm::split(lines, text, [](char c) { return c == '\n'; });
-    for (const std::string &line : lines) {
-        const auto digest = domain::Digest::fromHex(line);
-        if (!digest && !line.empty())
-            return std::nullopt;
-        if (digest)
-            manifest.pieces.push_back(*digest);
-    }
-    return manifest.pieces.empty() ? std::nullopt : std::optional(manifest);
-}
-
 } // namespace
 
 WeightsKeeper::WeightsKeeper(asio::io_context &context, EngineLink &engine, LoadReporter &reporter,
@@ -151,10 +99,67 @@
     , m_metrics(metrics)
     , m_peerPort(peerPort)
     , m_schedule(schedule)
-    , m_pacer(pacer)
+    , m_exchange(context, fleet, metrics, pacer, transfers())
     , m_client(context.get_executor(), peerOptions())
     , m_originClient(context.get_executor(), originOptions())
-{}
+{
+    m_reporter.onHoldings([this](const std::string &host, const protocol::PieceHoldings &message) {
+        onHoldings(host, message);
+    });
+}
+
+PeerExchange::Transfers WeightsKeeper::transfers()
+{
+    const auto find = [this](const Version &version) {
+        const auto known = m_transfers.find(version);
+        return known == m_transfers.end() ? nullptr : known->second;
+    };
+    return {find, [this](Version version) { return openForPeer(std::move(version)); }};
+}
+
+asio::awaitable<WeightsKeeper::Transfer> WeightsKeeper::openForPeer(Version version)
+{
+    const bool isServed = version.number > 0 && version.number == servedVersion()
+            && version.model == m_fleet.model();
+    if (const auto known = m_transfers.find(version); known != m_transfers.end())
+        co_return known->second;
+    if (!isServed)
+        co_return nullptr;
+    co_return co_await transferOf(std::move(version));
+}
+
+void WeightsKeeper::onHoldings(const std::string &host, const protocol::PieceHoldings &message)
+{
+    const auto known = m_transfers.find({domain::ModelId(message.model()), message.version()});
+    if (known == m_transfers.end() || message.pieces() != known->second->manifest().pieces.size())
+        return;
+    known->second->onHoldings(host,
+            distribution::HaveMap::fromBytes(message.held(), message.pieces()), message.waiting(),
+            TimePoint::clock::now());
+    if (known->second == m_planned)
+        beginFetches(known->second);
+}
+
+void WeightsKeeper::tellHoldings()
+{
+    const TimePoint now = TimePoint::clock::now();
+    for (const auto &[version, transfer] : m_transfers) {
+        Told &told = m_told[version];
+        const bool isChanged
+                = told.held != transfer->heldCount() || told.waiting != m_exchange.waiting();
+        const auto interval = isChanged ? TellInterval : TellAgainInterval;
+        if (!transfer->isShared(now) || now - told.at < interval)
+            continue;
+        told = {transfer->heldCount(), m_exchange.waiting(), now};
+        protocol::PieceHoldings message;
+        message.set_model(version.model.value());
+        message.set_version(version.number);
+        message.set_pieces(static_cast<std::uint32_t>(transfer->manifest().pieces.size()));
+        message.set_held(transfer->held().toBytes());
+        message.set_waiting(static_cast<std::uint32_t>(m_exchange.waiting()));
+        m_reporter.tell(message, m_fleet.localHosts());
+    }
+}
 
 void WeightsKeeper::onNamed(const objectstore::ObjectList &objects)
 {
@@ -189,6 +194,7 @@
 {
     for (;;) {
         co_await step();
+        tellHoldings();
         co_await pause(StepInterval);
     }
 }
@@ -288,8 +294,9 @@
             if (m_planned != found->second || m_plannedGeneration != m_fleet.generation()) {
                 m_planned = found->second;
                 m_plannedGeneration = m_fleet.generation();
-                found->second->setSources(std::make_shared<const distribution::PieceSources>(
-                        version, m_fleet.self(), m_fleet.members()));
+                found->second->setSources(
+                        std::make_shared<const distribution::PieceSources>(version, m_fleet.self(),
+                                m_fleet.members(), found->second->manifest().pieces.size()));
             }
             beginFetches(found->second);
         }
@@ -361,6 +368,7 @@
             co_await takeStaged(transfer);
         m_transfers[version] = transfer;
         forgetOld();
+        m_exchange.onPiece();
         logEvent(Severity::Info, "transfer_begun",
                 {{"version", version.number}, {"pieces", transfer->manifest().pieces.size()},
                         {"staged", transfer->heldCount()}, {"members", m_fleet.members().size()}});
@@ -375,8 +383,10 @@
 
 void WeightsKeeper::forgetOld()
 {
-    while (m_transfers.size() > KeptVersions)
+    while (m_transfers.size() > KeptVersions) {
+        m_told.erase(m_transfers.begin()->first);
         m_transfers.erase(m_transfers.begin());
+    }
 }
 
 asio::awaitable<Expected<PieceManifest>> WeightsKeeper::fetchManifest(Version version)
@@ -410,7 +420,7 @@
             continue;
         ++asked;
         transport::HttpRequest request;
-        request.target = peerTarget(version, "manifest");
+        request.target = PeerExchange::manifestTarget(version);
         domain::SocketAddress address;
         address.host = member.host;
         address.port = m_peerPort;
@@ -418,7 +428,7 @@
                 address, std::move(request), TimePoint::clock::now() + ManifestTime);
         if (!response || response->status != 200)
             continue;
-        if (auto manifest = parseManifest(version, response->body))
+        if (auto manifest = PeerExchange::readManifest(version, response->body))
             co_return std::move(*manifest);
     }
     co_return last;
@@ -449,7 +459,7 @@
     transport::HttpRequest request;
     domain::SocketAddress address{fetch.source.host, m_peerPort};
     auto time = domain::Duration(PeerTime);
-    request.target = peerTarget(version, std::to_string(fetch.piece));
+    request.target = PeerExchange::pieceTarget(version, fetch.piece);
     if (fetch.source.isOrigin()) {
         address = *m_fleet.origin();
         request.target = platform::pieceTarget(version, fetch.piece);
@@ -475,10 +485,8 @@
     const std::size_t size = bytes.size();
     const TimePoint now = TimePoint::clock::now();
     const FetchEnd final = transfer->onEnd(fetch, end, std::move(bytes), now);
-    if (final == FetchEnd::Stored) {
-        for (asio::steady_timer *waiting : m_waiting)
-            waiting->cancel();
-    }
+    if (final == FetchEnd::Stored)
+        m_exchange.onPiece();
     if (final != FetchEnd::Absent) {
         logEvent(final == FetchEnd::Stored ? Severity::Debug : Severity::Warning, "piece_fetched",
                 {{"version", version.number}, {"piece", fetch.piece},
@@ -565,47 +573,4 @@
     }
 }
 
-asio::awaitable<void> WeightsKeeper::answerPeer(transport::HttpServerExchange &exchange)
-{
-    transport::HttpResponse response;
-    response.status = 404;
-    const auto wanted = parsePeerTarget(exchange.request().target);
-    const TimePoint deadline = TimePoint::clock::now() + PeerHold;
-    while (wanted) {
-        Transfer transfer;
-        const auto known = m_transfers.find(wanted->version);
-        if (known != m_transfers.end())
-            transfer = known->second;
-        else if (wanted->version.number == servedVersion() && wanted->version.number > 0
-                && wanted->version.model == m_fleet.model())
-            transfer = co_await transferOf(wanted->version);
-        if (transfer && wanted->what == "manifest") {
-            response.status = 200;
-            response.body = formatManifest(transfer->manifest());
-            break;
-        }
-        const auto number
-                = static_cast<std::uint32_t>(std::strtoul(wanted->what.c_str(), nullptr, 10));
-        const TimePoint now = TimePoint::clock::now();
-        const TimePoint sendAt = m_pacer.nextAt(now);
-        const auto piece = transfer ? transfer->piece(number) : nullptr;
-        if (piece && sendAt <= now) {
-            m_pacer.onBegin(domain::Bytes(piece->size()), now);
-            response.status = 200;
-            response.body = *piece;
-            m_metrics.increment("oriolerill_agent_served_bytes_total", {}, piece->size());
-            break;
-        }
-        if (now >= deadline)
-            break;
-        // Woken early by the next piece that arrives, whichever it is.
-        const TimePoint wakeAt = piece ? sendAt : (transfer ? deadline : now + StepInterval);
-        asio::steady_timer timer(m_context, wakeAt);
-        m_waiting.insert(&timer);
-        co_await timer.async_wait(UseTuple);
-        m_waiting.erase(&timer);
-    }
-    co_await exchange.respond(std::move(response));
-}
-
 } // namespace oriolerill::relayagent::internal
--- a/src/relayagent/internal/weightskeeper.h
+++ b/src/relayagent/internal/weightskeeper.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "distribution/uploadpacer.h"
 #include "distribution/versiontransfer.h"
 #include "domain/timepoint.h"
 #include "objectstore/storefollower.h"
@@ -8,10 +7,10 @@
 #include "relayagent/internal/enginelink.h"
 #include "relayagent/internal/fleetview.h"
 #include "relayagent/internal/loadreporter.h"
+#include "relayagent/internal/peerexchange.h"
 #include "rollout/pushplan.h"
 #include "rollout/switchschedule.h"
 #include "transport/httpclient.h"
-#include "transport/httpserver.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -35,13 +34,23 @@
 
     void onNamed(const objectstore::ObjectList &objects);
     boost::asio::awaitable<void> run();
-    /// Answers a peer that asks for a piece or a manifest.
-    boost::asio::awaitable<void> answerPeer(transport::HttpServerExchange &exchange);
+    PeerExchange &exchange() { return m_exchange; }
 
 private:
     using Version = distribution::WeightsVersion;
-    using Transfer = std::shared_ptr<distribution::VersionTransfer>;
+    using Transfer = PeerExchange::Transfer;
+    /// What peers were last told of a transfer.
+    struct Told
+    {
+        std::size_t held = 0;
+        std::size_t waiting = 0;
+        domain::TimePoint at;
+    };
 
+    PeerExchange::Transfers transfers();
+    boost::asio::awaitable<Transfer> openForPeer(Version version);
+    void onHoldings(const std::string &host, const protocol::PieceHoldings &message);
+    void tellHoldings();
     boost::asio::awaitable<void> step();
     boost::asio::awaitable<bool> refreshFleet();
     /// Versions newer than the one served, the newest first.
@@ -73,13 +82,14 @@
     std::uint16_t m_peerPort;
     rollout::SwitchSchedule m_schedule;
     rollout::PushPlan m_plan;
-    distribution::UploadPacer m_pacer;
+    PeerExchange m_exchange;
     transport::HttpClient m_client;
     transport::HttpClient m_originClient;
 
     /// When each version was seen to be named.
     std::map<std::uint64_t, domain::TimePoint> m_named;
     std::map<Version, Transfer> m_transfers;
+    std::map<Version, Told> m_told;
     /// The transfer and the list of members for which the plan of sources was made.
     Transfer m_planned;
     std::uint64_t m_plannedGeneration = 0;
@@ -92,8 +102,6 @@
     bool m_hasOriginFailed = false;
     domain::TimePoint m_membersReadAt;
     domain::TimePoint m_nextOrderAt;
-    /// Timers of peers' requests that wait for a piece; cancelled when one arrives.
-    std::set<boost::asio::steady_timer *> m_waiting;
 };
 
 } // namespace oriolerill::relayagent::internal
