Let entries tell each other through the agents what they know of the store

The short watch is there because a store that loses answers leaves a watch waiting for nothing.

Each entry tells the agents the revisions of the last changes it has seen; agents hand the newest back with each fifth report. Agents learn of named versions from entries and watch only while no entry that the store answers is heard.

Tests: storehinttest.

--- /dev/null
+++ b/src/objectstore/tests/storehinttest.cpp
@@ -0,0 +1,188 @@
+#include "objectstore/storefollower.h"
+#include "objectstore/tests/fakeobjectstore.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <gtest/gtest.h>
+
+namespace oriolerill::objectstore {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using domain::ConfigVersion;
+using domain::Error;
+using domain::ErrorKind;
+using domain::Expected;
+using domain::TimePoint;
+
+namespace {
+
+/// A store whose watches are answered late or never, and which notes the time that each may take.
+class SilentStore : public IObjectStore
+{
+public:
+    explicit SilentStore(asio::io_context &context)
+        : m_context(context)
+    {}
+
+    asio::awaitable<Expected<StoredObject>> read(std::string, TimePoint) override
+    {
+        co_return Error{ErrorKind::Unavailable, "", ""};
+    }
+    asio::awaitable<Expected<ObjectList>> list(std::string, TimePoint) override
+    {
+        ++lists;
+        co_return objects;
+    }
+    asio::awaitable<Expected<ConfigVersion>> create(std::string, std::string, TimePoint) override
+    {
+        co_return Error{ErrorKind::Unavailable, "", ""};
+    }
+    asio::awaitable<Expected<ConfigVersion>> update(
+            std::string, std::string, ConfigVersion, TimePoint) override
+    {
+        co_return Error{ErrorKind::Unavailable, "", ""};
+    }
+    asio::awaitable<Expected<ConfigVersion>> remove(std::string, ConfigVersion, TimePoint) override
+    {
+        co_return Error{ErrorKind::Unavailable, "", ""};
+    }
+    asio::awaitable<Expected<ObjectList>> watch(
+            std::string, ConfigVersion, TimePoint deadline) override
+    {
+        watchTimes.push_back(deadline - TimePoint::clock::now());
+        asio::steady_timer timer(m_context, watchAnswerTime);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_return late;
+    }
+    asio::awaitable<Expected<std::vector<ListedVm>>> listVms(TimePoint) override
+    {
+        co_return Error{ErrorKind::Unavailable, "", ""};
+    }
+
+    void setObject(const std::string &name, std::uint64_t revision)
+    {
+        objects.objects = {{"withdrawals/" + name, "{}", {0, revision}, false}};
+        objects.storeVersion = {0, revision};
+    }
+
+    ObjectList objects;
+    ObjectList late;
+    domain::Duration watchAnswerTime = 1h;
+    int lists = 0;
+    std::vector<domain::Duration> watchTimes;
+
+private:
+    asio::io_context &m_context;
+};
+
+} // namespace
+
+/// A follower beside others that tell it what they know.
+class StoreHintFixture : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_store.setObject("a", 5);
+        StoreFollowerOptions options;
+        options.hintPatience = 20ms;
+        options.refreshInterval = 10ms;
+        m_follower = std::make_unique<StoreFollower>(m_context, m_store, "withdrawals",
+                CollectionSink{[this](const ObjectList &) { ++m_listsSeen; },
+                        [this](const ObjectList &) { ++m_changesSeen; }, {}, {}},
+                options);
+    }
+    void start() { asio::co_spawn(m_context, m_follower->run(), asio::detached); }
+    void runFor(domain::Duration time) { m_context.run_for(time); }
+    /// Others tell of a change for a while, as they do twice a second.
+    void hint(std::uint64_t changedAt)
+    {
+        for (int i = 0; i < 5; ++i) {
+            m_follower->onHint(changedAt, TimePoint::clock::now());
+            runFor(10ms);
+        }
+    }
+
+    asio::io_context m_context;
+    SilentStore m_store{m_context};
+    std::unique_ptr<StoreFollower> m_follower;
+    int m_listsSeen = 0;
+    int m_changesSeen = 0;
+};
+
+// Guards against a watch whose answer was lost: the change that others know of is read in spite of
+// it, long before the watch ends.
+TEST_F(StoreHintFixture, onHint_watchNeverAnswered_listedAgain)
+{
+    start();
+    runFor(10ms);
+    EXPECT_EQ(m_follower->changedAt(), 5U);
+    m_store.setObject("b", 9);
+    hint(9);
+    EXPECT_EQ(m_listsSeen, 2);
+    EXPECT_EQ(m_follower->changedAt(), 9U);
+}
+
+// Guards against lists for what is known already: each costs a call at each entry.
+TEST_F(StoreHintFixture, onHint_nothingNew_notListed)
+{
+    start();
+    runFor(10ms);
+    hint(5);
+    EXPECT_EQ(m_store.lists, 1);
+}
+
+// Guards against an old change that undoes a newer list: the answer of a watch that was begun
+// before the list is dropped.
+TEST_F(StoreHintFixture, run_watchAnsweredAfterRefresh_answerDropped)
+{
+    m_store.watchAnswerTime = 150ms;
+    m_store.late.objects = {{"withdrawals/a", "{}", {0, 5}, true}};
+    m_store.late.storeVersion = {0, 6};
+    start();
+    runFor(10ms);
+    m_store.setObject("a", 9);
+    hint(9);
+    m_store.watchAnswerTime = 1h;
+    runFor(200ms);
+    EXPECT_EQ(m_listsSeen, 2);
+    EXPECT_EQ(m_changesSeen, 0);
+}
+
+// Guards against the price of short watches where others would tell, and against long ones where
+// nobody would.
+TEST_F(StoreHintFixture, run_othersHeardOrNot_watchLongOrShort)
+{
+    m_store.watchAnswerTime = 30ms;
+    start();
+    runFor(10ms);
+    m_follower->onHint(5, TimePoint::clock::now());
+    runFor(60ms);
+    ASSERT_GE(m_store.watchTimes.size(), 2U);
+    const StoreFollowerOptions options;
+    EXPECT_LE(m_store.watchTimes.front(), options.watchTime + options.answerTime);
+    EXPECT_GT(m_store.watchTimes.back(), options.watchTime + options.answerTime);
+}
+
+// Guards against calls for a collection whose changes come by another way, and against changes that
+// are missed when that way ends.
+TEST_F(StoreHintFixture, setNeeded_falseThenTrue_listedAgainWithoutWatchBetween)
+{
+    bool isNeeded = false;
+    m_follower->setNeeded([&] { return isNeeded; });
+    start();
+    runFor(300ms);
+    EXPECT_EQ(m_store.lists, 1);
+    EXPECT_TRUE(m_store.watchTimes.empty());
+    isNeeded = true;
+    runFor(300ms);
+    EXPECT_EQ(m_store.lists, 2);
+    EXPECT_EQ(m_store.watchTimes.size(), 1U);
+}
+
+} // namespace oriolerill::objectstore
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace oriolerill::relay::internal {
 
 namespace asio = boost::asio;
@@ -49,36 +51,76 @@
             && m_hasWeights;
 }
 
-void FleetFollower::follow(const char *collection, objectstore::CollectionSink sink,
-        objectstore::StoreFollowerOptions options)
+objectstore::StoreFollower &FleetFollower::follow(const char *collection,
+        objectstore::CollectionSink sink, objectstore::StoreFollowerOptions options)
 {
     m_followers.push_back(std::make_unique<objectstore::StoreFollower>(
             m_context, m_store, collection, std::move(sink), options));
     asio::co_spawn(m_context, m_followers.back()->run(), asio::detached);
+    return *m_followers.back();
+}
+
+void FleetFollower::onStoreLost()
+{
+    if (!m_relay.storeLostAt)
+        m_relay.storeLostAt = TimePoint::clock::now();
+}
+
+/// The watches of the other collections wait longer than the one of the endpoints, so they may not
+/// have noticed that the store was away.
+void FleetFollower::onStoreBack()
+{
+    m_relay.storeLostAt.reset();
+    for (objectstore::StoreFollower *follower : {m_configuration, m_withdrawals, m_weights})
+        follower->refresh();
+}
+
+protocol::StoreKnowledge FleetFollower::knowledge() const
+{
+    protocol::StoreKnowledge knowledge;
+    knowledge.set_configuration_changed_at(m_configuration->changedAt());
+    knowledge.set_withdrawals_changed_at(m_withdrawals->changedAt());
+    knowledge.set_weights_changed_at(m_weights->changedAt());
+    for (const auto &[model, version] : m_named) {
+        protocol::NamedWeights &named = *knowledge.add_named();
+        named.set_model(model.value());
+        named.set_version(version);
+    }
+    knowledge.set_is_store_answering(isComplete() && !m_relay.storeLostAt);
+    return knowledge;
+}
+
+void FleetFollower::onHint(const protocol::StoreKnowledge &knowledge)
+{
+    const TimePoint now = TimePoint::clock::now();
+    m_configuration->onHint(knowledge.configuration_changed_at(), now);
+    m_withdrawals->onHint(knowledge.withdrawals_changed_at(), now);
+    m_weights->onHint(knowledge.weights_changed_at(), now);
 }
 
 void FleetFollower::start()
 {
     const auto onConfigObjects = [this](const ObjectList &objects) { onConfig(objects); };
-    follow("configuration",
-            {onConfigObjects, onConfigObjects,
-                    [this] { m_relay.storeLostAt = TimePoint::clock::now(); },
+    m_configuration = &follow("configuration",
+            {onConfigObjects, onConfigObjects, [this] { onStoreLost(); },
                     [this] { m_relay.storeLostAt.reset(); }},
             {});
     objectstore::StoreFollowerOptions endpointOptions;
     endpointOptions.changePause = m_drainBound / EndpointPausesPerDrainBound;
     follow("endpoints",
             {[this](const ObjectList &objects) { onEndpoints(objects, true); },
-                    [this](const ObjectList &objects) { onEndpoints(objects, false); }, {},
+                    [this](const ObjectList &objects) { onEndpoints(objects, false); },
+                    [this] { onStoreLost(); },
                     [this] {
                         m_relay.dispatcher.endpoints().onStoreBack(TimePoint::clock::now());
+                        onStoreBack();
                     }},
             endpointOptions);
-    follow("withdrawals",
+    m_withdrawals = &follow("withdrawals",
             {[this](const ObjectList &objects) { onWithdrawals(objects, true); },
                     [this](const ObjectList &objects) { onWithdrawals(objects, false); }, {}, {}},
             {});
-    follow("weights",
+    m_weights = &follow("weights",
             {[this](const ObjectList &objects) { onWeights(objects, !m_hasWeights); },
                     [this](const ObjectList &objects) { onWeights(objects, false); }, {}, {}},
             {});
@@ -170,6 +212,8 @@
             logMalformed(object, named.error());
             continue;
         }
+        std::uint64_t &newest = m_named[named->model];
+        newest = std::max(newest, named->number);
         m_relay.dispatcher.weights().onNamed(named->model, named->number, isAtStart, now);
         logEvent(Severity::Info, "weights_named",
                 {{"model", named->model.value()}, {"version", named->number},
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "objectstore/storefollower.h"
+#include "protocol/control.pb.h"
 #include "relay/internal/relaycontext.h"
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -19,13 +21,18 @@
     void start();
     /// Configuration and endpoints are known.
     bool isComplete() const;
+    protocol::StoreKnowledge knowledge() const;
+    /// What other entries know, as agents tell it.
+    void onHint(const protocol::StoreKnowledge &knowledge);
 
 private:
     void onConfig(const objectstore::ObjectList &objects);
     void onEndpoints(const objectstore::ObjectList &objects, bool isWhole);
     void onWithdrawals(const objectstore::ObjectList &objects, bool isWhole);
     void onWeights(const objectstore::ObjectList &objects, bool isAtStart);
-    void follow(const char *collection, objectstore::CollectionSink sink,
+    void onStoreLost();
+    void onStoreBack();
+    objectstore::StoreFollower &follow(const char *collection, objectstore::CollectionSink sink,
             objectstore::StoreFollowerOptions options);
 
     boost::asio::io_context &m_context;
@@ -33,6 +40,10 @@
     RelayContext &m_relay;
     domain::Duration m_drainBound;
     std::vector<std::unique_ptr<objectstore::StoreFollower>> m_followers;
+    objectstore::StoreFollower *m_configuration = nullptr;
+    objectstore::StoreFollower *m_withdrawals = nullptr;
+    objectstore::StoreFollower *m_weights = nullptr;
+    std::map<domain::ModelId, std::uint64_t> m_named;
     bool m_hasEndpoints = false;
     bool m_hasWithdrawals = false;
     bool m_hasWeights = false;
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -27,9 +27,11 @@
 } // namespace
 
 LoadListener::LoadListener(asio::io_context &context, routing::Dispatcher &dispatcher,
-        domain::EntryId entry, domain::DataCentreId dataCentre, const domain::SocketAddress &listen)
+        FleetFollower &fleet, domain::EntryId entry, domain::DataCentreId dataCentre,
+        const domain::SocketAddress &listen)
     : m_context(context)
     , m_dispatcher(dispatcher)
+    , m_fleet(fleet)
     , m_entry(std::move(entry))
     , m_dataCentre(std::move(dataCentre))
     , m_listen(listen)
@@ -68,6 +70,7 @@
     protocol::LoadSubscription &subscription = *datagram.mutable_subscription();
     subscription.set_entry(m_entry.value());
     subscription.set_data_centre(m_dataCentre.value());
+    *subscription.mutable_knowledge() = m_fleet.knowledge();
     std::map<domain::ServiceId, double> demands;
     const auto config = m_dispatcher.config();
     for (const auto &[id, endpoint] : m_dispatcher.endpoints().endpoints()) {
@@ -114,6 +117,8 @@
         report.isSwitching = message.is_switching();
         report.grant = message.grant();
         report.entries = message.entries();
+        if (message.has_knowledge())
+            m_fleet.onHint(message.knowledge());
         const TimePoint now = TimePoint::clock::now();
         m_dispatcher.onReport(*address, message.engine_started_at_ms(), report, now);
         m_counts[*address] = {{message.entries(), message.rank()}, now};
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -2,6 +2,7 @@
 
 #include "domain/expected.h"
 #include "domain/socketaddress.h"
+#include "relay/internal/fleetfollower.h"
 #include "routing/dispatcher.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -14,12 +15,13 @@
 namespace oriolerill::relay::internal {
 
 /// Subscribes to the load reports of the agents beside the engines and hands them to the
-/// dispatcher. Also learns from them how many entries there are.
+/// dispatcher. Also learns from them how many entries there are, and what other entries know of
+/// the store.
 class LoadListener
 {
 public:
     LoadListener(boost::asio::io_context &context, routing::Dispatcher &dispatcher,
-            domain::EntryId entry, domain::DataCentreId dataCentre,
+            FleetFollower &fleet, domain::EntryId entry, domain::DataCentreId dataCentre,
             const domain::SocketAddress &listen);
 
     domain::Expected<domain::Done> open();
@@ -38,6 +40,7 @@
 
     boost::asio::io_context &m_context;
     routing::Dispatcher &m_dispatcher;
+    FleetFollower &m_fleet;
     domain::EntryId m_entry;
     domain::DataCentreId m_dataCentre;
     domain::SocketAddress m_listen;
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -84,7 +84,7 @@
         , m_relay{m_dispatcher, m_connections, m_metrics}
         , m_store(m_context.get_executor(), m_settings.storeAddress)
         , m_follower(m_context, m_store, m_relay, m_settings.drainBound)
-        , m_load(m_context, m_dispatcher, m_settings.id, m_settings.dataCentre,
+        , m_load(m_context, m_dispatcher, m_follower, m_settings.id, m_settings.dataCentre,
                   m_settings.listenLoad)
         , m_acceptor(m_context)
         , m_statusServer(m_context.get_executor(), {})
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -26,6 +26,11 @@
 /// Entries subscribe each second; three lost datagrams and a pause are forgiven. A longer time
 /// counts entries that have gone, which only makes each entry's part of a bound smaller.
 constexpr auto SubscriberLife = std::chrono::milliseconds(6000);
+/// Three subscriptions that were lost or late.
+constexpr auto StoreSeenLife = std::chrono::milliseconds(3000);
+/// Each so manieth report tells what entries know of the store; it changes rarely, and reports
+/// cross regions.
+constexpr std::uint64_t ReportsPerKnowledge = 5;
 constexpr std::size_t MaxDatagram = 1500;
 
 } // namespace
@@ -72,7 +77,9 @@
             continue;
         const protocol::LoadSubscription &message = datagram.subscription();
         const bool isNew = m_subscribers.count(sender) == 0;
-        m_subscribers[sender] = {message.demand(), TimePoint::clock::now()};
+        m_subscribers[sender] = {message.demand(), TimePoint::clock::now(), message.knowledge()};
+        for (const protocol::NamedWeights &named : message.knowledge().named())
+            m_onNamed(domain::ModelId(named.model()), named.version());
         if (isNew) {
             logEvent(Severity::Info, "entry_subscribed",
                     {{"entry", message.entry()}, {"data_centre", message.data_centre()},
@@ -114,6 +121,28 @@
         send();
 }
 
+bool LoadReporter::isStoreSeen(TimePoint now) const
+{
+    return std::any_of(m_subscribers.begin(), m_subscribers.end(), [now](const auto &entry) {
+        return entry.second.knowledge.is_store_answering()
+                && now - entry.second.seenAt <= StoreSeenLife;
+    });
+}
+
+protocol::StoreKnowledge LoadReporter::knowledge() const
+{
+    protocol::StoreKnowledge all;
+    for (const auto &[entry, subscriber] : m_subscribers) {
+        const protocol::StoreKnowledge &one = subscriber.knowledge;
+        all.set_configuration_changed_at(
+                std::max(all.configuration_changed_at(), one.configuration_changed_at()));
+        all.set_withdrawals_changed_at(
+                std::max(all.withdrawals_changed_at(), one.withdrawals_changed_at()));
+        all.set_weights_changed_at(std::max(all.weights_changed_at(), one.weights_changed_at()));
+    }
+    return all;
+}
+
 void LoadReporter::tell(
         const protocol::PieceHoldings &holdings, const std::vector<std::string> &hosts)
 {
@@ -160,6 +189,8 @@
         demands.push_back(subscriber.demand);
     const double places = m_isSwitching ? 0 : routing::grantablePlaces(count);
     const std::vector<std::uint32_t> grants = m_grants.split(places, demands);
+    if (m_sequence % ReportsPerKnowledge == 0)
+        *message.mutable_knowledge() = knowledge();
     std::size_t position = 0;
     for (const auto &[entry, subscriber] : m_subscribers) {
         message.set_rank(static_cast<std::uint32_t>(position));
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -35,6 +35,11 @@
 
     using HoldingsHandler
             = std::function<void(const std::string &host, const protocol::PieceHoldings &holdings)>;
+    using NamedHandler = std::function<void(const domain::ModelId &model, std::uint64_t version)>;
+    /// Called for the versions that entries know to be named.
+    void onNamed(NamedHandler handler) { m_onNamed = std::move(handler); }
+    /// Whether an entry that the store answers has been heard lately.
+    bool isStoreSeen(domain::TimePoint now) const;
     void onHoldings(HoldingsHandler handler) { m_onHoldings = std::move(handler); }
     /// Sends to the agents of other VMs what this one holds.
     void tell(const protocol::PieceHoldings &holdings, const std::vector<std::string> &hosts);
@@ -51,9 +56,11 @@
     {
         double demand = 0;
         domain::TimePoint seenAt;
+        protocol::StoreKnowledge knowledge;
     };
 
     void send();
+    protocol::StoreKnowledge knowledge() const;
 
     boost::asio::io_context &m_context;
     EngineLink &m_engine;
@@ -67,6 +74,7 @@
     bool m_isSwitching = false;
     std::uint64_t m_sequence = 0;
     HoldingsHandler m_onHoldings;
+    NamedHandler m_onNamed;
 };
 
 } // namespace oriolerill::relayagent::internal
--- a/src/relayagent/internal/relayagentprocess.cpp
+++ b/src/relayagent/internal/relayagentprocess.cpp
@@ -76,6 +76,9 @@
         };
         if (auto started = m_metricsServer.start(m_settings.listenMetrics, answerMetrics); !started)
             return started.error();
+        // While entries tell which versions are named, the agents need no watch of their own.
+        m_follower.setNeeded(
+                [this] { return !m_reporter.isStoreSeen(domain::TimePoint::clock::now()); });
         asio::co_spawn(m_context, m_follower.run(), asio::detached);
         asio::co_spawn(m_context, m_reporter.receive(), asio::detached);
         asio::co_spawn(m_context, m_reporter.report(), asio::detached);
--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -103,6 +103,9 @@
     , m_client(context.get_executor(), peerOptions())
     , m_originClient(context.get_executor(), originOptions())
 {
+    m_reporter.onNamed([this](const domain::ModelId &model, std::uint64_t version) {
+        onNamed(model, version, "entry");
+    });
     m_reporter.onHoldings([this](const std::string &host, const protocol::PieceHoldings &message) {
         onHoldings(host, message);
     });
@@ -163,7 +166,6 @@
 
 void WeightsKeeper::onNamed(const objectstore::ObjectList &objects)
 {
-    const TimePoint now = TimePoint::clock::now();
     for (const objectstore::StoredObject &object : objects.objects) {
         if (object.isDeleted)
             continue;
@@ -174,16 +176,20 @@
                             {"remedy", named.error().remedy}});
             continue;
         }
-        const bool isNew = m_named.emplace(named->number, now).second;
-        if (isNew) {
-            m_membersReadAt = {};
-            logEvent(Severity::Info, "weights_named",
-                    {{"model", named->model.value()}, {"version", named->number},
-                            {"revision", object.version.revision}});
-        }
+        onNamed(named->model, named->number, "store");
     }
 }
 
+void WeightsKeeper::onNamed(
+        const domain::ModelId &model, std::uint64_t version, std::string_view source)
+{
+    if (!m_named.emplace(version, TimePoint::clock::now()).second)
+        return;
+    m_membersReadAt = {};
+    logEvent(Severity::Info, "weights_named",
+            {{"model", model.value()}, {"version", version}, {"source", source}});
+}
+
 asio::awaitable<void> WeightsKeeper::pause(domain::Duration duration)
 {
     asio::steady_timer timer(m_context, duration);
--- a/src/relayagent/internal/weightskeeper.h
+++ b/src/relayagent/internal/weightskeeper.h
@@ -33,6 +33,7 @@
             rollout::SwitchSchedule schedule, distribution::UploadPacer pacer);
 
     void onNamed(const objectstore::ObjectList &objects);
+    void onNamed(const domain::ModelId &model, std::uint64_t version, std::string_view source);
     boost::asio::awaitable<void> run();
     PeerExchange &exchange() { return m_exchange; }
 
