Test agents against stand-ins of engine, origin and store

Twelve agents on loopback addresses of their own push a version: whole, with rot, lost answers to orders, a spoiling origin, an origin that is down, a newer version in between, and with the store away while an entry tells the version.

--- /dev/null
+++ b/src/relayagent/tests/agentfleet.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "objectstore/storefollower.h"
+#include "objectstore/tests/fakeobjectstore.h"
+#include "platform/tests/standinfleet.h"
+#include "relayagent/internal/weightskeeper.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+namespace oriolerill::relayagent {
+
+struct AgentFleetOptions
+{
+    std::size_t dataCentres = 3;
+    std::size_t agentsEach = 4;
+    platform::StandInWeights weights;
+    double linkMbps = 200;
+    double originMbps = 200;
+    domain::Duration bound = std::chrono::milliseconds(1500);
+    /// Ports of this fleet; tests that run at the same time use others.
+    std::uint16_t firstPort = 21300;
+};
+
+/// Agents with their engines on loopback addresses of their own, an origin and a store, all on one
+/// thread.
+class AgentFleet
+{
+public:
+    struct Agent
+    {
+        std::string host;
+        std::string dataCentre;
+        std::unique_ptr<platform::StandInEngine> engine;
+        std::unique_ptr<internal::EngineLink> link;
+        std::unique_ptr<internal::LoadReporter> reporter;
+        std::unique_ptr<internal::FleetView> fleet;
+        std::unique_ptr<internal::WeightsKeeper> keeper;
+        std::unique_ptr<objectstore::StoreFollower> follower;
+        std::unique_ptr<transport::HttpServer> server;
+    };
+
+    explicit AgentFleet(AgentFleetOptions options)
+        : m_options(std::move(options))
+        , origin(context, originAddress(), m_options.weights, bytesPerSecond(m_options.originMbps))
+    {
+        store.put("configuration/main",
+                platform::configObject("s", m_options.weights, originAddress().toString()));
+        for (std::size_t d = 0; d < m_options.dataCentres; ++d) {
+            for (std::size_t i = 0; i < m_options.agentsEach; ++i)
+                addAgent("dc" + std::to_string(d));
+        }
+    }
+
+    void name(std::uint64_t version)
+    {
+        store.put("weights/" + m_options.weights.model,
+                platform::namedObject(m_options.weights, version));
+    }
+
+    bool isServedEverywhere(std::uint64_t version) const
+    {
+        return std::all_of(agents.begin(), agents.end(),
+                [version](const Agent &agent) { return agent.engine->version() == version; });
+    }
+
+    /// False when the condition does not hold within the time.
+    bool runUntil(const std::function<bool()> &condition, domain::Duration limit)
+    {
+        const auto end = domain::TimePoint::clock::now() + limit;
+        while (!condition() && domain::TimePoint::clock::now() < end)
+            context.run_for(std::chrono::milliseconds(5));
+        return condition();
+    }
+
+    int wrongLoads() const
+    {
+        int wrong = 0;
+        for (const Agent &agent : agents)
+            wrong += agent.engine->wrongLoads();
+        return wrong;
+    }
+
+    domain::SocketAddress loadAddress(const std::string &host) const
+    {
+        return {host, static_cast<std::uint16_t>(m_options.firstPort + 1)};
+    }
+
+    boost::asio::io_context context{1};
+
+private:
+    AgentFleetOptions m_options;
+    observability::Metrics m_metrics;
+
+public:
+    objectstore::FakeObjectStore store;
+    platform::StandInOrigin origin;
+    std::vector<Agent> agents;
+
+private:
+    static double bytesPerSecond(double mbps)
+    {
+        constexpr double BytesPerMegabit = 1e6 / 8;
+        return mbps * BytesPerMegabit;
+    }
+    domain::SocketAddress originAddress() const { return {"127.0.9.1", m_options.firstPort}; }
+
+    void addAgent(const std::string &dataCentre)
+    {
+        using internal::EngineLink;
+        using internal::FleetView;
+        using internal::LoadReporter;
+        using internal::WeightsKeeper;
+        constexpr std::uint64_t FirstVersion = 1;
+        Agent agent;
+        agent.host = "127.0.8." + std::to_string(agents.size() + 1);
+        agent.dataCentre = dataCentre;
+        const domain::SocketAddress engine{agent.host, m_options.firstPort};
+        const domain::SocketAddress load = loadAddress(agent.host);
+        const domain::SocketAddress peers{
+                agent.host, static_cast<std::uint16_t>(m_options.firstPort + 2)};
+        agent.engine = std::make_unique<platform::StandInEngine>(
+                context, engine, m_options.weights, FirstVersion);
+        const auto list = [this, engine, dataCentre](std::uint64_t version) {
+            store.put("endpoints/" + engine.host,
+                    platform::endpointObject(
+                            "s", engine.toString(), dataCentre, m_options.weights, version));
+        };
+        list(FirstVersion);
+        agent.engine->onLoaded = list;
+        agent.link = std::make_unique<EngineLink>(context.get_executor(), engine);
+        agent.reporter = std::make_unique<LoadReporter>(
+                context, *agent.link, domain::DataCentreId(dataCentre), load);
+        agent.fleet = std::make_unique<FleetView>(
+                store, store, domain::ServiceId("s"), engine, domain::DataCentreId(dataCentre));
+        rollout::SwitchScheduleOptions schedule;
+        schedule.bound = m_options.bound;
+        distribution::UploadPacerOptions pacer;
+        pacer.link = domain::BytesPerSecond(
+                static_cast<std::uint64_t>(bytesPerSecond(m_options.linkMbps)));
+        agent.keeper = std::make_unique<WeightsKeeper>(context, *agent.link, *agent.reporter,
+                *agent.fleet, m_metrics, peers.port, rollout::SwitchSchedule(schedule),
+                distribution::UploadPacer(pacer));
+        WeightsKeeper *keeper = agent.keeper.get();
+        const auto onNamed
+                = [keeper](const objectstore::ObjectList &named) { keeper->onNamed(named); };
+        agent.follower = std::make_unique<objectstore::StoreFollower>(
+                context, store, "weights", objectstore::CollectionSink{onNamed, onNamed, {}, {}});
+        agent.server = std::make_unique<transport::HttpServer>(
+                context.get_executor(), transport::HttpServerOptions());
+        const auto started
+                = agent.server->start(peers, [keeper](transport::HttpServerExchange &exchange) {
+                      return keeper->exchange().answer(exchange);
+                  });
+        const auto opened = agent.reporter->open();
+        if (!started || !opened)
+            throw std::runtime_error("an address of " + agent.host + " is taken");
+        boost::asio::co_spawn(context, agent.follower->run(), boost::asio::detached);
+        boost::asio::co_spawn(context, agent.reporter->receive(), boost::asio::detached);
+        boost::asio::co_spawn(context, agent.reporter->report(), boost::asio::detached);
+        boost::asio::co_spawn(context, keeper->run(), boost::asio::detached);
+        agents.push_back(std::move(agent));
+    }
+};
+
+} // namespace oriolerill::relayagent
--- /dev/null
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -0,0 +1,126 @@
+#include "agentfleet.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace oriolerill::relayagent {
+
+using namespace std::chrono_literals;
+
+/// Twelve agents in three data centres over real sockets; version 1 is served, version 2 is named.
+class AgentPushFixture : public testing::Test
+{
+protected:
+    bool pushTo(std::uint64_t version, domain::Duration limit)
+    {
+        return m_fleet.runUntil([&] { return m_fleet.isServedEverywhere(version); }, limit);
+    }
+
+    AgentFleet m_fleet{AgentFleetOptions()};
+};
+
+// Guards against a push that takes more than one copy from the origin, or that loads what is not
+// the version.
+TEST_F(AgentPushFixture, push_healthyFleet_servedEverywhereAtOneCopy)
+{
+    m_fleet.name(2);
+    ASSERT_TRUE(pushTo(2, 10s));
+    EXPECT_EQ(m_fleet.wrongLoads(), 0);
+    EXPECT_LE(m_fleet.origin.copies(), 1.2);
+    for (const AgentFleet::Agent &agent : m_fleet.agents)
+        EXPECT_EQ(agent.engine->orders(), 1) << agent.host;
+}
+
+// Guards against bytes that turn bad between staging and the order. The first engines load 540 ms
+// after the version was named; what turns bad while an agent reads back all pieces right before its
+// order is not counted, so the last pieces turn bad 60 ms earlier.
+TEST_F(AgentPushFixture, push_stagedPiecesRot_neverLoaded)
+{
+    m_fleet.name(2);
+    std::mt19937 random(7);
+    int rotten = 0;
+    const auto rotUntil = domain::TimePoint::clock::now() + 480ms;
+    const auto rotSome = [&] {
+        AgentFleet::Agent &agent = m_fleet.agents[random() % m_fleet.agents.size()];
+        rotten += agent.engine->rot(random() % 48) ? 1 : 0;
+        return domain::TimePoint::clock::now() >= rotUntil;
+    };
+    m_fleet.runUntil(rotSome, 1s);
+    EXPECT_GT(rotten, 0);
+    EXPECT_TRUE(pushTo(2, 20s));
+    EXPECT_EQ(m_fleet.wrongLoads(), 0);
+}
+
+// Guards against a second order after one that was accepted without an answer.
+TEST_F(AgentPushFixture, push_answersToOrdersLost_eachEngineOrderedOnce)
+{
+    for (AgentFleet::Agent &agent : m_fleet.agents)
+        agent.engine->isOrderAnswerLost = true;
+    m_fleet.name(2);
+    ASSERT_TRUE(pushTo(2, 10s));
+    for (const AgentFleet::Agent &agent : m_fleet.agents)
+        EXPECT_EQ(agent.engine->orders(), 1) << agent.host;
+}
+
+// Guards against an origin that sends spoilt pieces, which agents hand on to each other.
+TEST_F(AgentPushFixture, push_originSpoilsSomePieces_onlyGoodOnesLoaded)
+{
+    int sent = 0;
+    m_fleet.origin.isSpoilt = [&sent](std::uint32_t) { return ++sent % 4 == 0; };
+    m_fleet.name(2);
+    ASSERT_TRUE(pushTo(2, 15s));
+    EXPECT_EQ(m_fleet.wrongLoads(), 0);
+    EXPECT_LE(m_fleet.origin.copies(), 4);
+}
+
+// Guards against a push that ends with its origin, and copies for everyone once it is back.
+TEST_F(AgentPushFixture, push_originDownForTwoSeconds_finishesWithinFourCopies)
+{
+    m_fleet.name(2);
+    m_fleet.runUntil([] { return false; }, 60ms);
+    m_fleet.origin.isDown = true;
+    m_fleet.runUntil([] { return false; }, 2s);
+    m_fleet.origin.isDown = false;
+    ASSERT_TRUE(pushTo(2, 15s));
+    EXPECT_EQ(m_fleet.wrongLoads(), 0);
+    EXPECT_LE(m_fleet.origin.copies(), 4);
+}
+
+// Guards against a newer version that waits for the older one to arrive everywhere.
+TEST_F(AgentPushFixture, push_newerNamedDuringPush_newestServedEverywhere)
+{
+    m_fleet.name(2);
+    m_fleet.runUntil([] { return false; }, 300ms);
+    m_fleet.name(3);
+    ASSERT_TRUE(pushTo(3, 15s));
+    EXPECT_EQ(m_fleet.wrongLoads(), 0);
+}
+
+// Guards against agents that hear of a new version from the store alone: while entries tell them,
+// they do not watch it.
+TEST_F(AgentPushFixture, push_versionToldByAnEntry_takenWhileTheStoreIsAway)
+{
+    m_fleet.runUntil([] { return false; }, 300ms);
+    m_fleet.store.isDown = true;
+    boost::asio::ip::udp::socket entry(
+            m_fleet.context, {boost::asio::ip::make_address_v4("127.0.9.2"), 0});
+    protocol::AgentDatagram datagram;
+    protocol::StoreKnowledge &knowledge = *datagram.mutable_subscription()->mutable_knowledge();
+    knowledge.set_is_store_answering(true);
+    protocol::NamedWeights &named = *knowledge.add_named();
+    named.set_model("m");
+    named.set_version(2);
+    const std::string bytes = datagram.SerializeAsString();
+    for (const AgentFleet::Agent &agent : m_fleet.agents) {
+        const domain::SocketAddress to = m_fleet.loadAddress(agent.host);
+        entry.send_to(
+                boost::asio::buffer(bytes), {boost::asio::ip::make_address_v4(to.host), to.port});
+    }
+    EXPECT_TRUE(pushTo(2, 10s));
+    EXPECT_EQ(m_fleet.wrongLoads(), 0);
+}
+
+} // namespace oriolerill::relayagent
