Tell a caller that its request was read too slowly instead of closing its connection

Cause: the stream's own timeout closes the connection, so the 408 was never sent; a caller whose body stalls could not know that nothing was run. The read is cancelled by a timer instead.

Benches: relay_bench (processor time for a request and an event), relayagent_bench (push at a tenth of the sheets' size).

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -33,7 +33,8 @@
   file(GLOB benches CONFIGURE_DEPENDS ${dir}/tests/*bench.cpp)
   if(benches)
     add_executable(${name}_bench ${benches})
-    target_link_libraries(${name}_bench PRIVATE oriolerill_${name} benchmark::benchmark_main)
+    target_link_libraries(${name}_bench PRIVATE oriolerill_${name} GTest::gtest
+      benchmark::benchmark_main)
   endif()
 endfunction()
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -5,6 +5,7 @@
 #   scripts/bench.sh withdraw  service level while a data centre leaves and returns, against round
 #                              robin without slow start
 #   scripts/bench.sh requests  latency that an entry adds, and requests a second per core
+#   scripts/bench.sh push      the push of agents on the operators' platform, sizes of its sheets
 #   scripts/bench.sh core      the *_bench programs
 #
 # Options: --endpoints N, --dcs N, --seed N, --fault none|origin|corrupt|cut|platform|silence.
@@ -263,11 +264,16 @@
     finish "bench=core"
 }
 
+push() {
+    "$bin/relayagent_bench" 2>>"$run_dir/push.log" | grep -v 'event=' || note_failure relayagent_bench
+    finish "bench=push"
+}
+
 fleet_begin "bench-$name"
 case $name in
-    burst | withdraw | requests | core) "$name" ;;
+    burst | withdraw | requests | push | core) "$name" ;;
     *)
-        echo "bench: unknown benchmark $name; use burst, withdraw, requests or core" >&2
+        echo "bench: unknown benchmark $name; use burst, withdraw, requests, push or core" >&2
         exit 2
         ;;
 esac
--- a/src/relay/internal/callersession.cpp
+++ b/src/relay/internal/callersession.cpp
@@ -5,10 +5,13 @@
 #include "relay/internal/requestrun.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <memory>
+
 namespace oriolerill::relay::internal {
 
 namespace asio = boost::asio;
@@ -66,6 +69,47 @@
     return std::nullopt;
 }
 
+/// Ends a read at its deadline without closing the connection, which the timeout of the stream
+/// would do: the caller is told that its request has not run.
+class ReadLimit
+{
+public:
+    ReadLimit(beast::tcp_stream &stream, domain::Duration time)
+        : m_timer(stream.get_executor(), time)
+        , m_state(std::make_shared<State>())
+    {
+        stream.expires_never();
+        m_timer.async_wait([&stream, state = m_state](beast::error_code code) {
+            // The read may have ended while the handler was on its way.
+            if (code || state->isEnded)
+                return;
+            state->isOver = true;
+            stream.cancel();
+        });
+    }
+    ~ReadLimit() { m_state->isEnded = true; }
+    ReadLimit(const ReadLimit &) = delete;
+    ReadLimit &operator=(const ReadLimit &) = delete;
+
+    /// The code of the read, or that it took too long.
+    beast::error_code result(beast::error_code code) const
+    {
+        return code == asio::error::operation_aborted && m_state->isOver
+                ? make_error_code(beast::error::timeout)
+                : code;
+    }
+
+private:
+    struct State
+    {
+        bool isOver = false;
+        bool isEnded = false;
+    };
+
+    asio::steady_timer m_timer;
+    std::shared_ptr<State> m_state;
+};
+
 } // namespace
 
 CallerSession::CallerSession(RelayContext &context, tcp::socket socket)
@@ -118,10 +162,13 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeader.count()));
     parser.body_limit(limits.maxBody.count());
-    m_stream.expires_after(limits.headerTimeout);
-    auto [headCode, headSize]
-            = co_await http::async_read_header(m_stream, m_buffer, parser, UseTuple);
-    beast::error_code code = headCode;
+    beast::error_code code;
+    {
+        const ReadLimit limit(m_stream, limits.headerTimeout);
+        auto [headCode, headSize]
+                = co_await http::async_read_header(m_stream, m_buffer, parser, UseTuple);
+        code = limit.result(headCode);
+    }
     std::optional<OwnAnswer> refusal;
     if (!code)
         refusal = ambiguity(parser.get());
@@ -130,16 +177,15 @@
             constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
             co_await asio::async_write(m_stream, asio::buffer(Continue), UseTuple);
         }
-        m_stream.expires_after(limits.idleTimeout);
+        const ReadLimit limit(m_stream, limits.idleTimeout);
         auto [bodyCode, bodySize] = co_await http::async_read(m_stream, m_buffer, parser, UseTuple);
-        code = bodyCode;
+        code = limit.result(bodyCode);
     }
     if (code)
         refusal = answerTo(code, limits);
     if (refusal) {
         observability::logEvent(observability::Severity::Warning, "request_unreadable",
                 {{"status", refusal->status}, {"reason", refusal->error.message}});
-        // A connection whose read timed out is closed; the answer is then lost with it.
         co_await sendOwnAnswer(m_stream, std::move(*refusal), false);
         co_return false;
     }
--- /dev/null
+++ b/src/relay/tests/relaybench.cpp
@@ -0,0 +1,137 @@
+#include "relay/tests/relayfixture.h"
+
+#include <benchmark/benchmark.h>
+
+#include <boost/asio/read_until.hpp>
+
+#include <ctime>
+#include <future>
+#include <sstream>
+
+namespace oriolerill::relay {
+
+namespace {
+
+constexpr int Callers = 8;
+constexpr int EventsPerStream = 24;
+constexpr int Burst = 200;
+
+/// An entry in front of one endpoint; the processor time of its I/O thread is read from outside.
+class RelayUnderLoad : public RelayFixture
+{
+public:
+    explicit RelayUnderLoad(ScriptedEndpoint::Script script)
+    {
+        addEndpoint(std::move(script));
+        m_listed.front().slots = Callers;
+        start();
+    }
+    void TestBody() override {}
+
+    /// Read once no request is in progress; a request that still is would keep its endpoint
+    /// waiting.
+    double processorSeconds()
+    {
+        std::optional<double> seconds;
+        while (!seconds) {
+            std::promise<std::optional<double>> sample;
+            boost::asio::post(m_context, [&] {
+                timespec time{};
+                clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+                constexpr double Nano = 1e-9;
+                const double now = static_cast<double>(time.tv_sec)
+                        + static_cast<double>(time.tv_nsec) * Nano;
+                sample.set_value(m_relay.requestsInFlight == 0 ? std::optional(now) : std::nullopt);
+            });
+            seconds = sample.get_future().get();
+        }
+        return *seconds;
+    }
+
+    /// Requests over kept connections, so many callers at a time.
+    void burst(const std::string &path, const std::string &end)
+    {
+        std::vector<std::thread> callers;
+        for (int c = 0; c < Callers; ++c) {
+            callers.emplace_back([this, path, end] {
+                auto socket = connect();
+                for (int i = 0; i < Burst / Callers; ++i) {
+                    write(socket, request("GET", path));
+                    std::string got;
+                    boost::system::error_code code;
+                    boost::asio::read_until(socket, boost::asio::dynamic_buffer(got), end, code);
+                }
+            });
+        }
+        for (std::thread &caller : callers)
+            caller.join();
+    }
+
+    static std::string whole() { return answer("a1", "hello"); }
+    static std::string eventHead()
+    {
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: sig\r\n"
+               "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+};
+
+void report(benchmark::State &state, double seconds, int requests, int events)
+{
+    constexpr double Micro = 1e6;
+    state.counters["us_per_request"] = seconds * Micro / requests;
+    state.counters["requests_per_core_s"] = requests / seconds;
+    if (events > 0) {
+        state.counters["us_per_event"] = seconds * Micro / events;
+        state.counters["events_per_core_s"] = events / seconds;
+    }
+}
+
+/// Short answers with a length, as from plain services.
+void relayWholeAnswers(benchmark::State &state)
+{
+    RelayUnderLoad relay([](ScriptedEndpoint::Socket &socket, const std::string &) {
+        write(socket, RelayUnderLoad::whole());
+        return true;
+    });
+    relay.burst("/read/1", "hello");
+    const double before = relay.processorSeconds();
+    int requests = 0;
+    for (auto _ : state) {
+        relay.burst("/read/1", "hello");
+        requests += Burst;
+    }
+    report(state, relay.processorSeconds() - before, requests, 0);
+}
+
+/// Streams whose events arrive one by one, as from engines.
+void relayEvents(benchmark::State &state)
+{
+    RelayUnderLoad relay([](ScriptedEndpoint::Socket &socket, const std::string &) {
+        write(socket, RelayUnderLoad::eventHead());
+        for (int i = 0; i < EventsPerStream; ++i) {
+            const std::string event = "id: " + std::to_string(i) + "\ndata: token token token\n\n";
+            std::ostringstream chunk;
+            chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+            write(socket, chunk.str());
+            // Engines make an event each few milliseconds; without a pause several would arrive as
+            // one.
+            std::this_thread::sleep_for(std::chrono::microseconds(300));
+        }
+        write(socket, "0\r\n\r\n");
+        return true;
+    });
+    const double before = relay.processorSeconds();
+    int requests = 0;
+    for (auto _ : state) {
+        relay.burst("/stream/1", "\r\n0\r\n\r\n");
+        requests += Burst;
+    }
+    report(state, relay.processorSeconds() - before, requests, requests * EventsPerStream);
+}
+
+BENCHMARK(relayWholeAnswers)->Iterations(20)->Unit(benchmark::kMillisecond);
+BENCHMARK(relayEvents)->Iterations(5)->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+} // namespace oriolerill::relay
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -76,6 +76,8 @@
     void serve(Socket &socket)
     {
         std::string received;
+        boost::system::error_code option;
+        socket.set_option(boost::asio::ip::tcp::no_delay(true), option);
         for (;;) {
             const std::size_t end = received.find("\r\n\r\n");
             if (end == std::string::npos) {
@@ -176,7 +178,7 @@
                 std::vector{route("/read/", routing::RequestKind::Idempotent),
                         route("/order/", routing::RequestKind::NonIdempotent),
                         route("/stream/", routing::RequestKind::Stream)},
-                std::vector{service}, routing::CallerLimits());
+                std::vector{service}, m_limits);
         config->addAccount("secret", {domain::AccountId("shop"), std::nullopt, {}});
         m_dispatcher.setConfig(config);
         m_dispatcher.endpoints().replaceAll(m_listed, domain::TimePoint::clock::now());
@@ -243,6 +245,7 @@
 
     boost::asio::io_context m_context{1};
     boost::asio::io_context m_callerContext;
+    routing::CallerLimits m_limits;
     routing::Dispatcher m_dispatcher{routing::DispatcherOptions()};
     internal::EndpointConnections m_connections{m_context};
     observability::Metrics m_metrics;
--- a/src/relayagent/internal/weightskeeper.h
+++ b/src/relayagent/internal/weightskeeper.h
@@ -36,6 +36,8 @@
     void onNamed(const domain::ModelId &model, std::uint64_t version, std::string_view source);
     boost::asio::awaitable<void> run();
     PeerExchange &exchange() { return m_exchange; }
+    /// Whether all pieces of the newest version that is wanted are held.
+    bool isNewestComplete() const;
 
 private:
     using Version = distribution::WeightsVersion;
@@ -60,7 +62,6 @@
     rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer) const;
     void bringInWhenDue(const Transfer &transfer, bool isDue);
     std::uint64_t servedVersion() const;
-    bool isNewestComplete() const;
     boost::asio::awaitable<Transfer> transferOf(Version version);
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> fetchManifest(
             Version version);
--- /dev/null
+++ b/src/relayagent/tests/agentpushbench.cpp
@@ -0,0 +1,73 @@
+#include "agentfleet.h"
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+
+namespace oriolerill::relayagent {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+double seconds(domain::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// One push to so many agents in three data centres: 48 pieces as in the operators' sheets, a tenth
+/// of their size over a tenth of the sheets' rates, so that one processor carries all agents. The
+/// origin and the uploads of agents keep to their links; downloads do not, so the times are those
+/// of the plan, not of a network.
+void push(benchmark::State &state)
+{
+    constexpr double VmMbps = 0.94;
+    constexpr double OriginMbps = 1.5;
+    constexpr double BytesPerMegabit = 1e6 / 8;
+    constexpr std::size_t DataCentres = 3;
+    for (auto _ : state) {
+        AgentFleetOptions options;
+        options.dataCentres = DataCentres;
+        options.agentsEach = static_cast<std::size_t>(state.range(0)) / DataCentres;
+        options.weights.pieceSize = 4915;
+        options.linkMbps = VmMbps;
+        options.originMbps = OriginMbps;
+        options.bound = 8s;
+        options.firstPort = 21400;
+        AgentFleet fleet(options);
+        fleet.runUntil([] { return false; }, 500ms);
+        const auto begun = domain::TimePoint::clock::now();
+        fleet.name(2);
+        domain::TimePoint heldAt;
+        const auto isServed = [&] {
+            const bool isHeld
+                    = std::all_of(fleet.agents.begin(), fleet.agents.end(), [](const auto &agent) {
+                          return agent.engine->version() == 2 || agent.keeper->isNewestComplete();
+                      });
+            if (isHeld && heldAt == domain::TimePoint())
+                heldAt = domain::TimePoint::clock::now();
+            return fleet.isServedEverywhere(2);
+        };
+        if (!fleet.runUntil(isServed, 60s))
+            state.SkipWithError("the version is not served everywhere after 60 s");
+        const double served = seconds(domain::TimePoint::clock::now() - begun);
+        const double size = static_cast<double>(options.weights.pieces)
+                * static_cast<double>(options.weights.pieceSize);
+        const auto count = static_cast<double>(fleet.agents.size());
+        // Each VM receives a copy; each piece is sent once to each VM but the first, by all VMs.
+        const double limit = std::max(size / (OriginMbps * BytesPerMegabit),
+                size / (VmMbps * BytesPerMegabit) * std::max(1.0, (count - 1) / count));
+        state.SetIterationTime(served);
+        state.counters["held_s"] = seconds(heldAt - begun);
+        state.counters["held_over_limit"] = seconds(heldAt - begun) / limit;
+        state.counters["served_s"] = served;
+        state.counters["origin_copies"] = fleet.origin.copies();
+        state.counters["wrong_loads"] = fleet.wrongLoads();
+    }
+}
+
+BENCHMARK(push)->Arg(15)->Arg(51)->Iterations(1)->UseManualTime()->Unit(benchmark::kSecond);
+
+} // namespace
+
+} // namespace oriolerill::relayagent
