--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -79,6 +79,9 @@
         const double sent = static_cast<double>(m_dispatcher.load(id).takeSentCount()) / seconds;
         const auto local = localDemand.find(endpoint.service);
         const bool isLocal = endpoint.dataCentre == m_dataCentre && local != localDemand.end();
+        subscription.clear_service();
+        if (endpoint.dataCentre == m_dataCentre)
+            addFacts(endpoint.service, *subscription.mutable_service());
         subscription.set_demand(isLocal ? std::max(sent, local->second) : sent);
         sendTo(endpoint, datagram.SerializeAsString());
     }
@@ -96,6 +99,26 @@
     }
 }
 
+void LoadListener::addFacts(const domain::ServiceId &id, protocol::ServiceFacts &facts) const
+{
+    const auto config = m_dispatcher.config();
+    const routing::ServiceSpec &service = *config->service(id);
+    facts.set_config_version(config->version());
+    if (!service.models.empty())
+        facts.set_model(service.models.front().value());
+    for (const auto &[name, other] : config->services()) {
+        if (other.origin)
+            facts.set_origin(other.origin->toString());
+    }
+    const routing::EngineSpeed &speed = *service.engine;
+    facts.set_slots(speed.slots);
+    facts.set_step_ms(speed.stepMs);
+    facts.set_step_ms_per_writer(speed.stepMsPerWriter);
+    facts.set_prompt_tokens_per_ms(speed.promptTokensPerMs);
+    facts.set_usual_prompt_tokens(speed.usualPromptTokens);
+    facts.set_usual_answer_tokens(speed.usualAnswerTokens);
+}
+
 bool LoadListener::isEngine(const routing::ListedEndpoint &endpoint) const
 {
     const auto config = m_dispatcher.config();
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -38,6 +38,8 @@
     };
 
     void sendSubscriptions();
+    /// What an agent would otherwise read from the configuration, which may be large.
+    void addFacts(const domain::ServiceId &id, protocol::ServiceFacts &facts) const;
     bool isEngine(const routing::ListedEndpoint &endpoint) const;
     /// Requests a second for each engine of this data centre, by service.
     std::map<domain::ServiceId, double> takeLocalDemand(double seconds);
--- a/src/relayagent/internal/fleetview.cpp
+++ b/src/relayagent/internal/fleetview.cpp
@@ -36,6 +36,7 @@
                 {{"error", config.error().message}, {"remedy", config.error().remedy}});
         co_return !m_model.isEmpty() && m_origin;
     }
+    m_configVersion = std::max(m_configVersion, config->version());
     if (const routing::ServiceSpec *service = config->service(m_service);
             service != nullptr && !service->models.empty()) {
         m_model = service->models.front();
@@ -48,6 +49,24 @@
     co_return !m_model.isEmpty() && m_origin;
 }
 
+bool FleetView::learn(const protocol::ServiceFacts &facts)
+{
+    if (facts.config_version() < m_configVersion)
+        return false;
+    m_configVersion = facts.config_version();
+    if (!facts.model().empty())
+        m_model = domain::ModelId(facts.model());
+    if (const auto origin = domain::SocketAddress::parse(facts.origin()))
+        m_origin = *origin;
+    m_speed.slots = facts.slots();
+    m_speed.stepMs = facts.step_ms();
+    m_speed.stepMsPerWriter = facts.step_ms_per_writer();
+    m_speed.promptTokensPerMs = facts.prompt_tokens_per_ms();
+    m_speed.usualPromptTokens = facts.usual_prompt_tokens();
+    m_speed.usualAnswerTokens = facts.usual_answer_tokens();
+    return true;
+}
+
 asio::awaitable<bool> FleetView::readMembers()
 {
     const TimePoint now = TimePoint::clock::now();
--- a/src/relayagent/internal/fleetview.h
+++ b/src/relayagent/internal/fleetview.h
@@ -3,6 +3,7 @@
 #include "distribution/piecesources.h"
 #include "domain/socketaddress.h"
 #include "objectstore/iobjectstore.h"
+#include "protocol/control.pb.h"
 #include "routing/servingconfig.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -24,6 +25,8 @@
 
     /// Reads the configuration; true when model and origin are known.
     boost::asio::awaitable<bool> readConfig();
+    /// Takes what an entry tells of the configuration; false when it is older than what is known.
+    bool learn(const protocol::ServiceFacts &facts);
     /// Reads the list of endpoints; false while the store does not answer.
     boost::asio::awaitable<bool> readMembers();
 
@@ -49,6 +52,7 @@
     std::optional<domain::SocketAddress> m_origin;
     std::vector<distribution::PushMember> m_members;
     std::uint64_t m_generation = 1;
+    std::uint64_t m_configVersion = 0;
 };
 
 } // namespace oriolerill::relayagent::internal
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -93,6 +93,8 @@
         if (message.demand() > 0)
             subscriber.activeAt = now;
         onKnowledge(message.knowledge());
+        if (message.has_service() && m_onFacts)
+            m_onFacts(message.service());
         if (isNew) {
             logEvent(Severity::Info, "entry_subscribed",
                     {{"entry", message.entry()}, {"data_centre", message.data_centre()},
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -38,6 +38,9 @@
     using NamedHandler = std::function<void(const domain::ModelId &model, std::uint64_t version)>;
     /// Called for the versions that entries know to be named.
     void onNamed(NamedHandler handler) { m_onNamed = std::move(handler); }
+    using FactsHandler = std::function<void(const protocol::ServiceFacts &facts)>;
+    /// Called for what entries tell of the configuration.
+    void onFacts(FactsHandler handler) { m_onFacts = std::move(handler); }
     /// Whether an entry that the store answers has been heard lately.
     bool isStoreSeen(domain::TimePoint now) const;
     void onHoldings(HoldingsHandler handler) { m_onHoldings = std::move(handler); }
@@ -83,6 +86,7 @@
     std::uint64_t m_sequence = 0;
     HoldingsHandler m_onHoldings;
     NamedHandler m_onNamed;
+    FactsHandler m_onFacts;
 };
 
 } // namespace oriolerill::relayagent::internal
--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -1,5 +1,6 @@
 #include "relayagent/internal/weightskeeper.h"
 
+#include "domain/rendezvous.h"
 #include "observability/log.h"
 #include "platform/fleetcodec.h"
 
@@ -8,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <functional>
 
 namespace oriolerill::relayagent::internal {
@@ -35,13 +37,19 @@
 /// The list of members is read again this often while pieces are missing.
 constexpr auto MembersInterval = milliseconds(2500);
 /// Model and origin are read again this often while they are unknown.
-constexpr auto ConfigInterval = milliseconds(500);
+constexpr auto ConfigInterval = milliseconds(3000);
 /// And this often while the origin fails.
-constexpr auto OriginConfigInterval = milliseconds(1500);
+constexpr auto OriginConfigInterval = milliseconds(3000);
+/// What entries tell of the configuration counts for this long; they tell it each second.
+constexpr auto FactsLife = milliseconds(3500);
+/// At the start entries need some time to read the configuration themselves.
+constexpr auto FactsPatience = milliseconds(2500);
 /// A piece takes 42 ms over a VM's link; with several at a time and the hold, this is ample.
 constexpr auto PeerTime = milliseconds(1500);
 constexpr auto OriginTime = milliseconds(2500);
 constexpr auto ManifestTime = milliseconds(800);
+/// A VM that is not among those that ask the origin does so after this time.
+constexpr auto ManifestPatience = milliseconds(700);
 /// Entries hear of the switch this long before the engine is told to load.
 constexpr auto AnnounceTime = milliseconds(40);
 /// An order that was accepted shows in the engine's state within this time.
@@ -102,7 +110,14 @@
     , m_exchange(context, fleet, metrics, pacer, transfers())
     , m_client(context.get_executor(), peerOptions())
     , m_originClient(context.get_executor(), originOptions())
+    , m_begunAt(TimePoint::clock::now())
 {
+    m_reporter.onFacts([this](const protocol::ServiceFacts &facts) {
+        if (!m_fleet.learn(facts))
+            return;
+        m_factsAt = TimePoint::clock::now();
+        m_reporter.setModel(m_fleet.model(), m_fleet.speed());
+    });
     m_reporter.onNamed([this](const domain::ModelId &model, std::uint64_t version) {
         onNamed(model, version, "entry");
     });
@@ -209,9 +224,14 @@
 {
     const TimePoint now = TimePoint::clock::now();
     const bool isKnown = !m_fleet.model().isEmpty() && m_fleet.origin();
-    // An origin that fails may have moved; its address stands in the configuration.
-    if (isKnown && !m_hasOriginFailed)
+    // An origin that fails may have moved; its address stands in the configuration. That can be
+    // large, and all agents at once reading it again and again fill the links between regions, so
+    // that it is read only where no entry tells what it says.
+    const bool isTold = m_factsAt != TimePoint() && now - m_factsAt <= FactsLife;
+    if (isKnown && (isTold || !m_hasOriginFailed))
         co_return true;
+    if (!isKnown && now - m_begunAt < FactsPatience)
+        co_return false;
     const auto interval = isKnown ? OriginConfigInterval : ConfigInterval;
     if (m_fleetReadAt != TimePoint() && now - m_fleetReadAt < interval)
         co_return isKnown;
@@ -372,6 +392,7 @@
         const std::uint64_t served = servedVersion();
         if (served == 0 || served == version.number)
             co_await takeStaged(transfer);
+        m_wantedAt.erase(version);
         m_transfers[version] = transfer;
         forgetOld();
         m_exchange.onPiece();
@@ -397,9 +418,15 @@
 
 asio::awaitable<Expected<PieceManifest>> WeightsKeeper::fetchManifest(Version version)
 {
-    constexpr std::size_t PeersAsked = 2;
     Error last{ErrorKind::Unavailable, "no origin is known", "wait for the configuration"};
-    if (const auto origin = m_fleet.origin()) {
+    const TimePoint now = TimePoint::clock::now();
+    const TimePoint wantedAt = m_wantedAt.try_emplace(version, now).first->second;
+    const std::vector<std::string> askers = manifestAskers(version);
+    const bool isAsker
+            = std::find(askers.begin(), askers.end(), m_fleet.self().host) != askers.end();
+    // The origin takes few connections in all, so the others wait for those that ask it.
+    const bool mayAskOrigin = isAsker || now - wantedAt > ManifestPatience;
+    if (const auto origin = m_fleet.origin(); origin && mayAskOrigin) {
         transport::HttpRequest request;
         request.target = platform::manifestTarget(version);
         request.fields.add("Connection", "close");
@@ -418,18 +445,12 @@
                     "asked again"};
         }
     }
-    std::size_t asked = 0;
-    for (const distribution::PushMember &member : m_fleet.members()) {
-        if (member.host == m_fleet.self().host || asked == PeersAsked)
-            continue;
-        if (member.dataCentre != m_fleet.self().dataCentre)
+    for (const std::string &host : askers) {
+        if (host == m_fleet.self().host)
             continue;
-        ++asked;
         transport::HttpRequest request;
         request.target = PeerExchange::manifestTarget(version);
-        domain::SocketAddress address;
-        address.host = member.host;
-        address.port = m_peerPort;
+        const domain::SocketAddress address{host, m_peerPort};
         auto response = co_await m_client.send(
                 address, std::move(request), TimePoint::clock::now() + ManifestTime);
         if (!response || response->status != 200)
@@ -440,6 +461,16 @@
     co_return last;
 }
 
+std::vector<std::string> WeightsKeeper::manifestAskers(const Version &version) const
+{
+    constexpr std::size_t Askers = 2;
+    const std::string key
+            = "manifest/" + version.model.value() + '/' + std::to_string(version.number);
+    std::vector<std::string> ranked = domain::rendezvousRank(key, m_fleet.localHosts());
+    ranked.resize(std::min(ranked.size(), Askers));
+    return ranked;
+}
+
 asio::awaitable<void> WeightsKeeper::takeStaged(Transfer transfer)
 {
     const domain::ModelId model = transfer->manifest().version.model;
--- a/src/relayagent/internal/weightskeeper.h
+++ b/src/relayagent/internal/weightskeeper.h
@@ -65,6 +65,8 @@
     boost::asio::awaitable<Transfer> transferOf(Version version);
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> fetchManifest(
             Version version);
+    /// VMs of this data centre that ask the origin for the manifest.
+    std::vector<std::string> manifestAskers(const Version &version) const;
     boost::asio::awaitable<void> takeStaged(Transfer transfer);
     void beginFetches(const Transfer &transfer);
     boost::asio::awaitable<void> fetch(Transfer transfer, distribution::PieceFetch fetch);
@@ -92,6 +94,8 @@
     std::map<std::uint64_t, domain::TimePoint> m_named;
     std::map<Version, Transfer> m_transfers;
     std::map<Version, Told> m_told;
+    /// Since when the manifest of a version is wanted.
+    std::map<Version, domain::TimePoint> m_wantedAt;
     /// The transfer and the list of members for which the plan of sources was made.
     Transfer m_planned;
     std::uint64_t m_plannedGeneration = 0;
@@ -102,6 +106,10 @@
     std::uint64_t m_engineStartedAtMs = 0;
     domain::TimePoint m_fleetReadAt;
     bool m_hasOriginFailed = false;
+    /// When an entry last told what the configuration says.
+    domain::TimePoint m_factsAt;
+    /// When this process began.
+    domain::TimePoint m_begunAt;
     domain::TimePoint m_membersReadAt;
     domain::TimePoint m_nextOrderAt;
 };
--- a/src/relayagent/tests/agentfleet.h
+++ b/src/relayagent/tests/agentfleet.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
 
 #include <algorithm>
 #include <memory>
@@ -56,6 +57,32 @@
         }
     }
 
+    /// Sends each agent what an entry would tell of the configuration, and of named versions.
+    void tellAsEntry(std::optional<std::uint64_t> named = std::nullopt)
+    {
+        boost::asio::ip::udp::socket entry(
+                context, {boost::asio::ip::make_address_v4("127.0.9.2"), 0});
+        protocol::AgentDatagram datagram;
+        protocol::LoadSubscription &subscription = *datagram.mutable_subscription();
+        protocol::ServiceFacts &facts = *subscription.mutable_service();
+        facts.set_config_version(1);
+        facts.set_model(m_options.weights.model);
+        facts.set_origin(originAddress().toString());
+        facts.set_slots(16);
+        subscription.mutable_knowledge()->set_is_store_answering(named.has_value());
+        if (named) {
+            protocol::NamedWeights &weights = *subscription.mutable_knowledge()->add_named();
+            weights.set_model(m_options.weights.model);
+            weights.set_version(*named);
+        }
+        const std::string bytes = datagram.SerializeAsString();
+        for (const Agent &agent : agents) {
+            const domain::SocketAddress to = loadAddress(agent.host);
+            entry.send_to(boost::asio::buffer(bytes),
+                    {boost::asio::ip::make_address_v4(to.host), to.port});
+        }
+    }
+
     void name(std::uint64_t version)
     {
         store.put("weights/" + m_options.weights.model,
