--- a/src/relayagent/tests/agentpushbench.cpp
+++ b/src/relayagent/tests/agentpushbench.cpp
@@ -35,6 +35,7 @@
         options.bound = 8s;
         options.firstPort = 21400;
         AgentFleet fleet(options);
+        fleet.tellAsEntry();
         fleet.runUntil([] { return false; }, 500ms);
         const auto begun = domain::TimePoint::clock::now();
         fleet.name(2);
--- a/src/relayagent/tests/agentpushtest.cpp
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -1,7 +1,5 @@
 #include "agentfleet.h"
 
-#include <boost/asio/ip/udp.hpp>
-
 #include <gtest/gtest.h>
 
 #include <random>
@@ -14,6 +12,8 @@
 class AgentPushFixture : public testing::Test
 {
 protected:
+    void SetUp() override { m_fleet.tellAsEntry(); }
+
     bool pushTo(std::uint64_t version, domain::Duration limit)
     {
         return m_fleet.runUntil([&] { return m_fleet.isServedEverywhere(version); }, limit);
@@ -105,22 +105,20 @@
 {
     m_fleet.runUntil([] { return false; }, 300ms);
     m_fleet.store.isDown = true;
-    boost::asio::ip::udp::socket entry(
-            m_fleet.context, {boost::asio::ip::make_address_v4("127.0.9.2"), 0});
-    protocol::AgentDatagram datagram;
-    protocol::StoreKnowledge &knowledge = *datagram.mutable_subscription()->mutable_knowledge();
-    knowledge.set_is_store_answering(true);
-    protocol::NamedWeights &named = *knowledge.add_named();
-    named.set_model("m");
-    named.set_version(2);
-    const std::string bytes = datagram.SerializeAsString();
-    for (const AgentFleet::Agent &agent : m_fleet.agents) {
-        const domain::SocketAddress to = m_fleet.loadAddress(agent.host);
-        entry.send_to(
-                boost::asio::buffer(bytes), {boost::asio::ip::make_address_v4(to.host), to.port});
-    }
+    m_fleet.tellAsEntry(2);
     EXPECT_TRUE(pushTo(2, 10s));
     EXPECT_EQ(m_fleet.wrongLoads(), 0);
 }
 
+// Guards against agents that never learn model and origin where no entry tells them.
+TEST(AgentsAlone, push_noEntryHeard_configurationReadFromTheStore)
+{
+    AgentFleetOptions options;
+    options.agentsEach = 1;
+    AgentFleet fleet(options);
+    fleet.name(2);
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.isServedEverywhere(2); }, 12s));
+    EXPECT_EQ(fleet.wrongLoads(), 0);
+}
+
 } // namespace oriolerill::relayagent
