--- /dev/null
+++ b/src/relayagent/internal/manifestfinder.cpp
@@ -0,0 +1,105 @@
+#include "relayagent/internal/manifestfinder.h"
+
+#include "domain/rendezvous.h"
+#include "platform/fleetcodec.h"
+#include "relayagent/internal/peerexchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolerill::relayagent::internal {
+
+namespace asio = boost::asio;
+using distribution::PieceManifest;
+using distribution::WeightsVersion;
+using domain::Error;
+using domain::ErrorKind;
+using domain::Expected;
+using domain::TimePoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto ManifestTime = milliseconds(800);
+/// A VM that is not among those that ask the origin does so after this time.
+constexpr auto ManifestPatience = milliseconds(700);
+
+} // namespace
+
+ManifestFinder::ManifestFinder(const FleetView &fleet, transport::HttpClient &peers,
+        transport::HttpClient &origin, std::uint16_t peerPort)
+    : m_fleet(fleet)
+    , m_peers(peers)
+    , m_origin(origin)
+    , m_peerPort(peerPort)
+{}
+
+asio::awaitable<Expected<PieceManifest>> ManifestFinder::find(WeightsVersion version)
+{
+    const TimePoint now = TimePoint::clock::now();
+    const TimePoint wantedAt = m_wantedAt.try_emplace(version, now).first->second;
+    const std::vector<std::string> hosts = askers(version);
+    const bool isAsker = std::find(hosts.begin(), hosts.end(), m_fleet.self().host) != hosts.end();
+    Error last{
+            ErrorKind::NotFound, "the VMs that ask the origin have no manifest yet", "asked again"};
+    if (isAsker || now - wantedAt > ManifestPatience) {
+        auto manifest = co_await askOrigin(version);
+        if (manifest) {
+            m_wantedAt.erase(version);
+            co_return manifest;
+        }
+        last = manifest.error();
+    }
+    for (const std::string &host : hosts) {
+        if (host == m_fleet.self().host)
+            continue;
+        transport::HttpRequest request;
+        request.target = PeerExchange::manifestTarget(version);
+        const domain::SocketAddress address{host, m_peerPort};
+        auto response = co_await m_peers.send(
+                address, std::move(request), TimePoint::clock::now() + ManifestTime);
+        if (!response || response->status != 200)
+            continue;
+        if (auto manifest = PeerExchange::readManifest(version, response->body)) {
+            m_wantedAt.erase(version);
+            co_return std::move(*manifest);
+        }
+    }
+    co_return last;
+}
+
+asio::awaitable<Expected<PieceManifest>> ManifestFinder::askOrigin(WeightsVersion version)
+{
+    const auto origin = m_fleet.origin();
+    if (!origin)
+        co_return Error{ErrorKind::Unavailable, "no origin is known", "wait for the configuration"};
+    transport::HttpRequest request;
+    request.target = platform::manifestTarget(version);
+    request.fields.add("Connection", "close");
+    auto response = co_await m_origin.send(
+            *origin, std::move(request), TimePoint::clock::now() + ManifestTime);
+    if (!response) {
+        m_hasOriginFailed = true;
+        co_return response.error();
+    }
+    if (response->status != 200) {
+        co_return Error{ErrorKind::NotFound,
+                "the origin answered " + std::to_string(response->status), "asked again"};
+    }
+    auto manifest = platform::readManifest(response->body);
+    if (manifest && manifest->version == version)
+        co_return manifest;
+    co_return Error{ErrorKind::Corrupted, "the origin's manifest cannot be read", "asked again"};
+}
+
+std::vector<std::string> ManifestFinder::askers(const WeightsVersion &version) const
+{
+    constexpr std::size_t Askers = 2;
+    const std::string key
+            = "manifest/" + version.model.value() + '/' + std::to_string(version.number);
+    std::vector<std::string> ranked = domain::rendezvousRank(key, m_fleet.localHosts());
+    ranked.resize(std::min(ranked.size(), Askers));
+    return ranked;
+}
+
+} // namespace oriolerill::relayagent::internal
--- /dev/null
+++ b/src/relayagent/internal/manifestfinder.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "domain/expected.h"
+#include "domain/timepoint.h"
+#include "relayagent/internal/fleetview.h"
+#include "transport/httpclient.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace oriolerill::relayagent::internal {
+
+/// Fetches the manifest of a version: two VMs of a data centre ask the origin, which takes few
+/// connections in all, and the others ask those two.
+class ManifestFinder
+{
+public:
+    ManifestFinder(const FleetView &fleet, transport::HttpClient &peers,
+            transport::HttpClient &origin, std::uint16_t peerPort);
+
+    boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> find(
+            distribution::WeightsVersion version);
+    /// Whether the origin failed to answer since the last call.
+    bool takeOriginFailed() { return std::exchange(m_hasOriginFailed, false); }
+
+private:
+    boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> askOrigin(
+            distribution::WeightsVersion version);
+    std::vector<std::string> askers(const distribution::WeightsVersion &version) const;
+
+    const FleetView &m_fleet;
+    transport::HttpClient &m_peers;
+    transport::HttpClient &m_origin;
+    std::uint16_t m_peerPort;
+    /// Since when the manifest of a version is looked for.
+    std::map<distribution::WeightsVersion, domain::TimePoint> m_wantedAt;
+    bool m_hasOriginFailed = false;
+};
+
+} // namespace oriolerill::relayagent::internal
--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -1,6 +1,5 @@
 #include "relayagent/internal/weightskeeper.h"
 
-#include "domain/rendezvous.h"
 #include "observability/log.h"
 #include "platform/fleetcodec.h"
 
@@ -17,10 +16,7 @@
 namespace asio = boost::asio;
 using distribution::FetchEnd;
 using distribution::PieceFetch;
-using distribution::PieceManifest;
-using domain::Error;
 using domain::ErrorKind;
-using domain::Expected;
 using domain::TimePoint;
 using observability::logEvent;
 using observability::Severity;
@@ -47,9 +43,6 @@
 /// A piece takes 42 ms over a VM's link; with several at a time and the hold, this is ample.
 constexpr auto PeerTime = milliseconds(1500);
 constexpr auto OriginTime = milliseconds(2500);
-constexpr auto ManifestTime = milliseconds(800);
-/// A VM that is not among those that ask the origin does so after this time.
-constexpr auto ManifestPatience = milliseconds(700);
 /// Entries hear of the switch this long before the engine is told to load.
 constexpr auto AnnounceTime = milliseconds(40);
 /// An order that was accepted shows in the engine's state within this time.
@@ -110,6 +103,8 @@
     , m_exchange(context, fleet, metrics, pacer, transfers())
     , m_client(context.get_executor(), peerOptions())
     , m_originClient(context.get_executor(), originOptions())
+    , m_manifests(fleet, m_client, m_originClient, peerPort)
+    , m_staged(engine)
     , m_begunAt(TimePoint::clock::now())
 {
     m_reporter.onFacts([this](const protocol::ServiceFacts &facts) {
@@ -273,7 +268,7 @@
     if (m_reporter.state()->startedAtMs != m_engineStartedAtMs) {
         // A restarted engine keeps what was staged, but it may have turned bad.
         m_engineStartedAtMs = m_reporter.state()->startedAtMs;
-        m_staged = {};
+        m_staged.forget();
     }
     if (servedVersion() != 0 && wantedVersions().empty())
         co_return;
@@ -358,7 +353,7 @@
     if (m_isSwitching || !m_reporter.state() || m_reporter.state()->isBusy)
         return;
     const bool mayOrder = isDue && TimePoint::clock::now() >= m_nextOrderAt;
-    if (m_staged == version && !mayOrder)
+    if (m_staged.version() == version && !mayOrder)
         return;
     m_isSwitching = true;
     asio::co_spawn(m_context, bringIn(transfer, mayOrder), asio::detached);
@@ -367,9 +362,9 @@
 asio::awaitable<void> WeightsKeeper::bringIn(Transfer transfer, bool isDue)
 {
     const Version version = transfer->manifest().version;
-    bool isStaged = m_staged == version;
+    bool isStaged = m_staged.version() == version;
     if (!isStaged)
-        isStaged = co_await stageAll(transfer);
+        isStaged = co_await m_staged.stage(transfer);
     if (isStaged && isDue)
         co_await switchEngine(transfer);
     m_isSwitching = false;
@@ -383,7 +378,8 @@
     // A peer's request and the own step may want the same version at the same time.
     if (!m_opening.insert(version).second)
         co_return nullptr;
-    auto manifest = co_await fetchManifest(version);
+    auto manifest = co_await m_manifests.find(version);
+    m_hasOriginFailed = m_manifests.takeOriginFailed() || m_hasOriginFailed;
     Transfer transfer;
     if (manifest) {
         transfer = std::make_shared<distribution::VersionTransfer>(
@@ -391,8 +387,7 @@
         // What is staged is of this version only if the engine serves it, or had it before a crash.
         const std::uint64_t served = servedVersion();
         if (served == 0 || served == version.number)
-            co_await takeStaged(transfer);
-        m_wantedAt.erase(version);
+            co_await m_staged.takeInto(transfer);
         m_transfers[version] = transfer;
         forgetOld();
         m_exchange.onPiece();
@@ -416,74 +411,6 @@
     }
 }
 
-asio::awaitable<Expected<PieceManifest>> WeightsKeeper::fetchManifest(Version version)
-{
-    Error last{ErrorKind::Unavailable, "no origin is known", "wait for the configuration"};
-    const TimePoint now = TimePoint::clock::now();
-    const TimePoint wantedAt = m_wantedAt.try_emplace(version, now).first->second;
-    const std::vector<std::string> askers = manifestAskers(version);
-    const bool isAsker
-            = std::find(askers.begin(), askers.end(), m_fleet.self().host) != askers.end();
-    // The origin takes few connections in all, so the others wait for those that ask it.
-    const bool mayAskOrigin = isAsker || now - wantedAt > ManifestPatience;
-    if (const auto origin = m_fleet.origin(); origin && mayAskOrigin) {
-        transport::HttpRequest request;
-        request.target = platform::manifestTarget(version);
-        request.fields.add("Connection", "close");
-        auto response = co_await m_originClient.send(
-                *origin, std::move(request), TimePoint::clock::now() + ManifestTime);
-        m_hasOriginFailed = m_hasOriginFailed || !response;
-        if (!response) {
-            last = response.error();
-        } else if (response->status == 200) {
-            auto manifest = platform::readManifest(response->body);
-            if (manifest && manifest->version == version)
-                co_return manifest;
-            last = {ErrorKind::Corrupted, "the origin's manifest cannot be read", "asked again"};
-        } else {
-            last = {ErrorKind::NotFound, "the origin answered " + std::to_string(response->status),
-                    "asked again"};
-        }
-    }
-    for (const std::string &host : askers) {
-        if (host == m_fleet.self().host)
-            continue;
-        transport::HttpRequest request;
-        request.target = PeerExchange::manifestTarget(version);
-        const domain::SocketAddress address{host, m_peerPort};
-        auto response = co_await m_client.send(
-                address, std::move(request), TimePoint::clock::now() + ManifestTime);
-        if (!response || response->status != 200)
-            continue;
-        if (auto manifest = PeerExchange::readManifest(version, response->body))
-            co_return std::move(*manifest);
-    }
-    co_return last;
-}
-
-std::vector<std::string> WeightsKeeper::manifestAskers(const Version &version) const
-{
-    constexpr std::size_t Askers = 2;
-    const std::string key
-            = "manifest/" + version.model.value() + '/' + std::to_string(version.number);
-    std::vector<std::string> ranked = domain::rendezvousRank(key, m_fleet.localHosts());
-    ranked.resize(std::min(ranked.size(), Askers));
-    return ranked;
-}
-
-asio::awaitable<void> WeightsKeeper::takeStaged(Transfer transfer)
-{
-    const domain::ModelId model = transfer->manifest().version.model;
-    const auto held = co_await m_engine.listStaged(model);
-    if (!held)
-        co_return;
-    for (const std::uint32_t piece : *held) {
-        auto bytes = co_await m_engine.readStaged(model, piece);
-        if (bytes)
-            transfer->offer(piece, std::move(*bytes));
-    }
-}
-
 void WeightsKeeper::beginFetches(const Transfer &transfer)
 {
     while (auto next = transfer->next(TimePoint::clock::now()))
@@ -540,48 +467,13 @@
         beginFetches(transfer);
 }
 
-asio::awaitable<bool> WeightsKeeper::stageAll(Transfer transfer)
-{
-    const Version version = transfer->manifest().version;
-    for (std::uint32_t piece = 0; piece < transfer->manifest().pieces.size(); ++piece) {
-        auto staged = co_await m_engine.stage(version.model, piece, *transfer->piece(piece));
-        if (!staged) {
-            logEvent(Severity::Warning, "stage_failed",
-                    {{"version", version.number}, {"piece", piece},
-                            {"error", staged.error().message}, {"remedy", "staged again"}});
-            co_return false;
-        }
-    }
-    m_staged = version;
-    co_return true;
-}
-
-asio::awaitable<bool> WeightsKeeper::verifyStaged(Transfer transfer)
-{
-    const Version version = transfer->manifest().version;
-    for (std::uint32_t piece = 0; piece < transfer->manifest().pieces.size(); ++piece) {
-        const auto staged = co_await m_engine.readStaged(version.model, piece);
-        const bool isGood = staged
-                && domain::Digest::of(std::string_view(*staged))
-                        == transfer->manifest().pieces[piece];
-        if (isGood)
-            continue;
-        logEvent(Severity::Warning, "staged_piece_bad",
-                {{"version", version.number}, {"piece", piece}, {"remedy", "staged again"}});
-        auto again = co_await m_engine.stage(version.model, piece, *transfer->piece(piece));
-        if (!again)
-            co_return false;
-    }
-    co_return true;
-}
-
 asio::awaitable<void> WeightsKeeper::switchEngine(Transfer transfer)
 {
     const Version version = transfer->manifest().version;
     const std::uint64_t before = servedVersion();
     // Staged bytes turn bad while they lie; what the engine loads is what lies there at the order.
-    if (!co_await verifyStaged(transfer)) {
-        m_staged = {};
+    if (!co_await m_staged.verify(transfer)) {
+        m_staged.forget();
         co_return;
     }
     if (before > 0) {
--- a/src/relayagent/internal/weightskeeper.h
+++ b/src/relayagent/internal/weightskeeper.h
@@ -7,7 +7,9 @@
 #include "relayagent/internal/enginelink.h"
 #include "relayagent/internal/fleetview.h"
 #include "relayagent/internal/loadreporter.h"
+#include "relayagent/internal/manifestfinder.h"
 #include "relayagent/internal/peerexchange.h"
+#include "relayagent/internal/stagedweights.h"
 #include "rollout/pushplan.h"
 #include "rollout/switchschedule.h"
 #include "transport/httpclient.h"
@@ -63,15 +65,8 @@
     void bringInWhenDue(const Transfer &transfer, bool isDue);
     std::uint64_t servedVersion() const;
     boost::asio::awaitable<Transfer> transferOf(Version version);
-    boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> fetchManifest(
-            Version version);
-    /// VMs of this data centre that ask the origin for the manifest.
-    std::vector<std::string> manifestAskers(const Version &version) const;
-    boost::asio::awaitable<void> takeStaged(Transfer transfer);
     void beginFetches(const Transfer &transfer);
     boost::asio::awaitable<void> fetch(Transfer transfer, distribution::PieceFetch fetch);
-    boost::asio::awaitable<bool> stageAll(Transfer transfer);
-    boost::asio::awaitable<bool> verifyStaged(Transfer transfer);
     /// Stages the version unless that is done, and orders the engine to load it once that is due.
     boost::asio::awaitable<void> bringIn(Transfer transfer, bool isDue);
     boost::asio::awaitable<void> switchEngine(Transfer transfer);
@@ -89,18 +84,17 @@
     PeerExchange m_exchange;
     transport::HttpClient m_client;
     transport::HttpClient m_originClient;
+    ManifestFinder m_manifests;
+    StagedWeights m_staged;
 
     /// When each version was seen to be named.
     std::map<std::uint64_t, domain::TimePoint> m_named;
     std::map<Version, Transfer> m_transfers;
     std::map<Version, Told> m_told;
-    /// Since when the manifest of a version is wanted.
-    std::map<Version, domain::TimePoint> m_wantedAt;
     /// The transfer and the list of members for which the plan of sources was made.
     Transfer m_planned;
     std::uint64_t m_plannedGeneration = 0;
     std::set<Version> m_opening;
-    Version m_staged;
     /// Pieces are staged or an order is under way; fetches go on meanwhile.
     bool m_isSwitching = false;
     std::uint64_t m_engineStartedAtMs = 0;
