Bound what a peer may send without ending its answer, and keep loops and processes running after an unexpected error

A loop started as detached ended silently with its first exception, and one thrown by a handler ended the process.

--- /dev/null
+++ b/src/domain/internal/suspensionclock.cpp
@@ -0,0 +1,43 @@
+#include "domain/suspensionclock.h"
+
+#include <ctime>
+#include <utility>
+
+namespace oriolerill::domain {
+
+namespace {
+
+/// The two clocks are read within microseconds; a suspension lasts longer by far.
+constexpr auto LeastSuspension = std::chrono::milliseconds(20);
+
+Duration read(clockid_t clock)
+{
+    timespec time{};
+    if (::clock_gettime(clock, &time) != 0)
+        return Duration::zero();
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+} // namespace
+
+SuspensionClock::SuspensionClock()
+    : SuspensionClock([] { return read(CLOCK_BOOTTIME) - read(CLOCK_MONOTONIC); })
+{}
+
+SuspensionClock::SuspensionClock(Reader reader)
+    : m_reader(std::move(reader))
+    , m_seen(m_reader())
+{}
+
+Duration SuspensionClock::takeSuspended()
+{
+    const Duration now = m_reader();
+    const Duration suspended = now - m_seen;
+    if (suspended < LeastSuspension)
+        return Duration::zero();
+    m_seen = now;
+    m_total += suspended;
+    return suspended;
+}
+
+} // namespace oriolerill::domain
--- /dev/null
+++ b/src/domain/tests/suspensionclocktest.cpp
@@ -0,0 +1,24 @@
+#include "domain/suspensionclock.h"
+
+#include <gtest/gtest.h>
+
+namespace oriolerill::domain {
+
+using namespace std::chrono_literals;
+
+// Guards against time that is taken for suspended twice, and against the small difference between
+// two clocks that are read one after the other.
+TEST(SuspensionClock, takeSuspended_machineStoodStill_countedOnce)
+{
+    Duration suspended = 3s;
+    SuspensionClock clock([&suspended] { return suspended; });
+    EXPECT_EQ(clock.takeSuspended(), 0s);
+    suspended += 2ms;
+    EXPECT_EQ(clock.takeSuspended(), 0s);
+    suspended += 5s;
+    EXPECT_EQ(clock.takeSuspended(), 5002ms);
+    EXPECT_EQ(clock.takeSuspended(), 0s);
+    EXPECT_EQ(clock.total(), 5002ms);
+}
+
+} // namespace oriolerill::domain
--- /dev/null
+++ b/src/observability/tests/persistentlooptest.cpp
@@ -0,0 +1,40 @@
+#include "observability/persistentloop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <stdexcept>
+
+namespace oriolerill::observability {
+
+// Guards against a process that lives on without one of its loops after an unexpected error, and
+// against the error ending the process.
+TEST(PersistentLoop, start_loopThrows_begunAgainUntilItEnds)
+{
+    boost::asio::io_context context{1};
+    int begun = 0;
+    startPersistentLoop(context.get_executor(), "test", [&]() -> boost::asio::awaitable<void> {
+        if (++begun < 3)
+            throw std::runtime_error("unexpected");
+        co_return;
+    });
+    context.run_for(std::chrono::seconds(5));
+    EXPECT_EQ(begun, 3);
+    EXPECT_TRUE(context.stopped());
+}
+
+// Guards against a handler whose error ends the whole process.
+TEST(PersistentLoop, runUntilStopped_handlerThrows_othersStillRun)
+{
+    boost::asio::io_context context{1};
+    int run = 0;
+    boost::asio::post(context, [] { throw std::runtime_error("unexpected"); });
+    boost::asio::post(context, [&run] { ++run; });
+    runUntilStopped(context);
+    EXPECT_EQ(run, 1);
+}
+
+} // namespace oriolerill::observability
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -41,7 +41,11 @@
 
     asio::strand<asio::any_io_executor> strand;
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    /// Bounds what a peer can send without ending a head or the head of a chunk; bodies pass
+    /// through it.
+    static constexpr std::size_t MaxBuffered = 128U << 10U;
+
+    beast::flat_buffer buffer{MaxBuffered};
     TimePoint idleUntil;
     bool isReused = false;
 };
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -76,7 +76,10 @@
     {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    /// Bounds what a peer can send without ending a head or the head of a chunk.
+    static constexpr std::size_t MaxBuffered = 256U << 10U;
+
+    beast::flat_buffer buffer{MaxBuffered};
     std::atomic<bool> isIdle = true;
 };
 
--- /dev/null
+++ b/src/transport/tests/endlesspeer.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "domain/socketaddress.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace oriolerill::transport {
+
+/// Answers each connection with a beginning and then the same bytes until its caller closes. One
+/// thread a connection.
+class EndlessPeer
+{
+public:
+    explicit EndlessPeer(std::string head, const domain::SocketAddress &address = {"127.0.0.1", 0})
+        : m_head(std::move(head))
+        , m_acceptor(m_context, {boost::asio::ip::make_address(address.host), address.port})
+        , m_thread([this] { acceptAll(); })
+    {}
+
+    ~EndlessPeer()
+    {
+        m_isStopping = true;
+        boost::asio::ip::tcp::socket wake(m_context);
+        boost::system::error_code code;
+        wake.connect(m_acceptor.local_endpoint(), code);
+        m_thread.join();
+        for (std::thread &thread : m_connections)
+            thread.join();
+    }
+    EndlessPeer(const EndlessPeer &) = delete;
+    EndlessPeer &operator=(const EndlessPeer &) = delete;
+
+    domain::SocketAddress address() const
+    {
+        const auto local = m_acceptor.local_endpoint();
+        return {local.address().to_string(), local.port()};
+    }
+    std::size_t writtenBytes() const { return m_written; }
+    std::size_t connections() const { return m_accepted; }
+    /// Connections that are being written to.
+    std::size_t open() const { return m_open; }
+
+private:
+    void acceptAll()
+    {
+        for (;;) {
+            boost::asio::ip::tcp::socket socket(m_context);
+            boost::system::error_code code;
+            m_acceptor.accept(socket, code);
+            if (m_isStopping || code)
+                return;
+            ++m_accepted;
+            ++m_open;
+            m_connections.emplace_back(
+                    [this, socket = std::move(socket)]() mutable { write(socket); });
+        }
+    }
+
+    void write(boost::asio::ip::tcp::socket &socket)
+    {
+        boost::system::error_code code;
+        boost::asio::write(socket, boost::asio::buffer(m_head), code);
+        const std::string block(16U << 10U, 'x');
+        while (!code && !m_isStopping)
+            m_written += boost::asio::write(socket, boost::asio::buffer(block), code);
+        --m_open;
+    }
+
+    std::string m_head;
+    std::atomic<std::size_t> m_written = 0;
+    std::atomic<std::size_t> m_accepted = 0;
+    std::atomic<std::size_t> m_open = 0;
+    std::atomic<bool> m_isStopping = false;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::thread> m_connections;
+    std::thread m_thread;
+};
+
+} // namespace oriolerill::transport
