--- a/src/relay/internal/callersession.cpp
+++ b/src/relay/internal/callersession.cpp
@@ -10,7 +10,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <memory>
+#include <tuple>
 
 namespace oriolerill::relay::internal {
 
@@ -117,18 +119,20 @@
     , m_stream(std::move(socket))
 {}
 
-void CallerSession::close()
+void CallerSession::endWait()
 {
-    m_stream.close();
+    // A read that has taken bytes already ends with them, though its handler has not run yet.
+    m_stream.cancel();
 }
 
 asio::awaitable<void> CallerSession::run()
 {
     const auto self = shared_from_this();
     try {
-        bool isOpen = true;
         // An answer that began before the stop has promised to keep its connection; closing it
         // unread lets the caller repeat at once, while a request taken now could not be ended.
+        // The first request of a connection that was taken before the stop is served.
+        bool isOpen = co_await serveOne();
         while (isOpen && !m_context.isIntakeClosed)
             isOpen = co_await serveOne();
     } catch (const std::exception &error) {
@@ -146,6 +150,16 @@
         co_return true;
     auto [code, size] = co_await m_stream.async_read_some(m_buffer.prepare(ReadSize), UseTuple);
     m_buffer.commit(size);
+    if (code == asio::error::operation_aborted) {
+        // The wait was ended; what came meanwhile is still taken.
+        boost::system::error_code peekCode;
+        const std::size_t waiting = m_stream.socket().available(peekCode);
+        if (peekCode || waiting == 0)
+            co_return false;
+        std::tie(code, size) = co_await m_stream.async_read_some(
+                m_buffer.prepare(std::min(waiting, ReadSize)), UseTuple);
+        m_buffer.commit(size);
+    }
     co_return !code;
 }
 
--- a/src/relay/internal/callersession.h
+++ b/src/relay/internal/callersession.h
@@ -20,7 +20,8 @@
     boost::asio::awaitable<void> run();
     /// No request has begun to arrive since the last answer.
     bool isIdle() const { return m_isIdle; }
-    void close();
+    /// Ends the wait for a request; one whose first bytes have arrived is still read.
+    void endWait();
 
 private:
     boost::asio::awaitable<bool> awaitFirstByte();
@@ -28,7 +29,10 @@
 
     RelayContext &m_context;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    /// Above the largest head that operators allow callers; bodies pass through it.
+    static constexpr std::size_t MaxBuffered = 256U << 10U;
+
+    boost::beast::flat_buffer m_buffer{MaxBuffered};
     bool m_isIdle = true;
 };
 
--- a/src/relay/internal/endpointconnections.h
+++ b/src/relay/internal/endpointconnections.h
@@ -24,8 +24,12 @@
         : stream(context)
     {}
 
+    /// Bounds what an endpoint can send without ending a head or the head of a chunk; bodies pass
+    /// through it.
+    static constexpr std::size_t MaxBuffered = 64U << 10U;
+
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{MaxBuffered};
     domain::TimePoint idleSince;
     domain::TimePoint idleDeadline;
     bool isReused = false;
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -1,11 +1,9 @@
 #include "relay/internal/fleetfollower.h"
 
 #include "observability/log.h"
+#include "observability/persistentloop.h"
 #include "platform/fleetcodec.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 
 namespace oriolerill::relay::internal {
@@ -56,7 +54,8 @@
 {
     m_followers.push_back(std::make_unique<objectstore::StoreFollower>(
             m_context, m_store, collection, std::move(sink), options));
-    asio::co_spawn(m_context, m_followers.back()->run(), asio::detached);
+    observability::startPersistentLoop(m_context.get_executor(), collection,
+            [follower = m_followers.back().get()] { return follower->run(); });
     return *m_followers.back();
 }
 
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -70,7 +70,7 @@
     protocol::LoadSubscription &subscription = *datagram.mutable_subscription();
     subscription.set_entry(m_entry.value());
     subscription.set_data_centre(m_dataCentre.value());
-    *subscription.mutable_knowledge() = m_fleet.knowledge();
+    *subscription.mutable_knowledge() = knowledge();
     const double seconds = std::chrono::duration<double>(SubscriptionInterval).count();
     const std::map<domain::ServiceId, double> localDemand = takeLocalDemand(seconds);
     for (const auto &[id, endpoint] : m_dispatcher.endpoints().endpoints()) {
@@ -87,11 +87,11 @@
     }
 }
 
-void LoadListener::tellNamed()
+void LoadListener::tellNow()
 {
     protocol::AgentDatagram datagram;
     // Without demand or data centre it is no subscription; only the knowledge counts.
-    *datagram.mutable_knowledge() = m_fleet.knowledge();
+    *datagram.mutable_knowledge() = knowledge();
     const std::string bytes = datagram.SerializeAsString();
     for (const auto &[id, endpoint] : m_dispatcher.endpoints().endpoints()) {
         if (isEngine(endpoint) && endpoint.dataCentre == m_dataCentre)
@@ -99,6 +99,17 @@
     }
 }
 
+protocol::StoreKnowledge LoadListener::knowledge() const
+{
+    protocol::StoreKnowledge knowledge = m_fleet.knowledge();
+    for (const auto &instance : m_dispatcher.notices().told(TimePoint::clock::now())) {
+        protocol::LeavingEndpoint &leaving = *knowledge.add_leaving();
+        leaving.set_id(instance.id.value());
+        leaving.set_started_at_ms(instance.startedAtMs);
+    }
+    return knowledge;
+}
+
 void LoadListener::addFacts(const domain::ServiceId &id, protocol::ServiceFacts &facts) const
 {
     const auto config = m_dispatcher.config();
@@ -156,9 +167,18 @@
                 = co_await m_socket.async_receive_from(asio::buffer(bytes), sender, UseTuple);
         if (code == asio::error::operation_aborted)
             co_return;
+        if (code) {
+            observability::logEvent(observability::Severity::Warning, "reports_unreadable",
+                    {{"error", code.message()}, {"remedy", "the next report is awaited"}});
+            continue;
+        }
         protocol::LoadReport message;
-        if (code || !message.ParseFromArray(bytes.data(), static_cast<int>(size)))
+        if (!message.ParseFromArray(bytes.data(), static_cast<int>(size))) {
+            observability::logEvent(observability::Severity::Warning, "report_malformed",
+                    {{"sender", sender.address().to_string()}, {"bytes", size},
+                            {"remedy", "check what sends to the load port"}});
             continue;
+        }
         const domain::SocketAddress address{
                 sender.address().to_string(), static_cast<std::uint16_t>(message.endpoint_port())};
         routing::EngineReport report;
@@ -170,14 +190,29 @@
         report.isSwitching = message.is_switching();
         report.grant = message.grant();
         report.entries = message.entries();
-        if (message.has_knowledge())
-            m_fleet.onHint(message.knowledge());
         const TimePoint now = TimePoint::clock::now();
+        if (message.has_knowledge()) {
+            m_fleet.onHint(message.knowledge());
+            learnLeaving(message.knowledge(), now);
+        }
         m_dispatcher.onReport(address, message.engine_started_at_ms(), report, now);
         m_counts[address] = {{message.entries(), message.rank()}, now};
     }
 }
 
+void LoadListener::learnLeaving(const protocol::StoreKnowledge &knowledge, TimePoint now)
+{
+    for (const protocol::LeavingEndpoint &leaving : knowledge.leaving()) {
+        const routing::EndpointInstance instance{
+                domain::EndpointId(leaving.id()), leaving.started_at_ms()};
+        if (!m_dispatcher.notices().onLeaving(instance, now))
+            continue;
+        observability::logEvent(observability::Severity::Info, "endpoint_leaving",
+                {{"endpoint", instance.id.value()}, {"started_at_ms", instance.startedAtMs},
+                        {"source", "entry"}});
+    }
+}
+
 void LoadListener::countEntries(TimePoint now)
 {
     routing::EntryShare most{0, 0};
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -27,8 +27,9 @@
     domain::Expected<domain::Done> open();
     boost::asio::awaitable<void> subscribe();
     boost::asio::awaitable<void> receive();
-    /// Tells the agents of this data centre at once that a version was named.
-    void tellNamed();
+    /// Tells the agents of this data centre at once what this entry has just learnt: a named
+    /// version, or an endpoint that is leaving.
+    void tellNow();
 
 private:
     struct EntryCount
@@ -44,6 +45,9 @@
     /// Requests a second for each engine of this data centre, by service.
     std::map<domain::ServiceId, double> takeLocalDemand(double seconds);
     void sendTo(const routing::ListedEndpoint &endpoint, const std::string &bytes);
+    /// What this entry knows of the store, and which endpoints say that they are leaving.
+    protocol::StoreKnowledge knowledge() const;
+    void learnLeaving(const protocol::StoreKnowledge &knowledge, domain::TimePoint now);
     void countEntries(domain::TimePoint now);
 
     boost::asio::io_context &m_context;
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -2,33 +2,29 @@
 
 #include "observability/log.h"
 #include "observability/metrics.h"
+#include "observability/persistentloop.h"
 #include "platform/fleetcodec.h"
 #include "platform/fleetobjectstore.h"
-#include "relay/internal/callersession.h"
+#include "relay/internal/callerlistener.h"
 #include "relay/internal/fleetfollower.h"
 #include "relay/internal/loadlistener.h"
 #include "settings/settingsloader.h"
 #include "transport/httpserver.h"
-#include "transport/silentpeer.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <csignal>
 #include <filesystem>
-#include <set>
 
 namespace oriolerill::relay {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using domain::Done;
-using domain::Error;
-using domain::ErrorKind;
 using domain::Expected;
 using domain::TimePoint;
 using observability::logEvent;
@@ -37,9 +33,6 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-/// A caller that acknowledges nothing for this long has gone.
-constexpr auto CallerSilence = std::chrono::milliseconds(10000);
-constexpr auto AcceptRetryPause = std::chrono::milliseconds(20);
 /// The load balancer asks each second and takes an entry out after two misses; until then new
 /// connections still arrive. What is taken later could not be ended in the time until SIGKILL.
 constexpr auto RotationTime = std::chrono::milliseconds(2600);
@@ -65,12 +58,6 @@
     return options;
 }
 
-Error cannotListen(const domain::SocketAddress &address, const std::string &reason)
-{
-    return {ErrorKind::Unavailable, "cannot listen on " + address.toString() + ": " + reason,
-            "choose a free address of this machine in the settings"};
-}
-
 } // namespace
 
 class RelayProcess::Implementation
@@ -86,7 +73,7 @@
         , m_follower(m_context, m_store, m_relay, m_settings.drainBound)
         , m_load(m_context, m_dispatcher, m_follower, m_settings.id, m_settings.dataCentre,
                   m_settings.listenLoad)
-        , m_acceptor(m_context)
+        , m_callers(m_context, m_relay, m_settings.maxConnections)
         , m_statusServer(m_context.get_executor(), {})
         , m_metricsServer(m_context.get_executor(), {})
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
@@ -94,7 +81,12 @@
 
     Expected<Done> run()
     {
-        if (auto opened = openCallerListener(); !opened)
+        // Each malformed datagram has a line of its own already, which is bounded.
+        google::protobuf::SetLogHandler(nullptr);
+        const auto keepRunning = [this](const char *name, auto loop) {
+            observability::startPersistentLoop(m_context.get_executor(), name, std::move(loop));
+        };
+        if (auto opened = m_callers.open(m_settings.listenCaller); !opened)
             return opened;
         if (auto opened = m_load.open(); !opened)
             return opened;
@@ -105,67 +97,23 @@
             return started.error();
         if (auto started = m_metricsServer.start(m_settings.listenMetrics, handler); !started)
             return started.error();
-        m_follower.onNamed([this] { m_load.tellNamed(); });
+        m_follower.onNamed([this] { m_load.tellNow(); });
+        m_relay.onLeaving = [this] { m_load.tellNow(); };
         m_follower.start();
-        asio::co_spawn(m_context, acceptLoop(), asio::detached);
-        asio::co_spawn(m_context, m_load.subscribe(), asio::detached);
-        asio::co_spawn(m_context, m_load.receive(), asio::detached);
-        asio::co_spawn(m_context, handleSignals(), asio::detached);
-        asio::co_spawn(m_context, watchSettings(), asio::detached);
+        keepRunning("callers", [this] { return m_callers.acceptAll(); });
+        keepRunning("subscriptions", [this] { return m_load.subscribe(); });
+        keepRunning("reports", [this] { return m_load.receive(); });
+        keepRunning("signals", [this] { return handleSignals(); });
+        keepRunning("settings", [this] { return watchSettings(); });
         logEvent(Severity::Info, "started",
                 {{"version", ORIOLERILL_VERSION}, {"caller", m_settings.listenCaller.toString()},
                         {"store", m_settings.storeAddress.toString()}});
-        m_context.run();
+        observability::runUntilStopped(m_context);
         logEvent(Severity::Info, "stopped", {{"requests", m_relay.requestsInFlight}});
         return Done{};
     }
 
 private:
-    Expected<Done> openCallerListener()
-    {
-        boost::system::error_code code;
-        const auto host = asio::ip::make_address_v4(m_settings.listenCaller.host, code);
-        if (!code)
-            m_acceptor.open(tcp::v4(), code);
-        if (!code)
-            m_acceptor.set_option(asio::socket_base::reuse_address(true), code);
-        if (!code)
-            m_acceptor.bind({host, m_settings.listenCaller.port}, code);
-        if (!code)
-            m_acceptor.listen(asio::socket_base::max_listen_connections, code);
-        if (code)
-            return cannotListen(m_settings.listenCaller, code.message());
-        return Done{};
-    }
-
-    asio::awaitable<void> acceptLoop()
-    {
-        for (;;) {
-            tcp::socket socket(m_context);
-            auto [code] = co_await m_acceptor.async_accept(socket, UseTuple);
-            if (code == asio::error::operation_aborted)
-                co_return;
-            if (code) {
-                // Out of descriptors, for example; a pause keeps the loop from spinning.
-                logEvent(Severity::Warning, "accept_failed",
-                        {{"error", code.message()}, {"remedy", "raise the descriptor limit"}});
-                asio::steady_timer timer(m_context, AcceptRetryPause);
-                co_await timer.async_wait(UseTuple);
-                continue;
-            }
-            if (m_sessions.size() >= m_settings.maxConnections) {
-                m_metrics.increment("oriolerill_relay_connections_refused_total");
-                continue;
-            }
-            socket.set_option(tcp::no_delay(true), code);
-            transport::detectSilence(socket, CallerSilence);
-            auto session = std::make_shared<internal::CallerSession>(m_relay, std::move(socket));
-            m_sessions.insert(session);
-            asio::co_spawn(m_context, session->run(),
-                    [this, session](const std::exception_ptr &) { m_sessions.erase(session); });
-        }
-    }
-
     asio::awaitable<void> answerStatus(transport::HttpServerExchange &exchange)
     {
         const std::string &target = exchange.request().target;
@@ -211,14 +159,7 @@
         const TimePoint last = begun + m_settings.stopTime - StopMargin;
         asio::steady_timer timer(m_context, begun + RotationTime);
         co_await timer.async_wait(UseTuple);
-        boost::system::error_code code;
-        m_acceptor.close(code);
-        m_relay.isIntakeClosed = true;
-        // A caller that sends on one of them just now sees that nothing was read, and repeats.
-        for (const auto &session : m_sessions) {
-            if (session->isIdle())
-                session->close();
-        }
+        m_callers.closeIntake();
         while (m_relay.requestsInFlight > 0 && TimePoint::clock::now() < last) {
             timer.expires_after(StopCheckInterval);
             co_await timer.async_wait(UseTuple);
@@ -267,11 +208,10 @@
     platform::FleetObjectStore m_store;
     internal::FleetFollower m_follower;
     internal::LoadListener m_load;
-    tcp::acceptor m_acceptor;
+    internal::CallerListener m_callers;
     transport::HttpServer m_statusServer;
     transport::HttpServer m_metricsServer;
     asio::signal_set m_signals;
-    std::set<std::shared_ptr<internal::CallerSession>> m_sessions;
 };
 
 RelayProcess::RelayProcess(settings::RelaySettings settings, std::string settingsFile)
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace oriolerill::relay::internal {
@@ -35,6 +36,8 @@
 /// Longest wait for a new connection to an endpoint; connections cross regions in a few
 /// milliseconds, and one lost packet costs a second.
 constexpr auto ConnectTime = milliseconds(400);
+/// A choice holds for the time that connecting may take, with some delay of the process.
+constexpr auto ChoiceLife = ConnectTime + milliseconds(200);
 /// Idle connections may be closed by the endpoint without a notice. A request that must not be
 /// repeated uses only one that was in use this short a time ago.
 constexpr auto FreshIdleAge = milliseconds(150);
@@ -45,6 +48,10 @@
 constexpr auto IdleMargin = milliseconds(700);
 /// Answers of plain services are held until they are whole; larger ones are refused as lost.
 constexpr std::size_t MaxWholeAnswer = 16U << 20U;
+/// The same over all requests of this process, a fifth of the memory of the smallest entries.
+constexpr std::size_t MaxHeldAnswers = 32U << 20U;
+/// Largest event of a stream; an event is held until it is whole.
+constexpr std::size_t MaxEvent = 1U << 20U;
 constexpr std::size_t PieceSize = 16U << 10U;
 /// Longest silence before the first byte of a request that may be repeated, beyond its expected
 /// start; a stream's callers leave after two seconds without an event.
@@ -94,9 +101,20 @@
     , m_isKeptAlive(isKeptAlive)
     , m_arrivedAt(TimePoint::clock::now())
     , m_deadline(m_arrivedAt)
+    , m_suspendedBefore(context.suspension.total())
     , m_isHeadRequest(request.method() == http::verb::head)
 {}
 
+RequestRun::~RequestRun()
+{
+    releaseHeld();
+}
+
+void RequestRun::releaseHeld()
+{
+    m_context.heldAnswerBytes -= std::exchange(m_heldBytes, 0);
+}
+
 std::optional<OwnAnswer> RequestRun::resolve()
 {
     auto about = platform::readCallerRequest(m_request, m_arrivedAt);
@@ -174,8 +192,9 @@
     m_context.dispatcher.onRequest(m_query.service, m_arrivedAt);
     AttemptEnd last = AttemptEnd::NotSent;
     for (;;) {
+        const bool isOver = callersNow() >= m_deadline;
         const TimePoint now = TimePoint::clock::now();
-        if (now >= m_deadline) {
+        if (isOver) {
             last = AttemptEnd::TimedOut;
             break;
         }
@@ -225,11 +244,21 @@
     co_return isOpen;
 }
 
+TimePoint RequestRun::callersNow()
+{
+    const TimePoint now = TimePoint::clock::now();
+    m_context.noteSuspension(now);
+    return now + (m_context.suspension.total() - m_suspendedBefore);
+}
+
 bool RequestRun::mayTryAgain(AttemptEnd end, const routing::Dispatch &dispatch)
 {
+    const bool isOver = callersNow() >= m_deadline;
     const TimePoint now = TimePoint::clock::now();
-    m_query.excluded.insert(dispatch.endpoint);
-    if (now >= m_deadline || m_attempts >= MaxAttempts)
+    const bool isOutdated = std::exchange(m_isChoiceOutdated, false);
+    if (!isOutdated)
+        m_query.excluded.insert(dispatch.endpoint);
+    if (isOver || m_attempts >= MaxAttempts)
         return false;
     if (end == AttemptEnd::NotSent)
         return true;
@@ -258,7 +287,7 @@
     routing::EndpointLoad &load = m_context.dispatcher.load(dispatch.endpoint);
     const bool wasSent = end != AttemptEnd::NotSent;
     // A caller that left while the connection was opened says nothing about the endpoint.
-    const bool isEndpointsFault = !m_isCallerGone;
+    const bool isEndpointsFault = !m_isCallerGone && !m_isChoiceOutdated;
     if (wasSent)
         load.onEnded();
     switch (end) {
@@ -291,10 +320,15 @@
 
 asio::awaitable<AttemptEnd> RequestRun::exchange(const routing::Dispatch &dispatch)
 {
+    const TimePoint chosenAt = callersNow();
     const TimePoint now = TimePoint::clock::now();
     const bool mayUseOld = m_route->isRepeatable();
-    m_connection = m_context.connections.takeIdle(
-            dispatch.endpoint, mayUseOld ? domain::Duration(AnyIdleAge) : FreshIdleAge, now);
+    // Without an id nothing tells a late copy of an earlier answer from this request's own.
+    const bool mayReuse = !m_about.id.isEmpty();
+    if (mayReuse) {
+        m_connection = m_context.connections.takeIdle(
+                dispatch.endpoint, mayUseOld ? domain::Duration(AnyIdleAge) : FreshIdleAge, now);
+    }
     if (!m_connection) {
         const TimePoint deadline = std::min(m_deadline, now + ConnectTime);
         auto connection = co_await m_context.connections.connect(dispatch.address, deadline);
@@ -306,14 +340,20 @@
         if (m_isCallerGone)
             co_return AttemptEnd::NotSent;
     }
-    const TimePoint sentAt = TimePoint::clock::now();
-    if (sentAt >= m_deadline)
+    const TimePoint sendAt = callersNow();
+    if (sendAt >= m_deadline)
         co_return AttemptEnd::NotSent;
-    m_context.dispatcher.onSent(dispatch, sentAt);
+    // The process stood still meanwhile: the endpoint may be leaving, cold or switching by now.
+    if (sendAt - chosenAt > ChoiceLife) {
+        m_isChoiceOutdated = true;
+        m_detail = "the choice is out of date";
+        co_return AttemptEnd::NotSent;
+    }
+    m_context.dispatcher.onSent(dispatch, TimePoint::clock::now());
 
     routing::DispatchHead head;
     head.endpoint = dispatch.endpoint;
-    head.timeLeft = std::chrono::duration_cast<milliseconds>(m_deadline - sentAt);
+    head.timeLeft = std::chrono::duration_cast<milliseconds>(m_deadline - sendAt);
     if (m_account != nullptr)
         head.account = m_account->id;
     head.weightsVersion = dispatch.weightsVersion;
@@ -378,7 +418,8 @@
         if (parser.get().result_int() < 200)
             continue;
         const routing::AnswerHead head = platform::readAnswerHead(parser.get());
-        const bool isOwn = head.id == m_about.id || m_about.id.isEmpty();
+        heed(head, dispatch);
+        const bool isOwn = head.id == m_about.id;
         const bool isStream = head.isEventStream && head.isSuccess() && isOwn;
         if (head.load && isOwn) {
             m_context.dispatcher.load(dispatch.endpoint)
@@ -418,6 +459,29 @@
     co_return AttemptEnd::Lost;
 }
 
+void RequestRun::heed(const routing::AnswerHead &head, const routing::Dispatch &dispatch)
+{
+    const routing::EndpointInstance instance{dispatch.endpoint, dispatch.startedAtMs};
+    const TimePoint now = TimePoint::clock::now();
+    routing::EndpointNotices &notices = m_context.dispatcher.notices();
+    if (head.isLeaving && notices.onLeaving(instance, now)) {
+        logEvent(Severity::Info, "endpoint_leaving",
+                {{"endpoint", instance.id.value()}, {"started_at_ms", instance.startedAtMs},
+                        {"request", m_about.id.value()}, {"source", "answer"}});
+        if (m_context.onLeaving)
+            m_context.onLeaving();
+    }
+    if (!head.quietSeconds)
+        return;
+    constexpr std::array Verdicts = {"taken", "shortened", "ignored"};
+    const routing::QuietVerdict verdict = notices.onQuiet(instance, *head.quietSeconds, now);
+    logEvent(verdict == routing::QuietVerdict::Taken ? Severity::Info : Severity::Warning,
+            "endpoint_quiet",
+            {{"endpoint", instance.id.value()}, {"request", m_about.id.value()},
+                    {"seconds", *head.quietSeconds},
+                    {"verdict", Verdicts[static_cast<std::size_t>(verdict)]}});
+}
+
 asio::awaitable<beast::error_code> RequestRun::readSome(
         Parser &parser, std::string &piece, TimePoint deadline)
 {
@@ -445,18 +509,27 @@
         co_return AttemptEnd::Lost;
     }
     std::string piece;
+    TimePoint progressAt = TimePoint::clock::now();
     while (!parser.is_done()) {
         const bool mayResume = m_route->isResumable && m_runs < m_route->maxEndpoints;
         const TimePoint last = m_deadline + AnswerSlack;
-        const TimePoint deadline
-                = mayResume ? std::min(last, TimePoint::clock::now() + EventPatience) : last;
+        // Bytes of an event that does not end are no progress.
+        const TimePoint deadline = mayResume ? std::min(last, progressAt + EventPatience) : last;
         const beast::error_code code = co_await readSome(parser, piece, deadline);
         if (!piece.empty()) {
             if (!m_firstByteAt)
                 m_firstByteAt = TimePoint::clock::now();
             std::string events = m_events.feed(piece);
-            if (!events.empty() && !co_await sendEvents(std::move(events)))
-                co_return AttemptEnd::CallerGone;
+            if (!events.empty()) {
+                if (!co_await sendEvents(std::move(events)))
+                    co_return AttemptEnd::CallerGone;
+                progressAt = TimePoint::clock::now();
+            }
+        }
+        if (m_events.rest().size() > MaxEvent) {
+            m_detail = "an event of the stream is too large";
+            m_events.dropRest();
+            co_return AttemptEnd::Lost;
         }
         if (code) {
             m_detail = "reading events: " + code.message();
@@ -478,14 +551,17 @@
 {
     std::string body;
     std::string piece;
+    releaseHeld();
     while (!parser.is_done()) {
         const beast::error_code code = co_await readSome(parser, piece, m_deadline + AnswerSlack);
         body += piece;
+        m_heldBytes += piece.size();
+        m_context.heldAnswerBytes += piece.size();
         if (code) {
             m_detail = "reading the answer: " + code.message();
             co_return endOfRead(code);
         }
-        if (body.size() > MaxWholeAnswer) {
+        if (body.size() > MaxWholeAnswer || m_context.heldAnswerBytes > MaxHeldAnswers) {
             m_detail = "the answer is too large to be held whole";
             co_return AttemptEnd::Lost;
         }
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -44,6 +44,9 @@
 
     RequestRun(RelayContext &context, boost::beast::tcp_stream &caller, const Request &request,
             bool isKeptAlive);
+    ~RequestRun();
+    RequestRun(const RequestRun &) = delete;
+    RequestRun &operator=(const RequestRun &) = delete;
 
     /// True when the caller's connection may carry a further request.
     boost::asio::awaitable<bool> run();
@@ -61,6 +64,11 @@
     boost::asio::awaitable<AttemptEnd> relayWhole(Parser &parser, const routing::AnswerHead &head);
     boost::asio::awaitable<boost::beast::error_code> readSome(
             Parser &parser, std::string &piece, domain::TimePoint deadline);
+    /// Takes what the endpoint says about itself.
+    void heed(const routing::AnswerHead &head, const routing::Dispatch &dispatch);
+    void releaseHeld();
+    /// Now, with the time that the machine was suspended since the request arrived.
+    domain::TimePoint callersNow();
     AttemptEnd endOfRead(boost::beast::error_code code) const;
     /// Whether a further endpoint may get the request after such an end.
     bool mayTryAgain(AttemptEnd end, const routing::Dispatch &dispatch);
@@ -79,6 +87,9 @@
     bool m_isKeptAlive;
     domain::TimePoint m_arrivedAt;
     domain::TimePoint m_deadline;
+    domain::Duration m_suspendedBefore;
+    /// The process stood still between the choice and the sending.
+    bool m_isChoiceOutdated = false;
     std::shared_ptr<const routing::ServingConfig> m_config;
     routing::CallerRequest m_about;
     const routing::Route *m_route = nullptr;
@@ -104,6 +115,7 @@
     /// A whole answer that is ready for the caller.
     boost::beast::http::response_header<> m_answerHead;
     std::string m_answerBody;
+    std::size_t m_heldBytes = 0;
     bool m_hasAnswer = false;
     bool m_isHeadRequest = false;
 };
--- /dev/null
+++ b/src/relay/tests/callerlistenertest.cpp
@@ -0,0 +1,113 @@
+#include "relay/internal/callerlistener.h"
+#include "relay/tests/relayfixture.h"
+
+namespace oriolerill::relay {
+
+using namespace std::chrono_literals;
+using Socket = ScriptedEndpoint::Socket;
+
+/// Callers at the moment at which the entry ends its intake.
+class CallerListenerFixture : public RelayFixture
+{
+protected:
+    void SetUp() override
+    {
+        addEndpoint([](Socket &socket, const std::string &) {
+            write(socket, answer("a1", "good"));
+            return true;
+        });
+        ASSERT_TRUE(m_listener.open({"127.0.0.1", 0}).hasValue());
+    }
+
+    void TearDown() override { stop(); }
+
+    Socket connectToListener()
+    {
+        Socket socket(m_callerContext);
+        const domain::SocketAddress address = m_listener.address();
+        socket.connect({boost::asio::ip::make_address(address.host), address.port});
+        return socket;
+    }
+
+    void startListening()
+    {
+        start();
+        boost::asio::co_spawn(m_context, m_listener.acceptAll(), boost::asio::detached);
+    }
+
+    void closeIntake()
+    {
+        boost::asio::post(m_context, [this] { m_listener.closeIntake(); });
+    }
+
+    internal::CallerListener m_listener{m_context, m_relay, 100};
+};
+
+// Guards against requests that are cut at a planned stop because their connections were still
+// waiting to be accepted when the listener closed, or had just been accepted.
+TEST_F(CallerListenerFixture, closeIntake_requestsJustSent_allAnswered)
+{
+    constexpr int Callers = 30;
+    std::vector<Socket> callers;
+    callers.reserve(Callers);
+    for (int i = 0; i < Callers; ++i) {
+        callers.push_back(connectToListener());
+        write(callers.back(), request("POST", "/order/1", i % 2 == 0 ? "" : Close, "o"));
+    }
+    std::this_thread::sleep_for(50ms);
+    // Nothing has been accepted yet: the thread starts here, and the intake ends first.
+    closeIntake();
+    startListening();
+    for (Socket &caller : callers)
+        EXPECT_EQ(statusOf(readAll(caller)), 200U);
+}
+
+// Guards against a request that is cut because its bytes had arrived on a kept connection, but were
+// not read yet, and against one whose head was half here.
+TEST_F(CallerListenerFixture, closeIntake_requestOnKeptConnection_answered)
+{
+    startListening();
+    auto kept = connectToListener();
+    auto half = connectToListener();
+    auto idle = connectToListener();
+    const std::string text = request("POST", "/order/1", "", "o");
+    write(kept, text);
+    std::string answered(16, '\0');
+    boost::asio::read(kept, boost::asio::buffer(answered));
+    write(half, text.substr(0, text.size() / 2));
+    std::this_thread::sleep_for(50ms);
+    // The request is on the connection before the entry's thread looks at it.
+    boost::asio::post(m_context, [&] {
+        write(kept, text);
+        std::this_thread::sleep_for(20ms);
+        m_listener.closeIntake();
+    });
+    std::this_thread::sleep_for(60ms);
+    write(half, text.substr(text.size() / 2));
+    EXPECT_EQ(statusOf(readAll(half)), 200U);
+    const std::string rest = readAll(kept);
+    EXPECT_NE(rest.find("HTTP/1.1 200 OK"), std::string::npos);
+    EXPECT_EQ(readAll(idle), "");
+}
+
+// Guards against a second pipelined request that is begun after the intake has closed, and against
+// one that is answered in part.
+TEST_F(CallerListenerFixture, closeIntake_pipelinedRequests_eachAnsweredWholeOrNotBegun)
+{
+    startListening();
+    auto caller = connectToListener();
+    std::string text;
+    constexpr int Requests = 20;
+    for (int i = 0; i < Requests; ++i)
+        text += request("POST", "/order/1", "", "o");
+    closeIntake();
+    write(caller, text);
+    const std::string got = readAll(caller);
+    std::size_t answers = 0;
+    for (std::size_t at = 0; (at = got.find("HTTP/1.1 200 OK", at)) != std::string::npos; ++at)
+        ++answers;
+    EXPECT_EQ(answers, m_endpoints.front()->requests().size());
+    EXPECT_TRUE(got.empty() || got.ends_with("good"));
+}
+
+} // namespace oriolerill::relay
--- /dev/null
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -0,0 +1,148 @@
+#include "relay/internal/loadlistener.h"
+#include "objectstore/tests/fakeobjectstore.h"
+#include "relay/tests/relayfixture.h"
+
+#include <limits>
+#include <random>
+
+namespace oriolerill::relay {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::udp;
+
+/// An entry that takes load reports over a real socket. Runs on the test's own thread.
+class LoadListenerFixture : public testing::Test
+{
+protected:
+    static constexpr std::uint16_t Port = 21480;
+
+    void SetUp() override
+    {
+        routing::Route route;
+        route.host = "h.example";
+        route.pathPrefix = "/s/";
+        route.kind = routing::RequestKind::Stream;
+        route.services = {{domain::ServiceId("models"), 1}};
+        routing::ServiceSpec service;
+        service.id = domain::ServiceId("models");
+        service.models = {domain::ModelId("m")};
+        service.engine = routing::EngineSpeed{16, 6.73, 0.0219, 30.6, 964, 119};
+        m_dispatcher.setConfig(std::make_shared<routing::ServingConfig>(
+                1, std::vector{route}, std::vector{service}, routing::CallerLimits()));
+        std::vector<routing::ListedEndpoint> listed;
+        for (int i = 1; i <= 2; ++i) {
+            routing::ListedEndpoint endpoint;
+            endpoint.id = domain::EndpointId("e" + std::to_string(i));
+            endpoint.service = service.id;
+            endpoint.address = {"127.0.0.1", static_cast<std::uint16_t>(Port + i)};
+            endpoint.weights[domain::ModelId("m")] = 1;
+            listed.push_back(endpoint);
+        }
+        // The first list of the empty store comes before.
+        m_follower.start();
+        m_context.run_for(20ms);
+        m_dispatcher.endpoints().replaceAll(listed, domain::TimePoint::clock::now());
+        ASSERT_TRUE(m_listener.open().hasValue());
+        boost::asio::co_spawn(m_context, m_listener.receive(), boost::asio::detached);
+    }
+
+    void send(const std::string &bytes)
+    {
+        m_agent.send_to(
+                boost::asio::buffer(bytes), {boost::asio::ip::make_address_v4("127.0.0.1"), Port});
+        m_context.run_for(1ms);
+    }
+
+    protocol::LoadReport report(int endpoint)
+    {
+        protocol::LoadReport report;
+        report.set_endpoint_port(static_cast<std::uint32_t>(Port + endpoint));
+        report.set_sequence(++m_sequence);
+        report.set_weights_version(1);
+        report.set_grant(4);
+        report.set_entries(2);
+        return report;
+    }
+
+    /// Endpoint of a request that comes now; empty when it is refused.
+    std::string chosen()
+    {
+        routing::CallerRequest request;
+        request.model = domain::ModelId("m");
+        routing::DispatchQuery query;
+        const auto config = m_dispatcher.config();
+        query.route = &config->routes().front();
+        query.request = &request;
+        query.service = domain::ServiceId("models");
+        const auto decision = m_dispatcher.choose(query, domain::TimePoint::clock::now());
+        const auto *dispatch = std::get_if<routing::Dispatch>(&decision);
+        return dispatch == nullptr ? "" : dispatch->endpoint.value();
+    }
+
+    boost::asio::io_context m_context{1};
+    udp::socket m_agent{m_context, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+    objectstore::FakeObjectStore m_store;
+    routing::Dispatcher m_dispatcher{routing::DispatcherOptions()};
+    internal::EndpointConnections m_connections{m_context};
+    observability::Metrics m_metrics;
+    internal::RelayContext m_relay{m_dispatcher, m_connections, m_metrics};
+    internal::FleetFollower m_follower{m_context, m_store, m_relay, 2s};
+    internal::LoadListener m_listener{m_context, m_dispatcher, m_follower,
+            domain::EntryId("entry-1"), domain::DataCentreId("a"), {"127.0.0.1", Port}};
+    std::uint64_t m_sequence = 0;
+};
+
+// Guards against one malformed datagram that ends the process, or after which nothing is chosen: a
+// pace that is no number spoilt the comparison of all candidates.
+TEST_F(LoadListenerFixture, receive_paceIsNoNumber_requestsStillPlaced)
+{
+    for (const double pace : {std::numeric_limits<double>::quiet_NaN(),
+                 std::numeric_limits<double>::infinity(), -1e300, 0.0}) {
+        for (const int endpoint : {1, 2}) {
+            protocol::LoadReport message = report(endpoint);
+            message.set_pace(pace);
+            send(message.SerializeAsString());
+        }
+        EXPECT_NE(chosen(), "") << pace;
+    }
+}
+
+// Guards against bytes of any kind at the address that takes reports: good ones are taken after
+// them as before.
+TEST_F(LoadListenerFixture, receive_datagramsChangedAtRandom_goodOnesStillTaken)
+{
+    std::mt19937 random(20261204);
+    constexpr int Rounds = 1500;
+    for (int round = 0; round < Rounds; ++round) {
+        protocol::LoadReport message = report(1);
+        message.mutable_knowledge()->set_configuration_changed_at(random());
+        message.mutable_knowledge()->add_leaving()->set_id("e9");
+        std::string bytes = message.SerializeAsString();
+        for (int change = 0; change < 3; ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+        if (random() % 4 == 0)
+            bytes.resize(random() % bytes.size());
+        send(bytes);
+    }
+    for (const int endpoint : {1, 2}) {
+        protocol::LoadReport message = report(endpoint);
+        message.set_running(7);
+        send(message.SerializeAsString());
+        EXPECT_EQ(m_dispatcher.load(domain::EndpointId("e" + std::to_string(endpoint)))
+                          .busy(domain::TimePoint::clock::now()),
+                7);
+    }
+}
+
+// Guards against entries that go on sending to an endpoint which has told another entry of its data
+// centre that it is leaving.
+TEST_F(LoadListenerFixture, receive_otherEntryKnowsOfLeaving_endpointLeftOut)
+{
+    protocol::LoadReport message = report(1);
+    message.mutable_knowledge()->add_leaving()->set_id("e1");
+    send(message.SerializeAsString());
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(chosen(), "e2");
+}
+
+} // namespace oriolerill::relay
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -134,11 +134,17 @@
         : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
     {}
 
-    ~RelayFixture() override
+    /// Ends the thread; afterwards nothing of the entry runs.
+    void stop()
     {
         boost::asio::post(m_context, [this] { m_context.stop(); });
         if (m_thread.joinable())
             m_thread.join();
+    }
+
+    ~RelayFixture() override
+    {
+        stop();
         // The scripts end when their connections do.
         m_connections.closeIdle();
         m_endpoints.clear();
@@ -156,7 +162,7 @@
         return *m_endpoints.back();
     }
 
-    static routing::Route route(const std::string &prefix, routing::RequestKind kind)
+    routing::Route route(const std::string &prefix, routing::RequestKind kind) const
     {
         routing::Route route;
         route.name = prefix;
@@ -165,7 +171,7 @@
         route.kind = kind;
         route.isResumable = kind == routing::RequestKind::Stream;
         route.services = {{domain::ServiceId("s"), 1}};
-        route.timeout = std::chrono::milliseconds(1500);
+        route.timeout = m_routeTimeout;
         route.maxEndpoints = kind == routing::RequestKind::NonIdempotent ? 1 : 2;
         return route;
     }
@@ -246,6 +252,7 @@
     boost::asio::io_context m_context{1};
     boost::asio::io_context m_callerContext;
     routing::CallerLimits m_limits;
+    domain::Duration m_routeTimeout = std::chrono::milliseconds(1500);
     routing::Dispatcher m_dispatcher{routing::DispatcherOptions()};
     internal::EndpointConnections m_connections{m_context};
     observability::Metrics m_metrics;
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -9,7 +9,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <functional>
+#include <set>
 
 namespace oriolerill::relayagent::internal {
 
@@ -36,6 +38,8 @@
 constexpr auto ActiveLife = std::chrono::milliseconds(3000);
 constexpr std::uint64_t IdleReports = 3;
 constexpr std::size_t MaxDatagram = 1500;
+/// Leaving endpoints that one report tells of; they share a datagram with the rest.
+constexpr int MostLeaving = 16;
 
 } // namespace
 
@@ -73,9 +77,18 @@
                 = co_await m_socket.async_receive_from(asio::buffer(bytes), sender, UseTuple);
         if (code == asio::error::operation_aborted)
             co_return;
+        if (code) {
+            logEvent(Severity::Warning, "datagrams_unreadable",
+                    {{"error", code.message()}, {"remedy", "the next datagram is awaited"}});
+            continue;
+        }
         protocol::AgentDatagram datagram;
-        if (code || !datagram.ParseFromArray(bytes.data(), static_cast<int>(size)))
+        if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(size))) {
+            logEvent(Severity::Warning, "datagram_malformed",
+                    {{"sender", sender.address().to_string()}, {"bytes", size},
+                            {"remedy", "check what sends to the load port"}});
             continue;
+        }
         if (datagram.has_holdings() && m_onHoldings)
             m_onHoldings(sender.address().to_string(), datagram.holdings());
         if (datagram.has_knowledge())
@@ -86,7 +99,8 @@
         const bool isNew = m_subscribers.count(sender) == 0;
         const TimePoint now = TimePoint::clock::now();
         Subscriber &subscriber = m_subscribers[sender];
-        subscriber.demand = message.demand();
+        // Datagrams come from anywhere; a demand that is no number would spoil all shares.
+        subscriber.demand = std::isfinite(message.demand()) ? std::max(message.demand(), 0.0) : 0;
         subscriber.isLocal = message.data_centre() == m_dataCentre.value();
         subscriber.seenAt = now;
         subscriber.knowledge = message.knowledge();
@@ -160,6 +174,7 @@
 protocol::StoreKnowledge LoadReporter::knowledge() const
 {
     protocol::StoreKnowledge all;
+    std::set<std::string> told;
     for (const auto &[entry, subscriber] : m_subscribers) {
         const protocol::StoreKnowledge &one = subscriber.knowledge;
         all.set_configuration_changed_at(
@@ -167,6 +182,10 @@
         all.set_withdrawals_changed_at(
                 std::max(all.withdrawals_changed_at(), one.withdrawals_changed_at()));
         all.set_weights_changed_at(std::max(all.weights_changed_at(), one.weights_changed_at()));
+        for (const protocol::LeavingEndpoint &leaving : one.leaving()) {
+            if (all.leaving_size() < MostLeaving && told.insert(leaving.id()).second)
+                *all.add_leaving() = leaving;
+        }
     }
     return all;
 }
--- a/src/relayagent/internal/relayagentprocess.cpp
+++ b/src/relayagent/internal/relayagentprocess.cpp
@@ -2,16 +2,17 @@
 
 #include "observability/log.h"
 #include "observability/metrics.h"
+#include "observability/persistentloop.h"
 #include "platform/fleetobjectstore.h"
 #include "relayagent/internal/weightskeeper.h"
 #include "settings/settingsloader.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <csignal>
 
 namespace oriolerill::relayagent {
@@ -67,6 +68,11 @@
 
     Expected<Done> run()
     {
+        // Each malformed datagram has a line of its own already, which is bounded.
+        google::protobuf::SetLogHandler(nullptr);
+        const auto keepRunning = [this](const char *name, auto loop) {
+            observability::startPersistentLoop(m_context.get_executor(), name, std::move(loop));
+        };
         if (auto opened = m_reporter.open(); !opened)
             return opened;
         const auto answerPeer = [this](transport::HttpServerExchange &exchange) {
@@ -82,15 +88,15 @@
         // While entries tell which versions are named, the agents need no watch of their own.
         m_follower.setNeeded(
                 [this] { return !m_reporter.isStoreSeen(domain::TimePoint::clock::now()); });
-        asio::co_spawn(m_context, m_follower.run(), asio::detached);
-        asio::co_spawn(m_context, m_reporter.receive(), asio::detached);
-        asio::co_spawn(m_context, m_reporter.report(), asio::detached);
-        asio::co_spawn(m_context, m_keeper.run(), asio::detached);
-        asio::co_spawn(m_context, handleSignals(), asio::detached);
+        keepRunning("weights", [this] { return m_follower.run(); });
+        keepRunning("datagrams", [this] { return m_reporter.receive(); });
+        keepRunning("reports", [this] { return m_reporter.report(); });
+        keepRunning("keeper", [this] { return m_keeper.run(); });
+        keepRunning("signals", [this] { return handleSignals(); });
         logEvent(Severity::Info, "started",
                 {{"version", ORIOLERILL_VERSION}, {"engine", m_settings.engineAddress.toString()},
                         {"store", m_settings.storeAddress.toString()}});
-        m_context.run();
+        observability::runUntilStopped(m_context);
         logEvent(Severity::Info, "stopped");
         return Done{};
     }
--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -70,12 +70,17 @@
     return "failed";
 }
 
+/// Above the pieces and manifests of any deployment, and with all fetches under way at once still
+/// a fifth of an agent's memory.
+constexpr auto MaxAnswer = domain::Bytes(4U << 20U);
+
 /// Bytes of all pieces under way wait in this VM's link, in front of requests to the engine. Small
 /// receive buffers bound them to what a link that became narrow carries in half a second.
 transport::HttpClientOptions peerOptions()
 {
     transport::HttpClientOptions options;
     options.receiveBuffer = domain::Bytes(6U << 10U);
+    options.maxBody = MaxAnswer;
     return options;
 }
 
@@ -85,6 +90,7 @@
 {
     transport::HttpClientOptions options;
     options.maxIdlePerPeer = 0;
+    options.maxBody = MaxAnswer;
     return options;
 }
 
--- a/src/relayagent/tests/agentfleet.h
+++ b/src/relayagent/tests/agentfleet.h
@@ -58,7 +58,8 @@
     }
 
     /// Sends each agent what an entry would tell of the configuration, and of named versions.
-    void tellAsEntry(std::optional<std::uint64_t> named = std::nullopt)
+    void tellAsEntry(std::optional<std::uint64_t> named = std::nullopt,
+            const std::optional<domain::SocketAddress> &otherOrigin = std::nullopt)
     {
         boost::asio::ip::udp::socket entry(
                 context, {boost::asio::ip::make_address_v4("127.0.9.2"), 0});
@@ -67,7 +68,7 @@
         protocol::ServiceFacts &facts = *subscription.mutable_service();
         facts.set_config_version(1);
         facts.set_model(m_options.weights.model);
-        facts.set_origin(originAddress().toString());
+        facts.set_origin(otherOrigin.value_or(originAddress()).toString());
         facts.set_slots(16);
         subscription.mutable_knowledge()->set_is_store_answering(named.has_value());
         if (named) {
--- a/src/relayagent/tests/agentpushtest.cpp
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -1,7 +1,10 @@
 #include "agentfleet.h"
 
+#include "transport/tests/endlesspeer.h"
+
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <random>
 
 namespace oriolerill::relayagent {
@@ -110,6 +113,65 @@
     EXPECT_EQ(m_fleet.wrongLoads(), 0);
 }
 
+// Guards against an origin and a peer whose answers never end: memory and time would go into them,
+// and the push would not come to its end.
+TEST_F(AgentPushFixture, push_originAndPeerSendWithoutEnd_givenUpAndFinishedByOthers)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    transport::EndlessPeer origin(head, {"127.0.9.3", 21300});
+    transport::EndlessPeer peer(head, {"127.0.8.200", 21302});
+    m_fleet.store.put("endpoints/127.0.8.200",
+            platform::endpointObject(
+                    "s", "127.0.8.200:21300", "dc0", platform::StandInWeights(), 1));
+    m_fleet.tellAsEntry(std::nullopt, origin.address());
+    m_fleet.name(2);
+    m_fleet.runUntil([] { return false; }, 2s);
+    EXPECT_GT(origin.connections(), 0U);
+    m_fleet.tellAsEntry();
+    EXPECT_TRUE(pushTo(2, 20s));
+    EXPECT_EQ(m_fleet.wrongLoads(), 0);
+    EXPECT_GT(peer.connections(), 0U);
+    m_fleet.runUntil([&] { return origin.open() + peer.open() == 0; }, 5s);
+    EXPECT_EQ(origin.open() + peer.open(), 0U);
+    constexpr std::size_t MostOfOne = 12U << 20U;
+    EXPECT_LT(origin.writtenBytes(), origin.connections() * MostOfOne);
+    EXPECT_LT(peer.writtenBytes(), peer.connections() * MostOfOne);
+}
+
+// Guards against bytes of any kind at the address that takes datagrams: a demand that is no number,
+// and changed messages.
+TEST_F(AgentPushFixture, receive_datagramsChangedAtRandom_pushStillDone)
+{
+    std::mt19937 random(20261204);
+    boost::asio::ip::udp::socket sender(
+            m_fleet.context, {boost::asio::ip::make_address_v4("127.0.9.4"), 0});
+    constexpr int Rounds = 1000;
+    for (int round = 0; round < Rounds; ++round) {
+        protocol::AgentDatagram datagram;
+        if (round % 2 == 0) {
+            datagram.mutable_holdings()->set_model("m");
+            datagram.mutable_holdings()->set_version(2);
+            datagram.mutable_holdings()->set_pieces(48);
+            datagram.mutable_holdings()->set_held(std::string(6, '\xff'));
+        } else {
+            datagram.mutable_subscription()->set_entry("e");
+            datagram.mutable_subscription()->set_demand(std::nan(""));
+        }
+        std::string bytes = datagram.SerializeAsString();
+        for (int change = 0; change < 2 && round % 4 > 1; ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+        const domain::SocketAddress to
+                = m_fleet.loadAddress(m_fleet.agents[random() % m_fleet.agents.size()].host);
+        sender.send_to(
+                boost::asio::buffer(bytes), {boost::asio::ip::make_address_v4(to.host), to.port});
+        if (round % 50 == 0)
+            m_fleet.runUntil([] { return false; }, 5ms);
+    }
+    m_fleet.name(2);
+    EXPECT_TRUE(pushTo(2, 15s));
+    EXPECT_EQ(m_fleet.wrongLoads(), 0);
+}
+
 // Guards against agents that never learn model and origin where no entry tells them.
 TEST(AgentsAlone, push_noEntryHeard_configurationReadFromTheStore)
 {
--- a/src/routing/callerrequest.h
+++ b/src/routing/callerrequest.h
@@ -64,6 +64,11 @@
     std::optional<AnsweredLoad> load;
     /// Time after which the endpoint closes the idle connection; none when it does not say.
     std::optional<std::chrono::seconds> keepAlive;
+    /// The endpoint is about to stop and wants nothing new.
+    bool isLeaving = false;
+    /// Seconds for which an endpoint that refuses wants no requests; not a number when the value
+    /// cannot be read, none without one.
+    std::optional<double> quietSeconds;
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 };
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -4,6 +4,7 @@
 #include "routing/coldallowance.h"
 #include "routing/endpointlist.h"
 #include "routing/endpointload.h"
+#include "routing/endpointnotices.h"
 #include "routing/placement.h"
 #include "routing/retrybudget.h"
 #include "routing/servingconfig.h"
@@ -75,6 +76,8 @@
 {
     domain::EndpointId endpoint;
     domain::SocketAddress address;
+    /// Start of the process that was chosen; zero when not known.
+    std::uint64_t startedAtMs = 0;
     std::optional<std::uint64_t> weightsVersion;
     double startMs = 0;
     bool isCold = false;
@@ -112,6 +115,8 @@
     const std::set<domain::DataCentreId> &withdrawn() const { return m_withdrawn; }
     EndpointList &endpoints() { return m_endpoints; }
     const EndpointList &endpoints() const { return m_endpoints; }
+    EndpointNotices &notices() { return m_notices; }
+    const EndpointNotices &notices() const { return m_notices; }
     WeightsRequirement &weights() { return m_weights; }
     /// How many entries there are, and the place of this one among them.
     void setShare(EntryShare share);
@@ -121,6 +126,9 @@
     void onReport(const domain::SocketAddress &address, std::uint64_t startedAtMs,
             EngineReport report, domain::TimePoint now);
     EndpointLoad &load(const domain::EndpointId &endpoint);
+    /// This machine stood still for a time that the clock did not count: what binds from a point
+    /// in time on binds so much earlier, and no report is fresh any more.
+    void onSuspended(domain::Duration time);
 
     /// Draws one of the services among which a route splits its requests.
     domain::ServiceId drawService(const Route &route);
@@ -154,6 +162,7 @@
     std::map<domain::ServiceId, domain::Duration> m_objectives;
     std::set<domain::DataCentreId> m_withdrawn;
     EndpointList m_endpoints;
+    EndpointNotices m_notices;
     WeightsRequirement m_weights;
     ColdAllowance m_cold;
     Placement m_placement;
--- a/src/routing/endpointlist.h
+++ b/src/routing/endpointlist.h
@@ -64,6 +64,8 @@
     void apply(const std::vector<EndpointChange> &changes, domain::TimePoint now);
     /// The store answers again after an outage of this process's view of it.
     void onStoreBack(domain::TimePoint now);
+    /// Kept endpoints have so much less time than the clock says.
+    void onSuspended(domain::Duration time);
     /// Drops kept endpoints whose time to come back has passed.
     void expire(domain::TimePoint now);
 
--- a/src/routing/endpointload.h
+++ b/src/routing/endpointload.h
@@ -66,6 +66,8 @@
     /// The endpoint failed one request, as an answer of its own tells.
     void onFailedAnswer();
     void onRefused(domain::TimePoint now);
+    /// The reports are so much older than the clock says.
+    void onSuspended(domain::Duration time);
 
     bool isPaused(domain::TimePoint now) const { return now < m_pausedUntil; }
     bool isSwitching(domain::TimePoint now) const;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "routing/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace oriolerill::routing {
@@ -46,6 +47,9 @@
 void Dispatcher::onReport(const domain::SocketAddress &address, std::uint64_t startedAtMs,
         EngineReport report, domain::TimePoint now)
 {
+    // Reports are datagrams from anywhere; a pace that is no number would spoil each comparison.
+    constexpr double SlowestPace = 1000;
+    report.pace = std::isfinite(report.pace) ? std::clamp(report.pace, 1.0, SlowestPace) : 1.0;
     for (const auto &[id, endpoint] : m_endpoints.endpoints()) {
         const bool isSameStart = endpoint.startedAtMs == startedAtMs || endpoint.startedAtMs == 0
                 || startedAtMs == 0;
@@ -56,6 +60,14 @@
     }
 }
 
+void Dispatcher::onSuspended(domain::Duration time)
+{
+    m_weights.onSuspended(time);
+    m_endpoints.onSuspended(time);
+    for (auto &[id, load] : m_loads)
+        load.onSuspended(time);
+}
+
 EndpointLoad &Dispatcher::load(const domain::EndpointId &endpoint)
 {
     return m_loads.try_emplace(endpoint, m_options.load).first->second;
@@ -134,7 +146,7 @@
 
 bool Dispatcher::mayTake(const ListedEndpoint &endpoint, const DispatchQuery &query) const
 {
-    if (endpoint.service != query.service || endpoint.isDraining
+    if (endpoint.service != query.service || endpoint.isDraining || m_notices.isLeaving(endpoint)
             || query.excluded.count(endpoint.id) > 0 || m_withdrawn.count(endpoint.dataCentre) > 0)
         return false;
     const auto region = m_options.regions.find(endpoint.dataCentre);
@@ -196,6 +208,7 @@
     std::vector<PlacementCandidate> paused;
     std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
     std::size_t listed = 0;
+    std::optional<domain::TimePoint> quietUntil;
     const std::uint64_t lowest = m_weights.lowest(query.request->model, now);
     const double coldBound = service == nullptr
             ? 0
@@ -211,6 +224,10 @@
             if (!version || *version < lowest || isOther)
                 continue;
         }
+        if (const auto until = m_notices.quietUntil(endpoint, now)) {
+            quietUntil = std::min(quietUntil.value_or(*until), *until);
+            continue;
+        }
         const bool isBeyondAllowance = isCold(endpoint, *service, now)
                 && !m_cold.hasRoom(id, endpoint.coldUntil, coldBound, m_share, now);
         if (isBeyondAllowance)
@@ -231,6 +248,9 @@
     if (!chosen) {
         Refusal refusal = refuse(RefusalReason::NoEndpoint, 0);
         refusal.listed = listed;
+        // Before an endpoint's quiet time ends a caller would come back in vain.
+        if (quietUntil)
+            refusal.retryAfter = std::max(refusal.retryAfter, *quietUntil - now);
         return refusal;
     }
     const PlacementCandidate &best = pool[*chosen];
@@ -249,6 +269,7 @@
     Dispatch dispatch;
     dispatch.endpoint = best.endpoint;
     dispatch.address = endpoint->address;
+    dispatch.startedAtMs = endpoint->startedAtMs;
     dispatch.startMs = best.startMs;
     dispatch.isCold = isCold(*endpoint, *service, now);
     if (lowest > 0 || query.pinnedWeights)
--- a/src/routing/internal/endpointlist.cpp
+++ b/src/routing/internal/endpointlist.cpp
@@ -73,6 +73,12 @@
     m_returnDeadline = now + m_options.returnTime;
 }
 
+void EndpointList::onSuspended(domain::Duration time)
+{
+    for (auto &[id, until] : m_keptUntil)
+        until -= time;
+}
+
 void EndpointList::expire(domain::TimePoint now)
 {
     for (auto kept = m_keptUntil.begin(); kept != m_keptUntil.end();) {
--- a/src/routing/internal/endpointload.cpp
+++ b/src/routing/internal/endpointload.cpp
@@ -70,6 +70,12 @@
     m_pausedUntil = std::max(m_pausedUntil, now + RefusalPause);
 }
 
+void EndpointLoad::onSuspended(domain::Duration time)
+{
+    if (m_reportedAt != domain::TimePoint())
+        m_reportedAt -= time;
+}
+
 bool EndpointLoad::isSwitching(domain::TimePoint now) const
 {
     return hasFreshReport(now) && m_report.isSwitching;
--- a/src/routing/internal/weightsrequirement.cpp
+++ b/src/routing/internal/weightsrequirement.cpp
@@ -17,6 +17,14 @@
     m_requiredAt[model].emplace(version, now + delay);
 }
 
+void WeightsRequirement::onSuspended(domain::Duration time)
+{
+    for (auto &[model, versions] : m_requiredAt) {
+        for (auto &[version, at] : versions)
+            at -= time;
+    }
+}
+
 std::uint64_t WeightsRequirement::lowest(const domain::ModelId &model, domain::TimePoint now) const
 {
     const auto versions = m_requiredAt.find(model);
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -367,4 +367,20 @@
         EXPECT_EQ(chosen(dispatcher), "e1");
 }
 
+// Guards against a process that wakes after some seconds and acts on what ran out meanwhile: the
+// monotonic clock does not count the time, so a version that binds by now did not bind here, and
+// reports that are seconds old counted as fresh.
+TEST_F(DispatcherFixture, onSuspended_versionNamedBefore_requiredAtOnceAndReportsOld)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 2);
+    report(dispatcher, 0, 2, 1);
+    report(dispatcher, 1, 2, 2);
+    dispatcher.weights().onNamed(ModelId("m"), 2, false, m_now);
+    EXPECT_TRUE(dispatcher.load(EndpointId("e0")).hasFreshReport(m_now));
+    dispatcher.onSuspended(7s);
+    EXPECT_FALSE(dispatcher.load(EndpointId("e0")).hasFreshReport(m_now));
+    EXPECT_EQ(dispatcher.weights().lowest(ModelId("m"), m_now), 2U);
+}
+
 } // namespace oriolerill::routing
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -30,6 +30,8 @@
     /// A version was named. isAtStart tells that it was found rather than seen to change.
     void onNamed(const domain::ModelId &model, std::uint64_t version, bool isAtStart,
             domain::TimePoint now);
+    /// All named versions are required so much earlier.
+    void onSuspended(domain::Duration time);
     /// Zero while every version will do.
     std::uint64_t lowest(const domain::ModelId &model, domain::TimePoint now) const;
     std::uint64_t newest(const domain::ModelId &model) const;
