--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -31,8 +31,10 @@
 {
     asio::steady_timer timer(m_context);
     for (;;) {
-        domain::Duration pause = m_options.changePause;
-        if (!co_await step())
+        m_hasCalled = true;
+        const bool isDone = co_await step();
+        domain::Duration pause = m_hasCalled ? m_options.changePause : domain::Duration::zero();
+        if (!isDone)
             pause = retryPause();
         if (pause > domain::Duration::zero()) {
             timer.expires_after(pause);
@@ -41,12 +43,19 @@
     }
 }
 
-domain::Duration StoreFollower::retryPause() const
+domain::Duration StoreFollower::retryPause()
 {
     constexpr std::uint32_t MostDoublings = 4;
     const auto doubled = m_options.firstRetryPause
             * (1U << std::min(std::max(m_failures, 1U) - 1, MostDoublings));
-    return std::min<domain::Duration>(doubled, m_options.longestRetryPause);
+    const bool isToldLost = m_toldLostAt != TimePoint()
+            && TimePoint::clock::now() - m_toldLostAt <= m_options.toldLife;
+    const domain::Duration pause = isToldLost
+            ? m_options.toldRetryPause
+            : std::min<domain::Duration>(doubled, m_options.longestRetryPause);
+    // Spread, so that processes that lost the store together do not ask together.
+    std::uniform_real_distribution<double> spread(0.75, 1.25);
+    return std::chrono::duration_cast<domain::Duration>(pause * spread(m_random));
 }
 
 asio::awaitable<void> StoreFollower::wait(domain::Duration duration)
@@ -62,8 +71,23 @@
         co_await wait(CheckInterval);
         co_return true;
     }
+    if (m_failures > 0 && m_isHeldBack && m_isHeldBack()) {
+        m_hasCalled = false;
+        co_await wait(CheckInterval);
+        co_return true;
+    }
     if (!m_hasList)
         co_return co_await listOnce();
+    if (m_hasGap && m_peerList && m_failures == 0) {
+        const bool isListed = co_await listFromPeer();
+        if (isListed)
+            co_return true;
+    }
+    if (isTold(TimePoint::clock::now()) && !m_hasGap) {
+        m_hasCalled = false;
+        co_await wait(CheckInterval);
+        co_return true;
+    }
     if (m_isNeeded && !m_isNeeded()) {
         co_await wait(CheckInterval);
         // What changed meanwhile is not known.
@@ -81,19 +105,63 @@
         co_return false;
     }
     onSuccess();
+    takeList(*list);
+    co_return true;
+}
+
+void StoreFollower::takeList(const ObjectList &list)
+{
     ++m_generation;
-    m_version = list->storeVersion;
+    m_version = list.storeVersion;
     m_hasList = true;
-    note(*list);
-    m_sink.onList(*list);
+    m_hasGap = false;
+    m_objectRevisions.clear();
+    note(list);
+    if (m_keepsLastList)
+        m_lastList = list;
+    m_sink.onList(list);
+}
+
+asio::awaitable<bool> StoreFollower::listFromPeer()
+{
+    const std::uint64_t generation = m_generation;
+    auto list = co_await m_peerList(TimePoint::clock::now() + m_options.listTime);
+    // Meanwhile the own watch or another list may have brought as much.
+    if (generation != m_generation)
+        co_return true;
+    if (!list || list->storeVersion.revision < m_version.revision) {
+        logEvent(Severity::Info, "peer_list_missing",
+                {{"collection", m_collection},
+                        {"reason", list ? "it is older than what is known" : list.error().message},
+                        {"remedy", "the store is read instead"}});
+        co_return false;
+    }
+    takeList(*list);
     co_return true;
 }
 
+void StoreFollower::keep(const ObjectList &changes)
+{
+    if (!m_keepsLastList)
+        return;
+    m_lastList.storeVersion = std::max(m_lastList.storeVersion, changes.storeVersion);
+    for (const StoredObject &object : changes.objects) {
+        std::erase_if(m_lastList.objects,
+                [&object](const StoredObject &known) { return known.key == object.key; });
+        if (!object.isDeleted)
+            m_lastList.objects.push_back(object);
+    }
+}
+
 asio::awaitable<bool> StoreFollower::watchOnce()
 {
     const std::uint64_t generation = m_generation;
+    const std::uint64_t lastChange = m_changedAt;
+    const std::uint64_t before = m_version.revision;
+    // What is missing here has happened already, so the answer comes at once.
+    const domain::Duration time = m_hasGap ? domain::Duration::zero() : watchTime();
     auto changes = co_await m_store.watch(
-            m_collection, m_version, TimePoint::clock::now() + watchTime() + m_options.answerTime);
+            m_collection, m_version, TimePoint::clock::now() + time + m_options.answerTime);
     if (generation != m_generation)
         co_return true;
     if (!changes && changes.error().kind == ErrorKind::NotFound) {
@@ -107,13 +175,69 @@
         co_return false;
     }
     onSuccess();
+    m_hasGap = false;
+    const ObjectList newer = newerThanKnown(*changes);
     m_version = std::max(m_version, changes->storeVersion);
-    note(*changes);
-    if (!changes->objects.empty())
-        m_sink.onChanges(*changes);
+    note(newer);
+    keep(newer);
+    if (m_sink.onWatched && changes->storeVersion.revision > before)
+        m_sink.onWatched(lastChange, *changes);
+    if (!newer.objects.empty())
+        m_sink.onChanges(newer);
     co_return true;
 }
 
+bool StoreFollower::isTold(TimePoint now) const
+{
+    return m_toldAt != TimePoint() && now - m_toldAt <= m_options.toldLife;
+}
+
+std::optional<std::uint64_t> StoreFollower::ownRevision(TimePoint now) const
+{
+    const bool isAnswered = m_hasList && m_failures == 0 && !isTold(now)
+            && now - m_answeredAt <= watchTime() + m_options.answerTime;
+    if (!isAnswered)
+        return std::nullopt;
+    return m_version.revision;
+}
+
+ObjectList StoreFollower::newerThanKnown(const ObjectList &changes)
+{
+    ObjectList newer{{}, changes.storeVersion};
+    for (const StoredObject &object : changes.objects) {
+        const auto known = m_objectRevisions.find(object.key);
+        const bool isOld = known != m_objectRevisions.end() && object.version.revision > 0
+                && (object.isDeleted ? object.version.revision < known->second
+                                     : object.version.revision <= known->second);
+        if (!isOld)
+            newer.objects.push_back(object);
+    }
+    return newer;
+}
+
+void StoreFollower::onTold(std::uint64_t after, const ObjectList &changes, TimePoint now)
+{
+    // A reader that does not know the last change may be cut off from the store.
+    if (!m_hasList || changes.storeVersion.revision < m_changedAt)
+        return;
+    if (after > m_version.revision) {
+        m_hasGap = true;
+        return;
+    }
+    m_toldAt = now;
+    onSuccess();
+    if (changes.storeVersion.revision <= m_version.revision)
+        return;
+    const ObjectList newer = newerThanKnown(changes);
+    // What a watch that waits here brings is older.
+    ++m_generation;
+    m_version = changes.storeVersion;
+    note(newer);
+    keep(newer);
+    if (!newer.objects.empty())
+        m_sink.onChanges(newer);
+}
+
 domain::Duration StoreFollower::watchTime() const
 {
     const bool isBacked = m_hintedAt != TimePoint()
@@ -127,6 +251,7 @@
         // A removed object bears the revision of its last change, not that of its removal.
         const auto &version = object.isDeleted ? objects.storeVersion : object.version;
         m_changedAt = std::max(m_changedAt, version.revision);
+        m_objectRevisions[object.key] = version.revision;
     }
 }
 
@@ -173,9 +298,10 @@
 void StoreFollower::onFailure(const domain::Error &error)
 {
     ++m_failures;
-    // A watch begun in an outage may never be answered, even after it. A list is, and costs the
-    // same; its short deadline shows the return of the store early.
-    m_hasList = false;
+    // A watch begun in an outage may never be answered, even after it. One that waits for nothing
+    // is, and its short deadline shows the return of the store early; whole lists for all processes
+    // at that moment would fill the links between regions.
+    m_hasGap = true;
     if (m_failures > 1)
         return;
     logEvent(Severity::Warning, "store_lost",
@@ -186,6 +312,7 @@
 
 void StoreFollower::onSuccess()
 {
+    m_answeredAt = TimePoint::clock::now();
     if (m_failures == 0)
         return;
     logEvent(
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -7,7 +7,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace oriolerill::objectstore {
@@ -21,6 +23,9 @@
     /// The store has stopped to answer, or answers again.
     std::function<void()> onLost;
     std::function<void()> onBack;
+    /// What a watch of this process has brought, beside onChanges; after is the revision of the
+    /// last change before.
+    std::function<void(std::uint64_t after, const ObjectList &changes)> onWatched;
 };
 
 struct StoreFollowerOptions
@@ -44,6 +49,12 @@
     domain::Duration changePause = std::chrono::milliseconds(0);
     domain::Duration firstRetryPause = std::chrono::milliseconds(100);
     domain::Duration longestRetryPause = std::chrono::milliseconds(800);
+    /// The same while another process finds out for this one when the store answers again. It may
+    /// answer some and not others, so each still asks.
+    domain::Duration toldRetryPause = std::chrono::milliseconds(2500);
+    /// While others tell all changes the collection is not watched here. They tell that there are
+    /// none twice a second; after two of these were lost, this process watches itself.
+    domain::Duration toldLife = std::chrono::milliseconds(1200);
 };
 
 /// Keeps a copy of one collection of the store up to date: lists it, then watches for changes;
@@ -66,6 +77,26 @@
     std::uint64_t changedAt() const { return m_changedAt; }
     /// Another process has seen a change at this revision.
     void onHint(std::uint64_t changedAt, domain::TimePoint now);
+    /// Another process has read these changes, up to the revision of the list; the last change
+    /// before them was at the other one.
+    void onTold(std::uint64_t after, const ObjectList &changes, domain::TimePoint now);
+    /// Another process reads the store for this one, and gets no answer.
+    void onToldLost(domain::TimePoint now) { m_toldLostAt = now; }
+    const std::string &collection() const { return m_collection; }
+    /// Revision of the store up to which the collection is known, if a watch or list of this
+    /// process brought it lately; what was told by others is not told again.
+    std::optional<std::uint64_t> ownRevision(domain::TimePoint now) const;
+    bool isFailing() const { return m_failures > 0; }
+    /// After a failure the store is not called while the function returns true: another follower
+    /// of this process finds out when it answers again.
+    void setHeldBack(std::function<bool()> isHeldBack) { m_isHeldBack = std::move(isHeldBack); }
+    using PeerList = std::function<boost::asio::awaitable<domain::Expected<ObjectList>>(
+            domain::TimePoint deadline)>;
+    /// A gap in what was told is closed from the process that told it, if that works.
+    void setPeerList(PeerList list) { m_peerList = std::move(list); }
+    /// The last list or change, for those that read it from this process.
+    const ObjectList &lastList() const { return m_lastList; }
+    void keepLastList() { m_keepsLastList = true; }
 
 private:
     boost::asio::awaitable<bool> step();
@@ -73,8 +104,14 @@
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> listUntilAnswered();
     boost::asio::awaitable<void> wait(domain::Duration duration);
-    domain::Duration retryPause() const;
+    domain::Duration retryPause();
     domain::Duration watchTime() const;
+    bool isTold(domain::TimePoint now) const;
+    /// Drops changes of objects whose later state is known already.
+    ObjectList newerThanKnown(const ObjectList &changes);
+    boost::asio::awaitable<bool> listFromPeer();
+    void takeList(const ObjectList &list);
+    void keep(const ObjectList &changes);
     void note(const ObjectList &objects);
     void onFailure(const domain::Error &error);
     void onSuccess();
@@ -96,6 +133,21 @@
     domain::TimePoint m_hintedAt;
     /// Since when others know of a change that is not known here.
     std::optional<domain::TimePoint> m_behindSince;
+    /// Revision of the last change of each object, of its removal too.
+    std::map<std::string, std::uint64_t> m_objectRevisions;
+    domain::TimePoint m_toldAt;
+    /// Changes were told that begin after what is known here.
+    bool m_hasGap = false;
+    domain::TimePoint m_toldLostAt;
+    std::function<bool()> m_isHeldBack;
+    PeerList m_peerList;
+    /// Whole collection as far as it is known; kept for small numbers of large objects only.
+    ObjectList m_lastList;
+    bool m_keepsLastList = false;
+    std::mt19937 m_random{std::random_device{}()};
+    domain::TimePoint m_answeredAt;
+    /// The last step has called the store.
+    bool m_hasCalled = true;
 };
 
 } // namespace oriolerill::objectstore
--- a/src/objectstore/tests/storehinttest.cpp
+++ b/src/objectstore/tests/storehinttest.cpp
@@ -185,4 +185,136 @@
     EXPECT_EQ(m_store.watchTimes.size(), 1U);
 }
 
+/// A follower that another process tells the changes which it has read.
+class StoreToldFixture : public StoreHintFixture
+{
+protected:
+    static constexpr std::uint64_t Known = 5;
+
+    void SetUp() override
+    {
+        StoreHintFixture::SetUp();
+        m_store.watchAnswerTime = 30ms;
+        m_store.late = changesTo(Known);
+        start();
+        runFor(10ms);
+    }
+
+    static ObjectList changesTo(std::uint64_t revision, const std::string &name = "",
+            std::uint64_t changedAt = 0, bool isDeleted = false)
+    {
+        ObjectList changes;
+        changes.storeVersion = {0, revision};
+        if (!name.empty())
+            changes.objects = {{"withdrawals/" + name, "{}", {0, changedAt}, isDeleted}};
+        return changes;
+    }
+
+    void tell(std::uint64_t after, const ObjectList &changes)
+    {
+        m_follower->onTold(after, changes, TimePoint::clock::now());
+    }
+};
+
+// Guards against calls of each entry for what one of them has read: the collection is not watched
+// while it is told, and is again when nothing has been heard for a while.
+TEST_F(StoreToldFixture, onTold_heardAllTheTime_watchedOnlyWhenItEnds)
+{
+    tell(Known, changesTo(Known));
+    runFor(250ms);
+    const std::size_t before = m_store.watchTimes.size();
+    for (int i = 0; i < 10; ++i) {
+        tell(Known, changesTo(Known));
+        runFor(100ms);
+    }
+    EXPECT_EQ(m_store.watchTimes.size(), before);
+    runFor(1600ms);
+    EXPECT_GT(m_store.watchTimes.size(), before);
+    EXPECT_EQ(m_store.lists, 1);
+}
+
+// Guards against changes that are taken twice or undone: an older state of an object, or its
+// earlier removal, that comes after a newer one.
+TEST_F(StoreToldFixture, onTold_overlappingChanges_olderStatesDropped)
+{
+    tell(Known, changesTo(9, "b", 8));
+    EXPECT_EQ(m_changesSeen, 1);
+    tell(Known, changesTo(9, "b", 8));
+    EXPECT_EQ(m_changesSeen, 1);
+    tell(Known, changesTo(12, "b", 7, true));
+    EXPECT_EQ(m_changesSeen, 1);
+    tell(8, changesTo(14, "b", 8, true));
+    EXPECT_EQ(m_changesSeen, 2);
+    tell(6, changesTo(15, "b", 13));
+    EXPECT_EQ(m_changesSeen, 2);
+}
+
+// Guards against a change that never comes because the datagram that told it was lost.
+TEST_F(StoreToldFixture, onTold_changesBeginLater_gapReadFromTheStore)
+{
+    tell(Known, changesTo(Known));
+    runFor(250ms);
+    m_store.late = changesTo(20, "c", 17);
+    const std::size_t before = m_store.watchTimes.size();
+    tell(18, changesTo(20));
+    runFor(400ms);
+    EXPECT_EQ(m_changesSeen, 1);
+    EXPECT_EQ(m_follower->changedAt(), 17U);
+    EXPECT_EQ(m_store.watchTimes.size(), before + 1);
+}
+
+// Guards against a reader that is cut off from the store and goes on telling what it knew.
+TEST_F(StoreToldFixture, onTold_readerBehind_notHeard)
+{
+    m_store.late = changesTo(30, "d", 28);
+    runFor(60ms);
+    const std::size_t before = m_store.watchTimes.size();
+    for (int i = 0; i < 5; ++i) {
+        tell(Known, changesTo(Known));
+        runFor(60ms);
+    }
+    EXPECT_GT(m_store.watchTimes.size(), before);
+}
+
+// Guards against two readers whose watches end at different revisions: neither makes the other look
+// like a gap, as long as nothing has changed in between.
+TEST_F(StoreToldFixture, onTold_twoReadersAtDifferentRevisions_bothHeardWithoutCalls)
+{
+    tell(Known, changesTo(9));
+    runFor(250ms);
+    const std::size_t before = m_store.watchTimes.size();
+    for (int i = 0; i < 10; ++i) {
+        tell(Known, changesTo(i % 2 == 0 ? 7 : 31));
+        runFor(50ms);
+    }
+    EXPECT_EQ(m_store.watchTimes.size(), before);
+    EXPECT_EQ(m_store.lists, 1);
+}
+
+// Guards against a large object that each process reads from the store: the gap is closed from the
+// process that told of it, and from the store when that fails.
+TEST_F(StoreToldFixture, onTold_gapAndPeerGivesList_storeNotRead)
+{
+    bool isPeerUp = true;
+    m_follower->setPeerList([&](TimePoint) -> asio::awaitable<Expected<ObjectList>> {
+        if (!isPeerUp)
+            co_return Error{ErrorKind::Unavailable, "down", "read the store"};
+        co_return changesTo(20, "large", 20);
+    });
+    tell(Known, changesTo(Known));
+    runFor(250ms);
+    const std::size_t before = m_store.watchTimes.size();
+    tell(20, changesTo(20));
+    runFor(250ms);
+    EXPECT_EQ(m_follower->changedAt(), 20U);
+    tell(20, changesTo(20));
+    EXPECT_EQ(m_store.watchTimes.size(), before);
+    isPeerUp = false;
+    tell(40, changesTo(40));
+    m_store.late = changesTo(40, "large", 40);
+    runFor(250ms);
+    EXPECT_EQ(m_follower->changedAt(), 40U);
+    EXPECT_EQ(m_store.lists, 1);
+}
+
 } // namespace oriolerill::objectstore
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -59,6 +59,46 @@
     return *m_followers.back();
 }
 
+objectstore::StoreFollower &FleetFollower::share(const char *collection,
+        objectstore::CollectionSink sink, objectstore::StoreFollowerOptions options)
+{
+    sink.onWatched = [this, collection](std::uint64_t after, const ObjectList &changes) {
+        if (m_onNews)
+            m_onNews({collection, after, changes});
+    };
+    m_shared.push_back(&follow(collection, std::move(sink), options));
+    return *m_shared.back();
+}
+
+std::vector<ToldChanges> FleetFollower::heardSoFar(TimePoint now) const
+{
+    std::vector<ToldChanges> heard;
+    for (const objectstore::StoreFollower *follower : m_shared) {
+        if (const auto revision = follower->ownRevision(now))
+            heard.push_back({follower->collection(), follower->changedAt(), {{}, {0, *revision}}});
+    }
+    return heard;
+}
+
+void FleetFollower::onToldLost(TimePoint now)
+{
+    for (objectstore::StoreFollower *follower : m_shared)
+        follower->onToldLost(now);
+}
+
+void FleetFollower::setPeerList(objectstore::StoreFollower::PeerList list)
+{
+    m_configuration->setPeerList(std::move(list));
+}
+
+void FleetFollower::onTold(const ToldChanges &changes, TimePoint now)
+{
+    for (objectstore::StoreFollower *follower : m_shared) {
+        if (follower->collection() == changes.collection)
+            follower->onTold(changes.after, changes.changes, now);
+    }
+}
+
 void FleetFollower::onStoreLost()
 {
     if (!m_relay.storeLostAt)
@@ -100,13 +140,13 @@
 void FleetFollower::start()
 {
     const auto onConfigObjects = [this](const ObjectList &objects) { onConfig(objects); };
-    m_configuration = &follow("configuration",
+    m_configuration = &share("configuration",
             {onConfigObjects, onConfigObjects, [this] { onStoreLost(); },
                     [this] { m_relay.storeLostAt.reset(); }},
             {});
     objectstore::StoreFollowerOptions endpointOptions;
     endpointOptions.changePause = m_drainBound / EndpointPausesPerDrainBound;
-    follow("endpoints",
+    objectstore::StoreFollower &endpoints = share("endpoints",
             {[this](const ObjectList &objects) { onEndpoints(objects, true); },
                     [this](const ObjectList &objects) { onEndpoints(objects, false); },
                     [this] { onStoreLost(); },
@@ -115,14 +155,18 @@
                         onStoreBack();
                     }},
             endpointOptions);
-    m_withdrawals = &follow("withdrawals",
+    m_configuration->keepLastList();
+    m_withdrawals = &share("withdrawals",
             {[this](const ObjectList &objects) { onWithdrawals(objects, true); },
                     [this](const ObjectList &objects) { onWithdrawals(objects, false); }, {}, {}},
             {});
-    m_weights = &follow("weights",
+    m_weights = &share("weights",
             {[this](const ObjectList &objects) { onWeights(objects, !m_hasWeights); },
                     [this](const ObjectList &objects) { onWeights(objects, false); }, {}, {}},
             {});
+    // One of four finds out when the store answers again.
+    for (objectstore::StoreFollower *follower : {m_configuration, m_withdrawals, m_weights})
+        follower->setHeldBack([&endpoints] { return endpoints.isFailing(); });
 }
 
 void FleetFollower::onConfig(const ObjectList &objects)
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -3,6 +3,7 @@
 #include "objectstore/storefollower.h"
 #include "protocol/control.pb.h"
 #include "relay/internal/relaycontext.h"
+#include "relay/internal/storenews.h"
 
 #include <functional>
 #include <map>
@@ -25,6 +26,19 @@
     protocol::StoreKnowledge knowledge() const;
     /// Called when a version of weights is named.
     void onNamed(std::function<void()> handler) { m_onNamed = std::move(handler); }
+    using NewsHandler = std::function<void(const ToldChanges &changes)>;
+    /// Called for what the watches of this process bring from collections that entries share.
+    void onNews(NewsHandler handler) { m_onNews = std::move(handler); }
+    /// How far the shared collections are known here by own watches; without objects.
+    std::vector<ToldChanges> heardSoFar(domain::TimePoint now) const;
+    void onToldLost(domain::TimePoint now);
+    /// How large collections are read from another entry. After start().
+    void setPeerList(objectstore::StoreFollower::PeerList list);
+    /// The configuration as the store has it, for other entries.
+    const objectstore::ObjectList &configuration() const { return m_configuration->lastList(); }
+    bool isStoreLost() const { return m_relay.storeLostAt.has_value(); }
+    /// What another entry of the data centre has read.
+    void onTold(const ToldChanges &changes, domain::TimePoint now);
     /// What other entries know, as agents tell it.
     void onHint(const protocol::StoreKnowledge &knowledge);
 
@@ -38,6 +52,10 @@
     objectstore::StoreFollower &follow(const char *collection, objectstore::CollectionSink sink,
             objectstore::StoreFollowerOptions options);
 
+    /// The same for a collection that entries of a data centre tell each other.
+    objectstore::StoreFollower &share(const char *collection, objectstore::CollectionSink sink,
+            objectstore::StoreFollowerOptions options);
+
     boost::asio::io_context &m_context;
     objectstore::IObjectStore &m_store;
     RelayContext &m_relay;
@@ -48,6 +66,9 @@
     objectstore::StoreFollower *m_weights = nullptr;
     std::map<domain::ModelId, std::uint64_t> m_named;
     std::function<void()> m_onNamed;
+    NewsHandler m_onNews;
+    /// Collections whose objects are small enough to be told.
+    std::vector<objectstore::StoreFollower *> m_shared;
     bool m_hasEndpoints = false;
     bool m_hasWithdrawals = false;
     bool m_hasWeights = false;
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -23,6 +23,11 @@
 /// An agent's count of entries is used for this long.
 constexpr auto CountLife = std::chrono::milliseconds(5000);
 constexpr std::size_t MaxDatagram = 1500;
+/// Entries of a data centre that read the shared collections for all of it: two, so that one that
+/// is killed, frozen or cut off from the store is not missed.
+constexpr std::uint32_t Readers = 2;
+/// Readers tell this often how far they have read, whether anything has changed or not.
+constexpr auto NewsInterval = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -74,11 +79,13 @@
     const double seconds = std::chrono::duration<double>(SubscriptionInterval).count();
     const std::map<domain::ServiceId, double> localDemand = takeLocalDemand(seconds);
     for (const auto &[id, endpoint] : m_dispatcher.endpoints().endpoints()) {
-        if (!isEngine(endpoint))
+        if (!isWanted(endpoint))
             continue;
         const double sent = static_cast<double>(m_dispatcher.load(id).takeSentCount()) / seconds;
         const auto local = localDemand.find(endpoint.service);
-        const bool isLocal = endpoint.dataCentre == m_dataCentre && local != localDemand.end();
+        const routing::WorkingSet *set = m_dispatcher.workingSet(endpoint.service);
+        const bool isLocal = endpoint.dataCentre == m_dataCentre && local != localDemand.end()
+                && set->contains(id);
         subscription.clear_service();
         if (endpoint.dataCentre == m_dataCentre)
             addFacts(endpoint.service, *subscription.mutable_service());
@@ -130,6 +137,95 @@
     facts.set_usual_answer_tokens(speed.usualAnswerTokens);
 }
 
+bool LoadListener::isWanted(const routing::ListedEndpoint &endpoint)
+{
+    const routing::WorkingSet *set = m_dispatcher.workingSet(endpoint.service);
+    if (set == nullptr)
+        return false;
+    const auto &counters = set->counters();
+    // A cold engine's first requests, and what is sent beyond the set, need its load too.
+    return set->contains(endpoint.id) || m_dispatcher.load(endpoint.id).inFlight() > 0
+            || std::find(counters.begin(), counters.end(), endpoint.id) != counters.end();
+}
+
+asio::awaitable<void> LoadListener::tellNews()
+{
+    asio::steady_timer timer(m_context);
+    for (;;) {
+        if (isReader()) {
+            protocol::StoreNews news;
+            for (const ToldChanges &heard : m_fleet.heardSoFar(TimePoint::clock::now())) {
+                for (protocol::StoreChanges &part : splitChanges(heard))
+                    *news.add_changes() = std::move(part);
+            }
+            news.set_is_store_lost(m_fleet.isStoreLost());
+            sendNews(news);
+        }
+        timer.expires_after(NewsInterval);
+        co_await timer.async_wait(UseTuple);
+    }
+}
+
+void LoadListener::tellNews(const ToldChanges &changes)
+{
+    if (!isReader())
+        return;
+    std::vector<protocol::StoreChanges> parts = splitChanges(changes);
+    if (parts.empty()) {
+        // Too large to be told: the others see that there is something, and fetch it.
+        const std::uint64_t upTo = changes.changes.storeVersion.revision;
+        parts = splitChanges({changes.collection, upTo, {{}, {0, upTo}}});
+    }
+    for (protocol::StoreChanges &part : parts) {
+        protocol::StoreNews news;
+        *news.add_changes() = std::move(part);
+        sendNews(news);
+    }
+}
+
+void LoadListener::sendNews(const protocol::StoreNews &news)
+{
+    protocol::AgentDatagram datagram;
+    *datagram.mutable_news() = news;
+    datagram.mutable_news()->set_source(m_listen.toString());
+    const std::string bytes = datagram.SerializeAsString();
+    const auto config = m_dispatcher.config();
+    if (!config)
+        return;
+    for (const auto &[id, service] : config->services()) {
+        const routing::WorkingSet *set = m_dispatcher.workingSet(id);
+        if (set == nullptr || set->localCounters().empty())
+            continue;
+        // Each reader uses another agent, so that no agent is needed by both.
+        const auto &counters = set->localCounters();
+        const auto *endpoint
+                = m_dispatcher.endpoints().find(counters[m_localRank.rank % counters.size()]);
+        if (endpoint != nullptr)
+            sendTo(*endpoint, bytes);
+        return;
+    }
+}
+
+bool LoadListener::isReader() const
+{
+    return m_localRank.entries > 0 && m_localRank.rank < Readers;
+}
+
+void LoadListener::learnNews(const protocol::StoreNews &news, TimePoint now)
+{
+    // Readers go by the store alone; else they could keep each other believing in what is old.
+    if (isReader())
+        return;
+    if (const auto source = domain::SocketAddress::parse(news.source()))
+        m_newsSource = *source;
+    if (news.is_store_lost())
+        m_fleet.onToldLost(now);
+    for (const protocol::StoreChanges &part : news.changes()) {
+        if (const auto changes = m_assembler.add(part, now))
+            m_fleet.onTold(*changes, now);
+    }
+}
+
 bool LoadListener::isEngine(const routing::ListedEndpoint &endpoint) const
 {
     const auto config = m_dispatcher.config();
@@ -141,7 +237,8 @@
 {
     std::map<domain::ServiceId, double> demand;
     for (const auto &[id, endpoint] : m_dispatcher.endpoints().endpoints()) {
-        if (isEngine(endpoint) && endpoint.dataCentre == m_dataCentre && !endpoint.isDraining)
+        const routing::WorkingSet *set = m_dispatcher.workingSet(endpoint.service);
+        if (set != nullptr && set->contains(id) && endpoint.dataCentre == m_dataCentre)
             ++demand[endpoint.service];
     }
     for (auto &[service, engines] : demand)
@@ -172,13 +269,18 @@
                     {{"error", code.message()}, {"remedy", "the next report is awaited"}});
             continue;
         }
-        protocol::LoadReport message;
-        if (!message.ParseFromArray(bytes.data(), static_cast<int>(size))) {
+        protocol::EntryDatagram datagram;
+        if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(size))) {
             observability::logEvent(observability::Severity::Warning, "report_malformed",
                     {{"sender", sender.address().to_string()}, {"bytes", size},
                             {"remedy", "check what sends to the load port"}});
             continue;
         }
+        if (datagram.has_news())
+            learnNews(datagram.news(), TimePoint::clock::now());
+        if (!datagram.has_report())
+            continue;
+        const protocol::LoadReport &message = datagram.report();
         const domain::SocketAddress address{
                 sender.address().to_string(), static_cast<std::uint16_t>(message.endpoint_port())};
         routing::EngineReport report;
@@ -196,7 +298,8 @@
             learnLeaving(message.knowledge(), now);
         }
         m_dispatcher.onReport(address, message.engine_started_at_ms(), report, now);
-        m_counts[address] = {{message.entries(), message.rank()}, now};
+        m_counts[address] = {{message.entries(), message.rank()},
+                {message.local_entries(), message.local_rank()}, now};
     }
 }
 
@@ -216,9 +319,20 @@
 void LoadListener::countEntries(TimePoint now)
 {
     routing::EntryShare most{0, 0};
+    routing::EntryShare local{0, 0};
+    std::erase_if(m_counts, [now](const auto &count) { return now - count.second.at > CountLife; });
     for (const auto &[agent, count] : m_counts) {
-        if (now - count.at <= CountLife && count.share.entries > most.entries)
+        if (count.share.entries > most.entries)
             most = count.share;
+        if (count.local.entries > local.entries)
+            local = count.local;
+    }
+    const bool wasReader = isReader();
+    m_localRank = local;
+    if (wasReader != isReader()) {
+        observability::logEvent(observability::Severity::Info, "store_reader",
+                {{"is_reader", isReader() ? 1 : 0}, {"rank", local.rank},
+                        {"entries", local.entries}});
     }
     const routing::EntryShare &before = m_dispatcher.share();
     // Without any report the last count stands: too many entries is the safe error.
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace oriolerill::relay::internal {
@@ -30,17 +31,31 @@
     /// Tells the agents of this data centre at once what this entry has just learnt: a named
     /// version, or an endpoint that is leaving.
     void tellNow();
+    /// Tells the other entries of this data centre what the own watches have brought, if this entry
+    /// reads the store for them.
+    void tellNews(const ToldChanges &changes);
+    /// Tells them all the time how far the own watches have come.
+    boost::asio::awaitable<void> tellNews();
+    /// Entry that told last what the store holds; none before.
+    const std::optional<domain::SocketAddress> &newsSource() const { return m_newsSource; }
 
 private:
     struct EntryCount
     {
         routing::EntryShare share;
+        /// Among the entries of this data centre; without entries when the agent is in another.
+        routing::EntryShare local;
         domain::TimePoint at;
     };
 
     void sendSubscriptions();
     /// What an agent would otherwise read from the configuration, which may be large.
     void addFacts(const domain::ServiceId &id, protocol::ServiceFacts &facts) const;
+    /// Whether reports of this endpoint are worth their bytes.
+    bool isWanted(const routing::ListedEndpoint &endpoint);
+    bool isReader() const;
+    void sendNews(const protocol::StoreNews &news);
+    void learnNews(const protocol::StoreNews &news, domain::TimePoint now);
     bool isEngine(const routing::ListedEndpoint &endpoint) const;
     /// Requests a second for each engine of this data centre, by service.
     std::map<domain::ServiceId, double> takeLocalDemand(double seconds);
@@ -58,6 +73,10 @@
     domain::SocketAddress m_listen;
     boost::asio::ip::udp::socket m_socket;
     std::map<domain::SocketAddress, EntryCount> m_counts;
+    /// Place of this entry among those of its data centre; no entries while it is not known.
+    routing::EntryShare m_localRank{0, 0};
+    StoreNewsAssembler m_assembler;
+    std::optional<domain::SocketAddress> m_newsSource;
 };
 
 } // namespace oriolerill::relay::internal
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -6,6 +6,7 @@
 #include "platform/fleetcodec.h"
 #include "platform/fleetobjectstore.h"
 #include "relay/internal/callerlistener.h"
+#include "relay/internal/configurationexchange.h"
 #include "relay/internal/fleetfollower.h"
 #include "relay/internal/loadlistener.h"
 #include "settings/settingsloader.h"
@@ -45,6 +46,7 @@
 routing::DispatcherOptions dispatcherOptions(const settings::RelaySettings &settings)
 {
     routing::DispatcherOptions options;
+    options.entry = settings.id;
     options.dataCentre = settings.dataCentre;
     for (const auto &[dataCentre, region] : settings.regions)
         options.regions[domain::DataCentreId(dataCentre)] = domain::RegionId(region);
@@ -76,6 +78,8 @@
         , m_callers(m_context, m_relay, m_settings.maxConnections)
         , m_statusServer(m_context.get_executor(), {})
         , m_metricsServer(m_context.get_executor(), {})
+        , m_entryServer(m_context.get_executor(), {})
+        , m_configurations(m_context.get_executor())
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     {}
 
@@ -98,10 +102,19 @@
         if (auto started = m_metricsServer.start(m_settings.listenMetrics, handler); !started)
             return started.error();
         m_follower.onNamed([this] { m_load.tellNow(); });
+        m_follower.onNews(
+                [this](const internal::ToldChanges &changes) { m_load.tellNews(changes); });
         m_relay.onLeaving = [this] { m_load.tellNow(); };
+        const auto giveConfiguration = [this](transport::HttpServerExchange &exchange) {
+            return internal::ConfigurationExchange::answer(exchange, m_follower.configuration());
+        };
+        if (auto started = m_entryServer.start(m_settings.listenLoad, giveConfiguration); !started)
+            return started.error();
         m_follower.start();
+        m_follower.setPeerList([this](TimePoint deadline) { return fetchConfiguration(deadline); });
         keepRunning("callers", [this] { return m_callers.acceptAll(); });
         keepRunning("subscriptions", [this] { return m_load.subscribe(); });
+        keepRunning("news", [this] { return m_load.tellNews(); });
         keepRunning("reports", [this] { return m_load.receive(); });
         keepRunning("signals", [this] { return handleSignals(); });
         keepRunning("settings", [this] { return watchSettings(); });
@@ -135,6 +148,16 @@
         co_await exchange.respond(std::move(response));
     }
 
+    asio::awaitable<Expected<objectstore::ObjectList>> fetchConfiguration(TimePoint deadline)
+    {
+        const auto source = m_load.newsSource();
+        if (!source) {
+            co_return domain::Error{domain::ErrorKind::Unavailable,
+                    "no entry has told anything yet", "the store is read instead"};
+        }
+        co_return co_await m_configurations.fetch(*source, deadline);
+    }
+
     asio::awaitable<void> handleSignals()
     {
         for (;;) {
@@ -211,6 +234,9 @@
     internal::CallerListener m_callers;
     transport::HttpServer m_statusServer;
     transport::HttpServer m_metricsServer;
+    /// For the other entries of the data centre, at the same port as load reports.
+    transport::HttpServer m_entryServer;
+    internal::ConfigurationExchange m_configurations;
     asio::signal_set m_signals;
 };
 
--- /dev/null
+++ b/src/relay/internal/storenews.cpp
@@ -0,0 +1,79 @@
+#include "relay/internal/storenews.h"
+
+#include <utility>
+
+namespace oriolerill::relay::internal {
+
+namespace {
+
+/// Of the 1500 bytes that a link carries in one piece, less what addresses and envelopes take.
+constexpr std::size_t MaxPartBytes = 1200;
+/// More parts are as many calls' worth of datagrams; the receivers had better read the store.
+constexpr std::size_t MaxParts = 64;
+/// Parts of the same changes come within milliseconds; those of a series that lost one are dropped.
+constexpr auto PartLife = std::chrono::milliseconds(2000);
+constexpr std::size_t MaxPartials = 32;
+
+} // namespace
+
+std::vector<protocol::StoreChanges> splitChanges(const ToldChanges &told)
+{
+    std::vector<protocol::StoreChanges> parts(1);
+    std::size_t bytes = 0;
+    for (const objectstore::StoredObject &object : told.changes.objects) {
+        protocol::ChangedObject changed;
+        changed.set_key(object.key);
+        changed.set_revision(object.version.revision);
+        changed.set_deleted(object.isDeleted);
+        if (!object.isDeleted)
+            changed.set_value(object.value);
+        const std::size_t size = changed.ByteSizeLong();
+        if (size > MaxPartBytes)
+            return {};
+        if (bytes + size > MaxPartBytes) {
+            parts.emplace_back();
+            bytes = 0;
+        }
+        bytes += size;
+        *parts.back().add_objects() = std::move(changed);
+    }
+    if (parts.size() > MaxParts)
+        return {};
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        parts[i].set_collection(told.collection);
+        parts[i].set_after(told.after);
+        parts[i].set_up_to(told.changes.storeVersion.revision);
+        parts[i].set_part(static_cast<std::uint32_t>(i));
+        parts[i].set_parts(static_cast<std::uint32_t>(parts.size()));
+    }
+    return parts;
+}
+
+std::optional<ToldChanges> StoreNewsAssembler::add(
+        const protocol::StoreChanges &part, domain::TimePoint now)
+{
+    std::erase_if(
+            m_partials, [now](const auto &partial) { return now - partial.second.at > PartLife; });
+    if (part.parts() == 0 || part.parts() > MaxParts || part.part() >= part.parts())
+        return std::nullopt;
+    const Key key{part.collection(), part.after(), part.up_to(), part.parts()};
+    if (m_partials.size() >= MaxPartials && m_partials.count(key) == 0)
+        return std::nullopt;
+    Partial &partial = m_partials[key];
+    partial.at = now;
+    partial.parts[part.part()] = part;
+    if (partial.parts.size() < part.parts())
+        return std::nullopt;
+    ToldChanges told{part.collection(), part.after(), {}};
+    told.changes.storeVersion = {0, part.up_to()};
+    for (const auto &[number, one] : partial.parts) {
+        for (const protocol::ChangedObject &object : one.objects()) {
+            told.changes.objects.push_back(
+                    {object.key(), object.value(), {0, object.revision()}, object.deleted()});
+        }
+    }
+    m_partials.erase(key);
+    return told;
+}
+
+} // namespace oriolerill::relay::internal
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -93,6 +93,8 @@
             m_onHoldings(sender.address().to_string(), datagram.holdings());
         if (datagram.has_knowledge())
             onKnowledge(datagram.knowledge());
+        if (datagram.has_news())
+            passOn(datagram.news(), sender);
         if (!datagram.has_subscription())
             continue;
         const protocol::LoadSubscription &message = datagram.subscription();
@@ -205,6 +207,19 @@
     }
 }
 
+void LoadReporter::passOn(const protocol::StoreNews &news, const udp::endpoint &sender)
+{
+    protocol::EntryDatagram datagram;
+    *datagram.mutable_news() = news;
+    const std::string bytes = datagram.SerializeAsString();
+    for (const auto &[entry, subscriber] : m_subscribers) {
+        boost::system::error_code code;
+        // An entry that misses a datagram notices the gap and reads the store.
+        if (subscriber.isLocal && entry != sender)
+            m_socket.send_to(asio::buffer(bytes), entry, 0, code);
+    }
+}
+
 void LoadReporter::setModel(const domain::ModelId &model, const routing::EngineSpeed &speed)
 {
     m_model = model;
@@ -213,7 +228,8 @@
 
 void LoadReporter::send(bool isUrgent)
 {
-    protocol::LoadReport message;
+    protocol::EntryDatagram datagram;
+    protocol::LoadReport &message = *datagram.mutable_report();
     message.set_endpoint_port(m_engine.address().port);
     message.set_sequence(++m_sequence);
     message.set_running(m_state->running);
@@ -241,12 +257,17 @@
         *message.mutable_knowledge() = knowledge();
     const TimePoint now = TimePoint::clock::now();
     std::size_t position = 0;
+    const auto locals = static_cast<std::uint32_t>(std::count_if(m_subscribers.begin(),
+            m_subscribers.end(), [](const auto &entry) { return entry.second.isLocal; }));
+    std::uint32_t localPosition = 0;
     for (const auto &[entry, subscriber] : m_subscribers) {
         message.set_rank(static_cast<std::uint32_t>(position));
+        message.set_local_entries(subscriber.isLocal ? locals : 0);
+        message.set_local_rank(subscriber.isLocal ? localPosition++ : 0);
         message.set_grant(grants[position++]);
         if (!isUrgent && !isReportDue(subscriber, position, now))
             continue;
-        const std::string bytes = message.SerializeAsString();
+        const std::string bytes = datagram.SerializeAsString();
         boost::system::error_code code;
         // A lost report is replaced by the next one.
         m_socket.send_to(asio::buffer(bytes), entry, 0, code);
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -69,6 +69,8 @@
     void send(bool isUrgent);
     bool isReportDue(
             const Subscriber &subscriber, std::size_t position, domain::TimePoint now) const;
+    /// Tells the other entries of this data centre what one of them has read.
+    void passOn(const protocol::StoreNews &news, const boost::asio::ip::udp::endpoint &sender);
     void onKnowledge(const protocol::StoreKnowledge &knowledge);
     protocol::StoreKnowledge knowledge() const;
 
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -9,6 +9,7 @@
 #include "routing/retrybudget.h"
 #include "routing/servingconfig.h"
 #include "routing/weightsrequirement.h"
+#include "routing/workingset.h"
 
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
 
 struct DispatcherOptions
 {
+    domain::EntryId entry;
     domain::DataCentreId dataCentre;
     /// Region of each data centre, from the settings.
     std::map<domain::DataCentreId, domain::RegionId> regions;
@@ -38,6 +40,7 @@
     EndpointLoadOptions load;
     EndpointListOptions list;
     PlacementOptions placement;
+    WorkingSetOptions workingSet;
     /// A request that would wait for a place longer than this share of the strictest objective of
     /// its service is refused: a place is better given to a request that is answered in time. One
     /// bound for all kinds of requests of a service, so that none of them is starved by the others;
@@ -54,7 +57,7 @@
     /// Entries assumed until agents tell how many they hear of, about a second after the start.
     /// More than there are in the largest deployment of today: after all entries were killed at
     /// once, each of them is in this state.
-    std::size_t assumedEntries = 64;
+    std::size_t assumedEntries = 256;
     std::uint64_t seed = 1;
 };
 
@@ -130,6 +133,10 @@
     /// in time on binds so much earlier, and no report is fresh any more.
     void onSuspended(domain::Duration time);
 
+    /// Engines of the service that this entry sends to and wants reports of; null for services
+    /// without engines.
+    const WorkingSet *workingSet(const domain::ServiceId &service);
+
     /// Draws one of the services among which a route splits its requests.
     domain::ServiceId drawService(const Route &route);
     void onRequest(const domain::ServiceId &service, domain::TimePoint now);
@@ -144,6 +151,31 @@
     void onSent(const Dispatch &dispatch, domain::TimePoint now);
 
 private:
+    /// What one look at some endpoints has found.
+    struct Candidates
+    {
+        std::vector<PlacementCandidate> usable;
+        /// Those that failed lately or are about to load other weights.
+        std::vector<PlacementCandidate> paused;
+        std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
+        std::optional<domain::TimePoint> quietUntil;
+
+        /// With nothing else left, an endpoint that failed lately is still worth a try.
+        const std::vector<PlacementCandidate> &pool() const
+        {
+            return usable.empty() ? paused : usable;
+        }
+    };
+
+    void look(const ListedEndpoint &endpoint, const ServiceSpec &service,
+            const DispatchQuery &query, domain::TimePoint now, Candidates &candidates);
+    Candidates candidatesFor(
+            const ServiceSpec &service, const DispatchQuery &query, domain::TimePoint now);
+    using AddressIndex = std::map<domain::SocketAddress, std::vector<domain::EndpointId>>;
+
+    /// Endpoints by address; reports come for each engine ten times a second.
+    const AddressIndex &byAddress();
+    std::size_t listedCount(const domain::ServiceId &service) const;
     bool mayTake(const ListedEndpoint &endpoint, const DispatchQuery &query) const;
     bool isCold(const ListedEndpoint &endpoint, const ServiceSpec &service,
             domain::TimePoint now) const;
@@ -169,6 +201,18 @@
     std::map<domain::EndpointId, EndpointLoad> m_loads;
     std::map<domain::ServiceId, RetryBudget> m_retries;
     std::map<domain::ServiceId, std::uint64_t> m_demand;
+    struct KnownSet
+    {
+        WorkingSet set;
+        /// Of the list and the withdrawals from which it was made.
+        std::uint64_t generation = 0;
+        std::uint64_t withdrawals = 0;
+    };
+    std::map<domain::ServiceId, KnownSet> m_workingSets;
+    std::uint64_t m_withdrawalCount = 0;
+    AddressIndex m_byAddress;
+    /// Generation of the list from which the index was made; the list begins at zero.
+    std::uint64_t m_byAddressGeneration = 0;
     EntryShare m_share;
     std::mt19937_64 m_random;
 };
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -34,6 +34,36 @@
 void Dispatcher::setWithdrawn(std::set<domain::DataCentreId> dataCentres)
 {
     m_withdrawn = std::move(dataCentres);
+    ++m_withdrawalCount;
+}
+
+const WorkingSet *Dispatcher::workingSet(const domain::ServiceId &service)
+{
+    const ServiceSpec *spec = m_config ? m_config->service(service) : nullptr;
+    if (spec == nullptr || !spec->engine)
+        return nullptr;
+    const auto found = m_workingSets.find(service);
+    const bool isCurrent = found != m_workingSets.end()
+            && found->second.generation == m_endpoints.generation()
+            && found->second.withdrawals == m_withdrawalCount;
+    if (isCurrent)
+        return &found->second.set;
+    KnownSet &known = m_workingSets
+                              .try_emplace(service,
+                                      KnownSet{WorkingSet(m_options.entry.value(),
+                                              m_options.dataCentre, m_options.workingSet)})
+                              .first->second;
+    std::vector<const ListedEndpoint *> engines;
+    for (const auto &[id, endpoint] : m_endpoints.endpoints()) {
+        const bool isOpen = endpoint.service == service && !endpoint.isDraining
+                && m_withdrawn.count(endpoint.dataCentre) == 0;
+        if (isOpen)
+            engines.push_back(&endpoint);
+    }
+    known.set.update(engines);
+    known.generation = m_endpoints.generation();
+    known.withdrawals = m_withdrawalCount;
+    return &known.set;
 }
 
 void Dispatcher::setShare(EntryShare share)
@@ -50,16 +80,32 @@
     // Reports are datagrams from anywhere; a pace that is no number would spoil each comparison.
     constexpr double SlowestPace = 1000;
     report.pace = std::isfinite(report.pace) ? std::clamp(report.pace, 1.0, SlowestPace) : 1.0;
-    for (const auto &[id, endpoint] : m_endpoints.endpoints()) {
-        const bool isSameStart = endpoint.startedAtMs == startedAtMs || endpoint.startedAtMs == 0
-                || startedAtMs == 0;
-        if (endpoint.address != address || !isSameStart)
+    const auto atAddress = byAddress().find(address);
+    if (atAddress == m_byAddress.end())
+        return;
+    for (const domain::EndpointId &id : atAddress->second) {
+        const ListedEndpoint *endpoint = m_endpoints.find(id);
+        const bool isSameStart = endpoint != nullptr
+                && (endpoint->startedAtMs == startedAtMs || endpoint->startedAtMs == 0
+                        || startedAtMs == 0);
+        if (!isSameStart)
             continue;
         report.endpoint = id;
         load(id).onReport(report, now);
     }
 }
 
+const Dispatcher::AddressIndex &Dispatcher::byAddress()
+{
+    if (m_byAddressGeneration == m_endpoints.generation())
+        return m_byAddress;
+    m_byAddress.clear();
+    for (const auto &[id, endpoint] : m_endpoints.endpoints())
+        m_byAddress[endpoint.address].push_back(id);
+    m_byAddressGeneration = m_endpoints.generation();
+    return m_byAddress;
+}
+
 void Dispatcher::onSuspended(domain::Duration time)
 {
     m_weights.onSuspended(time);
@@ -200,57 +246,77 @@
     return refusal;
 }
 
+void Dispatcher::look(const ListedEndpoint &endpoint, const ServiceSpec &service,
+        const DispatchQuery &query, domain::TimePoint now, Candidates &candidates)
+{
+    if (!mayTake(endpoint, query))
+        return;
+    std::optional<std::uint64_t> version;
+    if (service.engine) {
+        version = weightsOf(endpoint, query.request->model, now);
+        const bool isOther = query.pinnedWeights && version != query.pinnedWeights;
+        if (!version || *version < m_weights.lowest(query.request->model, now) || isOther)
+            return;
+    }
+    if (const auto until = m_notices.quietUntil(endpoint, now)) {
+        candidates.quietUntil = std::min(candidates.quietUntil.value_or(*until), *until);
+        return;
+    }
+    const double coldBound = service.coldPerSecond * m_options.coldOverage + m_options.coldSlack;
+    if (isCold(endpoint, service, now)
+            && !m_cold.hasRoom(endpoint.id, endpoint.coldUntil, coldBound, m_share, now))
+        return;
+    const EndpointLoad &known = load(endpoint.id);
+    const PlacementCandidate candidate{endpoint.id, startMs(endpoint, service, *query.request, now),
+            endpoint.dataCentre == m_options.dataCentre};
+    candidates.versions[endpoint.id] = version;
+    if (known.isPaused(now) || known.isSwitching(now))
+        candidates.paused.push_back(candidate);
+    else
+        candidates.usable.push_back(candidate);
+}
+
+Dispatcher::Candidates Dispatcher::candidatesFor(
+        const ServiceSpec &service, const DispatchQuery &query, domain::TimePoint now)
+{
+    Candidates candidates;
+    if (const WorkingSet *set = workingSet(query.service)) {
+        for (const domain::EndpointId &id : set->engines()) {
+            if (const ListedEndpoint *endpoint = m_endpoints.find(id))
+                look(*endpoint, service, query, now, candidates);
+        }
+    }
+    if (!candidates.usable.empty())
+        return candidates;
+    // Nothing in the working set may take the request: any other endpoint will do.
+    candidates = {};
+    for (const auto &[id, endpoint] : m_endpoints.endpoints())
+        look(endpoint, service, query, now, candidates);
+    return candidates;
+}
+
+std::size_t Dispatcher::listedCount(const domain::ServiceId &service) const
+{
+    const auto &endpoints = m_endpoints.endpoints();
+    return static_cast<std::size_t>(std::count_if(endpoints.begin(), endpoints.end(),
+            [&](const auto &entry) { return entry.second.service == service; }));
+}
+
 DispatchDecision Dispatcher::choose(const DispatchQuery &query, domain::TimePoint now)
 {
     m_endpoints.expire(now);
     const ServiceSpec *service = m_config ? m_config->service(query.service) : nullptr;
-    std::vector<PlacementCandidate> candidates;
-    std::vector<PlacementCandidate> paused;
-    std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
-    std::size_t listed = 0;
-    std::optional<domain::TimePoint> quietUntil;
-    const std::uint64_t lowest = m_weights.lowest(query.request->model, now);
-    const double coldBound = service == nullptr
-            ? 0
-            : service->coldPerSecond * m_options.coldOverage + m_options.coldSlack;
-    for (const auto &[id, endpoint] : m_endpoints.endpoints()) {
-        listed += endpoint.service == query.service ? 1 : 0;
-        if (service == nullptr || !mayTake(endpoint, query))
-            continue;
-        std::optional<std::uint64_t> version;
-        if (service->engine) {
-            version = weightsOf(endpoint, query.request->model, now);
-            const bool isOther = query.pinnedWeights && version != query.pinnedWeights;
-            if (!version || *version < lowest || isOther)
-                continue;
-        }
-        if (const auto until = m_notices.quietUntil(endpoint, now)) {
-            quietUntil = std::min(quietUntil.value_or(*until), *until);
-            continue;
-        }
-        const bool isBeyondAllowance = isCold(endpoint, *service, now)
-                && !m_cold.hasRoom(id, endpoint.coldUntil, coldBound, m_share, now);
-        if (isBeyondAllowance)
-            continue;
-        const EndpointLoad &known = load(id);
-        const PlacementCandidate candidate{id, startMs(endpoint, *service, *query.request, now),
-                endpoint.dataCentre == m_options.dataCentre};
-        versions[id] = version;
-        if (known.isPaused(now) || known.isSwitching(now))
-            paused.push_back(candidate);
-        else
-            candidates.push_back(candidate);
-    }
-    const std::size_t usable = candidates.size();
-    // With nothing else left, an endpoint that failed lately is still worth a try.
-    const auto &pool = candidates.empty() ? paused : candidates;
+    Candidates candidates;
+    if (service != nullptr)
+        candidates = candidatesFor(*service, query, now);
+    const auto &pool = candidates.pool();
     const auto chosen = m_placement.choose(pool, m_random);
     if (!chosen) {
         Refusal refusal = refuse(RefusalReason::NoEndpoint, 0);
-        refusal.listed = listed;
+        refusal.listed = listedCount(query.service);
         // Before an endpoint's quiet time ends a caller would come back in vain.
-        if (quietUntil)
-            refusal.retryAfter = std::max(refusal.retryAfter, *quietUntil - now);
+        if (candidates.quietUntil)
+            refusal.retryAfter = std::max(refusal.retryAfter, *candidates.quietUntil - now);
         return refusal;
     }
     const PlacementCandidate &best = pool[*chosen];
@@ -260,8 +326,8 @@
         if (waitMs > longestMs) {
             const double queueMs = load(best.endpoint).queueMs(*service->engine, now);
             Refusal refusal = refuse(RefusalReason::Full, std::max(queueMs - longestMs, 0.0));
-            refusal.listed = listed;
-            refusal.usable = usable;
+            refusal.listed = listedCount(query.service);
+            refusal.usable = candidates.usable.size();
             return refusal;
         }
     }
@@ -272,8 +338,8 @@
     dispatch.startedAtMs = endpoint->startedAtMs;
     dispatch.startMs = best.startMs;
     dispatch.isCold = isCold(*endpoint, *service, now);
-    if (lowest > 0 || query.pinnedWeights)
-        dispatch.weightsVersion = versions[best.endpoint];
+    if (m_weights.lowest(query.request->model, now) > 0 || query.pinnedWeights)
+        dispatch.weightsVersion = candidates.versions[best.endpoint];
     return dispatch;
 }
 
