--- a/src/relay/tests/endpointtroubletest.cpp
+++ b/src/relay/tests/endpointtroubletest.cpp
@@ -281,12 +281,18 @@
 {
     for (const bool isStream : {false, true}) {
         const auto text = [isStream](const std::string &id) {
-            return isStream ? "HTTP/1.1 200 OK\r\nAttempt-Id: " + id
-                            + "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n"
-                              "Transfer-Encoding: chunked\r\n\r\n"
-                              "1b\r\nid: 1\ndata: of request "
-                            + id + "\n\n\r\n0\r\n\r\n"
-                            : answer(id, "of request " + id);
+            std::string event = "id: 1\ndata: of request ";
+            event += id;
+            event += "\n\n";
+            if (!isStream)
+                return answer(id, event);
+            std::string chunked = "HTTP/1.1 200 OK\r\nAttempt-Id: ";
+            chunked += id;
+            chunked += "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n1b\r\n";
+            chunked += event;
+            chunked += "\r\n0\r\n\r\n";
+            return chunked;
         };
         std::string last;
         addEndpoint([&last, text](Socket &socket, const std::string &got) {
--- a/src/relayagent/internal/relayagentprocess.cpp
+++ b/src/relayagent/internal/relayagentprocess.cpp
@@ -34,6 +34,16 @@
     return rollout::SwitchSchedule(options);
 }
 
+/// Agents ask the store only while no entry hears it, and then all of them do: their calls must not
+/// be what a store that comes back has to bear.
+objectstore::StoreFollowerOptions followerOptions()
+{
+    objectstore::StoreFollowerOptions options;
+    options.firstRetryPause = std::chrono::milliseconds(500);
+    options.longestRetryPause = std::chrono::milliseconds(3000);
+    return options;
+}
+
 distribution::UploadPacer pacer(const settings::RelayAgentSettings &settings)
 {
     constexpr double BytesPerSecondPerMbps = 1e6 / 8;
@@ -60,7 +70,7 @@
                   m_settings.dataCentre)
         , m_keeper(m_context, m_engine, m_reporter, m_fleet, m_metrics, m_settings.listenPeers.port,
                   schedule(m_settings), pacer(m_settings))
-        , m_follower(m_context, m_store, "weights", sink())
+        , m_follower(m_context, m_store, "weights", sink(), followerOptions())
         , m_peerServer(m_context.get_executor(), {})
         , m_metricsServer(m_context.get_executor(), {})
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
