--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -115,6 +115,7 @@
     m_version = list.storeVersion;
     m_hasList = true;
     m_hasGap = false;
+    m_missingSince.reset();
     m_objectRevisions.clear();
     note(list);
     if (m_keepsLastList)
@@ -176,6 +177,7 @@
     }
     onSuccess();
     m_hasGap = false;
+    m_missingSince.reset();
     const ObjectList newer = newerThanKnown(*changes);
     m_version = std::max(m_version, changes->storeVersion);
     note(newer);
@@ -221,7 +223,10 @@
     if (!m_hasList || changes.storeVersion.revision < m_changedAt)
         return;
     if (after > m_version.revision) {
-        m_hasGap = true;
+        if (!m_missingSince)
+            m_missingSince = now;
+        m_missing = std::max(m_missing, after);
+        m_hasGap = m_hasGap || now - *m_missingSince >= m_options.gapPatience;
         return;
     }
     m_toldAt = now;
@@ -232,6 +237,8 @@
     // What a watch that waits here brings is older.
     ++m_generation;
     m_version = changes.storeVersion;
+    if (m_version.revision >= m_missing)
+        m_missingSince.reset();
     note(newer);
     keep(newer);
     if (!newer.objects.empty())
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -49,6 +49,9 @@
     domain::Duration changePause = std::chrono::milliseconds(0);
     domain::Duration firstRetryPause = std::chrono::milliseconds(100);
     domain::Duration longestRetryPause = std::chrono::milliseconds(800);
+    /// Changes that are missing here are awaited from another process for this long; with two that
+    /// tell them, a lost datagram costs no call.
+    domain::Duration gapPatience = std::chrono::milliseconds(500);
     /// The same while another process finds out for this one when the store answers again. It may
     /// answer some and not others, so each still asks.
     domain::Duration toldRetryPause = std::chrono::milliseconds(2500);
@@ -138,6 +141,9 @@
     domain::TimePoint m_toldAt;
     /// Changes were told that begin after what is known here.
     bool m_hasGap = false;
+    /// Since when changes are missing that were told, and the last of them.
+    std::optional<domain::TimePoint> m_missingSince;
+    std::uint64_t m_missing = 0;
     domain::TimePoint m_toldLostAt;
     std::function<bool()> m_isHeldBack;
     PeerList m_peerList;
--- a/src/objectstore/tests/storehinttest.cpp
+++ b/src/objectstore/tests/storehinttest.cpp
@@ -92,6 +92,7 @@
         StoreFollowerOptions options;
         options.hintPatience = 20ms;
         options.refreshInterval = 10ms;
+        options.gapPatience = 40ms;
         m_follower = std::make_unique<StoreFollower>(m_context, m_store, "withdrawals",
                 CollectionSink{[this](const ObjectList &) { ++m_listsSeen; },
                         [this](const ObjectList &) { ++m_changesSeen; }, {}, {}},
@@ -257,6 +258,8 @@
     m_store.late = changesTo(20, "c", 17);
     const std::size_t before = m_store.watchTimes.size();
     tell(18, changesTo(20));
+    runFor(50ms);
+    tell(18, changesTo(20));
     runFor(400ms);
     EXPECT_EQ(m_changesSeen, 1);
     EXPECT_EQ(m_follower->changedAt(), 17U);
@@ -305,6 +308,8 @@
     runFor(250ms);
     const std::size_t before = m_store.watchTimes.size();
     tell(20, changesTo(20));
+    runFor(50ms);
+    tell(20, changesTo(20));
     runFor(250ms);
     EXPECT_EQ(m_follower->changedAt(), 20U);
     tell(20, changesTo(20));
@@ -312,9 +317,28 @@
     isPeerUp = false;
     tell(40, changesTo(40));
     m_store.late = changesTo(40, "large", 40);
+    runFor(50ms);
+    tell(40, changesTo(40));
     runFor(250ms);
     EXPECT_EQ(m_follower->changedAt(), 40U);
     EXPECT_EQ(m_store.lists, 1);
 }
 
+// Guards against a call of each entry for each lost datagram: a second reader tells the same
+// changes a moment later.
+TEST_F(StoreToldFixture, onTold_missingChangesComeFromTheOther_storeNotCalled)
+{
+    tell(Known, changesTo(Known));
+    runFor(250ms);
+    const std::size_t before = m_store.watchTimes.size();
+    tell(9, changesTo(9));
+    runFor(20ms);
+    tell(Known, changesTo(9, "b", 9));
+    runFor(60ms);
+    tell(9, changesTo(9));
+    runFor(250ms);
+    EXPECT_EQ(m_store.watchTimes.size(), before);
+    EXPECT_EQ(m_changesSeen, 1);
+}
+
 } // namespace oriolerill::objectstore
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -20,6 +20,9 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto SubscriptionInterval = std::chrono::milliseconds(1000);
+/// At the start agents and other entries wait for the first word; until then each asks the store.
+constexpr auto FirstSubscriptionInterval = std::chrono::milliseconds(250);
+constexpr auto StartTime = std::chrono::milliseconds(3000);
 /// An agent's count of entries is used for this long.
 constexpr auto CountLife = std::chrono::milliseconds(5000);
 constexpr std::size_t MaxDatagram = 1500;
@@ -61,22 +64,23 @@
 asio::awaitable<void> LoadListener::subscribe()
 {
     asio::steady_timer timer(m_context);
+    const TimePoint startEnd = TimePoint::clock::now() + StartTime;
     for (;;) {
-        sendSubscriptions();
-        countEntries(TimePoint::clock::now());
-        timer.expires_after(SubscriptionInterval);
+        const bool isStarting = TimePoint::clock::now() < startEnd;
+        const auto interval = isStarting ? FirstSubscriptionInterval : SubscriptionInterval;
+        sendSubscriptions(std::chrono::duration<double>(interval).count());
+        timer.expires_after(interval);
         co_await timer.async_wait(UseTuple);
     }
 }
 
-void LoadListener::sendSubscriptions()
+void LoadListener::sendSubscriptions(double seconds)
 {
     protocol::AgentDatagram datagram;
     protocol::LoadSubscription &subscription = *datagram.mutable_subscription();
     subscription.set_entry(m_entry.value());
     subscription.set_data_centre(m_dataCentre.value());
     *subscription.mutable_knowledge() = knowledge();
-    const double seconds = std::chrono::duration<double>(SubscriptionInterval).count();
     const std::map<domain::ServiceId, double> localDemand = takeLocalDemand(seconds);
     for (const auto &[id, endpoint] : m_dispatcher.endpoints().endpoints()) {
         if (!isWanted(endpoint))
@@ -152,6 +156,7 @@
 {
     asio::steady_timer timer(m_context);
     for (;;) {
+        countEntries(TimePoint::clock::now());
         if (isReader()) {
             protocol::StoreNews news;
             for (const ToldChanges &heard : m_fleet.heardSoFar(TimePoint::clock::now())) {
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -48,7 +48,8 @@
         domain::TimePoint at;
     };
 
-    void sendSubscriptions();
+    /// Demand is counted over so many seconds since the last time.
+    void sendSubscriptions(double seconds);
     /// What an agent would otherwise read from the configuration, which may be large.
     void addFacts(const domain::ServiceId &id, protocol::ServiceFacts &facts) const;
     /// Whether reports of this endpoint are worth their bytes.
--- a/src/relayagent/internal/relayagentprocess.cpp
+++ b/src/relayagent/internal/relayagentprocess.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <google/protobuf/stubs/logging.h>
@@ -34,6 +35,10 @@
     return rollout::SwitchSchedule(options);
 }
 
+/// At the start entries need some time to read the store themselves.
+constexpr auto EntriesPatience = std::chrono::milliseconds(2500);
+constexpr auto EntriesCheckInterval = std::chrono::milliseconds(200);
+
 /// Agents ask the store only while no entry hears it, and then all of them do: their calls must not
 /// be what a store that comes back has to bear.
 objectstore::StoreFollowerOptions followerOptions()
@@ -98,7 +103,7 @@
         // While entries tell which versions are named, the agents need no watch of their own.
         m_follower.setNeeded(
                 [this] { return !m_reporter.isStoreSeen(domain::TimePoint::clock::now()); });
-        keepRunning("weights", [this] { return m_follower.run(); });
+        keepRunning("weights", [this] { return followWeights(); });
         keepRunning("datagrams", [this] { return m_reporter.receive(); });
         keepRunning("reports", [this] { return m_reporter.report(); });
         keepRunning("keeper", [this] { return m_keeper.run(); });
@@ -119,6 +124,18 @@
         return {onNamed, onNamed, {}, {}};
     }
 
+    /// The store is not asked at all as long as entries tell what it holds, from the start on.
+    asio::awaitable<void> followWeights()
+    {
+        asio::steady_timer timer(m_context, EntriesPatience);
+        co_await timer.async_wait(UseTuple);
+        while (m_reporter.isStoreSeen(domain::TimePoint::clock::now())) {
+            timer.expires_after(EntriesCheckInterval);
+            co_await timer.async_wait(UseTuple);
+        }
+        co_await m_follower.run();
+    }
+
     asio::awaitable<void> writeMetrics(transport::HttpServerExchange &exchange)
     {
         m_metrics.set("oriolerill_agent_store_calls", static_cast<double>(m_store.callCount()));
