Let followers take up at once what a reader tells after an outage

Now the configuration is left to the reader while one is heard, is asked for as changes instead of a list, and told changes end the pause. Red before: onTold_duringLongRetryPause_takenAtOnce needs the new wake.

--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -29,6 +29,8 @@
 
 asio::awaitable<void> StoreFollower::run()
 {
+    /// A pause is ended so soon after others have told something.
+    constexpr auto WakeInterval = std::chrono::milliseconds(100);
     asio::steady_timer timer(m_context);
     for (;;) {
         m_hasCalled = true;
@@ -36,8 +38,10 @@
         domain::Duration pause = m_hasCalled ? m_options.changePause : domain::Duration::zero();
         if (!isDone)
             pause = retryPause();
-        if (pause > domain::Duration::zero()) {
-            timer.expires_after(pause);
+        const TimePoint pauseEnd = TimePoint::clock::now() + pause;
+        m_isWoken = false;
+        while (TimePoint::clock::now() < pauseEnd && !m_isWoken) {
+            timer.expires_at(std::min(pauseEnd, TimePoint::clock::now() + WakeInterval));
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
     }
@@ -71,6 +75,11 @@
         co_await wait(CheckInterval);
         co_return true;
     }
+    if (m_hasList && m_missingSince && m_hasGap && m_peerList) {
+        const bool isListed = co_await listFromPeer();
+        if (isListed)
+            co_return true;
+    }
     if (m_failures > 0 && m_isHeldBack && m_isHeldBack()) {
         m_hasCalled = false;
         co_await wait(CheckInterval);
@@ -78,11 +87,6 @@
     }
     if (!m_hasList)
         co_return co_await listOnce();
-    if (m_hasGap && m_peerList && m_failures == 0) {
-        const bool isListed = co_await listFromPeer();
-        if (isListed)
-            co_return true;
-    }
     if (isTold(TimePoint::clock::now()) && !m_hasGap) {
         m_hasCalled = false;
         co_await wait(CheckInterval);
@@ -137,6 +141,7 @@
                         {"remedy", "the store is read instead"}});
         co_return false;
     }
+    onSuccess();
     takeList(*list);
     co_return true;
 }
@@ -157,8 +162,6 @@
 asio::awaitable<bool> StoreFollower::watchOnce()
 {
     const std::uint64_t generation = m_generation;
-    const std::uint64_t lastChange = m_changedAt;
-    const std::uint64_t before = m_version.revision;
     // What is missing here has happened already, so the answer comes at once.
     const domain::Duration time = m_hasGap ? domain::Duration::zero() : watchTime();
     auto changes = co_await m_store.watch(
@@ -176,16 +179,38 @@
         co_return false;
     }
     onSuccess();
+    takeWatched(*changes);
+    co_return true;
+}
+
+void StoreFollower::takeWatched(const ObjectList &changes)
+{
+    const std::uint64_t lastChange = m_changedAt;
+    const std::uint64_t before = m_version.revision;
     m_hasGap = false;
     m_missingSince.reset();
-    const ObjectList newer = newerThanKnown(*changes);
-    m_version = std::max(m_version, changes->storeVersion);
+    const ObjectList newer = newerThanKnown(changes);
+    m_version = std::max(m_version, changes.storeVersion);
     note(newer);
     keep(newer);
-    if (m_sink.onWatched && changes->storeVersion.revision > before)
-        m_sink.onWatched(lastChange, *changes);
+    if (m_sink.onWatched && changes.storeVersion.revision > before)
+        m_sink.onWatched(lastChange, changes);
     if (!newer.objects.empty())
         m_sink.onChanges(newer);
+}
+
+asio::awaitable<bool> StoreFollower::catchUpOnce()
+{
+    auto changes = co_await m_store.watch(
+            m_collection, m_version, TimePoint::clock::now() + m_options.answerTime);
+    if (!changes && changes.error().kind == ErrorKind::NotFound)
+        co_return co_await listOnce();
+    if (!changes) {
+        onFailure(changes.error());
+        co_return false;
+    }
+    onSuccess();
+    takeWatched(*changes);
     co_return true;
 }
 
@@ -194,6 +219,12 @@
     return m_toldAt != TimePoint() && now - m_toldAt <= m_options.toldLife;
 }
 
+bool StoreFollower::isHeard(TimePoint now) const
+{
+    const TimePoint heardAt = std::max(m_toldAt, m_toldLostAt);
+    return heardAt != TimePoint() && now - heardAt <= m_options.toldLife;
+}
+
 std::optional<std::uint64_t> StoreFollower::ownRevision(TimePoint now) const
 {
     const bool isAnswered = m_hasList && m_failures == 0 && !isTold(now)
@@ -227,9 +258,12 @@
             m_missingSince = now;
         m_missing = std::max(m_missing, after);
         m_hasGap = m_hasGap || now - *m_missingSince >= m_options.gapPatience;
+        m_isWoken = m_isWoken || m_failures > 0;
         return;
     }
     m_toldAt = now;
+    m_isWoken = m_isWoken || m_failures > 0;
+    m_hasGap = false;
     onSuccess();
     if (changes.storeVersion.revision <= m_version.revision)
         return;
@@ -277,14 +311,22 @@
 asio::awaitable<void> StoreFollower::listUntilAnswered()
 {
     // g++ 12 miscompiles an await within the condition of a loop.
-    bool isListed = co_await listOnce();
+    bool isListed = co_await refreshOnce();
     while (!isListed) {
         co_await wait(retryPause());
-        isListed = co_await listOnce();
+        isListed = co_await refreshOnce();
     }
     m_isRefreshing = false;
 }
 
+asio::awaitable<bool> StoreFollower::refreshOnce()
+{
+    // A large collection is not read again for what is known of it.
+    if (m_keepsLastList)
+        co_return co_await catchUpOnce();
+    co_return co_await listOnce();
+}
+
 void StoreFollower::onHint(std::uint64_t changedAt, TimePoint now)
 {
     m_hintedAt = now;
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -85,6 +85,8 @@
     void onTold(std::uint64_t after, const ObjectList &changes, domain::TimePoint now);
     /// Another process reads the store for this one, and gets no answer.
     void onToldLost(domain::TimePoint now) { m_toldLostAt = now; }
+    /// Others have told lately what the collection holds, or that the store is lost.
+    bool isHeard(domain::TimePoint now) const;
     const std::string &collection() const { return m_collection; }
     /// Revision of the store up to which the collection is known, if a watch or list of this
     /// process brought it lately; what was told by others is not told again.
@@ -113,6 +115,10 @@
     /// Drops changes of objects whose later state is known already.
     ObjectList newerThanKnown(const ObjectList &changes);
     boost::asio::awaitable<bool> listFromPeer();
+    /// Asks for the changes that there are, without waiting for more.
+    boost::asio::awaitable<bool> catchUpOnce();
+    boost::asio::awaitable<bool> refreshOnce();
+    void takeWatched(const ObjectList &changes);
     void takeList(const ObjectList &list);
     void keep(const ObjectList &changes);
     void note(const ObjectList &objects);
@@ -141,6 +147,8 @@
     domain::TimePoint m_toldAt;
     /// Changes were told that begin after what is known here.
     bool m_hasGap = false;
+    /// Others have told something that ends the pause after a failure.
+    bool m_isWoken = false;
     /// Since when changes are missing that were told, and the last of them.
     std::optional<domain::TimePoint> m_missingSince;
     std::uint64_t m_missing = 0;
--- a/src/objectstore/tests/storehinttest.cpp
+++ b/src/objectstore/tests/storehinttest.cpp
@@ -57,6 +57,8 @@
         watchTimes.push_back(deadline - TimePoint::clock::now());
         asio::steady_timer timer(m_context, watchAnswerTime);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (isDown)
+            co_return Error{ErrorKind::Unavailable, "down", "wait"};
         co_return late;
     }
     asio::awaitable<Expected<std::vector<ListedVm>>> listVms(TimePoint) override
@@ -72,6 +74,7 @@
 
     ObjectList objects;
     ObjectList late;
+    bool isDown = false;
     domain::Duration watchAnswerTime = 1h;
     int lists = 0;
     std::vector<domain::Duration> watchTimes;
@@ -341,4 +344,24 @@
     EXPECT_EQ(m_changesSeen, 1);
 }
 
+// Guards against an entry that sleeps on after an outage while a reader tells that the store is
+// back (trouble-3 of probador-rill-large: withdrawals and leaving endpoints were seen seconds
+// late).
+TEST_F(StoreToldFixture, onTold_duringLongRetryPause_takenAtOnce)
+{
+    m_store.isDown = true;
+    m_store.watchAnswerTime = 1ms;
+    for (int i = 0; i < 5; ++i) {
+        m_follower->onToldLost(TimePoint::clock::now());
+        runFor(100ms);
+    }
+    EXPECT_TRUE(m_follower->isFailing());
+    m_store.isDown = false;
+    m_store.late = changesTo(9, "b", 9);
+    tell(8, changesTo(9));
+    runFor(250ms);
+    EXPECT_FALSE(m_follower->isFailing());
+    EXPECT_EQ(m_follower->changedAt(), 9U);
+}
+
 } // namespace oriolerill::objectstore
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -21,6 +21,10 @@
 /// share of the bound for a leaving endpoint.
 constexpr int EndpointPausesPerDrainBound = 5;
 
+/// After an outage a reader has the configuration within this time, of 1 s of retries, 1 s of
+/// reading and a report; the bound of a configuration is two seconds or more, and stretched.
+constexpr auto ReaderPatience = std::chrono::milliseconds(1500);
+
 std::string nameOf(const StoredObject &object)
 {
     return object.key.substr(object.key.find('/') + 1);
@@ -110,8 +114,12 @@
 void FleetFollower::onStoreBack()
 {
     m_relay.storeLostAt.reset();
-    for (objectstore::StoreFollower *follower : {m_configuration, m_withdrawals, m_weights})
+    m_backAt = TimePoint::clock::now();
+    for (objectstore::StoreFollower *follower : {m_withdrawals, m_weights})
         follower->refresh();
+    // The configuration comes from the reader, unless none is heard.
+    if (!m_configuration->isHeard(m_backAt))
+        m_configuration->refresh();
 }
 
 protocol::StoreKnowledge FleetFollower::knowledge() const
@@ -165,8 +173,13 @@
                     [this](const ObjectList &objects) { onWeights(objects, false); }, {}, {}},
             {});
     // One of four finds out when the store answers again.
-    for (objectstore::StoreFollower *follower : {m_configuration, m_withdrawals, m_weights})
+    for (objectstore::StoreFollower *follower : {m_withdrawals, m_weights})
         follower->setHeldBack([&endpoints] { return endpoints.isFailing(); });
+    // A changed configuration may be large: while a reader is heard, it is left to it for a while.
+    m_configuration->setHeldBack([this, &endpoints] {
+        const TimePoint now = TimePoint::clock::now();
+        return endpoints.isFailing() || (now - m_backAt < ReaderPatience && endpoints.isHeard(now));
+    });
 }
 
 void FleetFollower::onConfig(const ObjectList &objects)
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -66,6 +66,8 @@
     objectstore::StoreFollower *m_weights = nullptr;
     std::map<domain::ModelId, std::uint64_t> m_named;
     std::function<void()> m_onNamed;
+    /// The store answered again at this time.
+    domain::TimePoint m_backAt;
     NewsHandler m_onNews;
     /// Collections whose objects are small enough to be told.
     std::vector<objectstore::StoreFollower *> m_shared;
