--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -52,10 +52,10 @@
     constexpr std::uint32_t MostDoublings = 4;
     const auto doubled = m_options.firstRetryPause
             * (1U << std::min(std::max(m_failures, 1U) - 1, MostDoublings));
-    const bool isToldLost = m_toldLostAt != TimePoint()
-            && TimePoint::clock::now() - m_toldLostAt <= m_options.toldLife;
-    const domain::Duration pause = isToldLost
-            ? m_options.toldRetryPause
+    const bool isLossShared = m_sharedLossAt != TimePoint()
+            && TimePoint::clock::now() - m_sharedLossAt <= m_options.sharedLife;
+    const domain::Duration pause = isLossShared
+            ? m_options.sharedRetryPause
             : std::min<domain::Duration>(doubled, m_options.longestRetryPause);
     // Spread, so that processes that lost the store together do not ask together.
     std::uniform_real_distribution<double> spread(0.75, 1.25);
@@ -87,7 +87,7 @@
     }
     if (!m_hasList)
         co_return co_await listOnce();
-    if (isTold(TimePoint::clock::now()) && !m_hasGap) {
+    if (isShared(TimePoint::clock::now()) && !m_hasGap) {
         m_hasCalled = false;
         co_await wait(CheckInterval);
         co_return true;
@@ -214,20 +214,20 @@
     co_return true;
 }
 
-bool StoreFollower::isTold(TimePoint now) const
+bool StoreFollower::isShared(TimePoint now) const
 {
-    return m_toldAt != TimePoint() && now - m_toldAt <= m_options.toldLife;
+    return m_sharedAt != TimePoint() && now - m_sharedAt <= m_options.sharedLife;
 }
 
-bool StoreFollower::isHeard(TimePoint now) const
+bool StoreFollower::isSharedLately(TimePoint now) const
 {
-    const TimePoint heardAt = std::max(m_toldAt, m_toldLostAt);
-    return heardAt != TimePoint() && now - heardAt <= m_options.toldLife;
+    const TimePoint heardAt = std::max(m_sharedAt, m_sharedLossAt);
+    return heardAt != TimePoint() && now - heardAt <= m_options.sharedLife;
 }
 
 std::optional<std::uint64_t> StoreFollower::ownRevision(TimePoint now) const
 {
-    const bool isAnswered = m_hasList && m_failures == 0 && !isTold(now)
+    const bool isAnswered = m_hasList && m_failures == 0 && !isShared(now)
             && now - m_answeredAt <= watchTime() + m_options.answerTime;
     if (!isAnswered)
         return std::nullopt;
@@ -248,7 +248,7 @@
     return newer;
 }
 
-void StoreFollower::onTold(std::uint64_t after, const ObjectList &changes, TimePoint now)
+void StoreFollower::onShared(std::uint64_t after, const ObjectList &changes, TimePoint now)
 {
     // A reader that does not know the last change may be cut off from the store.
     if (!m_hasList || changes.storeVersion.revision < m_changedAt)
@@ -261,7 +261,7 @@
         m_isWoken = m_isWoken || m_failures > 0;
         return;
     }
-    m_toldAt = now;
+    m_sharedAt = now;
     m_isWoken = m_isWoken || m_failures > 0;
     m_hasGap = false;
     onSuccess();
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -54,10 +54,10 @@
     domain::Duration gapPatience = std::chrono::milliseconds(500);
     /// The same while another process finds out for this one when the store answers again. It may
     /// answer some and not others, so each still asks.
-    domain::Duration toldRetryPause = std::chrono::milliseconds(2500);
+    domain::Duration sharedRetryPause = std::chrono::milliseconds(2500);
     /// While others tell all changes the collection is not watched here. They tell that there are
     /// none twice a second; after two of these were lost, this process watches itself.
-    domain::Duration toldLife = std::chrono::milliseconds(1200);
+    domain::Duration sharedLife = std::chrono::milliseconds(1200);
 };
 
 /// Keeps a copy of one collection of the store up to date: lists it, then watches for changes;
@@ -82,11 +82,11 @@
     void onHint(std::uint64_t changedAt, domain::TimePoint now);
     /// Another process has read these changes, up to the revision of the list; the last change
     /// before them was at the other one.
-    void onTold(std::uint64_t after, const ObjectList &changes, domain::TimePoint now);
+    void onShared(std::uint64_t after, const ObjectList &changes, domain::TimePoint now);
     /// Another process reads the store for this one, and gets no answer.
-    void onToldLost(domain::TimePoint now) { m_toldLostAt = now; }
+    void onSharedLoss(domain::TimePoint now) { m_sharedLossAt = now; }
     /// Others have told lately what the collection holds, or that the store is lost.
-    bool isHeard(domain::TimePoint now) const;
+    bool isSharedLately(domain::TimePoint now) const;
     const std::string &collection() const { return m_collection; }
     /// Revision of the store up to which the collection is known, if a watch or list of this
     /// process brought it lately; what was told by others is not told again.
@@ -111,7 +111,7 @@
     boost::asio::awaitable<void> wait(domain::Duration duration);
     domain::Duration retryPause();
     domain::Duration watchTime() const;
-    bool isTold(domain::TimePoint now) const;
+    bool isShared(domain::TimePoint now) const;
     /// Drops changes of objects whose later state is known already.
     ObjectList newerThanKnown(const ObjectList &changes);
     boost::asio::awaitable<bool> listFromPeer();
@@ -144,7 +144,7 @@
     std::optional<domain::TimePoint> m_behindSince;
     /// Revision of the last change of each object, of its removal too.
     std::map<std::string, std::uint64_t> m_objectRevisions;
-    domain::TimePoint m_toldAt;
+    domain::TimePoint m_sharedAt;
     /// Changes were told that begin after what is known here.
     bool m_hasGap = false;
     /// Others have told something that ends the pause after a failure.
@@ -152,7 +152,7 @@
     /// Since when changes are missing that were told, and the last of them.
     std::optional<domain::TimePoint> m_missingSince;
     std::uint64_t m_missing = 0;
-    domain::TimePoint m_toldLostAt;
+    domain::TimePoint m_sharedLossAt;
     std::function<bool()> m_isHeldBack;
     PeerList m_peerList;
     /// Whole collection as far as it is known; kept for small numbers of large objects only.
--- a/src/objectstore/tests/storehinttest.cpp
+++ b/src/objectstore/tests/storehinttest.cpp
@@ -190,7 +190,7 @@
 }
 
 /// A follower that another process tells the changes which it has read.
-class StoreToldFixture : public StoreHintFixture
+class StoreSharedFixture : public StoreHintFixture
 {
 protected:
     static constexpr std::uint64_t Known = 5;
@@ -216,13 +216,13 @@
 
     void tell(std::uint64_t after, const ObjectList &changes)
     {
-        m_follower->onTold(after, changes, TimePoint::clock::now());
+        m_follower->onShared(after, changes, TimePoint::clock::now());
     }
 };
 
 // Guards against calls of each entry for what one of them has read: the collection is not watched
 // while it is told, and is again when nothing has been heard for a while.
-TEST_F(StoreToldFixture, onTold_heardAllTheTime_watchedOnlyWhenItEnds)
+TEST_F(StoreSharedFixture, onShared_heardAllTheTime_watchedOnlyWhenItEnds)
 {
     tell(Known, changesTo(Known));
     runFor(250ms);
@@ -239,7 +239,7 @@
 
 // Guards against changes that are taken twice or undone: an older state of an object, or its
 // earlier removal, that comes after a newer one.
-TEST_F(StoreToldFixture, onTold_overlappingChanges_olderStatesDropped)
+TEST_F(StoreSharedFixture, onShared_overlappingChanges_olderStatesDropped)
 {
     tell(Known, changesTo(9, "b", 8));
     EXPECT_EQ(m_changesSeen, 1);
@@ -254,7 +254,7 @@
 }
 
 // Guards against a change that never comes because the datagram that told it was lost.
-TEST_F(StoreToldFixture, onTold_changesBeginLater_gapReadFromTheStore)
+TEST_F(StoreSharedFixture, onShared_changesBeginLater_gapReadFromTheStore)
 {
     tell(Known, changesTo(Known));
     runFor(250ms);
@@ -270,7 +270,7 @@
 }
 
 // Guards against a reader that is cut off from the store and goes on telling what it knew.
-TEST_F(StoreToldFixture, onTold_readerBehind_notHeard)
+TEST_F(StoreSharedFixture, onShared_readerBehind_notHeard)
 {
     m_store.late = changesTo(30, "d", 28);
     runFor(60ms);
@@ -284,7 +284,7 @@
 
 // Guards against two readers whose watches end at different revisions: neither makes the other look
 // like a gap, as long as nothing has changed in between.
-TEST_F(StoreToldFixture, onTold_twoReadersAtDifferentRevisions_bothHeardWithoutCalls)
+TEST_F(StoreSharedFixture, onShared_twoReadersAtDifferentRevisions_bothHeardWithoutCalls)
 {
     tell(Known, changesTo(9));
     runFor(250ms);
@@ -299,7 +299,7 @@
 
 // Guards against a large object that each process reads from the store: the gap is closed from the
 // process that told of it, and from the store when that fails.
-TEST_F(StoreToldFixture, onTold_gapAndPeerGivesList_storeNotRead)
+TEST_F(StoreSharedFixture, onShared_gapAndPeerGivesList_storeNotRead)
 {
     bool isPeerUp = true;
     m_follower->setPeerList([&](TimePoint) -> asio::awaitable<Expected<ObjectList>> {
@@ -329,7 +329,7 @@
 
 // Guards against a call of each entry for each lost datagram: a second reader tells the same
 // changes a moment later.
-TEST_F(StoreToldFixture, onTold_missingChangesComeFromTheOther_storeNotCalled)
+TEST_F(StoreSharedFixture, onShared_missingChangesComeFromTheOther_storeNotCalled)
 {
     tell(Known, changesTo(Known));
     runFor(250ms);
@@ -347,12 +347,12 @@
 // Guards against an entry that sleeps on after an outage while a reader tells that the store is
 // back (trouble-3 of probador-rill-large: withdrawals and leaving endpoints were seen seconds
 // late).
-TEST_F(StoreToldFixture, onTold_duringLongRetryPause_takenAtOnce)
+TEST_F(StoreSharedFixture, onShared_duringLongRetryPause_takenAtOnce)
 {
     m_store.isDown = true;
     m_store.watchAnswerTime = 1ms;
     for (int i = 0; i < 5; ++i) {
-        m_follower->onToldLost(TimePoint::clock::now());
+        m_follower->onSharedLoss(TimePoint::clock::now());
         runFor(100ms);
     }
     EXPECT_TRUE(m_follower->isFailing());
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -67,16 +67,16 @@
         objectstore::CollectionSink sink, objectstore::StoreFollowerOptions options)
 {
     sink.onWatched = [this, collection](std::uint64_t after, const ObjectList &changes) {
-        if (m_onNews)
-            m_onNews({collection, after, changes});
+        if (m_onOwnChanges)
+            m_onOwnChanges({collection, after, changes});
     };
     m_shared.push_back(&follow(collection, std::move(sink), options));
     return *m_shared.back();
 }
 
-std::vector<ToldChanges> FleetFollower::heardSoFar(TimePoint now) const
+std::vector<SharedChanges> FleetFollower::knownRevisions(TimePoint now) const
 {
-    std::vector<ToldChanges> heard;
+    std::vector<SharedChanges> heard;
     for (const objectstore::StoreFollower *follower : m_shared) {
         if (const auto revision = follower->ownRevision(now))
             heard.push_back({follower->collection(), follower->changedAt(), {{}, {0, *revision}}});
@@ -84,10 +84,10 @@
     return heard;
 }
 
-void FleetFollower::onToldLost(TimePoint now)
+void FleetFollower::onSharedLoss(TimePoint now)
 {
     for (objectstore::StoreFollower *follower : m_shared)
-        follower->onToldLost(now);
+        follower->onSharedLoss(now);
 }
 
 void FleetFollower::setPeerList(objectstore::StoreFollower::PeerList list)
@@ -95,11 +95,11 @@
     m_configuration->setPeerList(std::move(list));
 }
 
-void FleetFollower::onTold(const ToldChanges &changes, TimePoint now)
+void FleetFollower::onShared(const SharedChanges &changes, TimePoint now)
 {
     for (objectstore::StoreFollower *follower : m_shared) {
         if (follower->collection() == changes.collection)
-            follower->onTold(changes.after, changes.changes, now);
+            follower->onShared(changes.after, changes.changes, now);
     }
 }
 
@@ -118,7 +118,7 @@
     for (objectstore::StoreFollower *follower : {m_withdrawals, m_weights})
         follower->refresh();
     // The configuration comes from the reader, unless none is heard.
-    if (!m_configuration->isHeard(m_backAt))
+    if (!m_configuration->isSharedLately(m_backAt))
         m_configuration->refresh();
 }
 
@@ -178,7 +178,8 @@
     // A changed configuration may be large: while a reader is heard, it is left to it for a while.
     m_configuration->setHeldBack([this, &endpoints] {
         const TimePoint now = TimePoint::clock::now();
-        return endpoints.isFailing() || (now - m_backAt < ReaderPatience && endpoints.isHeard(now));
+        return endpoints.isFailing()
+                || (now - m_backAt < ReaderPatience && endpoints.isSharedLately(now));
     });
 }
 
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -3,7 +3,7 @@
 #include "objectstore/storefollower.h"
 #include "protocol/control.pb.h"
 #include "relay/internal/relaycontext.h"
-#include "relay/internal/storenews.h"
+#include "relay/internal/storeupdates.h"
 
 #include <functional>
 #include <map>
@@ -26,19 +26,19 @@
     protocol::StoreKnowledge knowledge() const;
     /// Called when a version of weights is named.
     void onNamed(std::function<void()> handler) { m_onNamed = std::move(handler); }
-    using NewsHandler = std::function<void(const ToldChanges &changes)>;
+    using ChangesHandler = std::function<void(const SharedChanges &changes)>;
     /// Called for what the watches of this process bring from collections that entries share.
-    void onNews(NewsHandler handler) { m_onNews = std::move(handler); }
+    void onOwnChanges(ChangesHandler handler) { m_onOwnChanges = std::move(handler); }
     /// How far the shared collections are known here by own watches; without objects.
-    std::vector<ToldChanges> heardSoFar(domain::TimePoint now) const;
-    void onToldLost(domain::TimePoint now);
+    std::vector<SharedChanges> knownRevisions(domain::TimePoint now) const;
+    void onSharedLoss(domain::TimePoint now);
     /// How large collections are read from another entry. After start().
     void setPeerList(objectstore::StoreFollower::PeerList list);
     /// The configuration as the store has it, for other entries.
     const objectstore::ObjectList &configuration() const { return m_configuration->lastList(); }
     bool isStoreLost() const { return m_relay.storeLostAt.has_value(); }
     /// What another entry of the data centre has read.
-    void onTold(const ToldChanges &changes, domain::TimePoint now);
+    void onShared(const SharedChanges &changes, domain::TimePoint now);
     /// What other entries know, as agents tell it.
     void onHint(const protocol::StoreKnowledge &knowledge);
 
@@ -68,7 +68,7 @@
     std::function<void()> m_onNamed;
     /// The store answered again at this time.
     domain::TimePoint m_backAt;
-    NewsHandler m_onNews;
+    ChangesHandler m_onOwnChanges;
     /// Collections whose objects are small enough to be told.
     std::vector<objectstore::StoreFollower *> m_shared;
     bool m_hasEndpoints = false;
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -30,7 +30,7 @@
 /// is killed, frozen or cut off from the store is not missed.
 constexpr std::uint32_t Readers = 2;
 /// Readers tell this often how far they have read, whether anything has changed or not.
-constexpr auto NewsInterval = std::chrono::milliseconds(400);
+constexpr auto UpdateInterval = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -152,26 +152,26 @@
             || std::find(counters.begin(), counters.end(), endpoint.id) != counters.end();
 }
 
-asio::awaitable<void> LoadListener::tellNews()
+asio::awaitable<void> LoadListener::publishUpdates()
 {
     asio::steady_timer timer(m_context);
     for (;;) {
         countEntries(TimePoint::clock::now());
         if (isReader()) {
-            protocol::StoreNews news;
-            for (const ToldChanges &heard : m_fleet.heardSoFar(TimePoint::clock::now())) {
+            protocol::StoreUpdate update;
+            for (const SharedChanges &heard : m_fleet.knownRevisions(TimePoint::clock::now())) {
                 for (protocol::StoreChanges &part : splitChanges(heard))
-                    *news.add_changes() = std::move(part);
+                    *update.add_changes() = std::move(part);
             }
-            news.set_is_store_lost(m_fleet.isStoreLost());
-            sendNews(news);
+            update.set_is_store_lost(m_fleet.isStoreLost());
+            sendUpdate(update);
         }
-        timer.expires_after(NewsInterval);
+        timer.expires_after(UpdateInterval);
         co_await timer.async_wait(UseTuple);
     }
 }
 
-void LoadListener::tellNews(const ToldChanges &changes)
+void LoadListener::publishUpdates(const SharedChanges &changes)
 {
     if (!isReader())
         return;
@@ -182,17 +182,17 @@
         parts = splitChanges({changes.collection, upTo, {{}, {0, upTo}}});
     }
     for (protocol::StoreChanges &part : parts) {
-        protocol::StoreNews news;
-        *news.add_changes() = std::move(part);
-        sendNews(news);
+        protocol::StoreUpdate update;
+        *update.add_changes() = std::move(part);
+        sendUpdate(update);
     }
 }
 
-void LoadListener::sendNews(const protocol::StoreNews &news)
+void LoadListener::sendUpdate(const protocol::StoreUpdate &update)
 {
     protocol::AgentDatagram datagram;
-    *datagram.mutable_news() = news;
-    datagram.mutable_news()->set_source(m_listen.toString());
+    *datagram.mutable_update() = update;
+    datagram.mutable_update()->set_source(m_listen.toString());
     const std::string bytes = datagram.SerializeAsString();
     const auto config = m_dispatcher.config();
     if (!config)
@@ -216,18 +216,18 @@
     return m_localRank.entries > 0 && m_localRank.rank < Readers;
 }
 
-void LoadListener::learnNews(const protocol::StoreNews &news, TimePoint now)
+void LoadListener::takeUpdate(const protocol::StoreUpdate &update, TimePoint now)
 {
     // Readers go by the store alone; else they could keep each other believing in what is old.
     if (isReader())
         return;
-    if (const auto source = domain::SocketAddress::parse(news.source()))
-        m_newsSource = *source;
-    if (news.is_store_lost())
-        m_fleet.onToldLost(now);
-    for (const protocol::StoreChanges &part : news.changes()) {
+    if (const auto source = domain::SocketAddress::parse(update.source()))
+        m_updateSource = *source;
+    if (update.is_store_lost())
+        m_fleet.onSharedLoss(now);
+    for (const protocol::StoreChanges &part : update.changes()) {
         if (const auto changes = m_assembler.add(part, now))
-            m_fleet.onTold(*changes, now);
+            m_fleet.onShared(*changes, now);
     }
 }
 
@@ -281,8 +281,8 @@
                             {"remedy", "check what sends to the load port"}});
             continue;
         }
-        if (datagram.has_news())
-            learnNews(datagram.news(), TimePoint::clock::now());
+        if (datagram.has_update())
+            takeUpdate(datagram.update(), TimePoint::clock::now());
         if (!datagram.has_report())
             continue;
         const protocol::LoadReport &message = datagram.report();
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -33,11 +33,11 @@
     void tellNow();
     /// Tells the other entries of this data centre what the own watches have brought, if this entry
     /// reads the store for them.
-    void tellNews(const ToldChanges &changes);
+    void publishUpdates(const SharedChanges &changes);
     /// Tells them all the time how far the own watches have come.
-    boost::asio::awaitable<void> tellNews();
+    boost::asio::awaitable<void> publishUpdates();
     /// Entry that told last what the store holds; none before.
-    const std::optional<domain::SocketAddress> &newsSource() const { return m_newsSource; }
+    const std::optional<domain::SocketAddress> &updateSource() const { return m_updateSource; }
 
 private:
     struct EntryCount
@@ -55,8 +55,8 @@
     /// Whether reports of this endpoint are worth their bytes.
     bool isWanted(const routing::ListedEndpoint &endpoint);
     bool isReader() const;
-    void sendNews(const protocol::StoreNews &news);
-    void learnNews(const protocol::StoreNews &news, domain::TimePoint now);
+    void sendUpdate(const protocol::StoreUpdate &update);
+    void takeUpdate(const protocol::StoreUpdate &update, domain::TimePoint now);
     bool isEngine(const routing::ListedEndpoint &endpoint) const;
     /// Requests a second for each engine of this data centre, by service.
     std::map<domain::ServiceId, double> takeLocalDemand(double seconds);
@@ -76,8 +76,8 @@
     std::map<domain::SocketAddress, EntryCount> m_counts;
     /// Place of this entry among those of its data centre; no entries while it is not known.
     routing::EntryShare m_localRank{0, 0};
-    StoreNewsAssembler m_assembler;
-    std::optional<domain::SocketAddress> m_newsSource;
+    StoreUpdateAssembler m_assembler;
+    std::optional<domain::SocketAddress> m_updateSource;
 };
 
 } // namespace oriolerill::relay::internal
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -102,8 +102,8 @@
         if (auto started = m_metricsServer.start(m_settings.listenMetrics, handler); !started)
             return started.error();
         m_follower.onNamed([this] { m_load.tellNow(); });
-        m_follower.onNews(
-                [this](const internal::ToldChanges &changes) { m_load.tellNews(changes); });
+        m_follower.onOwnChanges(
+                [this](const internal::SharedChanges &changes) { m_load.publishUpdates(changes); });
         m_relay.onLeaving = [this] { m_load.tellNow(); };
         const auto giveConfiguration = [this](transport::HttpServerExchange &exchange) {
             return internal::ConfigurationExchange::answer(exchange, m_follower.configuration());
@@ -114,7 +114,7 @@
         m_follower.setPeerList([this](TimePoint deadline) { return fetchConfiguration(deadline); });
         keepRunning("callers", [this] { return m_callers.acceptAll(); });
         keepRunning("subscriptions", [this] { return m_load.subscribe(); });
-        keepRunning("news", [this] { return m_load.tellNews(); });
+        keepRunning("update", [this] { return m_load.publishUpdates(); });
         keepRunning("reports", [this] { return m_load.receive(); });
         keepRunning("signals", [this] { return handleSignals(); });
         keepRunning("settings", [this] { return watchSettings(); });
@@ -150,7 +150,7 @@
 
     asio::awaitable<Expected<objectstore::ObjectList>> fetchConfiguration(TimePoint deadline)
     {
-        const auto source = m_load.newsSource();
+        const auto source = m_load.updateSource();
         if (!source) {
             co_return domain::Error{domain::ErrorKind::Unavailable,
                     "no entry has told anything yet", "the store is read instead"};
--- a/src/relay/internal/storenews.cpp
+++ b/src/relay/internal/storeupdates.cpp
@@ -1,4 +1,4 @@
-#include "relay/internal/storenews.h"
+#include "relay/internal/storeupdates.h"
 
 #include <utility>
 
@@ -16,7 +16,7 @@
 
 } // namespace
 
-std::vector<protocol::StoreChanges> splitChanges(const ToldChanges &told)
+std::vector<protocol::StoreChanges> splitChanges(const SharedChanges &told)
 {
     std::vector<protocol::StoreChanges> parts(1);
     std::size_t bytes = 0;
@@ -49,7 +49,7 @@
     return parts;
 }
 
-std::optional<ToldChanges> StoreNewsAssembler::add(
+std::optional<SharedChanges> StoreUpdateAssembler::add(
         const protocol::StoreChanges &part, domain::TimePoint now)
 {
     std::erase_if(
@@ -64,7 +64,7 @@
     partial.parts[part.part()] = part;
     if (partial.parts.size() < part.parts())
         return std::nullopt;
-    ToldChanges told{part.collection(), part.after(), {}};
+    SharedChanges told{part.collection(), part.after(), {}};
     told.changes.storeVersion = {0, part.up_to()};
     for (const auto &[number, one] : partial.parts) {
         for (const protocol::ChangedObject &object : one.objects()) {
--- a/src/relay/internal/storenews.h
+++ b/src/relay/internal/storeupdates.h
@@ -14,7 +14,7 @@
 namespace oriolerill::relay::internal {
 
 /// Changes of one collection, as one process tells them to others.
-struct ToldChanges
+struct SharedChanges
 {
     std::string collection;
     /// Revision of the last change before.
@@ -24,17 +24,17 @@
 
 /// Splits changes into messages that each fit a datagram; empty when one object alone does not, so
 /// that receivers notice the gap and read it from the store.
-std::vector<protocol::StoreChanges> splitChanges(const ToldChanges &told);
+std::vector<protocol::StoreChanges> splitChanges(const SharedChanges &told);
 
 /// Puts the parts of changes together again.
 ///
 /// Load pattern: new weights reach all engines within seconds, and each engine's entry in the list
 /// changes several times; a batch of changes is then far larger than a datagram.
-class StoreNewsAssembler
+class StoreUpdateAssembler
 {
 public:
     /// The whole changes once their last part has come; parts may come in any order, and twice.
-    std::optional<ToldChanges> add(const protocol::StoreChanges &part, domain::TimePoint now);
+    std::optional<SharedChanges> add(const protocol::StoreChanges &part, domain::TimePoint now);
 
 private:
     struct Partial
--- a/src/relay/tests/storenewstest.cpp
+++ b/src/relay/tests/storeupdatestest.cpp
@@ -1,4 +1,4 @@
-#include "relay/internal/storenews.h"
+#include "relay/internal/storeupdates.h"
 
 #include <gtest/gtest.h>
 
@@ -9,12 +9,12 @@
 
 using namespace std::chrono_literals;
 
-class StoreNewsFixture : public testing::Test
+class StoreUpdateFixture : public testing::Test
 {
 protected:
-    static ToldChanges engines(int count, std::size_t valueSize = 300)
+    static SharedChanges engines(int count, std::size_t valueSize = 300)
     {
-        ToldChanges told{"endpoints", 40, {}};
+        SharedChanges told{"endpoints", 40, {}};
         told.changes.storeVersion = {0, 40 + static_cast<std::uint64_t>(count)};
         for (int i = 0; i < count; ++i) {
             const auto revision = 41 + static_cast<std::uint64_t>(i);
@@ -29,9 +29,9 @@
 
 // Guards against changes of a whole data centre at a push that do not fit a datagram, or arrive
 // changed: parts in any order, some of them twice.
-TEST_F(StoreNewsFixture, splitAndAdd_changesOfAPush_sameChanges)
+TEST_F(StoreUpdateFixture, splitAndAdd_changesOfAPush_sameChanges)
 {
-    const ToldChanges told = engines(58);
+    const SharedChanges told = engines(58);
     std::vector<protocol::StoreChanges> parts = splitChanges(told);
     ASSERT_GT(parts.size(), 5U);
     for (const auto &part : parts)
@@ -39,8 +39,8 @@
     parts.push_back(parts[2]);
     std::mt19937 random(7);
     std::shuffle(parts.begin(), parts.end(), random);
-    StoreNewsAssembler assembler;
-    std::optional<ToldChanges> got;
+    StoreUpdateAssembler assembler;
+    std::optional<SharedChanges> got;
     int whole = 0;
     for (const auto &part : parts) {
         if (auto changes = assembler.add(part, m_now)) {
@@ -62,9 +62,9 @@
 }
 
 // Guards against half of the changes taken for all of them, and against parts that pile up.
-TEST_F(StoreNewsFixture, add_partLostOrMalformed_nothingTaken)
+TEST_F(StoreUpdateFixture, add_partLostOrMalformed_nothingTaken)
 {
-    StoreNewsAssembler assembler;
+    StoreUpdateAssembler assembler;
     std::vector<protocol::StoreChanges> parts = splitChanges(engines(30));
     for (std::size_t i = 1; i < parts.size(); ++i)
         EXPECT_FALSE(assembler.add(parts[i], m_now));
@@ -79,7 +79,7 @@
 }
 
 // Guards against a datagram that is too large to arrive: such changes are left to the store.
-TEST_F(StoreNewsFixture, splitChanges_objectBeyondADatagram_none)
+TEST_F(StoreUpdateFixture, splitChanges_objectBeyondADatagram_none)
 {
     EXPECT_TRUE(splitChanges(engines(3, 5000)).empty());
     EXPECT_EQ(splitChanges({"weights", 7, {{}, {0, 7}}}).size(), 1U);
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -93,8 +93,8 @@
             m_onHoldings(sender.address().to_string(), datagram.holdings());
         if (datagram.has_knowledge())
             onKnowledge(datagram.knowledge());
-        if (datagram.has_news())
-            passOn(datagram.news(), sender);
+        if (datagram.has_update())
+            passOn(datagram.update(), sender);
         if (!datagram.has_subscription())
             continue;
         const protocol::LoadSubscription &message = datagram.subscription();
@@ -207,10 +207,10 @@
     }
 }
 
-void LoadReporter::passOn(const protocol::StoreNews &news, const udp::endpoint &sender)
+void LoadReporter::passOn(const protocol::StoreUpdate &update, const udp::endpoint &sender)
 {
     protocol::EntryDatagram datagram;
-    *datagram.mutable_news() = news;
+    *datagram.mutable_update() = update;
     const std::string bytes = datagram.SerializeAsString();
     for (const auto &[entry, subscriber] : m_subscribers) {
         boost::system::error_code code;
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -70,7 +70,7 @@
     bool isReportDue(
             const Subscriber &subscriber, std::size_t position, domain::TimePoint now) const;
     /// Tells the other entries of this data centre what one of them has read.
-    void passOn(const protocol::StoreNews &news, const boost::asio::ip::udp::endpoint &sender);
+    void passOn(const protocol::StoreUpdate &update, const boost::asio::ip::udp::endpoint &sender);
     void onKnowledge(const protocol::StoreKnowledge &knowledge);
     protocol::StoreKnowledge knowledge() const;
 
