Log when a request was sent and which weights its choice went by

request_ended and attempt_ended tell the time of sending, the version that the endpoint was known to serve and the newest one named.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -276,6 +276,9 @@
     ++m_attempts;
     m_lastEndpoint = dispatch.endpoint;
     m_expectedStartMs = dispatch.startMs;
+    m_sentAt.reset();
+    m_servedWeights = dispatch.servedWeights;
+    m_newestWeights = dispatch.newestWeights;
     const TimePoint chosenAt = TimePoint::clock::now();
     const routing::EndpointLoad &chosen = m_context.dispatcher.load(dispatch.endpoint);
     m_busy = chosen.busy(chosenAt);
@@ -313,7 +316,9 @@
     if (end != AttemptEnd::Delivered) {
         logEvent(Severity::Info, "attempt_ended",
                 {{"request", m_about.id.value()}, {"endpoint", dispatch.endpoint.value()},
-                        {"end", toString(end)}, {"detail", m_detail}, {"busy", load.busy(now)}});
+                        {"end", toString(end)}, {"detail", m_detail}, {"busy", load.busy(now)},
+                        {"sent_ms", msSinceArrival(m_sentAt)}, {"weights", m_servedWeights},
+                        {"newest_weights", m_newestWeights}});
     }
     co_return m_isCallerGone ? AttemptEnd::CallerGone : end;
 }
@@ -349,7 +354,8 @@
         m_detail = "the choice is out of date";
         co_return AttemptEnd::NotSent;
     }
-    m_context.dispatcher.onSent(dispatch, TimePoint::clock::now());
+    m_sentAt = TimePoint::clock::now();
+    m_context.dispatcher.onSent(dispatch, *m_sentAt);
 
     routing::DispatchHead head;
     head.endpoint = dispatch.endpoint;
@@ -670,12 +676,13 @@
     co_return co_await sendOwnAnswer(m_caller, std::move(own), m_isKeptAlive) && m_isKeptAlive;
 }
 
+std::int64_t RequestRun::msSinceArrival(std::optional<TimePoint> time) const
+{
+    return time ? std::chrono::duration_cast<milliseconds>(*time - m_arrivedAt).count() : -1;
+}
+
 void RequestRun::logEnd(std::string_view outcome, unsigned status)
 {
-    const auto msSince = [this](TimePoint time) {
-        return std::chrono::duration_cast<milliseconds>(time - m_arrivedAt).count();
-    };
-    const TimePoint now = TimePoint::clock::now();
     const std::string routeName = m_route == nullptr ? "" : m_route->name;
     m_context.metrics.increment(
             "oriolerill_relay_requests_total", {{"route", routeName}, {"outcome", outcome}});
@@ -692,9 +699,11 @@
                     {"endpoint", m_lastEndpoint.value()}, {"attempts", m_attempts},
                     {"runs", m_runs}, {"expected_ms", std::llround(m_expectedStartMs)},
                     {"busy", std::llround(m_busy)}, {"report_age_ms", m_reportAgeMs},
-                    {"first_ms", m_firstByteAt ? msSince(*m_firstByteAt) : -1},
-                    {"total_ms", msSince(now)}, {"events", m_events.eventCount()},
-                    {"detail", m_detail}});
+                    {"sent_ms", msSinceArrival(m_sentAt)}, {"weights", m_servedWeights},
+                    {"newest_weights", m_newestWeights},
+                    {"first_ms", msSinceArrival(m_firstByteAt)},
+                    {"total_ms", msSinceArrival(TimePoint::clock::now())},
+                    {"events", m_events.eventCount()}, {"detail", m_detail}});
 }
 
 } // namespace oriolerill::relay::internal
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -79,6 +79,8 @@
     OwnAnswer giveUp(AttemptEnd end) const;
     OwnAnswer refuse(const routing::Refusal &refusal);
     domain::TimePoint firstByteDeadline(const routing::Dispatch &dispatch) const;
+    /// -1 without a time.
+    std::int64_t msSinceArrival(std::optional<domain::TimePoint> time) const;
     void logEnd(std::string_view outcome, unsigned status);
 
     RelayContext &m_context;
@@ -109,6 +111,10 @@
     /// What the last choice went by: requests known to be at the endpoint, and the report's age.
     double m_busy = 0;
     std::int64_t m_reportAgeMs = -1;
+    /// When the last attempt was written, and the weights that its choice went by.
+    std::optional<domain::TimePoint> m_sentAt;
+    std::uint64_t m_servedWeights = 0;
+    std::uint64_t m_newestWeights = 0;
     std::optional<domain::TimePoint> m_firstByteAt;
     std::string m_detail;
 
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -82,6 +82,9 @@
     /// Start of the process that was chosen; zero when not known.
     std::uint64_t startedAtMs = 0;
     std::optional<std::uint64_t> weightsVersion;
+    /// Version that the endpoint is known to serve, and the newest one named; zero when unknown.
+    std::uint64_t servedWeights = 0;
+    std::uint64_t newestWeights = 0;
     double startMs = 0;
     bool isCold = false;
 };
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -338,6 +338,8 @@
     dispatch.startedAtMs = endpoint->startedAtMs;
     dispatch.startMs = best.startMs;
     dispatch.isCold = isCold(*endpoint, *service, now);
+    dispatch.servedWeights = candidates.versions[best.endpoint].value_or(0);
+    dispatch.newestWeights = m_weights.newest(query.request->model);
     if (m_weights.lowest(query.request->model, now) > 0 || query.pinnedWeights)
         dispatch.weightsVersion = candidates.versions[best.endpoint];
     return dispatch;
