Add a failing test of requests that wait at older engines past the version bound

The entry checks the version when it sends a request, and leaves it in the engine's queue until the request's own deadline: 6.1 s in the test, 4 s beyond the bound.

--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -176,15 +176,21 @@
         return route;
     }
 
-    void start()
+    /// The one service of all routes; tests of engines replace it.
+    virtual routing::ServiceSpec service() const
     {
         routing::ServiceSpec service;
         service.id = domain::ServiceId("s");
+        return service;
+    }
+
+    void start()
+    {
         auto config = std::make_shared<routing::ServingConfig>(1,
                 std::vector{route("/read/", routing::RequestKind::Idempotent),
                         route("/order/", routing::RequestKind::NonIdempotent),
                         route("/stream/", routing::RequestKind::Stream)},
-                std::vector{service}, m_limits);
+                std::vector{service()}, m_limits);
         config->addAccount("secret", {domain::AccountId("shop"), std::nullopt, {}});
         m_dispatcher.setConfig(config);
         m_dispatcher.endpoints().replaceAll(m_listed, domain::TimePoint::clock::now());
--- /dev/null
+++ b/src/relay/tests/weightsboundtest.cpp
@@ -0,0 +1,126 @@
+#include "relay/tests/relayfixture.h"
+
+#include <future>
+
+namespace oriolerill::relay {
+
+using namespace std::chrono_literals;
+using Socket = ScriptedEndpoint::Socket;
+using domain::TimePoint;
+
+/// Engines that still serve version 1 of the weights, shortly before version 2 is required.
+class WeightsBoundFixture : public RelayFixture
+{
+protected:
+    WeightsBoundFixture() { m_routeTimeout = 6s; }
+
+    routing::ServiceSpec service() const override
+    {
+        routing::ServiceSpec service = RelayFixture::service();
+        service.models = {model()};
+        service.engine = routing::EngineSpeed{4, 6.73, 0.0219, 30.6, 964, 119};
+        return service;
+    }
+
+    static domain::ModelId model() { return domain::ModelId("m"); }
+
+    ScriptedEndpoint &addEngine(std::uint64_t version, ScriptedEndpoint::Script script)
+    {
+        ScriptedEndpoint &engine = addEndpoint(std::move(script));
+        m_listed.back().weights[model()] = version;
+        return engine;
+    }
+
+    /// Keeps the request in its queue, and notes when the entry closes the connection.
+    ScriptedEndpoint &addBusyEngine()
+    {
+        return addEngine(1, [this](Socket &socket, const std::string &) {
+            char byte = 0;
+            boost::system::error_code code;
+            socket.read_some(boost::asio::buffer(&byte, 1), code);
+            m_closedAt.set_value(TimePoint::clock::now());
+            return false;
+        });
+    }
+
+    ScriptedEndpoint &addEngineThatAnswers(std::uint64_t version)
+    {
+        return addEngine(version, [](Socket &socket, const std::string &) {
+            write(socket,
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                    "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+                    "id: 1\ndata: x\n\n");
+            return false;
+        });
+    }
+
+    /// Names version 2 so that requests may begin on version 1 for this much longer.
+    void nameVersionWithBoundIn(domain::Duration time)
+    {
+        m_boundAt = TimePoint::clock::now() + time;
+        m_dispatcher.weights().onNamed(
+                model(), 2, false, m_boundAt - routing::WeightsRequirementOptions().bound);
+    }
+
+    std::string callModel(const std::string &path)
+    {
+        return call(request("POST", path, std::string("Model: m\r\n") + Close, "o"));
+    }
+
+    std::promise<TimePoint> m_closedAt;
+    TimePoint m_boundAt;
+};
+
+// Regression: requests queued at an engine began on older weights after the version bound, because
+// the version was only checked when they were sent.
+TEST_F(WeightsBoundFixture, serve_requestQueuedAtOlderEngine_withdrawnBeforeVersionBound)
+{
+    addBusyEngine();
+    nameVersionWithBoundIn(2s);
+    start();
+    const std::string answer = callModel("/order/1");
+    // It may have begun, so nothing is promised.
+    EXPECT_EQ(statusOf(answer), 502U) << answer;
+    EXPECT_LT(m_closedAt.get_future().get(), m_boundAt);
+}
+
+// Guards against a withdrawn request that is lost though an engine with the version could take it.
+TEST_F(WeightsBoundFixture, serve_repeatableRequestWithdrawn_answeredByEngineWithTheVersion)
+{
+    addBusyEngine();
+    nameVersionWithBoundIn(2s);
+    start();
+    auto answer = std::async(std::launch::async, [this] { return callModel("/stream/1"); });
+    std::this_thread::sleep_for(500ms);
+    boost::asio::post(m_context, [this] {
+        addEngineThatAnswers(2);
+        m_dispatcher.endpoints().replaceAll(m_listed, TimePoint::clock::now());
+    });
+    EXPECT_EQ(statusOf(answer.get()), 200U);
+    EXPECT_LT(m_closedAt.get_future().get(), m_boundAt);
+}
+
+// Guards against streams that are cut because a version is required which they need not have: they
+// have begun before the bound.
+TEST_F(WeightsBoundFixture, serve_streamBegunBeforeVersionBound_notCut)
+{
+    addEngine(1, [](Socket &socket, const std::string &) {
+        write(socket,
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "f\r\nid: 1\ndata: x\n\n\r\n");
+        for (int i = 2; i < 8; ++i) {
+            std::this_thread::sleep_for(300ms);
+            write(socket, "f\r\nid: " + std::to_string(i) + "\ndata: x\n\n\r\n");
+        }
+        write(socket, "0\r\n\r\n");
+        return true;
+    });
+    nameVersionWithBoundIn(2s);
+    start();
+    const std::string answer = callModel("/stream/1");
+    EXPECT_NE(answer.find("id: 7"), std::string::npos) << answer;
+    EXPECT_TRUE(answer.ends_with("0\r\n\r\n")) << answer;
+}
+
+} // namespace oriolerill::relay
