Count the grace for named weights from the start of the process

An entry that finds a named version at its start does not know since when it is named, and requires it 2.5 s later, before the operator's rules bind a process that has just started.

lowest_versionFoundLateAfterStart_requiredAsIfFoundAtOnce fails with the grace counted from the reading (0 instead of 2 at 2.5 s) and passes.

--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -56,6 +56,7 @@
     options.coldOverage = settings.coldOverage;
     options.coldSlack = settings.coldSlack;
     options.weights.bound = settings.weightsBound;
+    options.weights.startedAt = TimePoint::clock::now();
     options.seed = std::hash<std::string>{}(settings.id.value());
     return options;
 }
--- a/src/routing/internal/weightsrequirement.cpp
+++ b/src/routing/internal/weightsrequirement.cpp
@@ -11,10 +11,10 @@
 void WeightsRequirement::onNamed(
         const domain::ModelId &model, std::uint64_t version, bool isAtStart, domain::TimePoint now)
 {
-    const domain::Duration delay
-            = isAtStart ? m_options.graceAtStart : m_options.bound - m_options.margin;
+    const domain::TimePoint requiredAt = isAtStart ? m_options.startedAt + m_options.graceAtStart
+                                                   : now + m_options.bound - m_options.margin;
     // Seen again, for example in a list after a lost watch, a version keeps its first time.
-    m_requiredAt[model].emplace(version, now + delay);
+    m_requiredAt[model].emplace(version, requiredAt);
 }
 
 void WeightsRequirement::onSuspended(domain::Duration time)
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -21,8 +21,10 @@
     /// 400 ms between updates of its publisher, and the way of the close to the endpoint.
     domain::Duration withdrawalMargin = std::chrono::milliseconds(500);
     /// A version found at the start of this process was named at an unknown time before. It is
-    /// required this soon, when the operator's rules begin to bind a process that has just started.
+    /// required this long after the start, when the operator's rules begin to bind a process that
+    /// has just started; not after it was found, which may take seconds.
     domain::Duration graceAtStart = std::chrono::milliseconds(2500);
+    domain::TimePoint startedAt;
 };
 
 /// Which version of a model's weights a request must at least begin on.
