Count the version bound from the first process that saw the version named

Entries and agents tell each other which versions are named already; now with the time since the first of them saw it, and the earliest time counts. Agents count their turn to switch from it as well. The store alone says which versions are named: a time for a version that it has not named has no effect, and ages are bounded.

With the times ignored, lowest_versionLearnedLate_requiredAsByTheFirstToSeeIt and receive_agentKnowsSinceWhenVersionIsNamed_olderEnginesLeftOutInTime fail (0 instead of 2; an older engine is chosen); they pass with the change.

--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -128,11 +128,9 @@
     knowledge.set_configuration_changed_at(m_configuration->changedAt());
     knowledge.set_withdrawals_changed_at(m_withdrawals->changedAt());
     knowledge.set_weights_changed_at(m_weights->changedAt());
-    for (const auto &[model, version] : m_named) {
-        protocol::NamedWeights &named = *knowledge.add_named();
-        named.set_model(model.value());
-        named.set_version(version);
-    }
+    const TimePoint now = TimePoint::clock::now();
+    for (const auto &version : m_relay.dispatcher.weights().newestVersions())
+        *knowledge.add_named() = routing::encodeNamedVersion(version, now);
     knowledge.set_is_store_answering(isComplete() && !m_relay.storeLostAt);
     return knowledge;
 }
@@ -143,6 +141,13 @@
     m_configuration->onHint(knowledge.configuration_changed_at(), now);
     m_withdrawals->onHint(knowledge.withdrawals_changed_at(), now);
     m_weights->onHint(knowledge.weights_changed_at(), now);
+    for (const protocol::NamedWeights &named : knowledge.named()) {
+        const routing::NamedVersion version = routing::decodeNamedVersion(named, now);
+        if (version.namedAt) {
+            m_relay.dispatcher.weights().onNamingTime(
+                    version.model, version.version, *version.namedAt);
+        }
+    }
 }
 
 void FleetFollower::start()
@@ -269,8 +274,6 @@
             logMalformed(object, named.error());
             continue;
         }
-        std::uint64_t &newest = m_named[named->model];
-        newest = std::max(newest, named->number);
         m_relay.dispatcher.weights().onNamed(named->model, named->number, isAtStart, now);
         logEvent(Severity::Info, "weights_named",
                 {{"model", named->model.value()}, {"version", named->number},
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -6,7 +6,6 @@
 #include "relay/internal/storeupdates.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <vector>
 
@@ -64,7 +63,6 @@
     objectstore::StoreFollower *m_configuration = nullptr;
     objectstore::StoreFollower *m_withdrawals = nullptr;
     objectstore::StoreFollower *m_weights = nullptr;
-    std::map<domain::ModelId, std::uint64_t> m_named;
     std::function<void()> m_onNamed;
     /// The store answered again at this time.
     domain::TimePoint m_backAt;
--- a/src/relay/tests/loadlistenertest.cpp
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -154,6 +154,21 @@
         EXPECT_EQ(chosen(), "e2");
 }
 
+// Regression: an entry that learned late of a version sent requests to older engines after the
+// version bound, though agents knew since when the version was named.
+TEST_F(LoadListenerFixture, receive_agentKnowsSinceWhenVersionIsNamed_olderEnginesLeftOutInTime)
+{
+    m_dispatcher.weights().onNamed(domain::ModelId("m"), 2, false, domain::TimePoint::clock::now());
+    ASSERT_NE(chosen(), "");
+    protocol::LoadReport message = report(1);
+    protocol::NamedWeights &named = *message.mutable_knowledge()->add_named();
+    named.set_model("m");
+    named.set_version(2);
+    named.set_age_ms(7000);
+    send(message);
+    EXPECT_EQ(chosen(), "");
+}
+
 // Guards against a part of the cold bound that is far too large right after all processes were
 // killed: the first counts of the agents are of the few entries that they have heard by then
 // (hunt-aebc-7 on kovacevic-nakovnji-grown, FAILBACK).
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -40,6 +40,10 @@
 constexpr std::size_t MaxDatagram = 1500;
 /// Leaving endpoints that one report tells of; they share a datagram with the rest.
 constexpr int MostLeaving = 16;
+/// Versions that one report tells of: bounds of two may be ahead at the same time.
+constexpr std::size_t PublishedVersions = 3;
+/// Models that one report tells of; a report is one datagram.
+constexpr std::size_t MaxModels = 8;
 
 } // namespace
 
@@ -154,8 +158,19 @@
 
 void LoadReporter::onKnowledge(const protocol::StoreKnowledge &knowledge)
 {
-    for (const protocol::NamedWeights &named : knowledge.named())
-        m_onNamed(domain::ModelId(named.model()), named.version());
+    const TimePoint now = TimePoint::clock::now();
+    for (const protocol::NamedWeights &named : knowledge.named()) {
+        const routing::NamedVersion version = routing::decodeNamedVersion(named, now);
+        if (m_named.size() >= MaxModels && m_named.count(version.model) == 0)
+            continue;
+        auto &versions = m_named[version.model];
+        routing::NamedVersion &known = versions.try_emplace(version.version, version).first->second;
+        if (version.namedAt)
+            known.namedAt = std::min(known.namedAt.value_or(*version.namedAt), *version.namedAt);
+        m_onNamed(known);
+        while (versions.size() > PublishedVersions)
+            versions.erase(versions.begin());
+    }
 }
 
 bool LoadReporter::isReportDue(
@@ -176,6 +191,11 @@
 protocol::StoreKnowledge LoadReporter::knowledge() const
 {
     protocol::StoreKnowledge all;
+    const TimePoint now = TimePoint::clock::now();
+    for (const auto &[model, versions] : m_named) {
+        for (const auto &[number, version] : versions)
+            *all.add_named() = routing::encodeNamedVersion(version, now);
+    }
     std::set<std::string> told;
     for (const auto &[entry, subscriber] : m_subscribers) {
         const protocol::StoreKnowledge &one = subscriber.knowledge;
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -7,6 +7,7 @@
 #include "protocol/control.pb.h"
 #include "relayagent/internal/enginelink.h"
 #include "rollout/enginestate.h"
+#include "routing/namedversion.h"
 #include "routing/placegrants.h"
 #include "routing/servingconfig.h"
 
@@ -35,7 +36,7 @@
 
     using HoldingsHandler
             = std::function<void(const std::string &host, const protocol::PieceHoldings &holdings)>;
-    using NamedHandler = std::function<void(const domain::ModelId &model, std::uint64_t version)>;
+    using NamedHandler = std::function<void(const routing::NamedVersion &version)>;
     /// Called for the versions that entries know to be named.
     void onNamed(NamedHandler handler) { m_onNamed = std::move(handler); }
     using FactsHandler = std::function<void(const protocol::ServiceFacts &facts)>;
@@ -88,6 +89,8 @@
     std::uint64_t m_sequence = 0;
     HoldingsHandler m_onHoldings;
     NamedHandler m_onNamed;
+    /// The newest versions that entries have published, with their earliest times.
+    std::map<domain::ModelId, std::map<std::uint64_t, routing::NamedVersion>> m_named;
     FactsHandler m_onFacts;
 };
 
--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -119,9 +119,7 @@
         m_factsAt = TimePoint::clock::now();
         m_reporter.setModel(m_fleet.model(), m_fleet.speed());
     });
-    m_reporter.onNamed([this](const domain::ModelId &model, std::uint64_t version) {
-        onNamed(model, version, "entry");
-    });
+    m_reporter.onNamed([this](const routing::NamedVersion &version) { onNamed(version, "entry"); });
     m_reporter.onHoldings([this](const std::string &host, const protocol::PieceHoldings &message) {
         onHoldings(host, message);
     });
@@ -192,18 +190,22 @@
                             {"remedy", named.error().remedy}});
             continue;
         }
-        onNamed(named->model, named->number, "store");
+        onNamed({named->model, named->number, std::nullopt}, "store");
     }
 }
 
-void WeightsKeeper::onNamed(
-        const domain::ModelId &model, std::uint64_t version, std::string_view source)
+void WeightsKeeper::onNamed(const routing::NamedVersion &version, std::string_view source)
 {
-    if (!m_named.emplace(version, TimePoint::clock::now()).second)
+    const TimePoint now = TimePoint::clock::now();
+    const TimePoint namedAt = version.namedAt.value_or(now);
+    const auto [known, isNew] = m_named.emplace(version.version, namedAt);
+    known->second = std::min(known->second, namedAt);
+    if (!isNew)
         return;
     m_membersReadAt = {};
     logEvent(Severity::Info, "weights_named",
-            {{"model", model.value()}, {"version", version}, {"source", source}});
+            {{"model", version.model.value()}, {"version", version.version}, {"source", source},
+                    {"age_ms", std::chrono::duration_cast<milliseconds>(now - namedAt).count()}});
 }
 
 asio::awaitable<void> WeightsKeeper::pause(domain::Duration duration)
--- a/src/relayagent/internal/weightskeeper.h
+++ b/src/relayagent/internal/weightskeeper.h
@@ -35,7 +35,7 @@
             rollout::SwitchSchedule schedule, distribution::UploadPacer pacer);
 
     void onNamed(const objectstore::ObjectList &objects);
-    void onNamed(const domain::ModelId &model, std::uint64_t version, std::string_view source);
+    void onNamed(const routing::NamedVersion &version, std::string_view source);
     boost::asio::awaitable<void> run();
     PeerExchange &exchange() { return m_exchange; }
     /// Whether all pieces of the newest version that is wanted are held.
--- /dev/null
+++ b/src/routing/namedversion.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "domain/strongid.h"
+#include "domain/timepoint.h"
+#include "protocol/control.pb.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace oriolerill::routing {
+
+/// A named version of a model's weights.
+struct NamedVersion
+{
+    domain::ModelId model;
+    std::uint64_t version = 0;
+    /// When the first of all processes saw it become named; none when no process has seen that.
+    std::optional<domain::TimePoint> namedAt;
+};
+
+/// Clocks differ between VMs, so a message carries the age of the naming instead of its time.
+protocol::NamedWeights encodeNamedVersion(const NamedVersion &version, domain::TimePoint now);
+NamedVersion decodeNamedVersion(const protocol::NamedWeights &message, domain::TimePoint now);
+
+} // namespace oriolerill::routing
--- a/src/routing/tests/weightsrequirementtest.cpp
+++ b/src/routing/tests/weightsrequirementtest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace oriolerill::routing {
 
 using namespace std::chrono_literals;
@@ -46,4 +48,44 @@
     EXPECT_EQ(requirement.beginBy(m_model, 3, m_start + 5s), m_start + 5s + late);
 }
 
+// Regression: an entry that learned late of a version counted the bound from then, and sent
+// requests to older engines after it.
+TEST_F(WeightsRequirementFixture, lowest_versionLearnedLate_requiredAsByTheFirstToSeeIt)
+{
+    WeightsRequirement requirement(options());
+    requirement.onNamed(m_model, 2, false, m_start + 3s);
+    requirement.onNamingTime(m_model, 2, m_start);
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 6300ms), 2U);
+    // The time may come first, from an agent, while the store is still out of reach.
+    requirement.onNamingTime(m_model, 3, m_start + 1s);
+    EXPECT_EQ(requirement.newest(m_model), 2U);
+    requirement.onNamed(m_model, 3, false, m_start + 7s);
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 7300ms), 3U);
+}
+
+// Guards against a version that no store has named: a datagram alone must not make all engines
+// useless.
+TEST_F(WeightsRequirementFixture, onNamingTime_versionNotNamedByTheStore_notRequired)
+{
+    WeightsRequirement requirement(options());
+    for (std::uint64_t version = 2; version < 100; ++version)
+        requirement.onNamingTime(m_model, version, m_start - 1h);
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 10s), 0U);
+    requirement.onNamed(m_model, 200, false, m_start);
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 10s), 200U);
+}
+
+// Guards against ages in datagrams that overflow the clock.
+TEST_F(WeightsRequirementFixture, decodeNamedVersion_ageOutOfRange_bounded)
+{
+    protocol::NamedWeights message;
+    message.set_model("m");
+    message.set_version(2);
+    message.set_age_ms(std::numeric_limits<std::uint64_t>::max());
+    EXPECT_EQ(decodeNamedVersion(message, m_start).namedAt, m_start - 1h);
+    const NamedVersion version{m_model, 2, m_start - 1500ms};
+    const NamedVersion copy = decodeNamedVersion(encodeNamedVersion(version, m_start), m_start);
+    EXPECT_EQ(copy.namedAt, version.namedAt);
+}
+
 } // namespace oriolerill::routing
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -2,9 +2,12 @@
 
 #include "domain/strongid.h"
 #include "domain/timepoint.h"
+#include "routing/namedversion.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace oriolerill::routing {
 
@@ -25,9 +28,14 @@
     /// has just started; not after it was found, which may take seconds.
     domain::Duration graceAtStart = std::chrono::milliseconds(2500);
     domain::TimePoint startedAt;
+    /// Maximum number of versions kept for each model, the newest; naming times come in datagrams.
+    std::size_t maxVersions = 16;
 };
 
 /// Which version of a model's weights a request must at least begin on.
+///
+/// The store says which versions are named. Other processes say since when: one that learns of a
+/// version late counts the operator's bound from the time at which the first one saw it.
 class WeightsRequirement
 {
 public:
@@ -36,6 +44,9 @@
     /// A version was named. isAtStart tells that it was found rather than seen to change.
     void onNamed(const domain::ModelId &model, std::uint64_t version, bool isAtStart,
             domain::TimePoint now);
+    /// Another process saw the version become named. Of no effect until the store names it.
+    void onNamingTime(
+            const domain::ModelId &model, std::uint64_t version, domain::TimePoint namedAt);
     /// All named versions are required so much earlier.
     void onSuspended(domain::Duration time);
     /// Zero while every version will do.
@@ -44,11 +55,22 @@
     /// When a request that is sent now to an endpoint with this version must have begun there.
     domain::TimePoint beginBy(
             const domain::ModelId &model, std::uint64_t served, domain::TimePoint now) const;
+    /// The newest few named versions of each model.
+    std::vector<NamedVersion> newestVersions() const;
 
 private:
+    struct Naming
+    {
+        bool isNamed = false;
+        /// None for a version that was found at the start, unless another process saw it.
+        std::optional<domain::TimePoint> namedAt;
+    };
+    using Versions = std::map<std::uint64_t, Naming>;
+
+    domain::TimePoint requiredAt(const Naming &naming) const;
+
     WeightsRequirementOptions m_options;
-    /// When each named version comes to be required.
-    std::map<domain::ModelId, std::map<std::uint64_t, domain::TimePoint>> m_requiredAt;
+    std::map<domain::ModelId, Versions> m_versions;
 };
 
 } // namespace oriolerill::routing
