Keep an agent to the versions of its own engine's model

An agent took each named version that it read or received for one of its own model: a deployment with two models would have fetched pieces under the wrong number and ordered engines to load a version that their model does not have, and left out the version that it needs.

push_versionOfAnotherModelNamed_notFetched failed before (version 2 not served after 10 s) and passes.

--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -198,7 +198,7 @@
 {
     const TimePoint now = TimePoint::clock::now();
     const TimePoint namedAt = version.namedAt.value_or(now);
-    const auto [known, isNew] = m_named.emplace(version.version, namedAt);
+    const auto [known, isNew] = m_named.emplace(Version{version.model, version.version}, namedAt);
     known->second = std::min(known->second, namedAt);
     if (!isNew)
         return;
@@ -249,8 +249,10 @@
 std::vector<std::uint64_t> WeightsKeeper::wantedVersions() const
 {
     std::set<std::uint64_t, std::greater<>> wanted;
-    for (const auto &[number, namedAt] : m_named)
-        wanted.insert(number);
+    for (const auto &[version, namedAt] : m_named) {
+        if (version.model == m_fleet.model())
+            wanted.insert(version.number);
+    }
     wanted.insert(m_fleet.highestServed());
     const std::uint64_t served = servedVersion();
     std::vector<std::uint64_t> newer;
@@ -340,7 +342,7 @@
     const Version version{m_fleet.model(), number};
     rollout::WantedVersion wanted;
     wanted.number = number;
-    if (const auto named = m_named.find(number); named != m_named.end()) {
+    if (const auto named = m_named.find(version); named != m_named.end()) {
         wanted.namedAt = named->second;
         wanted.turnAt = m_schedule.switchAt(
                 version, m_fleet.self().host, m_fleet.localHosts(), named->second);
--- a/src/relayagent/internal/weightskeeper.h
+++ b/src/relayagent/internal/weightskeeper.h
@@ -87,8 +87,8 @@
     ManifestFinder m_manifests;
     StagedWeights m_staged;
 
-    /// When each version was seen to be named.
-    std::map<std::uint64_t, domain::TimePoint> m_named;
+    /// When each version was seen to be named, of the models of other services too.
+    std::map<Version, domain::TimePoint> m_named;
     std::map<Version, Transfer> m_transfers;
     std::map<Version, Told> m_told;
     /// The transfer and the list of members for which the plan of sources was made.
--- a/src/relayagent/tests/agentpushtest.cpp
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -102,6 +102,21 @@
     EXPECT_EQ(m_fleet.wrongLoads(), 0);
 }
 
+// Regression: an agent took the version of another service's model for one of its own, fetched its
+// pieces and ordered its engine to load them.
+TEST_F(AgentPushFixture, push_versionOfAnotherModelNamed_notFetched)
+{
+    platform::StandInWeights other;
+    other.model = "other";
+    m_fleet.store.put("weights/other", platform::namedObject(other, 7));
+    m_fleet.name(2);
+    ASSERT_TRUE(pushTo(2, 10s));
+    m_fleet.runUntil([] { return false; }, 2s);
+    EXPECT_TRUE(m_fleet.isServedEverywhere(2));
+    for (const AgentFleet::Agent &agent : m_fleet.agents)
+        EXPECT_EQ(agent.engine->orders(), 1) << agent.host;
+}
+
 // Guards against agents that hear of a new version from the store alone: while entries tell them,
 // they do not watch it.
 TEST_F(AgentPushFixture, push_versionToldByAnEntry_takenWhileTheStoreIsAway)
