Keep the bound of a version that a later one replaced before it was seen

The store holds the newest version alone. An entry that missed version 2 and found version 3 four seconds later required nothing until the bound of version 3, four seconds after that of version 2, although other processes had told it since when version 2 was named. An entry that started between the two lost even the grace after its start when it heard since when version 3 was named, and a time from a process that learned late took a requirement back.

A version up to the newest that the store names counts as named when its time is known, and for a version found at the start the grace holds beside the time. Naming times of other versions no longer displace the one that the store names.

lowest_versionReplacedBeforeItWasSeen_itsBoundHolds, lowest_startedBetweenTwoBounds_boundOfTheFirstHolds, onNamingTime_afterGraceAtStart_requirementNotTakenBack and onNamed_timesOfHigherVersionsKnown_namedVersionKept failed before.

--- a/src/routing/internal/weightsrequirement.cpp
+++ b/src/routing/internal/weightsrequirement.cpp
@@ -19,19 +19,21 @@
 void WeightsRequirement::onNamed(
         const domain::ModelId &model, std::uint64_t version, bool isAtStart, domain::TimePoint now)
 {
-    Versions &versions = m_versions[model];
-    Naming &naming = versions[version];
+    Naming &naming = m_versions[model][version];
     // Seen again, for example in a list after a lost watch, a version keeps its first time.
-    if (!naming.isNamed && !isAtStart)
-        naming.namedAt = std::min(naming.namedAt.value_or(now), now);
+    if (naming.isNamed)
+        return;
     naming.isNamed = true;
-    while (versions.size() > m_options.maxVersions)
-        versions.erase(versions.begin());
+    naming.isFoundAtStart = isAtStart;
+    if (!isAtStart)
+        naming.namedAt = std::min(naming.namedAt.value_or(now), now);
 }
 
 void WeightsRequirement::onNamingTime(
         const domain::ModelId &model, std::uint64_t version, domain::TimePoint namedAt)
 {
+    if (m_versions.size() >= m_options.maxModels && m_versions.count(model) == 0)
+        return;
     Versions &versions = m_versions[model];
     if (versions.size() >= m_options.maxVersions && versions.count(version) == 0)
         return;
@@ -52,8 +54,19 @@
 
 domain::TimePoint WeightsRequirement::requiredAt(const Naming &naming) const
 {
-    return naming.namedAt ? *naming.namedAt + m_options.bound - m_options.margin
-                          : m_options.startedAt + m_options.graceAtStart;
+    // A process that learned late tells too late a time, so the grace at the start holds beside it.
+    const domain::TimePoint afterStart = m_options.startedAt + m_options.graceAtStart;
+    if (!naming.namedAt)
+        return afterStart;
+    const domain::TimePoint byAge = *naming.namedAt + m_options.bound - m_options.margin;
+    return naming.isFoundAtStart ? std::min(byAge, afterStart) : byAge;
+}
+
+std::uint64_t WeightsRequirement::newestNamed(const Versions &versions)
+{
+    const auto newest = std::find_if(versions.rbegin(), versions.rend(),
+            [](const auto &version) { return version.second.isNamed; });
+    return newest == versions.rend() ? 0 : newest->first;
 }
 
 std::uint64_t WeightsRequirement::lowest(const domain::ModelId &model, domain::TimePoint now) const
@@ -61,9 +74,10 @@
     const auto versions = m_versions.find(model);
     if (versions == m_versions.end())
         return 0;
+    const std::uint64_t newest = newestNamed(versions->second);
     std::uint64_t required = 0;
     for (const auto &[version, naming] : versions->second) {
-        if (naming.isNamed && now >= requiredAt(naming))
+        if (version <= newest && now >= requiredAt(naming))
             required = std::max(required, version);
     }
     return required;
@@ -72,11 +86,7 @@
 std::uint64_t WeightsRequirement::newest(const domain::ModelId &model) const
 {
     const auto versions = m_versions.find(model);
-    if (versions == m_versions.end())
-        return 0;
-    const auto newest = std::find_if(versions->second.rbegin(), versions->second.rend(),
-            [](const auto &version) { return version.second.isNamed; });
-    return newest == versions->second.rend() ? 0 : newest->first;
+    return versions == m_versions.end() ? 0 : newestNamed(versions->second);
 }
 
 domain::TimePoint WeightsRequirement::beginBy(
@@ -87,11 +97,11 @@
     const auto versions = m_versions.find(model);
     if (versions == m_versions.end())
         return deadline;
+    const std::uint64_t newest = newestNamed(versions->second);
     const domain::Duration left = m_options.margin - m_options.withdrawalMargin;
-    for (auto newer = versions->second.upper_bound(served); newer != versions->second.end();
-            ++newer) {
-        if (newer->second.isNamed)
-            deadline = std::min(deadline, requiredAt(newer->second) + left);
+    for (const auto &[version, naming] : versions->second) {
+        if (version > served && version <= newest)
+            deadline = std::min(deadline, requiredAt(naming) + left);
     }
     return deadline;
 }
@@ -100,12 +110,13 @@
 {
     std::vector<NamedVersion> named;
     for (const auto &[model, versions] : m_versions) {
+        const std::uint64_t newest = newestNamed(versions);
         std::size_t count = 0;
-        for (auto newest = versions.rbegin(); newest != versions.rend(); ++newest) {
-            if (!newest->second.isNamed || count == PublishedVersions)
+        for (auto version = versions.rbegin(); version != versions.rend(); ++version) {
+            if (version->first > newest || count == PublishedVersions)
                 continue;
             ++count;
-            named.push_back({model, newest->first, newest->second.namedAt});
+            named.push_back({model, version->first, version->second.namedAt});
         }
     }
     return named;
--- a/src/routing/tests/weightsrequirementtest.cpp
+++ b/src/routing/tests/weightsrequirementtest.cpp
@@ -88,4 +88,52 @@
     EXPECT_EQ(copy.namedAt, version.namedAt);
 }
 
+// Guards against a bound that is lost when two versions are named in a short time and this process
+// sees only the second: the store holds the newest alone, others know since when the first is
+// named.
+TEST_F(WeightsRequirementFixture, lowest_versionReplacedBeforeItWasSeen_itsBoundHolds)
+{
+    WeightsRequirement requirement(options());
+    requirement.onNamingTime(m_model, 2, m_start);
+    requirement.onNamingTime(m_model, 3, m_start + 4s);
+    requirement.onNamed(m_model, 3, false, m_start + 4500ms);
+    EXPECT_GE(requirement.lowest(m_model, m_start + 6300ms), 2U);
+    EXPECT_LE(requirement.beginBy(m_model, 1, m_start + 5s), m_start + 8s);
+}
+
+// Guards against an entry that starts after the second of two namings and requires nothing until
+// the bound of the second, though that of the first is over.
+TEST_F(WeightsRequirementFixture, lowest_startedBetweenTwoBounds_boundOfTheFirstHolds)
+{
+    WeightsRequirementOptions started = options();
+    started.startedAt = m_start + 4100ms;
+    WeightsRequirement requirement(started);
+    requirement.onNamed(m_model, 3, true, m_start + 4200ms);
+    requirement.onNamingTime(m_model, 2, m_start);
+    requirement.onNamingTime(m_model, 3, m_start + 4s);
+    EXPECT_GE(requirement.lowest(m_model, m_start + 8s), 2U);
+}
+
+// Guards against a requirement that is taken back when a process that learned of the version late
+// tells its time.
+TEST_F(WeightsRequirementFixture, onNamingTime_afterGraceAtStart_requirementNotTakenBack)
+{
+    WeightsRequirement requirement(options());
+    requirement.onNamed(m_model, 2, true, m_start);
+    ASSERT_EQ(requirement.lowest(m_model, m_start + 2500ms), 2U);
+    requirement.onNamingTime(m_model, 2, m_start + 2900ms);
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 3s), 2U);
+}
+
+// Guards against naming times of other versions that displace the one which the store names.
+TEST_F(WeightsRequirementFixture, onNamed_timesOfHigherVersionsKnown_namedVersionKept)
+{
+    WeightsRequirement requirement(options());
+    for (std::uint64_t version = 1000; version < 1100; ++version)
+        requirement.onNamingTime(m_model, version, m_start);
+    requirement.onNamed(m_model, 2, false, m_start);
+    EXPECT_EQ(requirement.newest(m_model), 2U);
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 10s), 2U);
+}
+
 } // namespace oriolerill::routing
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -28,7 +28,9 @@
     /// has just started; not after it was found, which may take seconds.
     domain::Duration graceAtStart = std::chrono::milliseconds(2500);
     domain::TimePoint startedAt;
-    /// Maximum number of versions kept for each model, the newest; naming times come in datagrams.
+    /// Maximum numbers of models and of versions of each that are kept only for a naming time,
+    /// which comes in a datagram.
+    std::size_t maxModels = 16;
     std::size_t maxVersions = 16;
 };
 
@@ -44,7 +46,8 @@
     /// A version was named. isAtStart tells that it was found rather than seen to change.
     void onNamed(const domain::ModelId &model, std::uint64_t version, bool isAtStart,
             domain::TimePoint now);
-    /// Another process saw the version become named. Of no effect until the store names it.
+    /// Another process saw the version become named. Of no effect until the store names this or a
+    /// later version: the store keeps the newest alone, while earlier ones still bind.
     void onNamingTime(
             const domain::ModelId &model, std::uint64_t version, domain::TimePoint namedAt);
     /// All named versions are required so much earlier.
@@ -61,13 +64,16 @@
 private:
     struct Naming
     {
+        /// The store has named it to this process.
         bool isNamed = false;
-        /// None for a version that was found at the start, unless another process saw it.
+        bool isFoundAtStart = false;
+        /// When the first process saw it become named, as far as this one knows.
         std::optional<domain::TimePoint> namedAt;
     };
     using Versions = std::map<std::uint64_t, Naming>;
 
     domain::TimePoint requiredAt(const Naming &naming) const;
+    static std::uint64_t newestNamed(const Versions &versions);
 
     WeightsRequirementOptions m_options;
     std::map<domain::ModelId, Versions> m_versions;
