Count a request against the cold bound when it is chosen

What callers could see: a server that had just become cold was overloaded (FAILBACK). The bound was checked at the choice, but requests were counted when they were sent, after connecting for up to 0.4 s: all that came meanwhile passed the check and were sent in the same second.

A choice takes its place at once and gives it back when the request is not sent.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -298,6 +298,8 @@
     const bool isEndpointsFault = !m_isCallerGone && !m_isChoiceOutdated;
     if (wasSent)
         load.onEnded();
+    else
+        m_context.dispatcher.onNotSent(dispatch);
     switch (end) {
     case AttemptEnd::Delivered:
         load.onSuccess();
--- a/src/routing/coldallowance.h
+++ b/src/routing/coldallowance.h
@@ -16,6 +16,9 @@
     /// Window in which requests are counted; longer than the operator's second because requests
     /// that were sent at different times may arrive together.
     domain::Duration window = std::chrono::milliseconds(1100);
+    /// A choice that is neither sent nor given up within this time is forgotten; longer than a
+    /// request's choice holds while its connection is opened.
+    domain::Duration choiceLife = std::chrono::milliseconds(1000);
 };
 
 /// How many entries share a bound, and the place of this one in their order.
@@ -41,7 +44,10 @@
     /// in requests a second over all entries.
     bool hasRoom(const domain::EndpointId &endpoint, domain::TimePoint coldUntil, double bound,
             const EntryShare &share, domain::TimePoint now);
+    /// A request takes its place when it is chosen: connections are opened before it is sent.
+    void onChosen(const domain::EndpointId &endpoint, domain::TimePoint now);
     void onSent(const domain::EndpointId &endpoint, domain::TimePoint now);
+    void onNotSent(const domain::EndpointId &endpoint);
 
 private:
     /// One time of being cold, as far as this entry has seen it.
@@ -49,6 +55,7 @@
     {
         domain::TimePoint begunAt;
         domain::TimePoint coldUntil;
+        std::deque<domain::TimePoint> chosen;
         std::deque<domain::TimePoint> sent;
     };
 
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -153,6 +153,8 @@
     std::size_t maxIdleConnections(const domain::ServiceId &service) const;
     /// The request was handed to the endpoint that was chosen.
     void onSent(const Dispatch &dispatch, domain::TimePoint now);
+    /// The request that was chosen for an endpoint does not go there.
+    void onNotSent(const Dispatch &dispatch);
 
 private:
     /// What one look at some endpoints has found.
--- a/src/routing/internal/coldallowance.cpp
+++ b/src/routing/internal/coldallowance.cpp
@@ -36,12 +36,28 @@
     std::deque<domain::TimePoint> &sent = period.sent;
     while (!sent.empty() && sent.front() + window <= now)
         sent.pop_front();
-    return sent.size() < allowed;
+    std::deque<domain::TimePoint> &chosen = period.chosen;
+    while (!chosen.empty() && chosen.front() + m_options.choiceLife <= now)
+        chosen.pop_front();
+    return sent.size() + chosen.size() < allowed;
+}
+
+void ColdAllowance::onChosen(const domain::EndpointId &endpoint, domain::TimePoint now)
+{
+    m_periods[endpoint].chosen.push_back(now);
 }
 
 void ColdAllowance::onSent(const domain::EndpointId &endpoint, domain::TimePoint now)
 {
+    onNotSent(endpoint);
     m_periods[endpoint].sent.push_back(now);
 }
 
+void ColdAllowance::onNotSent(const domain::EndpointId &endpoint)
+{
+    const auto period = m_periods.find(endpoint);
+    if (period != m_periods.end() && !period->second.chosen.empty())
+        period->second.chosen.pop_front();
+}
+
 } // namespace oriolerill::routing
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -338,6 +338,8 @@
     dispatch.startedAtMs = endpoint->startedAtMs;
     dispatch.startMs = best.startMs;
     dispatch.isCold = isCold(*endpoint, *service, now);
+    if (dispatch.isCold)
+        m_cold.onChosen(best.endpoint, now);
     dispatch.servedWeights = candidates.versions[best.endpoint].value_or(0);
     dispatch.newestWeights = m_weights.newest(query.request->model);
     if (m_weights.lowest(query.request->model, now) > 0 || query.pinnedWeights)
@@ -362,4 +364,10 @@
         m_cold.onSent(dispatch.endpoint, now);
 }
 
+void Dispatcher::onNotSent(const Dispatch &dispatch)
+{
+    if (dispatch.isCold)
+        m_cold.onNotSent(dispatch.endpoint);
+}
+
 } // namespace oriolerill::routing
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -293,6 +293,28 @@
     EXPECT_GE(most, 6U);
 }
 
+// Guards against requests that all pass the check of the cold bound while the connections of those
+// before them are still being opened: they are sent in the same second.
+TEST_F(DispatcherFixture, choose_connectionsToColdEndpointStillOpening_boundKept)
+{
+    Dispatcher entry(options(1));
+    prepare(entry, 0);
+    entry.setShare({8, 0});
+    ListedEndpoint cold = endpoint(0);
+    cold.coldUntil = m_now + 1h;
+    entry.endpoints().replaceAll({cold}, m_now);
+    std::vector<Dispatch> opening;
+    for (int i = 0; i < 60; ++i) {
+        const DispatchDecision decision = entry.choose(m_query, m_now);
+        if (const auto *dispatch = std::get_if<Dispatch>(&decision))
+            opening.push_back(*dispatch);
+    }
+    for (const Dispatch &dispatch : opening)
+        entry.onSent(dispatch, m_now + 50ms);
+    // This entry's eighth of 36 x 1.5 + 5.
+    EXPECT_LE(opening.size(), 7U);
+}
+
 // Guards against entries that together exceed the operator's bound on repeats in a window: 0.2 of
 // the requests and 104 more in any ten seconds.
 TEST_F(DispatcherFixture, tryRetry_allRequestsFailAtEightEntries_boundKeptInAnyWindow)
