Add the freshness deadline of a collection

Change: FreshnessDeadline, without I/O and clock: the budget that such waits will share. Nothing uses it yet.

--- /dev/null
+++ b/src/objectstore/tests/freshnessdeadlinetest.cpp
@@ -0,0 +1,52 @@
+#include "objectstore/freshnessdeadline.h"
+
+#include <gtest/gtest.h>
+
+namespace oriolerill::objectstore {
+
+using namespace std::chrono_literals;
+using domain::TimePoint;
+
+class FreshnessDeadlineFixture : public testing::Test
+{
+protected:
+    static constexpr auto Budget = 1500ms;
+    const TimePoint m_begin{1h};
+    FreshnessDeadline m_deadline{Budget};
+};
+
+// Guards against calls to the store in quiet times: a confirmed copy has no deadline.
+TEST_F(FreshnessDeadlineFixture, cut_noDoubt_waitUnchanged)
+{
+    EXPECT_EQ(m_deadline.cut(25s, m_begin), 25s);
+    m_deadline.onDoubt(m_begin);
+    m_deadline.onConfirmed();
+    EXPECT_FALSE(m_deadline.isInDoubt());
+    EXPECT_EQ(m_deadline.cut(25s, m_begin), 25s);
+}
+
+// Guards against waits that each have a budget of their own: all together get one.
+TEST_F(FreshnessDeadlineFixture, cut_waitsThatFollowEachOther_oneBudget)
+{
+    TimePoint now = m_begin;
+    m_deadline.onDoubt(m_begin);
+    for (const auto wait : {500ms, 800ms, 1500ms, 1500ms}) {
+        now += m_deadline.cut(wait, now);
+        m_deadline.onDoubt(now);
+    }
+    EXPECT_EQ(now, m_begin + Budget);
+    EXPECT_EQ(m_deadline.cut(1s, now + 10s), 0s);
+    EXPECT_EQ(m_deadline.cut(-1s, m_begin), 0s);
+}
+
+// Guards against calls without a pause in a long outage: each unanswered call begins the budget
+// anew, from the time at which it was sent.
+TEST_F(FreshnessDeadlineFixture, onUnanswered_longOutage_budgetFromEachCall)
+{
+    m_deadline.onDoubt(m_begin);
+    m_deadline.onUnanswered(m_begin + 5s);
+    EXPECT_EQ(m_deadline.askBy(), m_begin + 5s + Budget);
+    EXPECT_EQ(m_deadline.cut(10s, m_begin + 6s), 500ms);
+}
+
+} // namespace oriolerill::objectstore
