Cut the pause after a lost call to the freshness budget

Cause: while a publisher reports a loss, a follower paused 1.9 to 3.1 s after a failure, also where the store answered it. A change acknowledged meanwhile was read after its bound of 2 s.

Change: a failed call begins a budget of 1.5 s; the pause ends within 0.6 to 0.95 of what is left. Agents keep their pauses (unlimited budget).

--- a/src/objectstore/internal/freshnessdeadline.cpp
+++ b/src/objectstore/internal/freshnessdeadline.cpp
@@ -7,6 +7,16 @@
 using domain::Duration;
 using domain::TimePoint;
 
+namespace {
+
+/// An unlimited budget has no end.
+TimePoint endOf(Duration budget, TimePoint begin)
+{
+    return budget == Duration::max() ? TimePoint::max() : begin + budget;
+}
+
+} // namespace
+
 FreshnessDeadline::FreshnessDeadline(Duration budget)
     : m_budget(budget)
 {}
@@ -18,12 +28,12 @@
 
 void FreshnessDeadline::onDoubt(TimePoint since)
 {
-    m_askBy = std::min(m_askBy, since + m_budget);
+    m_askBy = std::min(m_askBy, endOf(m_budget, since));
 }
 
 void FreshnessDeadline::onUnanswered(TimePoint sentAt)
 {
-    m_askBy = sentAt + m_budget;
+    m_askBy = endOf(m_budget, sentAt);
 }
 
 Duration FreshnessDeadline::cut(Duration wait, TimePoint now) const
--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -25,6 +25,7 @@
     , m_collection(std::move(collection))
     , m_sink(std::move(sink))
     , m_options(options)
+    , m_freshness(options.freshnessBudget)
 {}
 
 asio::awaitable<void> StoreFollower::run()
@@ -59,7 +60,14 @@
             : std::min<domain::Duration>(doubled, m_options.longestRetryPause);
     // Spread, so that processes that lost the store together do not ask together.
     std::uniform_real_distribution<double> spread(0.75, 1.25);
-    return std::chrono::duration_cast<domain::Duration>(pause * spread(m_random));
+    const auto wanted = std::chrono::duration_cast<domain::Duration>(pause * spread(m_random));
+    const domain::Duration left = m_freshness.cut(wanted, TimePoint::clock::now());
+    if (left == wanted)
+        return wanted;
+    // Ends before the deadline, and not for all processes together.
+    std::uniform_real_distribution<double> cutSpread(0.6, 0.95);
+    const auto cut = std::chrono::duration_cast<domain::Duration>(left * cutSpread(m_random));
+    return std::max(cut, std::min(wanted, m_options.firstRetryPause));
 }
 
 asio::awaitable<void> StoreFollower::wait(domain::Duration duration)
@@ -103,9 +111,10 @@
 
 asio::awaitable<bool> StoreFollower::listOnce()
 {
-    auto list = co_await m_store.list(m_collection, TimePoint::clock::now() + m_options.listTime);
+    const TimePoint sentAt = TimePoint::clock::now();
+    auto list = co_await m_store.list(m_collection, sentAt + m_options.listTime);
     if (!list) {
-        onFailure(list.error());
+        onFailure(list.error(), sentAt);
         co_return false;
     }
     onSuccess();
@@ -164,8 +173,9 @@
     const std::uint64_t generation = m_generation;
     // What is missing here has happened already, so the answer comes at once.
     const domain::Duration time = m_hasGap ? domain::Duration::zero() : watchTime();
-    auto changes = co_await m_store.watch(
-            m_collection, m_version, TimePoint::clock::now() + time + m_options.answerTime);
+    const TimePoint sentAt = TimePoint::clock::now();
+    auto changes
+            = co_await m_store.watch(m_collection, m_version, sentAt + time + m_options.answerTime);
     if (generation != m_generation)
         co_return true;
     if (!changes && changes.error().kind == ErrorKind::NotFound) {
@@ -175,7 +185,9 @@
         co_return true;
     }
     if (!changes) {
-        onFailure(changes.error());
+        // A watch that waits would have brought changes until it failed.
+        const bool hasWaited = time > domain::Duration::zero();
+        onFailure(changes.error(), hasWaited ? TimePoint::clock::now() : sentAt);
         co_return false;
     }
     onSuccess();
@@ -201,12 +213,12 @@
 
 asio::awaitable<bool> StoreFollower::catchUpOnce()
 {
-    auto changes = co_await m_store.watch(
-            m_collection, m_version, TimePoint::clock::now() + m_options.answerTime);
+    const TimePoint sentAt = TimePoint::clock::now();
+    auto changes = co_await m_store.watch(m_collection, m_version, sentAt + m_options.answerTime);
     if (!changes && changes.error().kind == ErrorKind::NotFound)
         co_return co_await listOnce();
     if (!changes) {
-        onFailure(changes.error());
+        onFailure(changes.error(), sentAt);
         co_return false;
     }
     onSuccess();
@@ -344,9 +356,10 @@
     refresh();
 }
 
-void StoreFollower::onFailure(const domain::Error &error)
+void StoreFollower::onFailure(const domain::Error &error, TimePoint sentAt)
 {
     ++m_failures;
+    m_freshness.onUnanswered(sentAt);
     // A watch begun in an outage may never be answered, even after it. One that waits for nothing
     // is, and its short deadline shows the return of the store early; whole lists for all processes
     // at that moment would fill the links between regions.
@@ -362,6 +375,7 @@
 void StoreFollower::onSuccess()
 {
     m_answeredAt = TimePoint::clock::now();
+    m_freshness.onConfirmed();
     if (m_failures == 0)
         return;
     logEvent(
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "domain/timepoint.h"
+#include "objectstore/freshnessdeadline.h"
 #include "objectstore/iobjectstore.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -58,6 +59,9 @@
     /// While others tell all changes the collection is not watched here. They tell that there are
     /// none twice a second; after two of these were lost, this process watches itself.
     domain::Duration sharedLife = std::chrono::milliseconds(1200);
+    /// Time from the moment at which a change may have been missed to the own call that looks for
+    /// it; all waits share it. Unlimited where nothing depends on the age of the copy.
+    domain::Duration freshnessBudget = domain::Duration::max();
 };
 
 /// Keeps a copy of one collection of the store up to date: lists it, then watches for changes;
@@ -122,7 +126,9 @@
     void takeList(const ObjectList &list);
     void keep(const ObjectList &changes);
     void note(const ObjectList &objects);
-    void onFailure(const domain::Error &error);
+    /// sentAt is when the store was last known to be reachable: when a call was sent that does not
+    /// wait, or when a waiting watch failed.
+    void onFailure(const domain::Error &error, domain::TimePoint sentAt);
     void onSuccess();
 
     boost::asio::io_context &m_context;
@@ -130,6 +136,7 @@
     std::string m_collection;
     CollectionSink m_sink;
     StoreFollowerOptions m_options;
+    FreshnessDeadline m_freshness;
     domain::ConfigVersion m_version;
     bool m_hasList = false;
     std::uint32_t m_failures = 0;
--- a/src/objectstore/tests/freshnessdeadlinetest.cpp
+++ b/src/objectstore/tests/freshnessdeadlinetest.cpp
@@ -49,4 +49,13 @@
     EXPECT_EQ(m_deadline.cut(10s, m_begin + 6s), 500ms);
 }
 
+// Guards against a deadline in the past where the budget is unlimited: its end is beyond the clock.
+TEST_F(FreshnessDeadlineFixture, cut_budgetUnlimited_waitUnchanged)
+{
+    FreshnessDeadline unlimited{domain::Duration::max()};
+    unlimited.onDoubt(m_begin);
+    unlimited.onUnanswered(m_begin);
+    EXPECT_EQ(unlimited.cut(25s, m_begin + 1h), 25s);
+}
+
 } // namespace oriolerill::objectstore
--- /dev/null
+++ b/src/objectstore/tests/resettablestore.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "objectstore/iobjectstore.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace oriolerill::objectstore {
+
+/// An object store in memory whose connections can be reset, whose history can be dropped and
+/// which notes when it was called. For one thread.
+class ResettableStore : public IObjectStore
+{
+public:
+    template<class T>
+    using Result = boost::asio::awaitable<domain::Expected<T>>;
+
+    /// Each call fails at once.
+    bool isDown = false;
+    /// Watches of these collections that wait now or later end at their deadline only.
+    std::set<std::string> silent;
+    std::vector<domain::TimePoint> calls;
+
+    std::uint64_t put(const std::string &key, const std::string &value)
+    {
+        ++m_revision;
+        m_objects[key] = StoredObject{key, value, {0, m_revision}, false};
+        return m_revision;
+    }
+    /// Ends all watches that wait, but those of silent collections.
+    void reset() { ++m_resets; }
+    void forgetHistory() { m_forgotten = m_revision; }
+
+    /// Most calls in any window of this length that ends at or after a time.
+    std::size_t mostCalls(domain::Duration window, domain::TimePoint since) const
+    {
+        std::size_t most = 0;
+        for (std::size_t first = 0, last = 0; last < calls.size(); ++last) {
+            while (calls[last] - calls[first] >= window)
+                ++first;
+            if (calls[last] >= since)
+                most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+    std::size_t callsSince(domain::TimePoint since) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+                calls.begin(), calls.end(), [since](const auto &at) { return at >= since; }));
+    }
+
+    Result<StoredObject> read(std::string /*key*/, domain::TimePoint /*deadline*/) override
+    {
+        co_return connectionReset();
+    }
+    Result<ObjectList> list(std::string prefix, domain::TimePoint /*deadline*/) override
+    {
+        calls.push_back(domain::TimePoint::clock::now());
+        if (isDown)
+            co_return connectionReset();
+        co_await answerTime();
+        if (isDown)
+            co_return connectionReset();
+        co_return select(prefix, 0);
+    }
+    Result<domain::ConfigVersion> create(
+            std::string /*key*/, std::string /*value*/, domain::TimePoint /*deadline*/) override
+    {
+        co_return connectionReset();
+    }
+    Result<domain::ConfigVersion> update(std::string /*key*/, std::string /*value*/,
+            domain::ConfigVersion /*expected*/, domain::TimePoint /*deadline*/) override
+    {
+        co_return connectionReset();
+    }
+    Result<domain::ConfigVersion> remove(std::string /*key*/, domain::ConfigVersion /*expected*/,
+            domain::TimePoint /*deadline*/) override
+    {
+        co_return connectionReset();
+    }
+    Result<ObjectList> watch(
+            std::string prefix, domain::ConfigVersion after, domain::TimePoint deadline) override
+    {
+        /// Part of the deadline that is for the answer; the rest is the wait.
+        constexpr auto AnswerPart = std::chrono::milliseconds(1000);
+        calls.push_back(domain::TimePoint::clock::now());
+        const std::uint64_t resets = m_resets;
+        const domain::TimePoint waitEnd = deadline - AnswerPart;
+        if (isDown)
+            co_return connectionReset();
+        co_await answerTime();
+        for (;;) {
+            const domain::TimePoint now = domain::TimePoint::clock::now();
+            const bool isSilent = silent.count(prefix) > 0 && waitEnd > now;
+            if (!isSilent) {
+                if (isDown || resets != m_resets)
+                    co_return connectionReset();
+                if (after.revision < m_forgotten)
+                    co_return domain::Error{domain::ErrorKind::NotFound, "gone", "list again"};
+                ObjectList changes = select(prefix, after.revision);
+                if (!changes.objects.empty() || now >= waitEnd)
+                    co_return changes;
+            }
+            boost::asio::steady_timer timer(
+                    co_await boost::asio::this_coro::executor, std::chrono::milliseconds(5));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+    }
+    Result<std::vector<ListedVm>> listVms(domain::TimePoint /*deadline*/) override
+    {
+        co_return connectionReset();
+    }
+
+private:
+    static domain::Error connectionReset()
+    {
+        return domain::Error{domain::ErrorKind::Unavailable, "connection reset", "wait"};
+    }
+    static boost::asio::awaitable<void> answerTime()
+    {
+        // The time that the platform states for a call.
+        constexpr auto AnswerTime = std::chrono::milliseconds(4);
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, AnswerTime);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    ObjectList select(const std::string &prefix, std::uint64_t after) const
+    {
+        ObjectList list;
+        list.storeVersion = {0, m_revision};
+        for (const auto &[key, object] : m_objects) {
+            if (key.starts_with(prefix) && object.version.revision > after)
+                list.objects.push_back(object);
+        }
+        return list;
+    }
+
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_resets = 0;
+    std::uint64_t m_forgotten = 0;
+    std::map<std::string, StoredObject> m_objects;
+};
+
+} // namespace oriolerill::objectstore
--- /dev/null
+++ b/src/objectstore/tests/storefreshnesstest.cpp
@@ -0,0 +1,155 @@
+#include "objectstore/storefollower.h"
+#include "objectstore/tests/resettablestore.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+namespace oriolerill::objectstore {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using domain::TimePoint;
+
+/// Processes that each follow one collection of the same store.
+class StoreFreshnessFixture : public testing::Test
+{
+protected:
+    /// Smallest config_apply_ms of the operators' sites.
+    static constexpr auto ConfigBound = 2000ms;
+    /// Publishers send an update this often.
+    static constexpr auto UpdateInterval = 400ms;
+
+    void startFollowers(int count, StoreFollowerOptions options = {})
+    {
+        // Leaves a watch and a list 250 ms each.
+        options.freshnessBudget = ConfigBound - 500ms;
+        m_store.put("configuration/main", "{}");
+        for (int i = 0; i < count; ++i) {
+            m_followers.push_back(std::make_unique<StoreFollower>(m_context, m_store,
+                    "configuration",
+                    CollectionSink{[](const ObjectList &) {}, [](const ObjectList &) {}, {}, {}},
+                    options));
+            asio::co_spawn(m_context, m_followers.back()->run(), asio::detached);
+        }
+        m_context.run_for(50ms);
+    }
+    template<class Publish>
+    void runFor(domain::Duration time, Publish publish)
+    {
+        const TimePoint end = TimePoint::clock::now() + time;
+        while (TimePoint::clock::now() < end) {
+            for (const auto &follower : m_followers)
+                publish(*follower);
+            m_context.run_for(std::min<domain::Duration>(UpdateInterval,
+                    std::max<domain::Duration>(end - TimePoint::clock::now(), 1ms)));
+        }
+    }
+    void runFor(domain::Duration time)
+    {
+        runFor(time, [](StoreFollower &) {});
+    }
+    static void publishLoss(StoreFollower &follower)
+    {
+        follower.onSharedLoss(TimePoint::clock::now());
+    }
+    std::size_t behind(std::uint64_t revision) const
+    {
+        return static_cast<std::size_t>(std::count_if(m_followers.begin(), m_followers.end(),
+                [&](const auto &follower) { return follower->changedAt() < revision; }));
+    }
+
+    asio::io_context m_context;
+    ResettableStore m_store;
+    std::vector<std::unique_ptr<StoreFollower>> m_followers;
+};
+
+// Regression: a process whose connection was reset did not call a store that would have answered
+// for up to 3.1 s, because a publisher reported that it had lost the store.
+TEST_F(StoreFreshnessFixture, run_resetWhilePublisherReportsLoss_changeWithinConfigBound)
+{
+    startFollowers(16);
+    runFor(100ms, publishLoss);
+    m_store.reset();
+    runFor(20ms, publishLoss);
+    const std::uint64_t revision = m_store.put("configuration/main", "{}");
+    m_store.forgetHistory();
+    runFor(ConfigBound, publishLoss);
+    EXPECT_EQ(behind(revision), 0U);
+}
+
+// Regression: the same after an outage that is longer than one pause.
+TEST_F(StoreFreshnessFixture, run_outageWhilePublisherReportsLoss_changeWithinConfigBound)
+{
+    startFollowers(16);
+    m_store.isDown = true;
+    runFor(3000ms, publishLoss);
+    const std::uint64_t revision = m_store.put("configuration/main", "{}");
+    m_store.forgetHistory();
+    m_store.isDown = false;
+    runFor(ConfigBound, publishLoss);
+    EXPECT_EQ(behind(revision), 0U);
+}
+
+// Guards against a store that comes back and is taken down by the calls of all entries of the
+// largest site: each needs two, as the history is gone, and none has more than that in a second.
+TEST_F(StoreFreshnessFixture, run_returnAt149Entries_twoCallsEachAndSpread)
+{
+    constexpr int Entries = 149;
+    constexpr auto Outage = 3000ms;
+    // As many as a publisher holds back; the calls of a moment show how far they are spread.
+    constexpr auto Moment = 100ms;
+    startFollowers(Entries);
+    const TimePoint lostAt = TimePoint::clock::now();
+    m_store.isDown = true;
+    m_store.reset();
+    runFor(Outage, publishLoss);
+    m_store.put("configuration/main", "{}");
+    m_store.forgetHistory();
+    m_store.isDown = false;
+    const TimePoint backAt = TimePoint::clock::now();
+    const std::size_t inOutage = m_store.callsSince(lostAt);
+    runFor(3500ms, publishLoss);
+    // The last call of each is the watch that waits.
+    const std::size_t onReturn = m_store.callsSince(backAt);
+    const std::size_t inSecond = m_store.mostCalls(1s, backAt);
+    const std::size_t inMoment = m_store.mostCalls(Moment, backAt);
+    RecordProperty("calls_in_outage", static_cast<int>(inOutage));
+    RecordProperty("calls_on_return", static_cast<int>(onReturn));
+    RecordProperty("most_calls_in_a_second", static_cast<int>(inSecond));
+    RecordProperty("most_calls_in_100_ms", static_cast<int>(inMoment));
+    EXPECT_LE(onReturn, std::size_t{3 * Entries});
+    EXPECT_LE(inSecond, std::size_t{3 * Entries});
+    // No more than half of the entries at the same moment.
+    EXPECT_LE(inMoment, std::size_t{3 * Entries / 2});
+    // One call each second and entry, as without a publisher.
+    EXPECT_LE(inOutage, std::size_t{4 * Entries});
+    std::cout << "calls in outage " << inOutage << ", on return " << onReturn << ", in a second "
+              << inSecond << ", in 100 ms " << inMoment << '\n';
+}
+
+// Guards against calls that confirm what is current: in quiet times an entry that hears a publisher
+// makes none, and one that does not has its one watch.
+TEST_F(StoreFreshnessFixture, run_quiet_noCallsBesideTheWatch)
+{
+    constexpr auto Quiet = 4000ms;
+    startFollowers(10);
+    const TimePoint begin = TimePoint::clock::now();
+    // Less than the time of a watch, so that none ends.
+    runFor(Quiet);
+    EXPECT_EQ(m_store.callsSince(begin), 0U);
+    // The updates go on beyond the end of the watches.
+    const TimePoint publishedAt = TimePoint::clock::now();
+    runFor(Quiet, [](StoreFollower &follower) {
+        follower.onShared(2, {{}, {0, 2}}, TimePoint::clock::now());
+    });
+    EXPECT_EQ(m_store.callsSince(publishedAt), 0U);
+}
+
+} // namespace oriolerill::objectstore
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -25,6 +25,10 @@
 /// reading and a report; the bound of a configuration is two seconds or more, and stretched.
 constexpr auto ReaderPatience = std::chrono::milliseconds(1500);
 
+/// The smallest bound of a configuration, 2 s, less a watch whose history is gone and a list, at
+/// 250 ms each: sixty times the 4 ms that the store states for a call.
+constexpr auto FreshnessBudget = std::chrono::milliseconds(1500);
+
 std::string nameOf(const StoredObject &object)
 {
     return object.key.substr(object.key.find('/') + 1);
@@ -56,6 +60,7 @@
 objectstore::StoreFollower &FleetFollower::follow(const char *collection,
         objectstore::CollectionSink sink, objectstore::StoreFollowerOptions options)
 {
+    options.freshnessBudget = FreshnessBudget;
     m_followers.push_back(std::make_unique<objectstore::StoreFollower>(
             m_context, m_store, collection, std::move(sink), options));
     observability::startPersistentLoop(m_context.get_executor(), collection,
