List at once when the store's history is gone

Cause: after the answer that the history is gone, the follower paused as after changes (0.4 s for endpoints) before it listed, and went on counting the store as lost, so that the followers of the other collections were held back for as long.

Change: no pause without a list; the answer counts as one of a store that is back.

Test, red before: 1004 ms between the answer and the list with a pause of 1000 ms, and the follower counted as failing.

--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -36,7 +36,9 @@
     for (;;) {
         m_hasCalled = true;
         const bool isDone = co_await step();
-        domain::Duration pause = m_hasCalled ? m_options.changePause : domain::Duration::zero();
+        // Without a list there is no series of changes to wait for.
+        const bool isSeriesLikely = m_hasCalled && m_hasList;
+        domain::Duration pause = isSeriesLikely ? m_options.changePause : domain::Duration::zero();
         if (!isDone)
             pause = retryPause();
         const TimePoint pauseEnd = TimePoint::clock::now() + pause;
@@ -181,6 +183,8 @@
     if (!changes && changes.error().kind == ErrorKind::NotFound) {
         logEvent(Severity::Info, "store_history_gone",
                 {{"collection", m_collection}, {"revision", m_version.revision}});
+        // The store answers, whatever it has kept; the copy is confirmed by the list only.
+        onAnswered();
         m_hasList = false;
         co_return true;
     }
@@ -374,8 +378,13 @@
 
 void StoreFollower::onSuccess()
 {
-    m_answeredAt = TimePoint::clock::now();
     m_freshness.onConfirmed();
+    onAnswered();
+}
+
+void StoreFollower::onAnswered()
+{
+    m_answeredAt = TimePoint::clock::now();
     if (m_failures == 0)
         return;
     logEvent(
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -129,7 +129,9 @@
     /// sentAt is when the store was last known to be reachable: when a call was sent that does not
     /// wait, or when a waiting watch failed.
     void onFailure(const domain::Error &error, domain::TimePoint sentAt);
+    /// The copy is current.
     void onSuccess();
+    void onAnswered();
 
     boost::asio::io_context &m_context;
     IObjectStore &m_store;
--- a/src/objectstore/tests/storefreshnesstest.cpp
+++ b/src/objectstore/tests/storefreshnesstest.cpp
@@ -97,6 +97,25 @@
     EXPECT_EQ(behind(revision), 0U);
 }
 
+// Regression: after the store had answered that its history is gone, the list waited for the pause
+// between two series of changes, and the process still counted the store as lost.
+TEST_F(StoreFreshnessFixture, run_historyGone_listedWithoutPause)
+{
+    StoreFollowerOptions options;
+    options.changePause = 1000ms;
+    startFollowers(1, options);
+    runFor(1100ms);
+    m_store.reset();
+    m_store.put("configuration/main", "{}");
+    m_store.forgetHistory();
+    const TimePoint resetAt = TimePoint::clock::now();
+    while (m_store.callsSince(resetAt) < 2 && TimePoint::clock::now() < resetAt + ConfigBound)
+        m_context.run_for(5ms);
+    ASSERT_EQ(m_store.callsSince(resetAt), 2U);
+    EXPECT_LT(m_store.calls.back() - m_store.calls[m_store.calls.size() - 2], options.changePause);
+    EXPECT_FALSE(m_followers.front()->isFailing());
+}
+
 // Guards against a store that comes back and is taken down by the calls of all entries of the
 // largest site: each needs two, as the history is gone, and none has more than that in a second.
 TEST_F(StoreFreshnessFixture, run_returnAt149Entries_twoCallsEachAndSpread)
