Close a gap in published changes within the freshness budget

Cause: a gap waited 0.5 s and until the next update for the other publisher, then up to 1.5 s for the list of the publisher, and only then for the store.

Change: the gap begins the budget of 1.5 s; the publisher's list gets what is left of it, and the patience ends without another update.

Test, red before: none of 8 followers had the change 2 s after it was published without its object by a publisher that does not give the list. All have it now; the other tests of StoreFollower pass.

--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -85,7 +85,11 @@
         co_await wait(CheckInterval);
         co_return true;
     }
-    if (m_hasList && m_missingSince && m_hasGap && m_peerList) {
+    if (m_hasList && m_missingSince
+            && TimePoint::clock::now() - *m_missingSince >= m_options.gapPatience)
+        m_hasGap = true;
+    const bool isPeerTimeLeft = TimePoint::clock::now() < m_freshness.askBy();
+    if (m_hasList && m_missingSince && m_hasGap && m_peerList && isPeerTimeLeft) {
         const bool isListed = co_await listFromPeer();
         if (isListed)
             co_return true;
@@ -141,7 +145,8 @@
 asio::awaitable<bool> StoreFollower::listFromPeer()
 {
     const std::uint64_t generation = m_generation;
-    auto list = co_await m_peerList(TimePoint::clock::now() + m_options.listTime);
+    const TimePoint now = TimePoint::clock::now();
+    auto list = co_await m_peerList(now + m_freshness.cut(m_options.listTime, now));
     // Meanwhile the own watch or another list may have brought as much.
     if (generation != m_generation)
         co_return true;
@@ -272,6 +277,7 @@
     if (after > m_version.revision) {
         if (!m_missingSince)
             m_missingSince = now;
+        m_freshness.onDoubt(now);
         m_missing = std::max(m_missing, after);
         m_hasGap = m_hasGap || now - *m_missingSince >= m_options.gapPatience;
         m_isWoken = m_isWoken || m_failures > 0;
--- a/src/objectstore/tests/storefreshnesstest.cpp
+++ b/src/objectstore/tests/storefreshnesstest.cpp
@@ -55,6 +55,24 @@
     {
         runFor(time, [](StoreFollower &) {});
     }
+    /// Changes up to a revision, the last of them at it, without the objects.
+    static auto publishRevision(std::uint64_t revision)
+    {
+        return [revision](StoreFollower &follower) {
+            follower.onShared(revision, {{}, {0, revision}}, TimePoint::clock::now());
+        };
+    }
+    void setSilentPeer()
+    {
+        for (const auto &follower : m_followers) {
+            follower->setPeerList([this](TimePoint deadline)
+                                          -> asio::awaitable<domain::Expected<ObjectList>> {
+                asio::steady_timer timer(m_context, deadline);
+                co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+                co_return domain::Error{domain::ErrorKind::Timeout, "silent", "read the store"};
+            });
+        }
+    }
     static void publishLoss(StoreFollower &follower)
     {
         follower.onSharedLoss(TimePoint::clock::now());
@@ -116,6 +134,21 @@
     EXPECT_FALSE(m_followers.front()->isFailing());
 }
 
+// Regression: a gap in the published changes was closed from the store only after the publisher
+// had not answered for 1.5 s, which came on top of the wait for the other publisher.
+TEST_F(StoreFreshnessFixture, onShared_gapAndPeerSilent_changeWithinConfigBound)
+{
+    StoreFollowerOptions options;
+    // Ends while updates come, after which the followers do not watch the store themselves.
+    options.watchTime = 500ms;
+    startFollowers(8, options);
+    setSilentPeer();
+    runFor(1000ms, publishRevision(2));
+    const std::uint64_t revision = m_store.put("configuration/main", "{}");
+    runFor(ConfigBound, publishRevision(revision));
+    EXPECT_EQ(behind(revision), 0U);
+}
+
 // Guards against a store that comes back and is taken down by the calls of all entries of the
 // largest site: each needs two, as the history is gone, and none has more than that in a second.
 TEST_F(StoreFreshnessFixture, run_returnAt149Entries_twoCallsEachAndSpread)
