Ask the store at the freshness deadline while a watch waits

Cause: a gap in published changes was closed by run(), which stays in its own watch for up to 25 s if that watch was lost without a word.

Change: a doubt that no step of run() can end is ended by a call at the deadline.

Test, red before: none of 8 followers had the change 2 s after it was published, with silent own watches. All have it now; objectstore_tests passes as a whole.

--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -181,8 +181,10 @@
     // What is missing here has happened already, so the answer comes at once.
     const domain::Duration time = m_hasGap ? domain::Duration::zero() : watchTime();
     const TimePoint sentAt = TimePoint::clock::now();
+    m_isWatchWaiting = time > domain::Duration::zero();
     auto changes
             = co_await m_store.watch(m_collection, m_version, sentAt + time + m_options.answerTime);
+    m_isWatchWaiting = false;
     if (generation != m_generation)
         co_return true;
     if (!changes && changes.error().kind == ErrorKind::NotFound) {
@@ -278,6 +280,7 @@
         if (!m_missingSince)
             m_missingSince = now;
         m_freshness.onDoubt(now);
+        watchDeadline();
         m_missing = std::max(m_missing, after);
         m_hasGap = m_hasGap || now - *m_missingSince >= m_options.gapPatience;
         m_isWoken = m_isWoken || m_failures > 0;
@@ -325,11 +328,37 @@
             = m_refreshedAt != TimePoint() && now - m_refreshedAt < m_options.refreshInterval;
     if (m_isRefreshing || !m_hasList || isRecent)
         return;
+    beginRefresh(now);
+}
+
+void StoreFollower::beginRefresh(TimePoint now)
+{
     m_isRefreshing = true;
     m_refreshedAt = now;
     asio::co_spawn(m_context, listUntilAnswered(), asio::detached);
 }
 
+void StoreFollower::watchDeadline()
+{
+    if (m_isDeadlineWatched || !m_freshness.isInDoubt())
+        return;
+    m_isDeadlineWatched = true;
+    asio::co_spawn(m_context, confirmAtDeadline(), asio::detached);
+}
+
+asio::awaitable<void> StoreFollower::confirmAtDeadline()
+{
+    TimePoint now = TimePoint::clock::now();
+    while (m_freshness.isInDoubt() && now < m_freshness.askBy()) {
+        co_await wait(m_freshness.askBy() - now);
+        now = TimePoint::clock::now();
+    }
+    m_isDeadlineWatched = false;
+    // Without a waiting watch, run() calls the store by itself.
+    if (m_freshness.isInDoubt() && m_isWatchWaiting && !m_isRefreshing && m_hasList)
+        beginRefresh(now);
+}
+
 asio::awaitable<void> StoreFollower::listUntilAnswered()
 {
     // g++ 12 miscompiles an await within the condition of a loop.
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -112,6 +112,11 @@
     boost::asio::awaitable<bool> listOnce();
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> listUntilAnswered();
+    /// Calls the store at the deadline if the copy is in doubt then and only a waiting watch of
+    /// this process could confirm it, which may have been lost.
+    void watchDeadline();
+    boost::asio::awaitable<void> confirmAtDeadline();
+    void beginRefresh(domain::TimePoint now);
     boost::asio::awaitable<void> wait(domain::Duration duration);
     domain::Duration retryPause();
     domain::Duration watchTime() const;
@@ -147,6 +152,9 @@
     /// Grows with each list; a watch that was begun before may bring what the list has overtaken.
     std::uint64_t m_generation = 0;
     bool m_isRefreshing = false;
+    /// A watch waits for changes.
+    bool m_isWatchWaiting = false;
+    bool m_isDeadlineWatched = false;
     domain::TimePoint m_refreshedAt;
     domain::TimePoint m_hintedAt;
     /// Since when others know of a change that is not known here.
--- a/src/objectstore/tests/storefreshnesstest.cpp
+++ b/src/objectstore/tests/storefreshnesstest.cpp
@@ -149,6 +149,19 @@
     EXPECT_EQ(behind(revision), 0U);
 }
 
+// Regression: a gap in the published changes was not closed while the own watch waited, though its
+// answer was lost; it waits for 25 s where other entries tell of changes.
+TEST_F(StoreFreshnessFixture, onShared_gapAndWatchSilent_changeWithinConfigBound)
+{
+    startFollowers(8);
+    setSilentPeer();
+    m_store.silent.insert("configuration");
+    runFor(1000ms, publishRevision(2));
+    const std::uint64_t revision = m_store.put("configuration/main", "{}");
+    runFor(ConfigBound, publishRevision(revision));
+    EXPECT_EQ(behind(revision), 0U);
+}
+
 // Guards against a store that comes back and is taken down by the calls of all entries of the
 // largest site: each needs two, as the history is gone, and none has more than that in a second.
 TEST_F(StoreFreshnessFixture, run_returnAt149Entries_twoCallsEachAndSpread)
