Count the hold-backs of a process's followers against one budget

Cause: the configuration was held back until the endpoints' follower had an answer, and from then on for 1.5 s while a publisher was heard, whatever time had gone by.

Change: an unanswered call of the endpoints' follower begins the budgets of the three others; they are held back for what is left, or while a call of the endpoints' follower is on its way that is not late (1 s). The 1.5 s after the return are gone.

Test, red at: 2 s after the return of the store (reset, outage of 0.3 s, history gone) the entry missed all four collections while the publisher reported a loss, and the configuration while the publisher sent changes without objects; with nothing published it passed. The three variants pass now, and objectstore_tests as a whole.

--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -72,6 +72,25 @@
     return std::max(cut, std::min(wanted, m_options.firstRetryPause));
 }
 
+void StoreFollower::setProbe(StoreFollower &probe)
+{
+    m_probe = &probe;
+    probe.m_dependants.push_back(this);
+}
+
+bool StoreFollower::isHeldBack(TimePoint now) const
+{
+    const bool isProbed = m_probe != nullptr && m_probe->isFailing();
+    if (isProbed && m_probe->isAwaitingAnswer(now))
+        return true;
+    return (isProbed || (m_isHeldBack && m_isHeldBack())) && now < m_freshness.askBy();
+}
+
+bool StoreFollower::isAwaitingAnswer(TimePoint now) const
+{
+    return m_sentAt && now - *m_sentAt < m_options.answerTime;
+}
+
 asio::awaitable<void> StoreFollower::wait(domain::Duration duration)
 {
     asio::steady_timer timer(m_context, duration);
@@ -94,9 +113,12 @@
         if (isListed)
             co_return true;
     }
-    if (m_failures > 0 && m_isHeldBack && m_isHeldBack()) {
+    if (m_failures > 0 && isHeldBack(TimePoint::clock::now())) {
         m_hasCalled = false;
-        co_await wait(CheckInterval);
+        // The answer of a probe that is on its way is awaited beyond the deadline.
+        constexpr domain::Duration ShortestCheck = std::chrono::milliseconds(20);
+        const domain::Duration left = m_freshness.cut(CheckInterval, TimePoint::clock::now());
+        co_await wait(std::max(left, ShortestCheck));
         co_return true;
     }
     if (!m_hasList)
@@ -118,7 +140,9 @@
 asio::awaitable<bool> StoreFollower::listOnce()
 {
     const TimePoint sentAt = TimePoint::clock::now();
+    m_sentAt = sentAt;
     auto list = co_await m_store.list(m_collection, sentAt + m_options.listTime);
+    m_sentAt.reset();
     if (!list) {
         onFailure(list.error(), sentAt);
         co_return false;
@@ -182,9 +206,12 @@
     const domain::Duration time = m_hasGap ? domain::Duration::zero() : watchTime();
     const TimePoint sentAt = TimePoint::clock::now();
     m_isWatchWaiting = time > domain::Duration::zero();
+    if (!m_isWatchWaiting)
+        m_sentAt = sentAt;
     auto changes
             = co_await m_store.watch(m_collection, m_version, sentAt + time + m_options.answerTime);
     m_isWatchWaiting = false;
+    m_sentAt.reset();
     if (generation != m_generation)
         co_return true;
     if (!changes && changes.error().kind == ErrorKind::NotFound) {
@@ -399,6 +426,8 @@
 {
     ++m_failures;
     m_freshness.onUnanswered(sentAt);
+    for (StoreFollower *dependant : m_dependants)
+        dependant->m_freshness.onUnanswered(sentAt);
     // A watch begun in an outage may never be answered, even after it. One that waits for nothing
     // is, and its short deadline shows the return of the store early; whole lists for all processes
     // at that moment would fill the links between regions.
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace oriolerill::objectstore {
 
@@ -96,9 +97,12 @@
     /// process brought it lately; what was told by others is not told again.
     std::optional<std::uint64_t> ownRevision(domain::TimePoint now) const;
     bool isFailing() const { return m_failures > 0; }
-    /// After a failure the store is not called while the function returns true: another follower
-    /// of this process finds out when it answers again.
+    /// After a failure the store is not called while the function returns true, but for what is
+    /// left of the freshness budget.
     void setHeldBack(std::function<bool()> isHeldBack) { m_isHeldBack = std::move(isHeldBack); }
+    /// After a failure another follower of this process finds out when the store answers again;
+    /// its unanswered calls count for this one. It must live as long as this one.
+    void setProbe(StoreFollower &probe);
     using PeerList = std::function<boost::asio::awaitable<domain::Expected<ObjectList>>(
             domain::TimePoint deadline)>;
     /// A gap in what was told is closed from the process that told it, if that works.
@@ -117,6 +121,9 @@
     void watchDeadline();
     boost::asio::awaitable<void> confirmAtDeadline();
     void beginRefresh(domain::TimePoint now);
+    bool isHeldBack(domain::TimePoint now) const;
+    /// A call that does not wait for changes is on its way, and is not late.
+    bool isAwaitingAnswer(domain::TimePoint now) const;
     boost::asio::awaitable<void> wait(domain::Duration duration);
     domain::Duration retryPause();
     domain::Duration watchTime() const;
@@ -171,6 +178,11 @@
     std::uint64_t m_missing = 0;
     domain::TimePoint m_sharedLossAt;
     std::function<bool()> m_isHeldBack;
+    StoreFollower *m_probe = nullptr;
+    /// Followers whose probe this one is.
+    std::vector<StoreFollower *> m_dependants;
+    /// When the call was sent that is on its way.
+    std::optional<domain::TimePoint> m_sentAt;
     PeerList m_peerList;
     /// Whole collection as far as it is known; kept for small numbers of large objects only.
     ObjectList m_lastList;
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -21,10 +21,6 @@
 /// share of the bound for a leaving endpoint.
 constexpr int EndpointPausesPerDrainBound = 5;
 
-/// After an outage a reader has the configuration within this time, of 1 s of retries, 1 s of
-/// reading and a report; the bound of a configuration is two seconds or more, and stretched.
-constexpr auto ReaderPatience = std::chrono::milliseconds(1500);
-
 /// The smallest bound of a configuration, 2 s, less a watch whose history is gone and a list, at
 /// 250 ms each: sixty times the 4 ms that the store states for a call.
 constexpr auto FreshnessBudget = std::chrono::milliseconds(1500);
@@ -119,11 +115,11 @@
 void FleetFollower::onStoreBack()
 {
     m_relay.storeLostAt.reset();
-    m_backAt = TimePoint::clock::now();
+    const TimePoint now = TimePoint::clock::now();
     for (objectstore::StoreFollower *follower : {m_withdrawals, m_weights})
         follower->refresh();
     // The configuration comes from the reader, unless none is heard.
-    if (!m_configuration->isSharedLately(m_backAt))
+    if (!m_configuration->isSharedLately(now))
         m_configuration->refresh();
 }
 
@@ -178,14 +174,11 @@
                     [this](const ObjectList &objects) { onWeights(objects, false); }, {}, {}},
             {});
     // One of four finds out when the store answers again.
-    for (objectstore::StoreFollower *follower : {m_withdrawals, m_weights})
-        follower->setHeldBack([&endpoints] { return endpoints.isFailing(); });
+    for (objectstore::StoreFollower *follower : {m_configuration, m_withdrawals, m_weights})
+        follower->setProbe(endpoints);
     // A changed configuration may be large: while a reader is heard, it is left to it for a while.
-    m_configuration->setHeldBack([this, &endpoints] {
-        const TimePoint now = TimePoint::clock::now();
-        return endpoints.isFailing()
-                || (now - m_backAt < ReaderPatience && endpoints.isSharedLately(now));
-    });
+    m_configuration->setHeldBack(
+            [&endpoints] { return endpoints.isSharedLately(TimePoint::clock::now()); });
 }
 
 void FleetFollower::onConfig(const ObjectList &objects)
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -66,8 +66,6 @@
     objectstore::StoreFollower *m_weights = nullptr;
     std::map<domain::ModelId, std::uint64_t> m_named;
     std::function<void()> m_onNamed;
-    /// The store answered again at this time.
-    domain::TimePoint m_backAt;
     ChangesHandler m_onOwnChanges;
     /// Collections whose objects are small enough to be told.
     std::vector<objectstore::StoreFollower *> m_shared;
