Read the configuration by its deadline when the store is back but the publisher is not

Cause: on the return of the store the configuration was left to the publisher, also where the publisher only reported a loss. A configuration's watch that had been lost without a word was then not replaced until its end, after 5 or 25 s.

Change: on the return the budget that began with the endpoints' last unanswered call is kept: at its end the store is asked.

--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -81,6 +81,9 @@
     void setNeeded(std::function<bool()> isNeeded) { m_isNeeded = std::move(isNeeded); }
     /// Lists the collection now, whatever becomes of the watch that is waiting.
     void refresh();
+    /// Calls the store at the deadline if the copy is in doubt then and only a waiting watch of
+    /// this process could confirm it, which may have been lost.
+    void watchDeadline();
     /// Revision of the last change that was seen here.
     std::uint64_t changedAt() const { return m_changedAt; }
     /// Another process has seen a change at this revision.
@@ -116,9 +119,6 @@
     boost::asio::awaitable<bool> listOnce();
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> listUntilAnswered();
-    /// Calls the store at the deadline if the copy is in doubt then and only a waiting watch of
-    /// this process could confirm it, which may have been lost.
-    void watchDeadline();
     boost::asio::awaitable<void> confirmAtDeadline();
     void beginRefresh(domain::TimePoint now);
     bool isHeldBack(domain::TimePoint now) const;
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -118,8 +118,10 @@
     const TimePoint now = TimePoint::clock::now();
     for (objectstore::StoreFollower *follower : {m_withdrawals, m_weights})
         follower->refresh();
-    // The configuration comes from the reader, unless none is heard.
-    if (!m_configuration->isSharedLately(now))
+    // The configuration comes from the reader for what is left of its budget, unless none is heard.
+    if (m_configuration->isSharedLately(now))
+        m_configuration->watchDeadline();
+    else
         m_configuration->refresh();
 }
 
--- a/src/relay/tests/fleetfreshnesstest.cpp
+++ b/src/relay/tests/fleetfreshnesstest.cpp
@@ -116,6 +116,21 @@
     EXPECT_EQ(behind(), "");
 }
 
+// Regression: the configuration's watch was lost without a word while the endpoints' one was reset;
+// it was not read on the return, because a publisher was heard that had lost the store itself.
+TEST_P(FleetFreshnessFixture, run_onlyEndpointsWatchReset_allCollectionsWithinConfigBound)
+{
+    m_store.silent = {"configuration"};
+    runFor(500ms);
+    m_store.reset();
+    m_store.isDown = true;
+    runFor(300ms);
+    putAll();
+    m_store.isDown = false;
+    runFor(ConfigBound);
+    EXPECT_EQ(behind(), "");
+}
+
 INSTANTIATE_TEST_SUITE_P(Publishers, FleetFreshnessFixture,
         testing::Values(Published::Nothing, Published::Loss, Published::ChangesWithoutObjects));
 
