Keep a gap open when a publisher that is behind sends an update

Cause: any update that fitted the copy ended the gap and confirmed the copy, also when the other publisher had shown a later change.

Change: only an update up to the missing revision ends the gap.

Test, red before: none of 8 followers had the change 2 s after it was published by one of two publishers, the other being behind. All have it now; objectstore_tests passes as a whole (39).

--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -315,8 +315,12 @@
     }
     m_sharedAt = now;
     m_isWoken = m_isWoken || m_failures > 0;
-    m_hasGap = false;
-    onSuccess();
+    // The other publisher may have reported a later change.
+    const bool isBehind = m_missingSince && changes.storeVersion.revision < m_missing;
+    if (!isBehind) {
+        m_hasGap = false;
+        onSuccess();
+    }
     if (changes.storeVersion.revision <= m_version.revision)
         return;
     const ObjectList newer = newerThanKnown(changes);
--- a/src/objectstore/tests/storefreshnesstest.cpp
+++ b/src/objectstore/tests/storefreshnesstest.cpp
@@ -162,6 +162,24 @@
     EXPECT_EQ(behind(revision), 0U);
 }
 
+// Regression: an update of a publisher that is behind, after one of the other publisher that showed
+// a gap, was taken for the end of the gap.
+TEST_F(StoreFreshnessFixture, onShared_otherPublisherBehind_gapClosedWithinConfigBound)
+{
+    StoreFollowerOptions options;
+    options.watchTime = 500ms;
+    startFollowers(8, options);
+    setSilentPeer();
+    runFor(1000ms, publishRevision(2));
+    const std::uint64_t revision = m_store.put("configuration/main", "{}");
+    const auto publishBoth = [revision](StoreFollower &follower) {
+        publishRevision(revision)(follower);
+        publishRevision(2)(follower);
+    };
+    runFor(ConfigBound, publishBoth);
+    EXPECT_EQ(behind(revision), 0U);
+}
+
 // Guards against a store that comes back and is taken down by the calls of all entries of the
 // largest site: each needs two, as the history is gone, and none has more than that in a second.
 TEST_F(StoreFreshnessFixture, run_returnAt149Entries_twoCallsEachAndSpread)
