--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -25,6 +25,7 @@
     , m_collection(std::move(collection))
     , m_sink(std::move(sink))
     , m_options(options)
+    , m_freshness(options.freshnessBudget)
 {}
 
 asio::awaitable<void> StoreFollower::run()
@@ -35,7 +36,9 @@
     for (;;) {
         m_hasCalled = true;
         const bool isDone = co_await step();
-        domain::Duration pause = m_hasCalled ? m_options.changePause : domain::Duration::zero();
+        // Without a list there is no series of changes to wait for.
+        const bool isSeriesLikely = m_hasCalled && m_hasList;
+        domain::Duration pause = isSeriesLikely ? m_options.changePause : domain::Duration::zero();
         if (!isDone)
             pause = retryPause();
         const TimePoint pauseEnd = TimePoint::clock::now() + pause;
@@ -59,7 +62,33 @@
             : std::min<domain::Duration>(doubled, m_options.longestRetryPause);
     // Spread, so that processes that lost the store together do not ask together.
     std::uniform_real_distribution<double> spread(0.75, 1.25);
-    return std::chrono::duration_cast<domain::Duration>(pause * spread(m_random));
+    const auto wanted = std::chrono::duration_cast<domain::Duration>(pause * spread(m_random));
+    const domain::Duration left = m_freshness.cut(wanted, TimePoint::clock::now());
+    if (left == wanted)
+        return wanted;
+    // Ends before the deadline, and not for all processes together.
+    std::uniform_real_distribution<double> cutSpread(0.6, 0.95);
+    const auto cut = std::chrono::duration_cast<domain::Duration>(left * cutSpread(m_random));
+    return std::max(cut, std::min(wanted, m_options.firstRetryPause));
+}
+
+void StoreFollower::setProbe(StoreFollower &probe)
+{
+    m_probe = &probe;
+    probe.m_dependants.push_back(this);
+}
+
+bool StoreFollower::isHeldBack(TimePoint now) const
+{
+    const bool isProbed = m_probe != nullptr && m_probe->isFailing();
+    if (isProbed && m_probe->isAwaitingAnswer(now))
+        return true;
+    return (isProbed || (m_isHeldBack && m_isHeldBack())) && now < m_freshness.askBy();
+}
+
+bool StoreFollower::isAwaitingAnswer(TimePoint now) const
+{
+    return m_sentAt && now - *m_sentAt < m_options.answerTime;
 }
 
 asio::awaitable<void> StoreFollower::wait(domain::Duration duration)
@@ -75,14 +104,21 @@
         co_await wait(CheckInterval);
         co_return true;
     }
-    if (m_hasList && m_missingSince && m_hasGap && m_peerList) {
+    if (m_hasList && m_missingSince
+            && TimePoint::clock::now() - *m_missingSince >= m_options.gapPatience)
+        m_hasGap = true;
+    const bool isPeerTimeLeft = TimePoint::clock::now() < m_freshness.askBy();
+    if (m_hasList && m_missingSince && m_hasGap && m_peerList && isPeerTimeLeft) {
         const bool isListed = co_await listFromPeer();
         if (isListed)
             co_return true;
     }
-    if (m_failures > 0 && m_isHeldBack && m_isHeldBack()) {
+    if (m_failures > 0 && isHeldBack(TimePoint::clock::now())) {
         m_hasCalled = false;
-        co_await wait(CheckInterval);
+        // The answer of a probe that is on its way is awaited beyond the deadline.
+        constexpr domain::Duration ShortestCheck = std::chrono::milliseconds(20);
+        const domain::Duration left = m_freshness.cut(CheckInterval, TimePoint::clock::now());
+        co_await wait(std::max(left, ShortestCheck));
         co_return true;
     }
     if (!m_hasList)
@@ -103,9 +139,12 @@
 
 asio::awaitable<bool> StoreFollower::listOnce()
 {
-    auto list = co_await m_store.list(m_collection, TimePoint::clock::now() + m_options.listTime);
+    const TimePoint sentAt = TimePoint::clock::now();
+    m_sentAt = sentAt;
+    auto list = co_await m_store.list(m_collection, sentAt + m_options.listTime);
+    m_sentAt.reset();
     if (!list) {
-        onFailure(list.error());
+        onFailure(list.error(), sentAt);
         co_return false;
     }
     onSuccess();
@@ -130,7 +169,8 @@
 asio::awaitable<bool> StoreFollower::listFromPeer()
 {
     const std::uint64_t generation = m_generation;
-    auto list = co_await m_peerList(TimePoint::clock::now() + m_options.listTime);
+    const TimePoint now = TimePoint::clock::now();
+    auto list = co_await m_peerList(now + m_freshness.cut(m_options.listTime, now));
     // Meanwhile the own watch or another list may have brought as much.
     if (generation != m_generation)
         co_return true;
@@ -164,18 +204,28 @@
     const std::uint64_t generation = m_generation;
     // What is missing here has happened already, so the answer comes at once.
     const domain::Duration time = m_hasGap ? domain::Duration::zero() : watchTime();
-    auto changes = co_await m_store.watch(
-            m_collection, m_version, TimePoint::clock::now() + time + m_options.answerTime);
+    const TimePoint sentAt = TimePoint::clock::now();
+    m_isWatchWaiting = time > domain::Duration::zero();
+    if (!m_isWatchWaiting)
+        m_sentAt = sentAt;
+    auto changes
+            = co_await m_store.watch(m_collection, m_version, sentAt + time + m_options.answerTime);
+    m_isWatchWaiting = false;
+    m_sentAt.reset();
     if (generation != m_generation)
         co_return true;
     if (!changes && changes.error().kind == ErrorKind::NotFound) {
         logEvent(Severity::Info, "store_history_gone",
                 {{"collection", m_collection}, {"revision", m_version.revision}});
+        // The store answers, whatever it has kept; the copy is confirmed by the list only.
+        onAnswered();
         m_hasList = false;
         co_return true;
     }
     if (!changes) {
-        onFailure(changes.error());
+        // A watch that waits would have brought changes until it failed.
+        const bool hasWaited = time > domain::Duration::zero();
+        onFailure(changes.error(), hasWaited ? TimePoint::clock::now() : sentAt);
         co_return false;
     }
     onSuccess();
@@ -201,12 +251,12 @@
 
 asio::awaitable<bool> StoreFollower::catchUpOnce()
 {
-    auto changes = co_await m_store.watch(
-            m_collection, m_version, TimePoint::clock::now() + m_options.answerTime);
+    const TimePoint sentAt = TimePoint::clock::now();
+    auto changes = co_await m_store.watch(m_collection, m_version, sentAt + m_options.answerTime);
     if (!changes && changes.error().kind == ErrorKind::NotFound)
         co_return co_await listOnce();
     if (!changes) {
-        onFailure(changes.error());
+        onFailure(changes.error(), sentAt);
         co_return false;
     }
     onSuccess();
@@ -256,6 +306,8 @@
     if (after > m_version.revision) {
         if (!m_missingSince)
             m_missingSince = now;
+        m_freshness.onDoubt(now);
+        watchDeadline();
         m_missing = std::max(m_missing, after);
         m_hasGap = m_hasGap || now - *m_missingSince >= m_options.gapPatience;
         m_isWoken = m_isWoken || m_failures > 0;
@@ -263,8 +315,12 @@
     }
     m_sharedAt = now;
     m_isWoken = m_isWoken || m_failures > 0;
-    m_hasGap = false;
-    onSuccess();
+    // The other publisher may have reported a later change.
+    const bool isBehind = m_missingSince && changes.storeVersion.revision < m_missing;
+    if (!isBehind) {
+        m_hasGap = false;
+        onSuccess();
+    }
     if (changes.storeVersion.revision <= m_version.revision)
         return;
     const ObjectList newer = newerThanKnown(changes);
@@ -303,11 +359,37 @@
             = m_refreshedAt != TimePoint() && now - m_refreshedAt < m_options.refreshInterval;
     if (m_isRefreshing || !m_hasList || isRecent)
         return;
+    beginRefresh(now);
+}
+
+void StoreFollower::beginRefresh(TimePoint now)
+{
     m_isRefreshing = true;
     m_refreshedAt = now;
     asio::co_spawn(m_context, listUntilAnswered(), asio::detached);
 }
 
+void StoreFollower::watchDeadline()
+{
+    if (m_isDeadlineWatched || !m_freshness.isInDoubt())
+        return;
+    m_isDeadlineWatched = true;
+    asio::co_spawn(m_context, confirmAtDeadline(), asio::detached);
+}
+
+asio::awaitable<void> StoreFollower::confirmAtDeadline()
+{
+    TimePoint now = TimePoint::clock::now();
+    while (m_freshness.isInDoubt() && now < m_freshness.askBy()) {
+        co_await wait(m_freshness.askBy() - now);
+        now = TimePoint::clock::now();
+    }
+    m_isDeadlineWatched = false;
+    // Without a waiting watch, run() calls the store by itself.
+    if (m_freshness.isInDoubt() && m_isWatchWaiting && !m_isRefreshing && m_hasList)
+        beginRefresh(now);
+}
+
 asio::awaitable<void> StoreFollower::listUntilAnswered()
 {
     // g++ 12 miscompiles an await within the condition of a loop.
@@ -344,9 +426,12 @@
     refresh();
 }
 
-void StoreFollower::onFailure(const domain::Error &error)
+void StoreFollower::onFailure(const domain::Error &error, TimePoint sentAt)
 {
     ++m_failures;
+    m_freshness.onUnanswered(sentAt);
+    for (StoreFollower *dependant : m_dependants)
+        dependant->m_freshness.onUnanswered(sentAt);
     // A watch begun in an outage may never be answered, even after it. One that waits for nothing
     // is, and its short deadline shows the return of the store early; whole lists for all processes
     // at that moment would fill the links between regions.
@@ -360,6 +445,12 @@
 }
 
 void StoreFollower::onSuccess()
+{
+    m_freshness.onConfirmed();
+    onAnswered();
+}
+
+void StoreFollower::onAnswered()
 {
     m_answeredAt = TimePoint::clock::now();
     if (m_failures == 0)
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "domain/timepoint.h"
+#include "objectstore/freshnessdeadline.h"
 #include "objectstore/iobjectstore.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -11,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace oriolerill::objectstore {
 
@@ -58,6 +60,9 @@
     /// While others tell all changes the collection is not watched here. They tell that there are
     /// none twice a second; after two of these were lost, this process watches itself.
     domain::Duration sharedLife = std::chrono::milliseconds(1200);
+    /// Time from the moment at which a change may have been missed to the own call that looks for
+    /// it; all waits share it. Unlimited where nothing depends on the age of the copy.
+    domain::Duration freshnessBudget = domain::Duration::max();
 };
 
 /// Keeps a copy of one collection of the store up to date: lists it, then watches for changes;
@@ -76,6 +81,9 @@
     void setNeeded(std::function<bool()> isNeeded) { m_isNeeded = std::move(isNeeded); }
     /// Lists the collection now, whatever becomes of the watch that is waiting.
     void refresh();
+    /// Calls the store at the deadline if the copy is in doubt then and only a waiting watch of
+    /// this process could confirm it, which may have been lost.
+    void watchDeadline();
     /// Revision of the last change that was seen here.
     std::uint64_t changedAt() const { return m_changedAt; }
     /// Another process has seen a change at this revision.
@@ -92,9 +100,12 @@
     /// process brought it lately; what was told by others is not told again.
     std::optional<std::uint64_t> ownRevision(domain::TimePoint now) const;
     bool isFailing() const { return m_failures > 0; }
-    /// After a failure the store is not called while the function returns true: another follower
-    /// of this process finds out when it answers again.
+    /// After a failure the store is not called while the function returns true, but for what is
+    /// left of the freshness budget.
     void setHeldBack(std::function<bool()> isHeldBack) { m_isHeldBack = std::move(isHeldBack); }
+    /// After a failure another follower of this process finds out when the store answers again;
+    /// its unanswered calls count for this one. It must live as long as this one.
+    void setProbe(StoreFollower &probe);
     using PeerList = std::function<boost::asio::awaitable<domain::Expected<ObjectList>>(
             domain::TimePoint deadline)>;
     /// A gap in what was told is closed from the process that told it, if that works.
@@ -108,6 +119,11 @@
     boost::asio::awaitable<bool> listOnce();
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> listUntilAnswered();
+    boost::asio::awaitable<void> confirmAtDeadline();
+    void beginRefresh(domain::TimePoint now);
+    bool isHeldBack(domain::TimePoint now) const;
+    /// A call that does not wait for changes is on its way, and is not late.
+    bool isAwaitingAnswer(domain::TimePoint now) const;
     boost::asio::awaitable<void> wait(domain::Duration duration);
     domain::Duration retryPause();
     domain::Duration watchTime() const;
@@ -122,14 +138,19 @@
     void takeList(const ObjectList &list);
     void keep(const ObjectList &changes);
     void note(const ObjectList &objects);
-    void onFailure(const domain::Error &error);
+    /// sentAt is when the store was last known to be reachable: when a call was sent that does not
+    /// wait, or when a waiting watch failed.
+    void onFailure(const domain::Error &error, domain::TimePoint sentAt);
+    /// The copy is current.
     void onSuccess();
+    void onAnswered();
 
     boost::asio::io_context &m_context;
     IObjectStore &m_store;
     std::string m_collection;
     CollectionSink m_sink;
     StoreFollowerOptions m_options;
+    FreshnessDeadline m_freshness;
     domain::ConfigVersion m_version;
     bool m_hasList = false;
     std::uint32_t m_failures = 0;
@@ -138,6 +159,9 @@
     /// Grows with each list; a watch that was begun before may bring what the list has overtaken.
     std::uint64_t m_generation = 0;
     bool m_isRefreshing = false;
+    /// A watch waits for changes.
+    bool m_isWatchWaiting = false;
+    bool m_isDeadlineWatched = false;
     domain::TimePoint m_refreshedAt;
     domain::TimePoint m_hintedAt;
     /// Since when others know of a change that is not known here.
@@ -154,6 +178,11 @@
     std::uint64_t m_missing = 0;
     domain::TimePoint m_sharedLossAt;
     std::function<bool()> m_isHeldBack;
+    StoreFollower *m_probe = nullptr;
+    /// Followers whose probe this one is.
+    std::vector<StoreFollower *> m_dependants;
+    /// When the call was sent that is on its way.
+    std::optional<domain::TimePoint> m_sentAt;
     PeerList m_peerList;
     /// Whole collection as far as it is known; kept for small numbers of large objects only.
     ObjectList m_lastList;
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -64,8 +64,6 @@
     objectstore::StoreFollower *m_withdrawals = nullptr;
     objectstore::StoreFollower *m_weights = nullptr;
     std::function<void()> m_onNamed;
-    /// The store answered again at this time.
-    domain::TimePoint m_backAt;
     ChangesHandler m_onOwnChanges;
     /// Collections whose objects are small enough to be told.
     std::vector<objectstore::StoreFollower *> m_shared;
