Let scripts of test endpoints own what they refer to

RelayFixture.serve_silentEndpoint_finalAnswerAtTimeout crashed now and then. The fault is in the test: its script captured a pointer on the stack of the test body by reference. The body returns as soon as the entry has sent its 504, while the script's thread is only about to see that its connection was closed; the threads are joined in the fixture's destructor. On a busy machine the thread then read the pointer from reused stack memory and wrote through it.

Other scripts captured counters and texts in the same way; `last` in serve_lateSecondCopy_nextCallerGetsItsOwn was destroyed before the first request. All are owned by the scripts now. The two tests of closed connections share one script, and the test of the timeout checks in addition that the endpoint's connection is closed. The counter in serve_extraBytesBehindAnswer_connectionNotUsedAgain was never checked and is gone.

--- a/src/relay/tests/endpointtroubletest.cpp
+++ b/src/relay/tests/endpointtroubletest.cpp
@@ -178,12 +178,12 @@
                     std::string(StreamHead) + "\r\nid: 1\ndata: a\n\ndata: ",
                     whole + "Connection: close\r\n\r\n"};
     m_routeTimeout = 4s;
-    std::atomic<int> closed = 0;
+    const auto closed = std::make_shared<std::atomic<int>>(0);
     for (const std::string &head : heads) {
-        addEndpoint([&closed, head, block](Socket &socket, const std::string &) {
+        addEndpoint([closed, head, block](Socket &socket, const std::string &) {
             write(socket, head);
             writeWithoutEnd(socket, block);
-            ++closed;
+            ++*closed;
             return false;
         });
     }
@@ -201,9 +201,9 @@
     // None of the bounds is the time: each is met as quickly as the bytes come.
     EXPECT_LT(std::chrono::steady_clock::now() - begun, 12s);
     EXPECT_LT(residentBytes(), before + (96U << 20U));
-    for (int i = 0; i < 100 && closed < Calls; ++i)
+    for (int i = 0; i < 100 && *closed < Calls; ++i)
         std::this_thread::sleep_for(10ms);
-    EXPECT_GE(closed, Calls);
+    EXPECT_GE(*closed, Calls);
 }
 
 // Guards against bounds that cut a long answer which is sound.
@@ -211,7 +211,7 @@
 {
     constexpr int Events = 3000;
     const std::string padding(8000, 'y');
-    addEndpoint([&padding](Socket &socket, const std::string &) {
+    addEndpoint([padding](Socket &socket, const std::string &) {
         write(socket, std::string(StreamHead) + "\r\n");
         for (int i = 1; i <= Events; ++i)
             write(socket, "id: " + std::to_string(i) + "\ndata: " + padding + "\n\n");
@@ -230,10 +230,10 @@
 TEST_F(EndpointTroubleFixture, serve_streamTricklesWithinAnEvent_continuedElsewhere)
 {
     m_routeTimeout = 6s;
-    std::atomic<int> calls = 0;
-    const auto script = [&calls](Socket &socket, const std::string &) {
+    const auto calls = std::make_shared<std::atomic<int>>(0);
+    const auto script = [calls](Socket &socket, const std::string &) {
         write(socket, std::string(StreamHead) + "\r\n");
-        if (calls++ == 0) {
+        if ((*calls)++ == 0) {
             write(socket, "id: 1\ndata: a\n\nid: 2\ndata: ");
             boost::system::error_code code;
             for (int i = 0; i < 50 && !code; ++i) {
@@ -251,7 +251,7 @@
     const auto begun = std::chrono::steady_clock::now();
     const std::string got = call(request("POST", "/stream/1", Close));
     EXPECT_LT(std::chrono::steady_clock::now() - begun, 3s);
-    EXPECT_EQ(calls, 2);
+    EXPECT_EQ(*calls, 2);
     EXPECT_NE(got.find("id: 2\ndata: b\n\n"), std::string::npos);
     EXPECT_TRUE(got.ends_with("0\r\n\r\n"));
 }
@@ -294,12 +294,21 @@
             chunked += "\r\n0\r\n\r\n";
             return chunked;
         };
-        std::string last;
-        addEndpoint([&last, text](Socket &socket, const std::string &got) {
+        struct Last
+        {
+            std::mutex mutex;
+            std::string id;
+        };
+        const auto last = std::make_shared<Last>();
+        addEndpoint([last, text](Socket &socket, const std::string &got) {
             const std::string id = fieldOf(got, "Attempt-Id");
+            std::string before;
+            {
+                const std::scoped_lock lock(last->mutex);
+                before = std::exchange(last->id, id);
+            }
             // The copy of the answer before comes when this request is already on its way.
-            write(socket, (last.empty() ? "" : text(last)) + text(id));
-            last = id;
+            write(socket, (before.empty() ? "" : text(before)) + text(id));
             return true;
         });
     }
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -25,6 +25,8 @@
 public:
     using Socket = boost::asio::ip::tcp::socket;
     /// Gets each request as it was received; writes what it likes. False closes the connection.
+    /// It may still run after the body of its test has returned, so it owns what it captures or
+    /// refers to members of the fixture.
     using Script = std::function<bool(Socket &, const std::string &request)>;
 
     explicit ScriptedEndpoint(Script script)
@@ -55,10 +57,6 @@
         return m_requests;
     }
 
-    /// Whether a connection was closed by the entry while a script was still running.
-    bool wasCancelled() const { return m_wasCancelled; }
-    void noteCancelled() { m_wasCancelled = true; }
-
 private:
     void acceptAll()
     {
@@ -105,7 +103,6 @@
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
     std::atomic<bool> m_isStopping = false;
-    std::atomic<bool> m_wasCancelled = false;
     std::vector<std::thread> m_connections;
     std::thread m_thread;
 };
@@ -253,6 +250,28 @@
                 + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    /// Gives no answer, and sets the flag when the entry closes the connection.
+    static ScriptedEndpoint::Script silentScript(std::shared_ptr<std::atomic<bool>> isClosed)
+    {
+        return [isClosed = std::move(isClosed)](
+                       boost::asio::ip::tcp::socket &socket, const std::string &) {
+            char byte = 0;
+            boost::system::error_code code;
+            while (!code)
+                socket.read_some(boost::asio::buffer(&byte, 1), code);
+            *isClosed = true;
+            return false;
+        };
+    }
+
+    /// Waits for what another thread is about to set; false after 500 ms.
+    static bool waitFor(const std::atomic<bool> &flag)
+    {
+        for (int i = 0; i < 100 && !flag; ++i)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        return flag;
+    }
+
     static constexpr const char *Close = "Connection: close\r\n";
 
     boost::asio::io_context m_context{1};
--- a/src/relay/tests/relaytest.cpp
+++ b/src/relay/tests/relaytest.cpp
@@ -103,9 +103,9 @@
 // Guards against lookups that fail although another endpoint could answer them.
 TEST_F(RelayFixture, serve_lookupFailsOnce_answeredByAnother)
 {
-    std::atomic<int> calls = 0;
-    const auto script = [&calls](Socket &socket, const std::string &) {
-        const bool isFirst = calls++ == 0;
+    const auto calls = std::make_shared<std::atomic<int>>(0);
+    const auto script = [calls](Socket &socket, const std::string &) {
+        const bool isFirst = (*calls)++ == 0;
         write(socket,
                 isFirst ? answer("a1", "no", "500 Internal Server Error") : answer("a1", "yes"));
         return true;
@@ -115,7 +115,7 @@
     start();
     const std::string got = call(request("GET", "/read/1", Close));
     EXPECT_EQ(statusOf(got), 200U);
-    EXPECT_EQ(calls, 2);
+    EXPECT_EQ(*calls, 2);
 }
 
 // Guards against an answer to another request, which may arrive where the next one is expected.
@@ -133,11 +133,9 @@
 // Guards against bytes behind an answer that are taken for the answer to the next request.
 TEST_F(RelayFixture, serve_extraBytesBehindAnswer_connectionNotUsedAgain)
 {
-    std::atomic<int> connections = 0;
-    addEndpoint([&connections](Socket &socket, const std::string &) {
-        ++connections;
+    addEndpoint([](Socket &socket, const std::string &) {
         write(socket, answer("a1", "good") + answer("a1", "evil"));
-        // The connection stays open; a second request on it would count here too.
+        // The connection stays open; a second request on it would read the further bytes.
         return true;
     });
     start();
@@ -164,12 +162,12 @@
 // middle of one: it continues at another, after the last whole event, in the same answer.
 TEST_F(RelayFixture, serve_streamCutWithinEvent_continuedElsewhereWhole)
 {
-    std::atomic<int> calls = 0;
-    const auto script = [&calls](Socket &socket, const std::string &request) {
+    const auto calls = std::make_shared<std::atomic<int>>(0);
+    const auto script = [calls](Socket &socket, const std::string &request) {
         const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
                                  "Content-Type: text/event-stream\r\nWeight-Versions: 4\r\n"
                                  "Connection: close\r\n\r\n";
-        if (calls++ == 0) {
+        if ((*calls)++ == 0) {
             write(socket, head + "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
             // A reset, not an end: without a length, an end would complete the answer.
             socket.set_option(boost::asio::socket_base::linger(true, 0));
@@ -184,7 +182,7 @@
     addEndpoint(script);
     start();
     const std::string got = call(request("POST", "/stream/1", Close));
-    EXPECT_EQ(calls, 2);
+    EXPECT_EQ(*calls, 2);
     std::string events;
     for (const char *event : {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"}) {
         const std::size_t at = got.find(event);
@@ -197,26 +195,17 @@
 // Guards against work for a caller that has left.
 TEST_F(RelayFixture, serve_callerLeaves_endpointConnectionClosed)
 {
-    ScriptedEndpoint *endpoint = nullptr;
-    ScriptedEndpoint &added = addEndpoint([&endpoint](Socket &socket, const std::string &) {
-        char byte = 0;
-        boost::system::error_code code;
-        socket.read_some(boost::asio::buffer(&byte, 1), code);
-        if (code)
-            endpoint->noteCancelled();
-        return false;
-    });
-    endpoint = &added;
+    const auto isClosed = std::make_shared<std::atomic<bool>>(false);
+    ScriptedEndpoint &endpoint = addEndpoint(silentScript(isClosed));
     start();
     {
         auto socket = connect();
         write(socket, request("POST", "/order/1", "", "o"));
-        for (int i = 0; i < 200 && added.requests().empty(); ++i)
+        for (int i = 0; i < 200 && endpoint.requests().empty(); ++i)
             std::this_thread::sleep_for(5ms);
+        ASSERT_EQ(endpoint.requests().size(), 1U);
     }
-    for (int i = 0; i < 100 && !added.wasCancelled(); ++i)
-        std::this_thread::sleep_for(5ms);
-    EXPECT_TRUE(added.wasCancelled());
+    EXPECT_TRUE(waitFor(*isClosed));
 }
 
 // Guards against a request that is sent on for a caller that left while the process stood still:
@@ -266,24 +255,18 @@
 }
 
 // Guards against a caller that waits beyond the route's timeout (1500 ms here) for a final answer,
-// and against a refusal of what may have run.
+// against a refusal of what may have run, and against work that goes on after the final answer.
 TEST_F(RelayFixture, serve_silentEndpoint_finalAnswerAtTimeout)
 {
-    ScriptedEndpoint *endpoint = nullptr;
-    ScriptedEndpoint &added = addEndpoint([&endpoint](Socket &socket, const std::string &) {
-        char byte = 0;
-        boost::system::error_code code;
-        socket.read_some(boost::asio::buffer(&byte, 1), code);
-        endpoint->noteCancelled();
-        return false;
-    });
-    endpoint = &added;
+    const auto isClosed = std::make_shared<std::atomic<bool>>(false);
+    addEndpoint(silentScript(isClosed));
     start();
     const auto begun = std::chrono::steady_clock::now();
     EXPECT_EQ(statusOf(call(request("POST", "/order/1", Close, "o"))), 504U);
     const auto taken = std::chrono::steady_clock::now() - begun;
     EXPECT_GE(taken, 1400ms);
     EXPECT_LE(taken, 2000ms);
+    EXPECT_TRUE(waitFor(*isClosed));
 }
 
 // Guards against a request that hangs because its endpoint answers before it has read the body.
