End the threads of RelayFixture before members of derived fixtures

Scripts refer to members of derived fixtures (WeightsBoundFixture:: m_closedAt, ExplorationFixture::m_runs), which are destroyed before the base destructor joins the threads. TearDown() joins them now, while all members exist. Found by reading; no run has shown a crash from it.

--- a/src/relay/tests/callerlistenertest.cpp
+++ b/src/relay/tests/callerlistenertest.cpp
@@ -19,8 +19,6 @@
         ASSERT_TRUE(m_listener.open({"127.0.0.1", 0}).hasValue());
     }
 
-    void TearDown() override { stop(); }
-
     Socket connectToListener()
     {
         Socket socket(m_callerContext);
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -139,7 +139,13 @@
             m_thread.join();
     }
 
-    ~RelayFixture() override
+    /// Ends all threads while the members of derived fixtures exist: scripts and handlers refer to
+    /// them.
+    void TearDown() override { endThreads(); }
+
+    ~RelayFixture() override { endThreads(); }
+
+    void endThreads()
     {
         stop();
         // The scripts end when their connections do.
