Keep endpoint connections open that another request may use

A connection is given back before a whole answer is delivered, but the request kept its reference. When its caller left during the delivery, the request closed the connection (the watch over the caller, and again the failed write). Callers could see: - another request that used the connection by then got 502, or was repeated elsewhere, as if its endpoint had failed; - the closed connection stayed among the idle ones (its wait ended as aborted, which does not drop it), and the next request failed on it, with 502 for one that must not be repeated though it was never sent. The endpoint was charged with a failure each time.

The request now drops its reference when it gives the connection back.

Evidence: both tests of LeavingCallerFixture failed before the change and pass with it (build with AddressSanitizer).

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -383,8 +383,9 @@
     const AttemptEnd end = co_await readAnswer(dispatch, isWritten);
     if (end == AttemptEnd::NotRun)
         --m_runs;
-    if (end != AttemptEnd::Delivered && end != AttemptEnd::NotRun
-            && end != AttemptEnd::FailedAnswer)
+    const bool isWhole = end == AttemptEnd::Delivered || end == AttemptEnd::NotRun
+            || end == AttemptEnd::FailedAnswer;
+    if (m_connection && !isWhole)
         m_connection->stream.close();
     co_return end;
 }
@@ -480,6 +481,9 @@
             m_context.connections.giveBack(dispatch.endpoint, m_connection, idle,
                     m_context.dispatcher.maxIdleConnections(m_query.service),
                     TimePoint::clock::now());
+            // Another request may use the connection from now on; a caller that leaves during the
+            // delivery must not close it.
+            m_connection.reset();
         }
         if (end == AttemptEnd::Delivered && !isStream && !co_await deliverWhole())
             co_return AttemptEnd::CallerGone;
--- a/src/relay/tests/endpointtroubletest.cpp
+++ b/src/relay/tests/endpointtroubletest.cpp
@@ -342,4 +342,71 @@
     EXPECT_EQ(got.find("of a1"), std::string::npos) << got;
 }
 
+/// A caller that leaves while its large answer is written to it. The endpoint's connection has been
+/// given back by then, so that another request may use it.
+class LeavingCallerFixture : public RelayFixture
+{
+protected:
+    LeavingCallerFixture()
+    {
+        m_endpoint = &addEndpoint([](Socket &socket, const std::string &got) {
+            // More than the buffers of a connection take.
+            constexpr std::size_t LargeSize = 12U << 20U;
+            const bool isLarge = got.find("/read/large") != std::string::npos;
+            if (!isLarge)
+                std::this_thread::sleep_for(200ms);
+            write(socket, answer("a1", isLarge ? std::string(LargeSize, 'x') : "good"));
+            return true;
+        });
+    }
+
+    /// A caller that has taken the first byte of its answer only.
+    Socket beginDelivery()
+    {
+        Socket caller = connect();
+        caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+        write(caller, request("GET", "/read/large"));
+        char byte = 0;
+        boost::asio::read(caller, boost::asio::buffer(&byte, 1));
+        return caller;
+    }
+
+    std::size_t requestsInFlight()
+    {
+        std::promise<std::size_t> count;
+        boost::asio::post(m_context, [&] { count.set_value(m_relay.requestsInFlight); });
+        return count.get_future().get();
+    }
+
+    ScriptedEndpoint *m_endpoint = nullptr;
+};
+
+// Regression: the next request on the endpoint's connection was lost, because the caller that left
+// closed this connection with its own.
+TEST_F(LeavingCallerFixture, serve_callerLeavesDuringDelivery_requestOnReusedConnectionAnswered)
+{
+    start();
+    Socket leaving = beginDelivery();
+    auto answered = std::async(
+            std::launch::async, [this] { return call(request("GET", "/read/1", Close)); });
+    for (int i = 0; i < 200 && m_endpoint->requests().size() < 2; ++i)
+        std::this_thread::sleep_for(5ms);
+    leaving.close();
+    EXPECT_EQ(statusOf(answered.get()), 200U);
+    stop();
+    EXPECT_EQ(m_connections.connectCount(), 1U);
+}
+
+// Regression: a closed connection stayed among the idle ones, and the next request failed on it.
+TEST_F(LeavingCallerFixture, serve_callerLeftDuringDelivery_nextRequestAnswered)
+{
+    start();
+    beginDelivery().close();
+    for (int i = 0; i < 200 && requestsInFlight() > 0; ++i)
+        std::this_thread::sleep_for(5ms);
+    ASSERT_EQ(requestsInFlight(), 0U);
+    EXPECT_EQ(statusOf(call(request("GET", "/read/1", Close))), 200U);
+    EXPECT_EQ(m_endpoint->requests().size(), 2U);
+}
+
 } // namespace oriolerill::relay
