--- a/src/relay/tests/endpointtroubletest.cpp
+++ b/src/relay/tests/endpointtroubletest.cpp
@@ -409,4 +409,33 @@
     EXPECT_EQ(m_endpoint->requests().size(), 2U);
 }
 
+// Guards against a stream without events that gets no head, or is not ended.
+TEST_F(EndpointTroubleFixture, serve_streamWithoutEvents_endedWhole)
+{
+    addEndpoint([](Socket &socket, const std::string &) {
+        write(socket, std::string(StreamHead) + "\r\n");
+        return false;
+    });
+    start();
+    const std::string got = call(request("POST", "/stream/1", Close));
+    EXPECT_EQ(statusOf(got), 200U);
+    EXPECT_TRUE(got.ends_with("0\r\n\r\n")) << got;
+}
+
+// Guards against a request that is lost because nothing listens at its endpoint's address.
+TEST_F(EndpointTroubleFixture, serve_endpointRefusesConnections_answeredByAnother)
+{
+    ScriptedEndpoint &good = addGood();
+    addGood();
+    {
+        boost::asio::ip::tcp::acceptor closed(
+                m_callerContext, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        m_listed.back().address.port = closed.local_endpoint().port();
+    }
+    start();
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(statusOf(call(request("POST", "/order/1", Close, "o"))), 200U);
+    EXPECT_EQ(good.requests().size(), 10U);
+}
+
 } // namespace oriolerill::relay
