Stop counting a request that ends by an unexpected error

An exception within a request left the watch over its caller running with references to the request and the caller's socket, which the session frees next; the request stayed counted as in progress, so that a stop waited for its whole time, and its endpoint kept one place less.

RequestRun::run() and attempt() now undo these on an exception before they pass it on to the session, which logs it.

Evidence: serve_unexpectedError_requestNotCountedAnyMore found one request in progress here and one at the endpoint before, and none with the change. The use of freed memory was found by reading; no run has shown it.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -176,19 +176,31 @@
         }
     });
     bool isOpen = false;
-    if (auto refusal = resolve()) {
-        m_detail = refusal->error.message;
-        const unsigned status = refusal->status;
-        isOpen = co_await answer(std::move(*refusal));
-        logEnd("rejected", status);
-    } else {
-        isOpen = co_await serve();
+    try {
+        isOpen = co_await answerOrServe();
+    } catch (...) {
+        // The session logs the error. The watch refers to this object.
+        watch->stop();
+        --m_context.requestsInFlight;
+        throw;
     }
     watch->stop();
     --m_context.requestsInFlight;
     co_return isOpen;
 }
 
+asio::awaitable<bool> RequestRun::answerOrServe()
+{
+    auto refusal = resolve();
+    if (!refusal)
+        co_return co_await serve();
+    m_detail = refusal->error.message;
+    const unsigned status = refusal->status;
+    const bool isOpen = co_await answer(std::move(*refusal));
+    logEnd("rejected", status);
+    co_return isOpen;
+}
+
 asio::awaitable<bool> RequestRun::serve()
 {
     m_context.dispatcher.onRequest(m_query.service, m_arrivedAt);
@@ -289,7 +301,14 @@
     m_reportAgeMs = chosen.hasFreshReport(chosenAt)
             ? std::chrono::duration_cast<milliseconds>(chosen.reportAge(chosenAt)).count()
             : -1;
-    const AttemptEnd end = co_await exchange(dispatch);
+    AttemptEnd end = AttemptEnd::Lost;
+    try {
+        end = co_await exchange(dispatch);
+    } catch (...) {
+        if (m_sentAt)
+            m_context.dispatcher.load(dispatch.endpoint).onEnded();
+        throw;
+    }
     const TimePoint now = TimePoint::clock::now();
     routing::EndpointLoad &load = m_context.dispatcher.load(dispatch.endpoint);
     const bool wasSent = end != AttemptEnd::NotSent;
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -57,6 +57,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     std::optional<OwnAnswer> resolve();
+    boost::asio::awaitable<bool> answerOrServe();
     boost::asio::awaitable<bool> serve();
     boost::asio::awaitable<AttemptEnd> attempt(const routing::Dispatch &dispatch);
     boost::asio::awaitable<AttemptEnd> exchange(const routing::Dispatch &dispatch);
--- a/src/relay/tests/endpointtroubletest.cpp
+++ b/src/relay/tests/endpointtroubletest.cpp
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <future>
+#include <stdexcept>
 
 namespace oriolerill::relay {
 
@@ -438,4 +439,21 @@
     EXPECT_EQ(good.requests().size(), 10U);
 }
 
+// Regression: after an unexpected error within a request, the request was counted as in progress
+// for good, here and at its endpoint, and the watch over its caller referred to freed memory.
+TEST_F(EndpointTroubleFixture, serve_unexpectedError_requestNotCountedAnyMore)
+{
+    ScriptedEndpoint &leaving = addEndpoint([](Socket &socket, const std::string &) {
+        write(socket, answer("a1", "last", "200 OK", "Server-Leaving: 1\r\n"));
+        return true;
+    });
+    m_relay.onLeaving = [] { throw std::runtime_error("test"); };
+    start();
+    EXPECT_EQ(call(request("POST", "/order/1", "", "o")), "");
+    EXPECT_EQ(leaving.requests().size(), 1U);
+    stop();
+    EXPECT_EQ(m_relay.requestsInFlight, 0U);
+    EXPECT_EQ(m_dispatcher.load(domain::EndpointId("e1")).inFlight(), 0U);
+}
+
 } // namespace oriolerill::relay
