--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -178,19 +178,31 @@
         }
     });
     bool isOpen = false;
-    if (auto refusal = resolve()) {
-        m_detail = refusal->error.message;
-        const unsigned status = refusal->status;
-        isOpen = co_await answer(std::move(*refusal));
-        logEnd("rejected", status);
-    } else {
-        isOpen = co_await serve();
+    try {
+        isOpen = co_await answerOrServe();
+    } catch (...) {
+        // The session logs the error. The watch refers to this object.
+        watch->stop();
+        --m_context.requestsInFlight;
+        throw;
     }
     watch->stop();
     --m_context.requestsInFlight;
     co_return isOpen;
 }
 
+asio::awaitable<bool> RequestRun::answerOrServe()
+{
+    auto refusal = resolve();
+    if (!refusal)
+        co_return co_await serve();
+    m_detail = refusal->error.message;
+    const unsigned status = refusal->status;
+    const bool isOpen = co_await answer(std::move(*refusal));
+    logEnd("rejected", status);
+    co_return isOpen;
+}
+
 asio::awaitable<bool> RequestRun::serve()
 {
     m_context.dispatcher.onRequest(m_query.service, m_arrivedAt);
@@ -290,7 +302,14 @@
     m_reportAgeMs = chosen.hasFreshReport(chosenAt)
             ? std::chrono::duration_cast<milliseconds>(chosen.reportAge(chosenAt)).count()
             : -1;
-    const AttemptEnd end = co_await exchange(dispatch);
+    AttemptEnd end = AttemptEnd::Lost;
+    try {
+        end = co_await exchange(dispatch);
+    } catch (...) {
+        if (m_sentAt)
+            m_context.dispatcher.load(dispatch.endpoint).onEnded();
+        throw;
+    }
     const TimePoint now = TimePoint::clock::now();
     routing::EndpointLoad &load = m_context.dispatcher.load(dispatch.endpoint);
     const bool wasSent = end != AttemptEnd::NotSent;
@@ -388,8 +407,9 @@
     noteBegun();
     if (end == AttemptEnd::NotRun)
         --m_runs;
-    if (end != AttemptEnd::Delivered && end != AttemptEnd::NotRun
-            && end != AttemptEnd::FailedAnswer)
+    const bool isWhole = end == AttemptEnd::Delivered || end == AttemptEnd::NotRun
+            || end == AttemptEnd::FailedAnswer;
+    if (m_connection && !isWhole)
         m_connection->stream.close();
     co_return end;
 }
@@ -497,6 +517,9 @@
             m_context.connections.giveBack(dispatch.endpoint, m_connection, idle,
                     m_context.dispatcher.maxIdleConnections(m_query.service),
                     TimePoint::clock::now());
+            // Another request may use the connection from now on; a caller that leaves during the
+            // delivery must not close it.
+            m_connection.reset();
         }
         if (end == AttemptEnd::Delivered && !isStream && !co_await deliverWhole())
             co_return AttemptEnd::CallerGone;
--- a/src/relay/tests/endpointtroubletest.cpp
+++ b/src/relay/tests/endpointtroubletest.cpp
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <future>
+#include <stdexcept>
 
 namespace oriolerill::relay {
 
@@ -178,12 +179,12 @@
                     std::string(StreamHead) + "\r\nid: 1\ndata: a\n\ndata: ",
                     whole + "Connection: close\r\n\r\n"};
     m_routeTimeout = 4s;
-    std::atomic<int> closed = 0;
+    const auto closed = std::make_shared<std::atomic<int>>(0);
     for (const std::string &head : heads) {
-        addEndpoint([&closed, head, block](Socket &socket, const std::string &) {
+        addEndpoint([closed, head, block](Socket &socket, const std::string &) {
             write(socket, head);
             writeWithoutEnd(socket, block);
-            ++closed;
+            ++*closed;
             return false;
         });
     }
@@ -201,9 +202,9 @@
     // None of the bounds is the time: each is met as quickly as the bytes come.
     EXPECT_LT(std::chrono::steady_clock::now() - begun, 12s);
     EXPECT_LT(residentBytes(), before + (96U << 20U));
-    for (int i = 0; i < 100 && closed < Calls; ++i)
+    for (int i = 0; i < 100 && *closed < Calls; ++i)
         std::this_thread::sleep_for(10ms);
-    EXPECT_GE(closed, Calls);
+    EXPECT_GE(*closed, Calls);
 }
 
 // Guards against bounds that cut a long answer which is sound.
@@ -211,7 +212,7 @@
 {
     constexpr int Events = 3000;
     const std::string padding(8000, 'y');
-    addEndpoint([&padding](Socket &socket, const std::string &) {
+    addEndpoint([padding](Socket &socket, const std::string &) {
         write(socket, std::string(StreamHead) + "\r\n");
         for (int i = 1; i <= Events; ++i)
             write(socket, "id: " + std::to_string(i) + "\ndata: " + padding + "\n\n");
@@ -230,10 +231,10 @@
 TEST_F(EndpointTroubleFixture, serve_streamTricklesWithinAnEvent_continuedElsewhere)
 {
     m_routeTimeout = 6s;
-    std::atomic<int> calls = 0;
-    const auto script = [&calls](Socket &socket, const std::string &) {
+    const auto calls = std::make_shared<std::atomic<int>>(0);
+    const auto script = [calls](Socket &socket, const std::string &) {
         write(socket, std::string(StreamHead) + "\r\n");
-        if (calls++ == 0) {
+        if ((*calls)++ == 0) {
             write(socket, "id: 1\ndata: a\n\nid: 2\ndata: ");
             boost::system::error_code code;
             for (int i = 0; i < 50 && !code; ++i) {
@@ -251,7 +252,7 @@
     const auto begun = std::chrono::steady_clock::now();
     const std::string got = call(request("POST", "/stream/1", Close));
     EXPECT_LT(std::chrono::steady_clock::now() - begun, 3s);
-    EXPECT_EQ(calls, 2);
+    EXPECT_EQ(*calls, 2);
     EXPECT_NE(got.find("id: 2\ndata: b\n\n"), std::string::npos);
     EXPECT_TRUE(got.ends_with("0\r\n\r\n"));
 }
@@ -294,12 +295,21 @@
             chunked += "\r\n0\r\n\r\n";
             return chunked;
         };
-        std::string last;
-        addEndpoint([&last, text](Socket &socket, const std::string &got) {
+        struct Last
+        {
+            std::mutex mutex;
+            std::string id;
+        };
+        const auto last = std::make_shared<Last>();
+        addEndpoint([last, text](Socket &socket, const std::string &got) {
             const std::string id = fieldOf(got, "Attempt-Id");
+            std::string before;
+            {
+                const std::scoped_lock lock(last->mutex);
+                before = std::exchange(last->id, id);
+            }
             // The copy of the answer before comes when this request is already on its way.
-            write(socket, (last.empty() ? "" : text(last)) + text(id));
-            last = id;
+            write(socket, (before.empty() ? "" : text(before)) + text(id));
             return true;
         });
     }
@@ -333,4 +343,117 @@
     EXPECT_EQ(got.find("of a1"), std::string::npos) << got;
 }
 
+/// A caller that leaves while its large answer is written to it. The endpoint's connection has been
+/// given back by then, so that another request may use it.
+class LeavingCallerFixture : public RelayFixture
+{
+protected:
+    LeavingCallerFixture()
+    {
+        m_endpoint = &addEndpoint([](Socket &socket, const std::string &got) {
+            // More than the buffers of a connection take.
+            constexpr std::size_t LargeSize = 12U << 20U;
+            const bool isLarge = got.find("/read/large") != std::string::npos;
+            if (!isLarge)
+                std::this_thread::sleep_for(200ms);
+            write(socket, answer("a1", isLarge ? std::string(LargeSize, 'x') : "good"));
+            return true;
+        });
+    }
+
+    /// A caller that has taken the first byte of its answer only.
+    Socket beginDelivery()
+    {
+        Socket caller = connect();
+        caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+        write(caller, request("GET", "/read/large"));
+        char byte = 0;
+        boost::asio::read(caller, boost::asio::buffer(&byte, 1));
+        return caller;
+    }
+
+    std::size_t requestsInFlight()
+    {
+        std::promise<std::size_t> count;
+        boost::asio::post(m_context, [&] { count.set_value(m_relay.requestsInFlight); });
+        return count.get_future().get();
+    }
+
+    ScriptedEndpoint *m_endpoint = nullptr;
+};
+
+// Regression: the next request on the endpoint's connection was lost, because the caller that left
+// closed this connection with its own.
+TEST_F(LeavingCallerFixture, serve_callerLeavesDuringDelivery_requestOnReusedConnectionAnswered)
+{
+    start();
+    Socket leaving = beginDelivery();
+    auto answered = std::async(
+            std::launch::async, [this] { return call(request("GET", "/read/1", Close)); });
+    for (int i = 0; i < 200 && m_endpoint->requests().size() < 2; ++i)
+        std::this_thread::sleep_for(5ms);
+    leaving.close();
+    EXPECT_EQ(statusOf(answered.get()), 200U);
+    stop();
+    EXPECT_EQ(m_connections.connectCount(), 1U);
+}
+
+// Regression: a closed connection stayed among the idle ones, and the next request failed on it.
+TEST_F(LeavingCallerFixture, serve_callerLeftDuringDelivery_nextRequestAnswered)
+{
+    start();
+    beginDelivery().close();
+    for (int i = 0; i < 200 && requestsInFlight() > 0; ++i)
+        std::this_thread::sleep_for(5ms);
+    ASSERT_EQ(requestsInFlight(), 0U);
+    EXPECT_EQ(statusOf(call(request("GET", "/read/1", Close))), 200U);
+    EXPECT_EQ(m_endpoint->requests().size(), 2U);
+}
+
+// Guards against a stream without events that gets no head, or is not ended.
+TEST_F(EndpointTroubleFixture, serve_streamWithoutEvents_endedWhole)
+{
+    addEndpoint([](Socket &socket, const std::string &) {
+        write(socket, std::string(StreamHead) + "\r\n");
+        return false;
+    });
+    start();
+    const std::string got = call(request("POST", "/stream/1", Close));
+    EXPECT_EQ(statusOf(got), 200U);
+    EXPECT_TRUE(got.ends_with("0\r\n\r\n")) << got;
+}
+
+// Guards against a request that is lost because nothing listens at its endpoint's address.
+TEST_F(EndpointTroubleFixture, serve_endpointRefusesConnections_answeredByAnother)
+{
+    ScriptedEndpoint &good = addGood();
+    addGood();
+    {
+        boost::asio::ip::tcp::acceptor closed(
+                m_callerContext, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        m_listed.back().address.port = closed.local_endpoint().port();
+    }
+    start();
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(statusOf(call(request("POST", "/order/1", Close, "o"))), 200U);
+    EXPECT_EQ(good.requests().size(), 10U);
+}
+
+// Regression: after an unexpected error within a request, the request was counted as in progress
+// for good, here and at its endpoint, and the watch over its caller referred to freed memory.
+TEST_F(EndpointTroubleFixture, serve_unexpectedError_requestNotCountedAnyMore)
+{
+    ScriptedEndpoint &leaving = addEndpoint([](Socket &socket, const std::string &) {
+        write(socket, answer("a1", "last", "200 OK", "Server-Leaving: 1\r\n"));
+        return true;
+    });
+    m_relay.onLeaving = [] { throw std::runtime_error("test"); };
+    start();
+    EXPECT_EQ(call(request("POST", "/order/1", "", "o")), "");
+    EXPECT_EQ(leaving.requests().size(), 1U);
+    stop();
+    EXPECT_EQ(m_relay.requestsInFlight, 0U);
+    EXPECT_EQ(m_dispatcher.load(domain::EndpointId("e1")).inFlight(), 0U);
+}
+
 } // namespace oriolerill::relay
