--- /dev/null
+++ b/standins/soakattempt.cpp
@@ -0,0 +1,41 @@
+#include "soakattempt.h"
+
+namespace oriolerill::standins {
+
+namespace {
+
+std::uint64_t hashOf(const std::string &text)
+{
+    constexpr std::uint64_t Offset = 14695981039346656037U;
+    constexpr std::uint64_t Prime = 1099511628211U;
+    std::uint64_t hash = Offset;
+    for (const char c : text)
+        hash = (hash ^ static_cast<unsigned char>(c)) * Prime;
+    return hash >> 8U;
+}
+
+} // namespace
+
+std::string soakAnswer(const std::string &id, const std::string &instance)
+{
+    constexpr std::uint64_t LargestFiller = 40000;
+    std::string text = id + '|' + instance + '|';
+    text.append(hashOf(id) % LargestFiller, static_cast<char>('a' + hashOf(id) % 26));
+    return text + '|' + id;
+}
+
+std::uint64_t soakEvents(const std::string &id)
+{
+    constexpr std::uint64_t Fewest = 5;
+    constexpr std::uint64_t Range = 60;
+    return Fewest + hashOf(id) % Range;
+}
+
+std::string soakEvent(const std::string &id, std::uint64_t number)
+{
+    const std::string digits = std::to_string(number);
+    return "id: " + digits + "\ndata: " + id + '/' + digits + '/' + std::to_string(soakEvents(id))
+            + "\n\n";
+}
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakattempt.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "domain/timepoint.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace oriolerill::standins {
+
+enum class SoakKind { Read, Order, Stream, ResumableStream, ConfigProbe };
+
+/// One request of a client, and what clients and endpoints saw of it.
+struct SoakAttempt
+{
+    /// Deadline-Ms of each request, and timeout_ms of each route.
+    static constexpr auto TimeLimit = std::chrono::milliseconds(6000);
+
+    std::string id;
+    SoakKind kind = SoakKind::Read;
+    std::string method = "GET";
+    std::string target;
+    std::string body;
+    /// The entry to which the client sent it, and its life.
+    std::string entry;
+    int life = 0;
+    /// Configuration version that names the route; zero for routes of all versions.
+    std::uint64_t configVersion = 0;
+    domain::TimePoint sent;
+    int runs = 0;
+    /// Last endpoint that it reached, and whether that one broke its answer off.
+    std::string endpoint;
+    bool hasEndpointFailed = false;
+    std::optional<unsigned> refusal;
+
+    bool isIdempotent() const { return kind != SoakKind::Order && kind != SoakKind::Stream; }
+    bool isStream() const { return kind == SoakKind::Stream || kind == SoakKind::ResumableStream; }
+};
+
+/// Whole body that an endpoint instance gives to a plain request.
+std::string soakAnswer(const std::string &id, const std::string &instance);
+/// Number of events of a stream.
+std::uint64_t soakEvents(const std::string &id);
+/// One event with its end; numbers begin at 1.
+std::string soakEvent(const std::string &id, std::uint64_t number);
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakchecks.cpp
@@ -0,0 +1,249 @@
+#include "soakchecks.h"
+
+#include "soakprocess.h"
+
+#include <algorithm>
+
+namespace oriolerill::standins {
+
+using domain::TimePoint;
+
+namespace {
+
+bool isPromise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string secondsSince(TimePoint time)
+{
+    const std::chrono::duration<double> elapsed = TimePoint::clock::now() - time;
+    return std::to_string(elapsed.count()) + " s";
+}
+
+} // namespace
+
+SoakChecks::SoakChecks(SoakJournal &journal)
+    : m_journal(journal)
+{}
+
+void SoakChecks::onConfig(std::uint64_t version)
+{
+    m_configs[version] = TimePoint::clock::now();
+    m_journal.note("configuration " + std::to_string(version));
+}
+
+void SoakChecks::onWeights(std::uint64_t version)
+{
+    m_weights[version] = TimePoint::clock::now();
+    m_journal.note("weights " + std::to_string(version));
+}
+
+void SoakChecks::onEvacuation(const std::string &zone, bool isWithdrawn)
+{
+    if (isWithdrawn)
+        m_evacuations[zone] = TimePoint::clock::now();
+    else
+        m_evacuations.erase(zone);
+    m_journal.note((isWithdrawn ? "withdrawal of " : "return of ") + zone);
+}
+
+std::string SoakChecks::text(const SoakAttempt &attempt)
+{
+    return attempt.id + ' ' + attempt.method + ' ' + attempt.target + " at " + attempt.entry
+            + " life " + std::to_string(attempt.life) + ", endpoint "
+            + (attempt.endpoint.empty() ? "none" : attempt.endpoint) + ", sent "
+            + secondsSince(attempt.sent) + " ago";
+}
+
+bool SoakChecks::isInTouch(const SoakAttempt &attempt, TimePoint now) const
+{
+    return m_journal.isInTouch(attempt.entry, attempt.sent)
+            && m_journal.isInTouch(attempt.entry, now);
+}
+
+std::shared_ptr<SoakAttempt> SoakChecks::begin(SoakAttempt attempt)
+{
+    auto result = std::make_shared<SoakAttempt>(std::move(attempt));
+    m_attempts[result->id] = result;
+    return result;
+}
+
+std::shared_ptr<SoakAttempt> SoakChecks::onArrival(const std::string &id, const std::string &method,
+        const std::string &target, const std::string &body, const SoakEndpointFacts &endpoint)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        m_journal.violation("UNASKED", endpoint.instance + " got the unknown request " + id);
+        return nullptr;
+    }
+    SoakAttempt &attempt = *found->second;
+    attempt.endpoint = endpoint.instance;
+    if (method != attempt.method || target != attempt.target || body != attempt.body)
+        m_journal.violation("UNASKED", "changed on the way: " + text(attempt));
+    checkLeaving(attempt, endpoint);
+    return found->second;
+}
+
+void SoakChecks::checkLeaving(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint)
+{
+    const TimePoint now = TimePoint::clock::now();
+    if (!isInTouch(attempt, now))
+        return;
+    if (endpoint.drainingSince && now > *endpoint.drainingSince + DrainBound) {
+        m_journal.violation("DRAIN",
+                "draining for " + secondsSince(*endpoint.drainingSince) + ": " + text(attempt));
+    }
+    const auto withdrawn = m_evacuations.find(endpoint.zone);
+    if (withdrawn != m_evacuations.end() && now > withdrawn->second + EvacuationBound) {
+        m_journal.violation("EVAC",
+                endpoint.zone + " withdrawn for " + secondsSince(withdrawn->second) + ": "
+                        + text(attempt));
+    }
+}
+
+void SoakChecks::onRun(SoakAttempt &attempt, const SoakEndpointFacts &endpoint)
+{
+    ++attempt.runs;
+    if (attempt.runs > 1 && !attempt.isIdempotent())
+        m_journal.violation("TWICE", std::to_string(attempt.runs) + " runs: " + text(attempt));
+    if (attempt.refusal && !attempt.isIdempotent()) {
+        m_journal.violation("REFUSED",
+                "runs after the answer " + std::to_string(*attempt.refusal) + ": " + text(attempt));
+    }
+    if (endpoint.isEngine)
+        checkWeights(attempt, endpoint);
+}
+
+/// The bound counts in one stretch in which the store was stable, which it is once it has been
+/// calm for the contact time.
+void SoakChecks::checkWeights(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint)
+{
+    const TimePoint now = TimePoint::clock::now();
+    if (!isInTouch(attempt, now))
+        return;
+    const TimePoint stable = m_journal.lastFault("store") + SoakJournal::ContactTime;
+    for (const auto &[version, namedAt] : m_weights) {
+        if (version <= endpoint.weights || now <= std::max(namedAt, stable) + WeightsBound)
+            continue;
+        m_journal.violation("VERSION",
+                "begins on " + std::to_string(endpoint.weights) + ", " + std::to_string(version)
+                        + " named " + secondsSince(namedAt) + " ago: " + text(attempt));
+        return;
+    }
+}
+
+void SoakChecks::onAnswer(SoakAttempt &attempt, unsigned status, const std::string &id,
+        const std::string &signature, const std::string &body)
+{
+    constexpr unsigned Ok = 200;
+    constexpr unsigned Unauthorized = 401;
+    constexpr unsigned Forbidden = 403;
+    constexpr unsigned NotFound = 404;
+    ++m_outcomes[std::to_string(status)];
+    if (status == Ok) {
+        ++m_served[attempt.kind];
+        const std::size_t dot = signature.rfind('.');
+        const std::string instance = dot == std::string::npos ? "" : signature.substr(dot + 1);
+        std::string expected;
+        if (attempt.isStream()) {
+            for (std::uint64_t i = 1; i <= soakEvents(attempt.id); ++i)
+                expected += soakEvent(attempt.id, i);
+        } else {
+            expected = soakAnswer(attempt.id, instance);
+        }
+        if (id != attempt.id || !signature.starts_with(attempt.id + '.')) {
+            m_journal.violation(
+                    "MIXED", "answer of " + id + ", signature " + signature + ": " + text(attempt));
+        } else if (body != expected) {
+            m_journal.violation(attempt.isStream() ? "ORDER" : "MIXED",
+                    "body of " + std::to_string(body.size()) + " bytes instead of "
+                            + std::to_string(expected.size()) + ": " + text(attempt));
+        }
+        if (attempt.configVersion > 0)
+            checkConfig(attempt, true);
+        return;
+    }
+    if (isPromise(status)) {
+        attempt.refusal = status;
+        if (attempt.runs > 0 && !attempt.isIdempotent())
+            m_journal.violation(
+                    "REFUSED", std::to_string(status) + " after it ran: " + text(attempt));
+    }
+    if (status != Unauthorized && status != Forbidden && status != NotFound)
+        return;
+    if (status == NotFound && attempt.configVersion > 0)
+        checkConfig(attempt, false);
+    else
+        m_journal.violation("DENIED", std::to_string(status) + ": " + text(attempt));
+}
+
+void SoakChecks::checkConfig(const SoakAttempt &attempt, bool isKnown)
+{
+    const TimePoint now = TimePoint::clock::now();
+    const std::string version = std::to_string(attempt.configVersion);
+    LifeState &state = m_lives[attempt.entry];
+    if (state.life != attempt.life)
+        state = {attempt.life, 0, {}};
+    if (isKnown) {
+        if (attempt.configVersion > state.version)
+            state = {attempt.life, attempt.configVersion, now};
+        return;
+    }
+    if (attempt.configVersion <= state.version && attempt.sent > state.seenAt + RevertSlack) {
+        m_journal.violation("CONFIG",
+                "version " + version + " unknown after " + std::to_string(state.version)
+                        + " was in force: " + text(attempt));
+    }
+    const auto written = m_configs.find(attempt.configVersion);
+    if (written != m_configs.end() && attempt.sent > written->second + ConfigBound
+            && isInTouch(attempt, now)) {
+        m_journal.violation("CONFIG",
+                "version " + version + ", written " + secondsSince(written->second)
+                        + " ago, unknown: " + text(attempt));
+    }
+}
+
+/// LOST at a planned stop. Faults of the entry before the stop excuse it; the stop itself does not.
+void SoakChecks::onBroken(
+        const SoakAttempt &attempt, TimePoint stopAskedAt, const std::string &error)
+{
+    ++m_outcomes["broken"];
+    const TimePoint now = TimePoint::clock::now();
+    constexpr auto LateStart = std::chrono::milliseconds(3000);
+    const auto lastSixth = SoakProcess::GraceTime * 5 / 6;
+    const bool isAccepted = attempt.runs > 0 || now > attempt.sent + LossSlack;
+    if (stopAskedAt == TimePoint() || !isAccepted || attempt.hasEndpointFailed
+            || now >= attempt.sent + SoakAttempt::TimeLimit)
+        return;
+    const bool isStillAtWork = attempt.runs > 0 && now >= stopAskedAt + lastSixth
+            && attempt.sent <= stopAskedAt + LateStart;
+    const TimePoint before = std::min(attempt.sent, stopAskedAt) - SoakJournal::ContactTime;
+    const TimePoint justBefore = stopAskedAt - std::chrono::microseconds(1);
+    if (isStillAtWork || !m_journal.isCalm(attempt.entry, before, justBefore))
+        return;
+    m_journal.violation("LOST",
+            "cut " + secondsSince(stopAskedAt) + " after SIGTERM (" + error
+                    + "): " + text(attempt));
+}
+
+std::string SoakChecks::summary() const
+{
+    std::string line = "requests=" + std::to_string(m_attempts.size());
+    for (const auto &[outcome, count] : m_outcomes)
+        line += ' ' + outcome + '=' + std::to_string(count);
+    return line;
+}
+
+void SoakChecks::checkServed()
+{
+    for (const SoakKind kind : {SoakKind::Read, SoakKind::Order, SoakKind::Stream,
+                 SoakKind::ResumableStream, SoakKind::ConfigProbe}) {
+        if (m_served[kind] == 0) {
+            m_journal.violation(
+                    "SERVED", "no request of kind " + std::to_string(static_cast<int>(kind)));
+        }
+    }
+}
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakchecks.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "soakattempt.h"
+#include "soakjournal.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace oriolerill::standins {
+
+/// What an endpoint says of itself when a request reaches it.
+struct SoakEndpointFacts
+{
+    std::string instance;
+    std::string zone;
+    std::uint64_t weights = 0;
+    bool isEngine = false;
+    /// When a healthy store acknowledged that it is draining.
+    std::optional<domain::TimePoint> drainingSince;
+};
+
+/// The operators' rules, checked on what clients and endpoints see. Knows nothing of how the
+/// programs decide.
+class SoakChecks
+{
+public:
+    // Bounds of the operators' settings page.
+    static constexpr auto DrainBound = std::chrono::milliseconds(2000);
+    static constexpr auto ConfigBound = std::chrono::milliseconds(2000);
+    static constexpr auto RevertSlack = std::chrono::milliseconds(250);
+    static constexpr auto EvacuationBound = std::chrono::milliseconds(5000);
+    static constexpr auto WeightsBound = std::chrono::milliseconds(8000);
+    static constexpr auto LossSlack = std::chrono::milliseconds(200);
+
+    explicit SoakChecks(SoakJournal &journal);
+
+    // Acknowledgements of the store.
+    void onConfig(std::uint64_t version);
+    void onWeights(std::uint64_t version);
+    void onEvacuation(const std::string &zone, bool isWithdrawn);
+    std::uint64_t newestConfig() const { return m_configs.empty() ? 0 : m_configs.rbegin()->first; }
+    /// Version before the newest; the newest when there is no other.
+    std::uint64_t previousConfig() const
+    {
+        return m_configs.size() < 2 ? newestConfig() : std::next(m_configs.rbegin())->first;
+    }
+
+    /// A client is about to send a request.
+    std::shared_ptr<SoakAttempt> begin(SoakAttempt attempt);
+    /// A request reached an endpoint; nullptr when no client sent it so.
+    std::shared_ptr<SoakAttempt> onArrival(const std::string &id, const std::string &method,
+            const std::string &target, const std::string &body, const SoakEndpointFacts &endpoint);
+    /// The endpoint begins to work on it.
+    void onRun(SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
+    /// The client has a complete answer.
+    void onAnswer(SoakAttempt &attempt, unsigned status, const std::string &id,
+            const std::string &signature, const std::string &body);
+    /// The client's channel ended without one.
+    void onBroken(
+            const SoakAttempt &attempt, domain::TimePoint stopAskedAt, const std::string &error);
+
+    std::string summary() const;
+    /// Reports kinds of requests of which none was served.
+    void checkServed();
+
+private:
+    void checkConfig(const SoakAttempt &attempt, bool isKnown);
+    void checkLeaving(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
+    void checkWeights(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
+    bool isInTouch(const SoakAttempt &attempt, domain::TimePoint now) const;
+    static std::string text(const SoakAttempt &attempt);
+
+    struct LifeState
+    {
+        int life = 0;
+        std::uint64_t version = 0;
+        domain::TimePoint seenAt;
+    };
+
+    SoakJournal &m_journal;
+    std::unordered_map<std::string, std::shared_ptr<SoakAttempt>> m_attempts;
+    std::map<std::uint64_t, domain::TimePoint> m_configs;
+    std::map<std::uint64_t, domain::TimePoint> m_weights;
+    std::map<std::string, domain::TimePoint> m_evacuations;
+    std::map<std::string, LifeState> m_lives;
+    std::map<SoakKind, std::size_t> m_served;
+    std::map<std::string, std::size_t> m_outcomes;
+};
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakendpoint.cpp
@@ -0,0 +1,444 @@
+#include "soakendpoint.h"
+
+#include "platform/names.h"
+#include "program.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <cstdlib>
+#include <sstream>
+
+namespace oriolerill::standins {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+namespace names = platform::names;
+using domain::TimePoint;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr auto PollInterval = 5ms;
+/// heartbeat_ms of the operators' settings page; an entry lapses after three.
+constexpr auto Heartbeat = 1200ms;
+constexpr auto Lapse = 3 * Heartbeat;
+constexpr auto EventPause = 20ms;
+constexpr unsigned Misdirected = 421;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned Ok = 200;
+const std::string HealthPath = "/healthz";
+
+std::string fieldOf(const http::request<http::string_body> &request, std::string_view name)
+{
+    const auto value = request[boost::beast::string_view(name.data(), name.size())];
+    return {value.data(), value.size()};
+}
+
+std::string chunkOf(const std::string &data)
+{
+    std::ostringstream size;
+    size << std::hex << data.size();
+    return size.str() + "\r\n" + data + "\r\n";
+}
+
+std::uint64_t wallMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+} // namespace
+
+/// A request's place among the slots. A crash frees all places at once.
+class SoakEndpoint::Place
+{
+public:
+    explicit Place(SoakEndpoint &endpoint)
+        : m_endpoint(endpoint)
+        , m_life(endpoint.m_life)
+    {
+        ++m_endpoint.m_engine.running;
+    }
+    ~Place()
+    {
+        if (m_life == m_endpoint.m_life)
+            --m_endpoint.m_engine.running;
+    }
+    Place(const Place &) = delete;
+    Place &operator=(const Place &) = delete;
+
+private:
+    SoakEndpoint &m_endpoint;
+    std::uint64_t m_life;
+};
+
+SoakEndpoint::SoakEndpoint(asio::io_context &context, SoakJournal &journal, SoakChecks &checks,
+        SoakStore &store, SoakEndpointOptions options, std::uint64_t seed)
+    : m_context(context)
+    , m_journal(journal)
+    , m_checks(checks)
+    , m_store(store)
+    , m_options(std::move(options))
+    , m_random(seed)
+    , m_engine(context, platform::StandInWeights(), 1)
+{
+    m_engine.loadTime = 300ms;
+}
+
+void SoakEndpoint::start()
+{
+    ++m_life;
+    m_instance = "i-" + m_options.name + '-' + std::to_string(m_life);
+    m_bornMs = wallMs();
+    m_engine.born = m_bornMs;
+    m_engine.running = 0;
+    m_engine.waiting = 0;
+    m_isDraining = false;
+    m_drainAckedAt.reset();
+    m_fault = Fault::None;
+    const asio::ip::tcp::endpoint endpoint(
+            asio::ip::make_address(m_options.address.host), m_options.address.port);
+    m_acceptor = std::make_unique<asio::ip::tcp::acceptor>(m_context, endpoint);
+    m_isUp = true;
+    m_journal.note("endpoint " + m_instance + " is up");
+    asio::co_spawn(m_context, acceptAll(m_life), asio::detached);
+}
+
+json::object SoakEndpoint::listed() const
+{
+    json::array models;
+    if (m_options.isEngine && m_engine.version() > 0) {
+        models.push_back(json::object{{"name", platform::StandInWeights().model},
+                {"version", m_engine.version()}, {"adapters", json::array()}});
+    }
+    return {{"service", m_options.service}, {"address", m_options.address.toString()},
+            {"zone", m_options.zone}, {"version", "1"}, {"slots", m_options.slots},
+            {"state", m_isDraining ? "draining" : "ready"}, {"cold_left_ms", 0}, {"born", m_bornMs},
+            {"models", std::move(models)}};
+}
+
+asio::awaitable<void> SoakEndpoint::keepListed()
+{
+    json::object written;
+    std::string writtenName;
+    for (;;) {
+        const TimePoint now = TimePoint::clock::now();
+        for (auto lapsing = m_lapsing.begin();
+                m_store.isAccepting() && lapsing != m_lapsing.end();) {
+            if (now < lapsing->second) {
+                ++lapsing;
+                continue;
+            }
+            m_store.remove("servers", lapsing->first);
+            lapsing = m_lapsing.erase(lapsing);
+        }
+        json::object current = listed();
+        if (m_isUp && m_store.isAccepting() && (current != written || writtenName != m_instance)) {
+            m_store.put("servers", m_instance, current);
+            if (m_isDraining && !m_drainAckedAt) {
+                m_drainAckedAt = now;
+                m_wasStoreStable = m_journal.isCalm("store", now - SoakJournal::ContactTime, now);
+                m_journal.note("draining acknowledged " + m_instance);
+            }
+            written = std::move(current);
+            writtenName = m_instance;
+        }
+        co_await sleepFor(20ms);
+    }
+}
+
+void SoakEndpoint::end()
+{
+    m_isUp = false;
+    ++m_life;
+    m_acceptor.reset();
+    for (const auto &socket : m_sockets)
+        reset(*socket);
+    m_sockets.clear();
+    for (const auto &attempt : m_attempts)
+        attempt->hasEndpointFailed = true;
+    m_attempts.clear();
+    m_engine.restart(wallMs());
+}
+
+void SoakEndpoint::reset(Socket &socket)
+{
+    boost::system::error_code code;
+    socket.set_option(asio::socket_base::linger(true, 0), code);
+    socket.close(code);
+}
+
+asio::awaitable<void> SoakEndpoint::drainAndRestart(domain::Duration longer, domain::Duration pause)
+{
+    m_journal.beginFault(m_options.name, "drains");
+    m_isDraining = true;
+    while (!m_drainAckedAt)
+        co_await sleepFor(PollInterval);
+    const TimePoint last = *m_drainAckedAt + SoakChecks::DrainBound + longer;
+    co_await sleepUntil(last);
+    // It leaves when its work is done.
+    while (m_engine.running > 0)
+        co_await sleepFor(PollInterval);
+    m_journal.note("endpoint " + m_instance + " has left");
+    m_lapsing[m_instance] = TimePoint::clock::now();
+    end();
+    co_await sleepFor(pause);
+    start();
+    m_journal.endFault(m_options.name);
+}
+
+asio::awaitable<void> SoakEndpoint::crashAndRestart(domain::Duration pause)
+{
+    m_journal.beginFault(m_options.name, "crashes");
+    m_lapsing[m_instance] = TimePoint::clock::now() + Lapse;
+    end();
+    co_await sleepFor(pause);
+    start();
+    m_journal.endFault(m_options.name);
+}
+
+asio::awaitable<void> SoakEndpoint::misbehave(Fault fault, domain::Duration time)
+{
+    static const std::map<Fault, std::string> Words = {{Fault::Late, "answers late"},
+            {Fault::Cut, "resets in the middle of answers"}, {Fault::Extra, "sends answers twice"},
+            {Fault::Endless, "sends bytes without end"}};
+    m_journal.beginFault(m_options.name, Words.at(fault));
+    m_fault = fault;
+    co_await sleepFor(time);
+    m_fault = Fault::None;
+    m_journal.endFault(m_options.name);
+}
+
+SoakEndpoint::Fault SoakEndpoint::drawFault()
+{
+    constexpr unsigned OneIn = 3;
+    return m_fault != Fault::None && m_random() % OneIn == 0 ? m_fault : Fault::None;
+}
+
+SoakEndpointFacts SoakEndpoint::facts() const
+{
+    SoakEndpointFacts facts;
+    facts.instance = m_instance;
+    facts.zone = m_options.zone;
+    facts.isEngine = m_options.isEngine;
+    facts.weights = m_engine.version();
+    if (m_wasStoreStable)
+        facts.drainingSince = m_drainAckedAt;
+    return facts;
+}
+
+asio::awaitable<void> SoakEndpoint::acceptAll(std::uint64_t life)
+{
+    while (life == m_life) {
+        auto socket = std::make_shared<Socket>(m_context);
+        auto [code] = co_await m_acceptor->async_accept(*socket, UseTuple);
+        if (life != m_life)
+            co_return;
+        if (code)
+            continue;
+        boost::system::error_code option;
+        socket->set_option(asio::ip::tcp::no_delay(true), option);
+        m_sockets.insert(socket);
+        asio::co_spawn(m_context, serve(socket, life), asio::detached);
+    }
+}
+
+asio::awaitable<void> SoakEndpoint::serve(std::shared_ptr<Socket> socket, std::uint64_t life)
+{
+    boost::beast::flat_buffer buffer;
+    bool isKept = true;
+    while (isKept && life == m_life) {
+        http::request_parser<http::string_body> parser;
+        constexpr std::uint64_t LargestBody = 4U << 20U;
+        parser.body_limit(LargestBody);
+        auto [code, size] = co_await http::async_read(*socket, buffer, parser, UseTuple);
+        if (code || life != m_life)
+            break;
+        isKept = co_await answer(*socket, parser.release(), life);
+    }
+    if (life == m_life)
+        m_sockets.erase(socket);
+    boost::system::error_code code;
+    socket->close(code);
+}
+
+asio::awaitable<bool> SoakEndpoint::send(Socket &socket, std::string bytes)
+{
+    auto [code, size] = co_await asio::async_write(socket, asio::buffer(bytes), UseTuple);
+    co_return !code;
+}
+
+asio::awaitable<bool> SoakEndpoint::refuse(Socket &socket, const Request &request, unsigned status)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status)
+            + " Refused\r\nContent-Length: 0\r\nNot-Executed: 1\r\nAttempt-Id: "
+            + fieldOf(request, names::AttemptId) + "\r\n\r\n";
+    co_return co_await send(socket, std::move(text));
+}
+
+asio::awaitable<bool> SoakEndpoint::answer(Socket &socket, Request request, std::uint64_t life)
+{
+    const std::string target(request.target().data(), request.target().size());
+    if (target.starts_with("/-/") || target == HealthPath) {
+        transport::HttpRequest control;
+        control.target = target;
+        control.body = request.body();
+        transport::HttpResponse response;
+        if (target != HealthPath)
+            response = m_engine.handle(control);
+        else if (m_isDraining)
+            response.status = Unavailable;
+        std::string text = "HTTP/1.1 " + std::to_string(response.status)
+                + " Control\r\nInstance-Id: " + m_instance + "\r\nContent-Length: "
+                + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
+        co_return co_await send(socket, std::move(text));
+    }
+    const std::string expected = fieldOf(request, names::ExpectedEndpoint);
+    if (!expected.empty() && expected != m_instance)
+        co_return co_await refuse(socket, request, Misdirected);
+    const std::string version = fieldOf(request, names::ExpectedVersion);
+    if (!version.empty() && version != std::to_string(m_engine.version()))
+        co_return co_await refuse(socket, request, Misdirected);
+    const std::string method(request.method_string().data(), request.method_string().size());
+    auto attempt = m_checks.onArrival(
+            fieldOf(request, names::AttemptId), method, target, request.body(), facts());
+    if (attempt == nullptr || m_engine.waiting >= m_options.maxWaiting)
+        co_return co_await refuse(socket, request, Unavailable);
+    const std::string account = fieldOf(request, names::Account);
+    if (!fieldOf(request, names::Key).empty() || account != (attempt->isStream() ? "shop" : "")) {
+        m_journal.violation("UNASKED",
+                attempt->id + " bears a key or the account '" + account + "' at " + m_instance);
+    }
+    m_attempts.insert(attempt);
+    const bool isKept = co_await admit(socket, request, attempt, life);
+    m_attempts.erase(attempt);
+    co_return isKept;
+}
+
+asio::awaitable<bool> SoakEndpoint::admit(Socket &socket, const Request &request,
+        std::shared_ptr<SoakAttempt> attempt, std::uint64_t life)
+{
+    const std::string version = fieldOf(request, names::ExpectedVersion);
+    const TimePoint last = TimePoint::clock::now()
+            + std::chrono::milliseconds(
+                    std::strtoull(fieldOf(request, names::DeadlineMs).c_str(), nullptr, 10));
+    ++m_engine.waiting;
+    bool hasPlace = false;
+    while (life == m_life && !hasPlace && TimePoint::clock::now() < last) {
+        hasPlace = m_engine.running < m_options.slots && !m_engine.isLoading()
+                && (!m_options.isEngine || m_engine.version() > 0);
+        if (!hasPlace)
+            co_await sleepFor(PollInterval);
+    }
+    if (life != m_life)
+        co_return false;
+    --m_engine.waiting;
+    if (!hasPlace)
+        co_return co_await refuse(socket, request, Unavailable);
+    // Checked again where it begins: the weights may have changed while it waited.
+    if (!version.empty() && version != std::to_string(m_engine.version()))
+        co_return co_await refuse(socket, request, Misdirected);
+    co_return co_await run(socket, request, std::move(attempt));
+}
+
+asio::awaitable<bool> SoakEndpoint::run(
+        Socket &socket, const Request &request, std::shared_ptr<SoakAttempt> attempt)
+{
+    const Place place(*this);
+    const std::uint64_t life = m_life;
+    const std::string instance = m_instance;
+    m_checks.onRun(*attempt, facts());
+    const Fault fault = drawFault();
+    if (fault != Fault::None)
+        attempt->hasEndpointFailed = true;
+    if (fault == Fault::Late) {
+        const std::chrono::milliseconds delay(
+                std::uniform_int_distribution<int>(500, 3000)(m_random));
+        co_await sleepFor(delay);
+    }
+    std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt->id
+            + "\r\nServer-Signature: " + attempt->id + '.' + instance
+            + "\r\nServer-Load: " + std::to_string(m_engine.running) + ','
+            + std::to_string(m_engine.waiting) + ',' + std::to_string(m_options.slots) + "\r\n";
+    bool isKept = false;
+    if (attempt->isStream()) {
+        head += "Weight-Versions: " + std::to_string(m_engine.version()) + "\r\n";
+        isKept = co_await stream(socket, request, *attempt, std::move(head), fault == Fault::Cut);
+        if (isKept && fault != Fault::Cut)
+            isKept = co_await sendPlain(socket, "", "", fault);
+    } else {
+        const std::chrono::milliseconds work(std::uniform_int_distribution<int>(2, 40)(m_random));
+        co_await sleepFor(work);
+        const std::string body = soakAnswer(attempt->id, instance);
+        head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        isKept = co_await sendPlain(socket, head, body, fault);
+    }
+    co_return isKept &&life == m_life;
+}
+
+asio::awaitable<bool> SoakEndpoint::sendPlain(
+        Socket &socket, const std::string &head, const std::string &body, Fault fault)
+{
+    if (fault == Fault::Cut) {
+        co_await send(socket, head + body.substr(0, body.size() / 2));
+        reset(socket);
+        co_return false;
+    }
+    if (!head.empty()) {
+        const bool isSent = co_await send(socket, head + body);
+        if (!isSent)
+            co_return false;
+    }
+    // The copy comes when the channel may already carry the next request.
+    if (fault == Fault::Extra && !m_lastAnswer.empty()) {
+        co_await sleepFor(PollInterval);
+        co_return co_await send(socket, m_lastAnswer);
+    }
+    if (!head.empty())
+        m_lastAnswer = head + body;
+    constexpr int EndlessPieces = 200;
+    for (int i = 0; fault == Fault::Endless && i < EndlessPieces; ++i) {
+        std::string piece(16384, 'x');
+        const bool isSent = co_await send(socket, std::move(piece));
+        if (!isSent)
+            co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> SoakEndpoint::stream(Socket &socket, const Request &request,
+        const SoakAttempt &attempt, std::string head, bool isCut)
+{
+    head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string last = fieldOf(request, names::LastEventId);
+    const std::uint64_t first = last.empty() ? 1 : std::strtoull(last.c_str(), nullptr, 10) + 1;
+    const std::uint64_t life = m_life;
+    bool isKept = co_await send(socket, std::move(head));
+    for (std::uint64_t i = first; isKept && i <= soakEvents(attempt.id); ++i) {
+        co_await sleepFor(EventPause);
+        if (life != m_life)
+            co_return false;
+        const std::string event = soakEvent(attempt.id, i);
+        if (isCut && i == soakEvents(attempt.id) / 2) {
+            // In the middle of an event, as a server may stop.
+            co_await send(socket, chunkOf(event.substr(0, event.size() / 2)));
+            reset(socket);
+            co_return false;
+        }
+        isKept = co_await send(socket, chunkOf(event));
+    }
+    if (isKept)
+        isKept = co_await send(socket, "0\r\n\r\n");
+    co_return isKept;
+}
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakendpoint.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "platform/tests/standinfleet.h"
+#include "soakchecks.h"
+#include "soakstore.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace oriolerill::standins {
+
+struct SoakEndpointOptions
+{
+    std::string name;
+    std::string service;
+    std::string zone;
+    domain::SocketAddress address;
+    bool isEngine = false;
+    unsigned slots = 8;
+    unsigned maxWaiting = 16;
+};
+
+/// A model engine or plain service, over plain sockets so that it can break the protocol. It keeps
+/// its entry in the store up to date.
+class SoakEndpoint
+{
+public:
+    /// What it does wrong to a share of its answers.
+    enum class Fault { None, Late, Cut, Extra, Endless };
+
+    SoakEndpoint(boost::asio::io_context &context, SoakJournal &journal, SoakChecks &checks,
+            SoakStore &store, SoakEndpointOptions options, std::uint64_t seed);
+
+    const std::string &name() const { return m_options.name; }
+    const SoakEndpointOptions &options() const { return m_options; }
+    void start();
+    boost::asio::awaitable<void> keepListed();
+    boost::asio::awaitable<void> drainAndRestart(domain::Duration longer, domain::Duration pause);
+    boost::asio::awaitable<void> crashAndRestart(domain::Duration pause);
+    boost::asio::awaitable<void> misbehave(Fault fault, domain::Duration time);
+    bool isBusy = false;
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    class Place;
+
+    boost::asio::awaitable<void> acceptAll(std::uint64_t life);
+    boost::asio::awaitable<void> serve(std::shared_ptr<Socket> socket, std::uint64_t life);
+    boost::asio::awaitable<bool> answer(Socket &socket, Request request, std::uint64_t life);
+    boost::asio::awaitable<bool> admit(Socket &socket, const Request &request,
+            std::shared_ptr<SoakAttempt> attempt, std::uint64_t life);
+    boost::asio::awaitable<bool> run(
+            Socket &socket, const Request &request, std::shared_ptr<SoakAttempt> attempt);
+    boost::asio::awaitable<bool> stream(Socket &socket, const Request &request,
+            const SoakAttempt &attempt, std::string head, bool isCut);
+    boost::asio::awaitable<bool> refuse(Socket &socket, const Request &request, unsigned status);
+    /// Sends what the fault says in place of, or after, a plain answer.
+    boost::asio::awaitable<bool> sendPlain(
+            Socket &socket, const std::string &head, const std::string &body, Fault fault);
+    boost::asio::awaitable<bool> send(Socket &socket, std::string bytes);
+    void end();
+    static void reset(Socket &socket);
+    SoakEndpointFacts facts() const;
+    boost::json::object listed() const;
+    /// Drawn for each answer while a fault is on.
+    Fault drawFault();
+
+    boost::asio::io_context &m_context;
+    SoakJournal &m_journal;
+    SoakChecks &m_checks;
+    SoakStore &m_store;
+    SoakEndpointOptions m_options;
+    std::mt19937_64 m_random;
+    platform::StandInEngine m_engine;
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    std::set<std::shared_ptr<Socket>> m_sockets;
+    /// Requests that wait or run here.
+    std::set<std::shared_ptr<SoakAttempt>> m_attempts;
+    std::uint64_t m_life = 0;
+    std::string m_instance;
+    std::uint64_t m_bornMs = 0;
+    bool m_isUp = false;
+    bool m_isDraining = false;
+    std::optional<domain::TimePoint> m_drainAckedAt;
+    bool m_wasStoreStable = false;
+    Fault m_fault = Fault::None;
+    /// Earlier instances whose entries lapse, as they send nothing more.
+    std::map<std::string, domain::TimePoint> m_lapsing;
+    std::string m_lastAnswer;
+};
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakfleet.cpp
@@ -0,0 +1,498 @@
+#include "soakfleet.h"
+
+#include "program.h"
+#include "soaktemplate.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace oriolerill::standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using domain::SocketAddress;
+using domain::TimePoint;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned StoreGroup = 0;
+constexpr unsigned EntryGroup = 1;
+constexpr unsigned EngineGroup = 2;
+constexpr unsigned ServiceGroup = 3;
+constexpr std::uint16_t StorePort = 8007;
+constexpr std::uint16_t OriginPort = 8100;
+constexpr std::uint16_t CallerPort = 8005;
+constexpr std::uint16_t StatusPort = 8002;
+constexpr std::uint16_t EndpointPort = 9000;
+constexpr double OriginBytesPerSecond = 2e6;
+/// max_conns of each service.
+constexpr unsigned MaxConnections = 64;
+/// Listeners, store calls, files and pieces beside the connections of callers and endpoints.
+constexpr std::size_t OtherDescriptors = 64;
+/// Time from the start to the first fault.
+constexpr auto CalmStart = 2000ms;
+constexpr auto ProcessCheckInterval = 100ms;
+constexpr auto ReadyInterval = 1s;
+constexpr auto ClockInterval = 50ms;
+/// A stand-in that comes so late is a slow store and slow endpoints to the programs.
+constexpr auto LongestDelay = 250ms;
+
+} // namespace
+
+SoakFleet::SoakFleet(asio::io_context &context, SoakOptions options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_journal(m_options.seed)
+    , m_checks(m_journal)
+    , m_store(context, m_journal, m_options.seed)
+    , m_origin(context, {host(StoreGroup, 2), OriginPort}, platform::StandInWeights(),
+              OriginBytesPerSecond)
+    , m_client(context.get_executor(), {})
+{}
+
+std::string SoakFleet::host(unsigned group, unsigned number) const
+{
+    return "127." + std::to_string(m_options.net) + '.' + std::to_string(group) + '.'
+            + std::to_string(number);
+}
+
+std::string SoakFleet::zoneOf(unsigned number) const
+{
+    return number % 2 == 0 ? "soak-a" : "soak-b";
+}
+
+domain::Duration SoakFleet::drawTime(int fromMs, int toMs)
+{
+    return std::chrono::milliseconds(std::uniform_int_distribution<int>(fromMs, toMs)(m_random));
+}
+
+// ---- start ----
+
+std::string SoakFleet::settingsFile(const std::string &name, const std::string &role,
+        unsigned number, const std::string &address, const std::string &engine) const
+{
+    // Fields of the operators' settings page that the templates name.
+    const json::object fields = {{"node_name", name}, {"zone", zoneOf(number)},
+            {"zones", json::object{{"soak-a", "north"}, {"soak-b", "south"}}}, {"ip", address},
+            {"port_range", json::array{7700, 7715}}, {"service", "engine"}, {"app", engine},
+            {"listen",
+                    json::object{{"frontend", SocketAddress{address, CallerPort}.toString()},
+                            {"ready", SocketAddress{address, StatusPort}.toString()}}},
+            {"limits", json::object{{"link_mbps", 100}}},
+            {"platform",
+                    json::object{
+                            {"address", SocketAddress{host(StoreGroup, 1), StorePort}.toString()}}},
+            {"bounds",
+                    json::object{{"retry_budget_ratio", "0.2"}, {"retry_budget_extra", 104},
+                            {"budget_window_s", 10}, {"cold_overage", "1.5"}, {"cold_slack", 5},
+                            {"version_ms", SoakChecks::WeightsBound.count()},
+                            {"drain_ms", SoakChecks::DrainBound.count()}}}};
+    std::ifstream file(m_options.repository + "/platform/" + role + ".ini");
+    std::stringstream text;
+    text << file.rdbuf();
+    const std::string path = m_options.output + '/' + name + ".ini";
+    std::ofstream(path) << renderTemplate(text.str(), fields);
+    return path;
+}
+
+void SoakFleet::addProcess(const std::string &name, std::vector<std::string> command)
+{
+    m_processes.push_back(std::make_unique<SoakProcess>(
+            m_journal, name, std::move(command), m_options.output + '/' + name + ".log"));
+}
+
+void SoakFleet::addEndpoint(
+        const std::string &service, unsigned group, unsigned number, bool isEngine)
+{
+    SoakEndpointOptions options;
+    options.name = service + std::to_string(number);
+    options.service = service;
+    options.zone = zoneOf(number);
+    options.address = {host(group, number), EndpointPort};
+    options.isEngine = isEngine;
+    m_endpoints.push_back(std::make_unique<SoakEndpoint>(
+            m_context, m_journal, m_checks, m_store, options, m_random()));
+    m_endpoints.back()->start();
+    asio::co_spawn(m_context, m_endpoints.back()->keepListed(), asio::detached);
+}
+
+json::object SoakFleet::config() const
+{
+    const auto route = [](const std::string &prefix, const std::string &type, bool isEngine,
+                               bool isResumable) {
+        return json::object{{"name", prefix}, {"host", "soak.example"}, {"path_prefix", prefix},
+                {"type", type}, {"service", isEngine ? "engine" : "plain"},
+                {"timeout_ms", SoakAttempt::TimeLimit.count()}, {"target_latency_ms", 500},
+                {"target_gap_ms", 500}, {"max_attempts", 3}, {"priority", 1}, {"public", !isEngine},
+                {"resumable", isResumable}, {"sticky", isEngine}};
+    };
+    json::array routes = {route("/read/", "idempotent", false, false),
+            route("/order/", "non_idempotent", false, false),
+            route("/talk/", "streaming", true, false), route("/resume/", "streaming", true, true)};
+    for (const std::uint64_t version : m_configVersions)
+        routes.push_back(route("/c" + std::to_string(version) + '/', "idempotent", false, false));
+    const json::object engine = {{"slots", 8}, {"step_ms", 20}, {"per_seq_ms", 0.02},
+            {"read_per_s", 30600}, {"usual", json::object{{"prompt", 100}, {"answer", 40}}},
+            {"layers", 16},
+            {"models", json::array{json::object{{"name", platform::StandInWeights().model}}}}};
+    return {{"version", m_configVersions.back()}, {"routes", std::move(routes)},
+            {"services",
+                    json::array{json::object{{"name", "plain"}, {"health_path", "/healthz"},
+                                        {"max_conns", MaxConnections}},
+                            json::object{{"name", "engine"}, {"health_path", "/healthz"},
+                                    {"max_conns", MaxConnections}, {"engine", engine}},
+                            json::object{{"name", "weights"},
+                                    {"origin",
+                                            SocketAddress{host(StoreGroup, 2), OriginPort}
+                                                    .toString()},
+                                    {"link_mbps", 16}, {"max_conns", 8}}}},
+            {"limits",
+                    json::object{{"max_header_bytes", 16384}, {"max_body_bytes", 1048576},
+                            {"header_timeout_ms", 5000}, {"idle_timeout_ms", 10000}}},
+            {"tenants",
+                    json::array{json::object{
+                            {"name", "shop"}, {"api_keys", json::array{"key-of-shop"}}}}}};
+}
+
+void SoakFleet::writeConfig()
+{
+    const std::uint64_t step = 1 + m_random() % 3;
+    m_configVersions.push_back(m_configVersions.empty() ? 1 : m_configVersions.back() + step);
+    m_store.put("config", "main", config());
+    m_checks.onConfig(m_configVersions.back());
+}
+
+void SoakFleet::start()
+{
+    if (const auto started = m_store.start({host(StoreGroup, 1), StorePort}); !started)
+        throw std::runtime_error(started.error().message);
+    writeConfig();
+    m_store.put("versions", platform::StandInWeights().model,
+            {{"model", platform::StandInWeights().model}, {"version", m_weights}});
+    m_checks.onWeights(m_weights);
+    for (unsigned i = 1; i <= m_options.services; ++i)
+        addEndpoint("plain", ServiceGroup, i, false);
+    for (unsigned i = 1; i <= m_options.engines; ++i) {
+        addEndpoint("engine", EngineGroup, i, true);
+        const std::string name = "agent" + std::to_string(i);
+        const std::string address = host(EngineGroup, i);
+        addProcess(name,
+                {m_options.programs + "/oriolerill-agent", "--relay", "--settings",
+                        settingsFile(name, "agent", i, address,
+                                SocketAddress{address, EndpointPort}.toString())});
+    }
+    for (unsigned i = 1; i <= m_options.entries; ++i) {
+        const std::string name = "entry" + std::to_string(i);
+        const std::string address = host(EntryGroup, i);
+        addProcess(name,
+                {m_options.programs + "/oriolerill", "relay", "--settings",
+                        settingsFile(name, "entry", i, address, "")});
+        auto entry = std::make_unique<SoakEntry>();
+        entry->process = m_processes.back().get();
+        entry->caller = {address, CallerPort};
+        entry->status = {address, StatusPort};
+        m_entries.push_back(std::move(entry));
+    }
+    m_until = TimePoint::clock::now() + m_options.time;
+    for (const auto &process : m_processes) {
+        process->start();
+        m_journal.pastFault(process->name(), TimePoint::clock::now());
+    }
+    for (const auto &entry : m_entries) {
+        asio::co_spawn(m_context, pollReadiness(*entry), asio::detached);
+        m_clients.push_back(std::make_unique<SoakClient>(
+                m_journal, m_checks, "probe-" + entry->process->name(), m_random(),
+                [entry = entry.get()] { return entry; }, true));
+    }
+    for (unsigned i = 0; i < m_options.clients; ++i) {
+        m_clients.push_back(std::make_unique<SoakClient>(
+                m_journal, m_checks, "client" + std::to_string(i), m_random(),
+                [this] { return chooseEntry(); }, false));
+    }
+    for (const auto &client : m_clients)
+        asio::co_spawn(m_context, client->run(m_until), asio::detached);
+    for (Series &series : chosenSeries()) {
+        m_journal.note("series " + series.name);
+        asio::co_spawn(m_context, repeat(std::move(series), m_random()), asio::detached);
+    }
+    asio::co_spawn(m_context, checkProcesses(), asio::detached);
+    asio::co_spawn(m_context, watchOwnClock(), asio::detached);
+}
+
+bool SoakFleet::finish()
+{
+    m_checks.checkServed();
+    for (const auto &process : m_processes) {
+        process->end();
+        m_journal.note(process->name() + " lives=" + std::to_string(process->life())
+                + " peak_kib=" + std::to_string(process->peakKilobytes())
+                + " peak_descriptors=" + std::to_string(process->peakDescriptors()));
+    }
+    m_journal.note(m_checks.summary());
+    std::cout << "soak seed=" << m_options.seed << " faults=" << m_journal.faults()
+              << " stalls=" << m_stalls << " violations=" << m_journal.violations()
+              << (m_journal.violations() == 0 ? " ok" : " FAILED") << std::endl;
+    return m_journal.violations() == 0;
+}
+
+// ---- what the platform does ----
+
+SoakEntry *SoakFleet::chooseEntry()
+{
+    std::vector<SoakEntry *> ready;
+    for (const auto &entry : m_entries) {
+        if (entry->isInRotation)
+            ready.push_back(entry.get());
+    }
+    if (ready.empty()) {
+        for (const auto &entry : m_entries)
+            ready.push_back(entry.get());
+    }
+    return ready[m_random() % ready.size()];
+}
+
+/// Each second; two misses take an entry out, one answer brings it back.
+asio::awaitable<void> SoakFleet::pollReadiness(SoakEntry &entry)
+{
+    int misses = 2;
+    for (;;) {
+        transport::HttpRequest request;
+        request.target = "/-/readyz";
+        const TimePoint begun = TimePoint::clock::now();
+        const auto answer = co_await m_client.send(
+                entry.status, std::move(request), begun + ReadyInterval, true);
+        misses = answer && answer->status == 200 ? 0 : misses + 1;
+        const bool isIn = misses < 2;
+        if (isIn != entry.isInRotation)
+            m_journal.note(entry.process->name() + (isIn ? " in rotation" : " out of rotation"));
+        entry.isInRotation = isIn;
+        co_await sleepUntil(begun + ReadyInterval);
+    }
+}
+
+asio::awaitable<void> SoakFleet::checkProcesses()
+{
+    const std::size_t limit
+            = m_clients.size() + m_endpoints.size() * MaxConnections + OtherDescriptors;
+    for (;;) {
+        for (const auto &process : m_processes)
+            process->check(limit);
+        co_await sleepFor(ProcessCheckInterval);
+    }
+}
+
+asio::awaitable<void> SoakFleet::watchOwnClock()
+{
+    for (;;) {
+        const TimePoint begun = TimePoint::clock::now();
+        co_await sleepFor(ClockInterval);
+        if (TimePoint::clock::now() < begun + ClockInterval + LongestDelay)
+            continue;
+        ++m_stalls;
+        m_journal.note("the stand-ins were held up by the machine");
+        m_journal.pastFault("store", begun);
+        for (const auto &process : m_processes)
+            m_journal.pastFault(process->name(), begun);
+    }
+}
+
+// ---- faults ----
+
+asio::awaitable<void> SoakFleet::repeat(Series series, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    const auto longest
+            = std::chrono::duration_cast<std::chrono::milliseconds>(series.pause).count();
+    std::uniform_int_distribution<std::int64_t> pause(longest / 10, longest);
+    co_await sleepFor(CalmStart);
+    for (;;) {
+        const std::chrono::milliseconds time(pause(random));
+        co_await sleepFor(time);
+        co_await series.task();
+    }
+}
+
+template<class Part, class Action>
+asio::awaitable<void> SoakFleet::atIdle(std::vector<Part *> parts, Action action)
+{
+    std::erase_if(parts, [](const Part *part) { return part->isBusy; });
+    if (parts.empty())
+        co_return;
+    Part &part = *parts[m_random() % parts.size()];
+    part.isBusy = true;
+    co_await action(part);
+    part.isBusy = false;
+}
+
+std::vector<SoakProcess *> SoakFleet::processesNamed(const std::string &prefix)
+{
+    std::vector<SoakProcess *> found;
+    for (const auto &process : m_processes) {
+        if (process->name().starts_with(prefix))
+            found.push_back(process.get());
+    }
+    return found;
+}
+
+std::vector<SoakEndpoint *> SoakFleet::endpoints()
+{
+    std::vector<SoakEndpoint *> all;
+    for (const auto &endpoint : m_endpoints)
+        all.push_back(endpoint.get());
+    return all;
+}
+
+std::vector<SoakFleet::Series> SoakFleet::processSeries()
+{
+    std::vector<Series> series;
+    for (const std::string prefix : {"entry", "agent"}) {
+        series.push_back({prefix + "-kill", 6s, [this, prefix] {
+                              return atIdle(processesNamed(prefix), [this](SoakProcess &process) {
+                                  return process.killAndRestart(drawTime(300, 2000));
+                              });
+                          }});
+        series.push_back({prefix + "-stop", 5s, [this, prefix] {
+                              return atIdle(processesNamed(prefix), [this](SoakProcess &process) {
+                                  return process.stopAndRestart(drawTime(300, 2000));
+                              });
+                          }});
+        series.push_back({prefix + "-freeze", 6s, [this, prefix] {
+                              return atIdle(processesNamed(prefix), [this](SoakProcess &process) {
+                                  return process.freeze(drawTime(1000, 6000));
+                              });
+                          }});
+    }
+    return series;
+}
+
+std::vector<SoakFleet::Series> SoakFleet::storeSeries()
+{
+    using Fault = SoakStore::Fault;
+    std::vector<Series> series;
+    const auto add = [&](const std::string &name, Fault fault) {
+        series.push_back({"store-" + name, 8s, [this, fault]() -> asio::awaitable<void> {
+                              // One kind at a time: the store has one state.
+                              if (!m_store.isFailing())
+                                  co_await m_store.fail(fault, drawTime(500, 6000));
+                          }});
+    };
+    add("refuse", Fault::Refusing);
+    add("down", Fault::Resetting);
+    add("silent", Fault::Silent);
+    add("slow", Fault::Slow);
+    add("lost", Fault::AnswersLost);
+    series.push_back({"store-forget", 5s, [this]() -> asio::awaitable<void> {
+                          m_store.forgetHistory();
+                          co_return;
+                      }});
+    series.push_back({"store-reset", 5s, [this]() -> asio::awaitable<void> {
+                          m_store.resetConnections();
+                          co_return;
+                      }});
+    return series;
+}
+
+std::vector<SoakFleet::Series> SoakFleet::endpointSeries()
+{
+    using Fault = SoakEndpoint::Fault;
+    std::vector<Series> series;
+    const auto add = [&](const std::string &name, domain::Duration pause, auto action) {
+        series.push_back({"endpoint-" + name, pause,
+                [this, action] { return atIdle(endpoints(), action); }});
+    };
+    add("drain", 4s, [this](SoakEndpoint &endpoint) {
+        return endpoint.drainAndRestart(drawTime(500, 4000), drawTime(500, 2500));
+    });
+    add("crash", 5s, [this](SoakEndpoint &endpoint) {
+        return endpoint.crashAndRestart(drawTime(200, 4000));
+    });
+    const auto addFault = [&](const std::string &name, Fault fault) {
+        add(name, 4s, [this, fault](SoakEndpoint &endpoint) {
+            return endpoint.misbehave(fault, drawTime(500, 4000));
+        });
+    };
+    addFault("late", Fault::Late);
+    addFault("cut", Fault::Cut);
+    addFault("extra", Fault::Extra);
+    addFault("endless", Fault::Endless);
+    return series;
+}
+
+asio::awaitable<void> SoakFleet::waitForStore()
+{
+    while (!m_store.isAccepting())
+        co_await sleepFor(ClockInterval);
+}
+
+std::vector<SoakFleet::Series> SoakFleet::operatorSeries()
+{
+    std::vector<Series> series;
+    series.push_back({"configs", 4s, [this]() -> asio::awaitable<void> {
+                          const std::uint64_t count = 1 + m_random() % 4;
+                          for (std::uint64_t i = 0; i < count; ++i) {
+                              co_await waitForStore();
+                              writeConfig();
+                              co_await sleepFor(drawTime(10, 400));
+                          }
+                      }});
+    series.push_back(
+            {"weights", 4s, [this]() -> asio::awaitable<void> {
+                 co_await waitForStore();
+                 ++m_weights;
+                 m_store.put("versions", platform::StandInWeights().model,
+                         {{"model", platform::StandInWeights().model}, {"version", m_weights}});
+                 m_checks.onWeights(m_weights);
+                 co_await sleepFor(drawTime(500, 12000));
+             }});
+    series.push_back({"withdrawal", 3s, [this]() -> asio::awaitable<void> {
+                          const std::string zone = zoneOf(static_cast<unsigned>(m_random() % 2));
+                          co_await waitForStore();
+                          m_store.put("evacuations", zone, {});
+                          m_checks.onEvacuation(zone, true);
+                          co_await sleepFor(drawTime(3000, 10000));
+                          co_await waitForStore();
+                          m_checks.onEvacuation(zone, false);
+                          m_store.remove("evacuations", zone);
+                      }});
+    return series;
+}
+
+std::vector<SoakFleet::Series> SoakFleet::allSeries()
+{
+    std::vector<Series> all;
+    for (auto part : {processSeries(), storeSeries(), endpointSeries(), operatorSeries()})
+        all.insert(all.end(), part.begin(), part.end());
+    return all;
+}
+
+std::vector<SoakFleet::Series> SoakFleet::chosenSeries()
+{
+    std::vector<Series> all = allSeries();
+    if (m_options.faults == "all" || m_options.faults == "none") {
+        if (m_options.faults == "none")
+            all.clear();
+        return all;
+    }
+    if (m_options.faults != "seed") {
+        const std::string names = ',' + m_options.faults + ',';
+        std::erase_if(all, [&names](const Series &series) {
+            return names.find(',' + series.name + ',') == std::string::npos;
+        });
+        return all;
+    }
+    // Some seeds leave a part calm for long, since most bounds hold only there.
+    constexpr std::size_t Fewest = 4;
+    constexpr std::size_t Range = 8;
+    std::shuffle(all.begin(), all.end(), m_random);
+    all.resize(Fewest + m_random() % Range);
+    return all;
+}
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakfleet.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "soakclient.h"
+#include "soakendpoint.h"
+
+#include "transport/httpclient.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace oriolerill::standins {
+
+struct SoakOptions
+{
+    std::uint64_t seed = 1;
+    domain::Duration time = std::chrono::seconds(15);
+    unsigned entries = 2;
+    unsigned engines = 4;
+    unsigned services = 3;
+    unsigned clients = 16;
+    /// Second number of all loopback addresses.
+    unsigned net = 221;
+    /// Folder of the programs under test, of the repository, and for settings and logs.
+    std::string programs;
+    std::string repository;
+    std::string output;
+    /// Names of the fault series, or "seed" for a draw, or "none".
+    std::string faults = "seed";
+};
+
+/// The whole run: stand-ins and clients in this process, the programs under test as its children.
+class SoakFleet
+{
+public:
+    SoakFleet(boost::asio::io_context &context, SoakOptions options);
+
+    /// Starts everything and ends the run after its time.
+    void start();
+    /// Ends the programs and prints the outcome; false when a rule was broken.
+    bool finish();
+
+private:
+    using Task = std::function<boost::asio::awaitable<void>()>;
+    struct Series
+    {
+        std::string name;
+        /// Longest pause between two faults.
+        domain::Duration pause;
+        Task task;
+    };
+
+    std::string host(unsigned group, unsigned number) const;
+    std::string settingsFile(const std::string &name, const std::string &role, unsigned number,
+            const std::string &address, const std::string &engine) const;
+    std::string zoneOf(unsigned number) const;
+    void addEndpoint(const std::string &service, unsigned group, unsigned number, bool isEngine);
+    void addProcess(const std::string &name, std::vector<std::string> command);
+    void writeConfig();
+    boost::json::object config() const;
+    SoakEntry *chooseEntry();
+    std::vector<Series> allSeries();
+    std::vector<Series> chosenSeries();
+    std::vector<Series> processSeries();
+    std::vector<Series> storeSeries();
+    std::vector<Series> endpointSeries();
+    std::vector<Series> operatorSeries();
+
+    boost::asio::awaitable<void> repeat(Series series, std::uint64_t seed);
+    boost::asio::awaitable<void> pollReadiness(SoakEntry &entry);
+    boost::asio::awaitable<void> checkProcesses();
+    boost::asio::awaitable<void> watchOwnClock();
+    boost::asio::awaitable<void> waitForStore();
+    /// Runs the action at a drawn idle process or endpoint, if there is one.
+    template<class Part, class Action>
+    boost::asio::awaitable<void> atIdle(std::vector<Part *> parts, Action action);
+    std::vector<SoakProcess *> processesNamed(const std::string &prefix);
+    std::vector<SoakEndpoint *> endpoints();
+    domain::Duration drawTime(int fromMs, int toMs);
+
+    boost::asio::io_context &m_context;
+    SoakOptions m_options;
+    std::mt19937_64 m_random;
+    SoakJournal m_journal;
+    SoakChecks m_checks;
+    SoakStore m_store;
+    platform::StandInOrigin m_origin;
+    transport::HttpClient m_client;
+    std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
+    std::vector<std::unique_ptr<SoakProcess>> m_processes;
+    std::vector<std::unique_ptr<SoakEntry>> m_entries;
+    std::vector<std::unique_ptr<SoakClient>> m_clients;
+    std::vector<std::uint64_t> m_configVersions;
+    std::uint64_t m_weights = 1;
+    domain::TimePoint m_until;
+    std::size_t m_stalls = 0;
+};
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakprocess.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "soakjournal.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace oriolerill::standins {
+
+/// A program under test: a child process that is started, signalled and watched.
+class SoakProcess
+{
+public:
+    /// grace_s of the operators' settings page.
+    static constexpr auto GraceTime = std::chrono::milliseconds(8000);
+
+    SoakProcess(SoakJournal &journal, std::string name, std::vector<std::string> command,
+            std::string logFile);
+    ~SoakProcess();
+    SoakProcess(const SoakProcess &) = delete;
+    SoakProcess &operator=(const SoakProcess &) = delete;
+
+    const std::string &name() const { return m_name; }
+    bool isRunning() const { return m_pid > 0; }
+    /// Number of the start; state of an earlier life is gone.
+    int life() const { return m_life; }
+    /// When SIGTERM was sent in this life; the epoch before.
+    domain::TimePoint stopAskedAt() const { return m_stopAskedAt; }
+    /// Whether a fault is under way here; a second one has to wait.
+    bool isBusy = false;
+
+    void start();
+    boost::asio::awaitable<void> killAndRestart(domain::Duration pause);
+    /// SIGTERM, SIGKILL after the grace time, then a new start.
+    boost::asio::awaitable<void> stopAndRestart(domain::Duration pause);
+    boost::asio::awaitable<void> freeze(domain::Duration time);
+    /// Reports an end that nobody asked for, and memory or descriptors above the limits.
+    void check(std::size_t maxDescriptors);
+    std::size_t peakKilobytes() const { return m_peakKilobytes; }
+    std::size_t peakDescriptors() const { return m_peakDescriptors; }
+    /// Ends the process without a check.
+    void end();
+
+private:
+    bool hasEnded();
+
+    SoakJournal &m_journal;
+    std::string m_name;
+    std::vector<std::string> m_command;
+    std::string m_logFile;
+    pid_t m_pid = 0;
+    int m_life = 0;
+    int m_status = 0;
+    domain::TimePoint m_stopAskedAt;
+    std::size_t m_peakKilobytes = 0;
+    std::size_t m_peakDescriptors = 0;
+    bool m_isOverLimit = false;
+};
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakstore.cpp
@@ -0,0 +1,199 @@
+#include "soakstore.h"
+
+#include "platform/names.h"
+#include "platform/tests/standinfleet.h"
+#include "program.h"
+
+#include <algorithm>
+
+namespace oriolerill::standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace names = platform::names;
+using domain::TimePoint;
+using platform::queryNumber;
+using transport::HttpResponse;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto PollInterval = 5ms;
+/// Longer than any deadline of a client: the channel returns nothing further.
+constexpr auto LongSilence = 20s;
+/// Small, so that lists have several pages.
+constexpr std::size_t PageSize = 4;
+/// A watch may wait so long, as the platform's pages say.
+constexpr std::uint64_t LongestWaitMs = 30000;
+
+HttpResponse jsonResponse(json::object body)
+{
+    HttpResponse response;
+    response.fields.add("Content-Type", "application/json");
+    response.body = json::serialize(body);
+    return response;
+}
+
+} // namespace
+
+SoakStore::SoakStore(asio::io_context &context, SoakJournal &journal, std::uint64_t seed)
+    : m_journal(journal)
+    , m_random(seed)
+    , m_server(context.get_executor(), {})
+{}
+
+domain::Expected<domain::SocketAddress> SoakStore::start(const domain::SocketAddress &address)
+{
+    return m_server.start(
+            address, [this](transport::HttpServerExchange &exchange) { return answer(exchange); });
+}
+
+json::object SoakStore::objectOf(const std::string &name, std::uint64_t revision, json::object spec)
+{
+    return {{"metadata", json::object{{"name", name}, {"revision", revision}}},
+            {"spec", std::move(spec)}};
+}
+
+void SoakStore::put(const std::string &kind, const std::string &name, json::object spec)
+{
+    ++m_revision;
+    json::object object = objectOf(name, m_revision, std::move(spec));
+    m_objects[kind][name] = object;
+    record(kind, std::move(object), false);
+}
+
+void SoakStore::remove(const std::string &kind, const std::string &name)
+{
+    const auto found = m_objects[kind].find(name);
+    if (found == m_objects[kind].end())
+        return;
+    ++m_revision;
+    json::object object = found->second;
+    m_objects[kind].erase(found);
+    record(kind, std::move(object), true);
+}
+
+void SoakStore::record(const std::string &kind, json::object object, bool isDeleted)
+{
+    m_history.push_back({m_revision, kind, std::move(object), isDeleted});
+}
+
+void SoakStore::forgetHistory()
+{
+    m_journal.instantFault("store", "history forgotten");
+    m_forgottenUntil = m_revision;
+    m_history.clear();
+}
+
+void SoakStore::resetConnections()
+{
+    m_journal.instantFault("store", "connections reset");
+    m_server.closeAll();
+}
+
+asio::awaitable<void> SoakStore::fail(Fault fault, domain::Duration time)
+{
+    static const std::map<Fault, std::string> Words = {{Fault::Refusing, "answers 503"},
+            {Fault::Resetting, "resets each call"}, {Fault::Silent, "silent"},
+            {Fault::Slow, "slow"}, {Fault::AnswersLost, "loses answers"}};
+    m_journal.beginFault("store", Words.at(fault));
+    m_fault = fault;
+    if (fault == Fault::Resetting)
+        m_server.closeAll();
+    co_await sleepFor(time);
+    m_fault = Fault::None;
+    m_journal.endFault("store");
+}
+
+asio::awaitable<void> SoakStore::answer(transport::HttpServerExchange &exchange)
+{
+    const std::string target = exchange.request().target;
+    HttpResponse response;
+    if (m_fault == Fault::Resetting) {
+        exchange.abort();
+        co_return;
+    }
+    if (m_fault == Fault::Slow) {
+        const std::chrono::milliseconds delay(
+                std::uniform_int_distribution<int>(200, 3000)(m_random));
+        co_await sleepFor(delay);
+    }
+    if (m_fault == Fault::Refusing)
+        response.status = 503;
+    else
+        response = co_await handle(target);
+    constexpr unsigned OneIn = 3;
+    const bool isLost = m_fault == Fault::Silent
+            || (m_fault == Fault::AnswersLost && m_random() % OneIn == 0);
+    if (isLost) {
+        co_await sleepFor(LongSilence);
+        exchange.abort();
+        co_return;
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<HttpResponse> SoakStore::handle(std::string target)
+{
+    HttpResponse notFound;
+    notFound.status = 404;
+    if (!target.starts_with(names::Objects))
+        co_return notFound;
+    std::string kind = target.substr(names::Objects.size());
+    kind = kind.substr(0, kind.find('?'));
+    if (const std::size_t slash = kind.find('/'); slash != std::string::npos) {
+        const std::string name = kind.substr(slash + 1);
+        const auto &objects = m_objects[kind.substr(0, slash)];
+        const auto found = objects.find(name);
+        if (found == objects.end())
+            co_return notFound;
+        co_return jsonResponse(found->second);
+    }
+    if (target.find("watch=") == std::string::npos)
+        co_return list(kind, target);
+    co_return co_await watch(kind, target);
+}
+
+HttpResponse SoakStore::list(const std::string &kind, const std::string &target) const
+{
+    const std::size_t at = target.find("after=");
+    const std::string after = at == std::string::npos ? "" : target.substr(at + 6);
+    json::array items;
+    bool hasMore = false;
+    if (const auto found = m_objects.find(kind); found != m_objects.end()) {
+        for (auto object = found->second.upper_bound(after); object != found->second.end();
+                ++object) {
+            hasMore = items.size() == PageSize;
+            if (hasMore)
+                break;
+            items.push_back(object->second);
+        }
+    }
+    return jsonResponse(
+            {{"items", std::move(items)}, {"more_pages", hasMore}, {"current_rev", m_revision}});
+}
+
+asio::awaitable<HttpResponse> SoakStore::watch(std::string kind, std::string target)
+{
+    const std::uint64_t after = queryNumber(target, "watch");
+    const std::uint64_t waitMs = std::min(queryNumber(target, "wait_ms"), LongestWaitMs);
+    const TimePoint end = TimePoint::clock::now() + std::chrono::milliseconds(waitMs);
+    json::array events;
+    for (;;) {
+        if (after < m_forgottenUntil) {
+            HttpResponse gone;
+            gone.status = 410;
+            co_return gone;
+        }
+        for (const Change &change : m_history) {
+            if (change.revision > after && change.kind == kind)
+                events.push_back(
+                        json::object{{"object", change.object}, {"deleted", change.isDeleted}});
+        }
+        if (!events.empty() || TimePoint::clock::now() >= end)
+            co_return jsonResponse({{"events", std::move(events)}, {"current_rev", m_revision}});
+        co_await sleepFor(PollInterval);
+    }
+}
+
+} // namespace oriolerill::standins
--- /dev/null
+++ b/standins/soakstore.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "soakjournal.h"
+#include "transport/httpserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+
+namespace oriolerill::standins {
+
+/// The platform's metadata store with its faults: lists, watches and revisions over HTTP.
+class SoakStore
+{
+public:
+    enum class Fault { None, Refusing, Resetting, Silent, Slow, AnswersLost };
+
+    SoakStore(boost::asio::io_context &context, SoakJournal &journal, std::uint64_t seed);
+
+    domain::Expected<domain::SocketAddress> start(const domain::SocketAddress &address);
+
+    /// Whether it takes writes now: not while it is down.
+    bool isAccepting() const
+    {
+        return m_fault != Fault::Refusing && m_fault != Fault::Silent
+                && m_fault != Fault::Resetting;
+    }
+    /// Writes an object; the return is the acknowledgement. Writers check isAccepting() before.
+    void put(const std::string &kind, const std::string &name, boost::json::object spec);
+    void remove(const std::string &kind, const std::string &name);
+
+    boost::asio::awaitable<void> fail(Fault fault, domain::Duration time);
+    /// Discards the history: watches from an earlier revision get 410.
+    void forgetHistory();
+    void resetConnections();
+    bool isFailing() const { return m_fault != Fault::None; }
+
+private:
+    struct Change
+    {
+        std::uint64_t revision = 0;
+        std::string kind;
+        boost::json::object object;
+        bool isDeleted = false;
+    };
+
+    boost::asio::awaitable<void> answer(transport::HttpServerExchange &exchange);
+    boost::asio::awaitable<transport::HttpResponse> handle(std::string target);
+    boost::asio::awaitable<transport::HttpResponse> watch(std::string kind, std::string target);
+    transport::HttpResponse list(const std::string &kind, const std::string &target) const;
+    void record(const std::string &kind, boost::json::object object, bool isDeleted);
+    static boost::json::object objectOf(
+            const std::string &name, std::uint64_t revision, boost::json::object spec);
+
+    SoakJournal &m_journal;
+    std::mt19937_64 m_random;
+    Fault m_fault = Fault::None;
+    std::map<std::string, std::map<std::string, boost::json::object>> m_objects;
+    std::deque<Change> m_history;
+    std::uint64_t m_revision = 7;
+    std::uint64_t m_forgottenUntil = 0;
+    transport::HttpServer m_server;
+};
+
+} // namespace oriolerill::standins
