Draw faults of the soak more often, and let runs choose their network

Cause: a 15 s run had two or three faults of a kind, so few overlapped. Change: shorter pauses; NET of the environment sets the second number of the addresses, as in lib.sh.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -14,7 +14,7 @@
 rm -rf "$out"
 mkdir -p "$out"
 # Runs at the same time use different networks; lib.sh takes those below 220.
-"$bin/standin-soak" --net $((221 + $$ % 30)) --programs "$bin" --repository "$PWD" --output "$out" "$@" \
+"$bin/standin-soak" --net "${NET:-$((221 + $$ % 30))}" --programs "$bin" --repository "$PWD" --output "$out" "$@" \
     >"$out/soak.log" 2>&1
 status=$?
 grep -E "VIOLATION|^standin-soak:" "$out/soak.log" | head -20
--- a/standins/soakclient.cpp
+++ b/standins/soakclient.cpp
@@ -132,6 +132,7 @@
         // An entry may close an idle channel with a refusal, but no success comes unasked.
         std::string early(256, '\0');
         auto [code, size] = co_await m_stream->async_read_some(asio::buffer(early), UseTuple);
+        early.resize(code ? 0 : size);
         if (m_buffer.size() > 0 || early.find(" 2") == 8)
             m_journal.violation("MIXED", "bytes with no request waiting before " + attempt->id);
         m_stream.reset();
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -353,17 +353,17 @@
 {
     std::vector<Series> series;
     for (const std::string prefix : {"entry", "agent"}) {
-        series.push_back({prefix + "-kill", 6s, [this, prefix] {
+        series.push_back({prefix + "-kill", 4s, [this, prefix] {
                               return atIdle(processesNamed(prefix), [this](SoakProcess &process) {
                                   return process.killAndRestart(drawTime(300, 2000));
                               });
                           }});
-        series.push_back({prefix + "-stop", 5s, [this, prefix] {
+        series.push_back({prefix + "-stop", 3s, [this, prefix] {
                               return atIdle(processesNamed(prefix), [this](SoakProcess &process) {
                                   return process.stopAndRestart(drawTime(300, 2000));
                               });
                           }});
-        series.push_back({prefix + "-freeze", 6s, [this, prefix] {
+        series.push_back({prefix + "-freeze", 4s, [this, prefix] {
                               return atIdle(processesNamed(prefix), [this](SoakProcess &process) {
                                   return process.freeze(drawTime(1000, 6000));
                               });
@@ -377,7 +377,7 @@
     using Fault = SoakStore::Fault;
     std::vector<Series> series;
     const auto add = [&](const std::string &name, Fault fault) {
-        series.push_back({"store-" + name, 8s, [this, fault]() -> asio::awaitable<void> {
+        series.push_back({"store-" + name, 5s, [this, fault]() -> asio::awaitable<void> {
                               // One kind at a time: the store has one state.
                               if (!m_store.isFailing())
                                   co_await m_store.fail(fault, drawTime(500, 6000));
@@ -388,11 +388,11 @@
     add("silent", Fault::Silent);
     add("slow", Fault::Slow);
     add("lost", Fault::AnswersLost);
-    series.push_back({"store-forget", 5s, [this]() -> asio::awaitable<void> {
+    series.push_back({"store-forget", 3s, [this]() -> asio::awaitable<void> {
                           m_store.forgetHistory();
                           co_return;
                       }});
-    series.push_back({"store-reset", 5s, [this]() -> asio::awaitable<void> {
+    series.push_back({"store-reset", 3s, [this]() -> asio::awaitable<void> {
                           m_store.resetConnections();
                           co_return;
                       }});
@@ -407,14 +407,14 @@
         series.push_back({"endpoint-" + name, pause,
                 [this, action] { return atIdle(endpoints(), action); }});
     };
-    add("drain", 4s, [this](SoakEndpoint &endpoint) {
+    add("drain", 2500ms, [this](SoakEndpoint &endpoint) {
         return endpoint.drainAndRestart(drawTime(500, 4000), drawTime(500, 2500));
     });
-    add("crash", 5s, [this](SoakEndpoint &endpoint) {
+    add("crash", 3s, [this](SoakEndpoint &endpoint) {
         return endpoint.crashAndRestart(drawTime(200, 4000));
     });
     const auto addFault = [&](const std::string &name, Fault fault) {
-        add(name, 4s, [this, fault](SoakEndpoint &endpoint) {
+        add(name, 2500ms, [this, fault](SoakEndpoint &endpoint) {
             return endpoint.misbehave(fault, drawTime(500, 4000));
         });
     };
@@ -434,7 +434,7 @@
 std::vector<SoakFleet::Series> SoakFleet::operatorSeries()
 {
     std::vector<Series> series;
-    series.push_back({"configs", 4s, [this]() -> asio::awaitable<void> {
+    series.push_back({"configs", 2500ms, [this]() -> asio::awaitable<void> {
                           const std::uint64_t count = 1 + m_random() % 4;
                           for (std::uint64_t i = 0; i < count; ++i) {
                               co_await waitForStore();
@@ -443,7 +443,7 @@
                           }
                       }});
     series.push_back(
-            {"weights", 4s, [this]() -> asio::awaitable<void> {
+            {"weights", 2500ms, [this]() -> asio::awaitable<void> {
                  co_await waitForStore();
                  ++m_weights;
                  m_store.put("versions", platform::StandInWeights().model,
