Check cut requests at planned stops and stretched bounds in the soak

Cause: the fault span of a SIGTERM began before the time of the stop, so the check of cut requests excused every one; bounds were not checked at all while the store was unstable. Change: the stop time is taken first; configuration and withdrawals are held to their bound plus max_skew_ms while the store answers; more than three requests that calm entries leave without an answer break the run.

--- a/standins/soakchecks.cpp
+++ b/standins/soakchecks.cpp
@@ -62,6 +62,19 @@
             && m_journal.isInTouch(attempt.entry, now);
 }
 
+bool SoakChecks::isPast(
+        const SoakAttempt &attempt, TimePoint since, domain::Duration bound, TimePoint at) const
+{
+    if (at <= since + bound)
+        return false;
+    const TimePoint now = TimePoint::clock::now();
+    if (isInTouch(attempt, now))
+        return true;
+    return at > since + bound + MaxSkew
+            && m_journal.isCalm(attempt.entry, attempt.sent - SoakJournal::ContactTime, now)
+            && m_journal.isCalm("store-answers", since, now);
+}
+
 std::shared_ptr<SoakAttempt> SoakChecks::begin(SoakAttempt attempt)
 {
     auto result = std::make_shared<SoakAttempt>(std::move(attempt));
@@ -88,14 +101,14 @@
 void SoakChecks::checkLeaving(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint)
 {
     const TimePoint now = TimePoint::clock::now();
-    if (!isInTouch(attempt, now))
-        return;
-    if (endpoint.drainingSince && now > *endpoint.drainingSince + DrainBound) {
+    if (endpoint.drainingSince && now > *endpoint.drainingSince + DrainBound
+            && isInTouch(attempt, now)) {
         m_journal.violation("DRAIN",
                 "draining for " + secondsSince(*endpoint.drainingSince) + ": " + text(attempt));
     }
     const auto withdrawn = m_evacuations.find(endpoint.zone);
-    if (withdrawn != m_evacuations.end() && now > withdrawn->second + EvacuationBound) {
+    if (withdrawn != m_evacuations.end()
+            && isPast(attempt, withdrawn->second, EvacuationBound, now)) {
         m_journal.violation("EVAC",
                 endpoint.zone + " withdrawn for " + secondsSince(withdrawn->second) + ": "
                         + text(attempt));
@@ -196,8 +209,7 @@
                         + " was in force: " + text(attempt));
     }
     const auto written = m_configs.find(attempt.configVersion);
-    if (written != m_configs.end() && attempt.sent > written->second + ConfigBound
-            && isInTouch(attempt, now)) {
+    if (written != m_configs.end() && isPast(attempt, written->second, ConfigBound, attempt.sent)) {
         m_journal.violation("CONFIG",
                 "version " + version + ", written " + secondsSince(written->second)
                         + " ago, unknown: " + text(attempt));
@@ -213,13 +225,15 @@
     constexpr auto LateStart = std::chrono::milliseconds(3000);
     const auto lastSixth = SoakProcess::GraceTime * 5 / 6;
     const bool isAccepted = attempt.runs > 0 || now > attempt.sent + LossSlack;
+    if (stopAskedAt == TimePoint())
+        checkLostAtAnyTime(attempt, error);
     if (stopAskedAt == TimePoint() || !isAccepted || attempt.hasEndpointFailed
             || now >= attempt.sent + SoakAttempt::TimeLimit)
         return;
     const bool isStillAtWork = attempt.runs > 0 && now >= stopAskedAt + lastSixth
             && attempt.sent <= stopAskedAt + LateStart;
     const TimePoint before = std::min(attempt.sent, stopAskedAt) - SoakJournal::ContactTime;
-    const TimePoint justBefore = stopAskedAt - std::chrono::microseconds(1);
+    const TimePoint justBefore = stopAskedAt - std::chrono::nanoseconds(1);
     if (isStillAtWork || !m_journal.isCalm(attempt.entry, before, justBefore))
         return;
     m_journal.violation("LOST",
@@ -227,6 +241,22 @@
                     + "): " + text(attempt));
 }
 
+/// A calm store is required of requests with a key alone.
+void SoakChecks::checkLostAtAnyTime(const SoakAttempt &attempt, const std::string &error)
+{
+    const TimePoint now = TimePoint::clock::now();
+    const TimePoint from = attempt.sent - SoakJournal::ContactTime;
+    if (attempt.runs == 0 || attempt.hasEndpointFailed
+            || now >= attempt.sent + SoakAttempt::TimeLimit
+            || !m_journal.isCalm(attempt.entry, from, now)
+            || (attempt.isStream() && !m_journal.isCalm("store", from, now)))
+        return;
+    ++m_lost;
+    m_journal.note("left without an answer (" + error + "): " + text(attempt));
+    if (m_lost > MaxLost)
+        m_journal.violation("LOST", std::to_string(m_lost) + " at calm entries: " + text(attempt));
+}
+
 std::string SoakChecks::summary() const
 {
     std::string line = "requests=" + std::to_string(m_attempts.size());
--- a/standins/soakchecks.h
+++ b/standins/soakchecks.h
@@ -33,6 +33,10 @@
     static constexpr auto RevertSlack = std::chrono::milliseconds(250);
     static constexpr auto EvacuationBound = std::chrono::milliseconds(5000);
     static constexpr auto WeightsBound = std::chrono::milliseconds(8000);
+    /// Stretches two of the bounds while the store is unstable, but answers (max_skew_ms).
+    static constexpr auto MaxSkew = std::chrono::milliseconds(5000);
+    /// Requests that a calm entry may leave without an answer.
+    static constexpr int MaxLost = 3;
     static constexpr auto LossSlack = std::chrono::milliseconds(200);
 
     explicit SoakChecks(SoakJournal &journal);
@@ -71,6 +75,10 @@
     void checkLeaving(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
     void checkWeights(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
     bool isInTouch(const SoakAttempt &attempt, domain::TimePoint now) const;
+    /// Whether the bound of configuration or withdrawals, which counts from `since`, has passed.
+    bool isPast(const SoakAttempt &attempt, domain::TimePoint since, domain::Duration bound,
+            domain::TimePoint at) const;
+    void checkLostAtAnyTime(const SoakAttempt &attempt, const std::string &error);
     static std::string text(const SoakAttempt &attempt);
 
     struct LifeState
@@ -88,6 +96,7 @@
     std::map<std::string, LifeState> m_lives;
     std::map<SoakKind, std::size_t> m_served;
     std::map<std::string, std::size_t> m_outcomes;
+    int m_lost = 0;
 };
 
 } // namespace oriolerill::standins
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -297,7 +297,7 @@
             continue;
         ++m_stalls;
         m_journal.note("the stand-ins were held up by the machine");
-        m_journal.pastFault("store", begun);
+        m_journal.pastFault("store-answers", begun);
         for (const auto &process : m_processes)
             m_journal.pastFault(process->name(), begun);
     }
--- a/standins/soakjournal.cpp
+++ b/standins/soakjournal.cpp
@@ -73,6 +73,8 @@
 
 bool SoakJournal::isCalm(const std::string &part, TimePoint from, TimePoint until) const
 {
+    if (part == "store" && !isCalm("store-answers", from, until))
+        return false;
     const auto found = m_spans.find(part);
     if (found == m_spans.end())
         return true;
@@ -88,7 +90,7 @@
 
 TimePoint SoakJournal::lastFault(const std::string &part) const
 {
-    TimePoint last = m_started;
+    TimePoint last = part == "store" ? lastFault("store-answers") : m_started;
     const auto found = m_spans.find(part);
     if (found == m_spans.end())
         return last;
--- a/standins/soakjournal.h
+++ b/standins/soakjournal.h
@@ -26,7 +26,8 @@
     void violation(const std::string &rule, const std::string &text);
     std::size_t violations() const { return m_violations; }
 
-    /// Faults of a part ("entry0", "store") may overlap; each begin needs its own end.
+    /// Faults of a part ("entry1", "store") may overlap; each begin needs its own end. The part
+    /// "store-answers" is the store with faults that delay or lose its answers.
     void beginFault(const std::string &part, const std::string &what);
     void endFault(const std::string &part);
     /// A fault that is over at once, as a reset of connections.
--- a/standins/soakprocess.cpp
+++ b/standins/soakprocess.cpp
@@ -119,9 +119,9 @@
 {
     if (hasEnded())
         co_return;
-    m_journal.beginFault(m_name, "SIGTERM");
     const TimePoint begun = TimePoint::clock::now();
     m_stopAskedAt = begun;
+    m_journal.beginFault(m_name, "SIGTERM");
     kill(m_pid, SIGTERM);
     bool isOver = false;
     while (!isOver) {
--- a/standins/soakstore.cpp
+++ b/standins/soakstore.cpp
@@ -96,13 +96,13 @@
     static const std::map<Fault, std::string> Words = {{Fault::Refusing, "answers 503"},
             {Fault::Resetting, "resets each call"}, {Fault::Silent, "silent"},
             {Fault::Slow, "slow"}, {Fault::AnswersLost, "loses answers"}};
-    m_journal.beginFault("store", Words.at(fault));
+    m_journal.beginFault("store-answers", Words.at(fault));
     m_fault = fault;
     if (fault == Fault::Resetting)
         m_server.closeAll();
     co_await sleepFor(time);
     m_fault = Fault::None;
-    m_journal.endFault("store");
+    m_journal.endFault("store-answers");
 }
 
 asio::awaitable<void> SoakStore::answer(transport::HttpServerExchange &exchange)
