--- a/standins/soakendpoint.cpp
+++ b/standins/soakendpoint.cpp
@@ -34,7 +34,7 @@
 constexpr unsigned Misdirected = 421;
 constexpr unsigned Unavailable = 503;
 constexpr unsigned Ok = 200;
-const std::string HealthPath = "/healthz";
+constexpr std::string_view HealthPath = "/healthz";
 
 std::string fieldOf(const http::request<http::string_body> &request, std::string_view name)
 {
@@ -208,10 +208,10 @@
 
 asio::awaitable<void> SoakEndpoint::misbehave(Fault fault, domain::Duration time)
 {
-    static const std::map<Fault, std::string> Words = {{Fault::Late, "answers late"},
+    static const std::map<Fault, std::string> words = {{Fault::Late, "answers late"},
             {Fault::Cut, "resets in the middle of answers"}, {Fault::Extra, "sends answers twice"},
             {Fault::Endless, "sends bytes without end"}};
-    m_journal.beginFault(m_options.name, Words.at(fault));
+    m_journal.beginFault(m_options.name, words.at(fault));
     m_fault = fault;
     co_await sleepFor(time);
     m_fault = Fault::None;
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -97,7 +97,7 @@
     std::ifstream file(m_options.repository + "/platform/" + role + ".ini");
     std::stringstream text;
     text << file.rdbuf();
-    const std::string path = m_options.output + '/' + name + ".ini";
+    std::string path = m_options.output + '/' + name + ".ini";
     std::ofstream(path) << renderTemplate(text.str(), fields);
     return path;
 }
--- a/standins/soakstore.cpp
+++ b/standins/soakstore.cpp
@@ -93,10 +93,10 @@
 
 asio::awaitable<void> SoakStore::fail(Fault fault, domain::Duration time)
 {
-    static const std::map<Fault, std::string> Words = {{Fault::Refusing, "answers 503"},
+    static const std::map<Fault, std::string> words = {{Fault::Refusing, "answers 503"},
             {Fault::Resetting, "resets each call"}, {Fault::Silent, "silent"},
             {Fault::Slow, "slow"}, {Fault::AnswersLost, "loses answers"}};
-    m_journal.beginFault("store-answers", Words.at(fault));
+    m_journal.beginFault("store-answers", words.at(fault));
     m_fault = fault;
     if (fault == Fault::Resetting)
         m_server.closeAll();
