--- a/standins/soakstore.cpp
+++ b/standins/soakstore.cpp
@@ -26,7 +26,7 @@
 /// A watch may wait so long, as the platform's pages say.
 constexpr std::uint64_t LongestWaitMs = 30000;
 
-HttpResponse jsonResponse(json::object body)
+HttpResponse jsonResponse(const json::object &body)
 {
     HttpResponse response;
     response.fields.add("Content-Type", "application/json");
