--- a/src/objectstore/tests/storefreshnesstest.cpp
+++ b/src/objectstore/tests/storefreshnesstest.cpp
@@ -180,9 +180,9 @@
     EXPECT_EQ(behind(revision), 0U);
 }
 
-// Regression: publishers that were cut off from the store confirmed the copy until they noticed, and
-// a process that could reach the store trusted this for 1.2 s more: a change 2 s old was missing
-// (readers-lost --seed 761860720740 on txsatchel-orders, DRAIN).
+// Regression: publishers that were cut off from the store confirmed the copy until they noticed,
+// and a process that could reach the store trusted this for 1.2 s more: a change 2 s old was
+// missing (readers-lost --seed 761860720740 on txsatchel-orders, DRAIN).
 TEST_F(StoreFreshnessFixture, onSharedLoss_updatesBeforeIt_storeAskedAtOnce)
 {
     StoreFollowerOptions options;
