--- a/standins/soakmain.cpp
+++ b/standins/soakmain.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-int soak(SoakOptions options)
+int soak(const SoakOptions &options)
 {
     boost::asio::io_context context(1);
     SoakFleet fleet(context, options);
