--- a/src/relay/tests/fleetfreshnesstest.cpp
+++ b/src/relay/tests/fleetfreshnesstest.cpp
@@ -117,7 +117,7 @@
 }
 
 // Regression: the configuration's watch was lost without a word while the endpoints' one was reset;
-// it was not read on the return, because a publisher was heard that had lost the store itself.
+// it was not read after the return, because a publisher reported the loss of the store.
 TEST_P(FleetFreshnessFixture, run_onlyEndpointsWatchReset_allCollectionsWithinConfigBound)
 {
     m_store.silent = {"configuration"};
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -25,7 +25,7 @@
 public:
     using Socket = boost::asio::ip::tcp::socket;
     /// Gets each request as it was received; writes what it likes. False closes the connection.
-    /// It may still run after the body of its test has returned, so it owns what it captures or
+    /// May run after the body of its test has returned, so it owns its captures or
     /// refers to members of the fixture.
     using Script = std::function<bool(Socket &, const std::string &request)>;
 
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -40,7 +40,7 @@
 constexpr std::size_t MaxDatagram = 1500;
 /// Leaving endpoints that one report tells of; they share a datagram with the rest.
 constexpr int MostLeaving = 16;
-/// Models that one report tells of; a report is one datagram.
+/// Maximum number of models in one report, which is one datagram.
 constexpr std::size_t MaxModels = 8;
 
 } // namespace
--- a/src/routing/tests/weightsrequirementtest.cpp
+++ b/src/routing/tests/weightsrequirementtest.cpp
@@ -113,8 +113,8 @@
     EXPECT_GE(requirement.lowest(m_model, m_start + 8s), 2U);
 }
 
-// Guards against a requirement that is taken back when a process that learned of the version late
-// tells its time.
+// Guards against a requirement that is withdrawn when a process that learned of the version late
+// publishes its naming time.
 TEST_F(WeightsRequirementFixture, onNamingTime_afterGraceAtStart_requirementNotTakenBack)
 {
     WeightsRequirement requirement(options());
--- a/standins/soakendpoint.h
+++ b/standins/soakendpoint.h
@@ -31,7 +31,7 @@
 class SoakEndpoint
 {
 public:
-    /// What it does wrong to a share of its answers.
+    /// Fault injected into a share of its answers.
     enum class Fault { None, Late, Cut, Extra, Endless };
 
     SoakEndpoint(boost::asio::io_context &context, SoakJournal &journal, SoakChecks &checks,
