--- /dev/null
+++ b/src/relay/tests/endpointlimittest.cpp
@@ -0,0 +1,108 @@
+#include "relay/tests/relayfixture.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace oriolerill::relay {
+
+using namespace std::chrono_literals;
+using Socket = ScriptedEndpoint::Socket;
+using Clock = std::chrono::steady_clock;
+
+/// One entry in front of an endpoint that names the requests a second that it takes.
+class EndpointLimitFixture : public RelayFixture
+{
+protected:
+    /// Names the value that the test sets; none while it is empty. Notes when requests came.
+    ScriptedEndpoint &addNaming(const std::string &value)
+    {
+        m_named = value;
+        return addEndpoint([this](Socket &socket, const std::string &) {
+            const std::scoped_lock lock(m_mutex);
+            m_arrivals.push_back(Clock::now());
+            const std::string field = m_named.empty() ? "" : "Server-Limit: " + m_named + "\r\n";
+            write(socket, answer("a1", "good", "200 OK", field));
+            return true;
+        });
+    }
+
+    void startAsOnlyEntry()
+    {
+        m_dispatcher.setShare({1, 0});
+        start();
+    }
+
+    void name(const std::string &value)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_named = value;
+    }
+
+    /// Calls again and again, about 50 times a second.
+    void callFor(domain::Duration time)
+    {
+        for (const auto end = Clock::now() + time; Clock::now() < end;) {
+            call(request("POST", "/order/1", Close, "o"));
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+
+    /// Arrivals from one point in time up to a later one.
+    std::size_t arrivals(Clock::time_point from, domain::Duration time)
+    {
+        const std::scoped_lock lock(m_mutex);
+        return static_cast<std::size_t>(std::count_if(m_arrivals.begin(), m_arrivals.end(),
+                [&](const auto &at) { return at >= from && at < from + time; }));
+    }
+
+private:
+    std::mutex m_mutex;
+    std::string m_named;
+    std::vector<Clock::time_point> m_arrivals;
+};
+
+// Guards against an entry that goes on sending to an endpoint whatever limit its answers name: from
+// half a second after the first such answer the operator's bound holds, and 0.8 of the limit is
+// used.
+TEST_F(EndpointLimitFixture, serve_endpointNamesLimit_boundKeptAndLimitUsed)
+{
+    addNaming("2.0");
+    startAsOnlyEntry();
+    ASSERT_EQ(statusOf(call(request("POST", "/order/1", Close, "o"))), 200U);
+    const auto begun = Clock::now();
+    callFor(4600ms);
+    // Operator's bound in 4 s: one and a half times the limit, and five requests.
+    EXPECT_LE(arrivals(begun + 500ms, 4s), 17U);
+    EXPECT_GE(arrivals(begun + 500ms, 4s), 6U);
+}
+
+// Guards against a limit that outlasts its naming: the endpoint's next answer without it ends it.
+TEST_F(EndpointLimitFixture, serve_limitNotNamedAnyMore_endpointUsedAsBefore)
+{
+    addNaming("5");
+    startAsOnlyEntry();
+    callFor(1200ms);
+    name("");
+    callFor(400ms);
+    const auto begun = Clock::now();
+    callFor(1s);
+    EXPECT_GE(arrivals(begun, 1s), 20U);
+}
+
+// Guards against a refusal that names a time at which the caller would be refused again, when the
+// only endpoint of a service takes no more than its limit.
+TEST_F(EndpointLimitFixture, serve_onlyEndpointAtItsLimit_refusedAtOnceWithTruthfulTime)
+{
+    addNaming("0.5");
+    startAsOnlyEntry();
+    std::string refused;
+    for (int i = 0; i < 50 && statusOf(refused) != 503; ++i)
+        refused = call(request("POST", "/order/1", Close, "o"));
+    ASSERT_EQ(statusOf(refused), 503U);
+    const double seconds = std::stod(fieldOf(refused, "Retry-After"));
+    EXPECT_GT(seconds, 0.5);
+    std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+    EXPECT_EQ(statusOf(call(request("POST", "/order/1", Close, "o"))), 200U);
+}
+
+} // namespace oriolerill::relay
