--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -332,6 +332,10 @@
         if (count.local.entries > local.entries)
             local = count.local;
     }
+    m_dispatcher.limits().setTimeOfDayOffset(
+            std::chrono::duration_cast<domain::Duration>(
+                    std::chrono::system_clock::now().time_since_epoch())
+            - now.time_since_epoch());
     const bool wasReader = isReader();
     m_localRank = local;
     if (wasReader != isReader()) {
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -541,6 +541,7 @@
         if (m_context.onLeaving)
             m_context.onLeaving();
     }
+    heedLimit(head, instance);
     if (!head.quietSeconds)
         return;
     constexpr std::array Verdicts = {"taken", "shortened", "ignored"};
@@ -552,6 +553,27 @@
                     {"verdict", Verdicts[static_cast<std::size_t>(verdict)]}});
 }
 
+void RequestRun::heedLimit(
+        const routing::AnswerHead &head, const routing::EndpointInstance &instance)
+{
+    // A late copy of an earlier answer says what held at that time.
+    if (head.id != m_about.id || !m_sentAt)
+        return;
+    const routing::LimitVerdict verdict = m_context.dispatcher.limits().onAnswer(
+            instance, head.limitPerSecond, *m_sentAt, TimePoint::clock::now());
+    if (verdict == routing::LimitVerdict::Unchanged)
+        return;
+    constexpr std::array Verdicts = {"unchanged", "taken", "bounded", "ignored", "ended"};
+    const bool isSound
+            = verdict == routing::LimitVerdict::Taken || verdict == routing::LimitVerdict::Ended;
+    logEvent(isSound ? Severity::Info : Severity::Warning, "endpoint_limit",
+            {{"endpoint", instance.id.value()}, {"started_at_ms", instance.startedAtMs},
+                    {"request", m_about.id.value()},
+                    {"per_second", head.limitPerSecond.value_or(0)},
+                    {"entries", m_context.dispatcher.share().entries},
+                    {"verdict", Verdicts[static_cast<std::size_t>(verdict)]}});
+}
+
 asio::awaitable<beast::error_code> RequestRun::readSome(
         Parser &parser, std::string &piece, TimePoint deadline)
 {
@@ -707,12 +729,19 @@
 
 OwnAnswer RequestRun::refuse(const routing::Refusal &refusal)
 {
-    const bool isFull = refusal.reason == routing::RefusalReason::Full;
-    m_detail = (isFull ? "all endpoints are full" : "no endpoint may take the request");
+    struct Words
+    {
+        const char *metric;
+        const char *detail;
+    };
+    constexpr std::array<Words, 3> Reasons = {{{"no_endpoint", "no endpoint may take the request"},
+            {"full", "all endpoints are full"},
+            {"limited", "the endpoints are at the limits that they name"}}};
+    const Words &words = Reasons[static_cast<std::size_t>(refusal.reason)];
+    m_detail = words.detail;
     m_detail += ", listed " + std::to_string(refusal.listed) + " usable "
             + std::to_string(refusal.usable);
-    m_context.metrics.increment(
-            "oriolerill_relay_refusals_total", {{"reason", isFull ? "full" : "no_endpoint"}});
+    m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", words.metric}});
     return {503, {ErrorKind::Overloaded, "not run: " + m_detail, "come back after Retry-After"},
             refusal.retryAfter};
 }
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -69,6 +69,7 @@
             Parser &parser, std::string &piece, domain::TimePoint deadline);
     /// Takes what the endpoint says about itself.
     void heed(const routing::AnswerHead &head, const routing::Dispatch &dispatch);
+    void heedLimit(const routing::AnswerHead &head, const routing::EndpointInstance &instance);
     void releaseHeld();
     /// Now, with the time that the machine was suspended since the request arrived.
     domain::TimePoint callersNow();
--- a/src/routing/callerrequest.h
+++ b/src/routing/callerrequest.h
@@ -69,6 +69,9 @@
     /// Seconds for which an endpoint that refuses wants no requests; not a number when the value
     /// cannot be read, none without one.
     std::optional<double> quietSeconds;
+    /// Requests a second that the endpoint takes from all entries together; not a number when the
+    /// value cannot be read, none without one.
+    std::optional<double> limitPerSecond;
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 };
--- a/src/routing/coldallowance.h
+++ b/src/routing/coldallowance.h
@@ -2,6 +2,7 @@
 
 #include "domain/strongid.h"
 #include "domain/timepoint.h"
+#include "routing/entryshare.h"
 
 #include <deque>
 #include <map>
@@ -21,13 +22,6 @@
     domain::Duration choiceLife = std::chrono::milliseconds(1000);
 };
 
-/// How many entries share a bound, and the place of this one in their order.
-struct EntryShare
-{
-    std::size_t entries = 1;
-    std::size_t rank = 0;
-};
-
 /// This entry's part of the requests that a cold endpoint bears.
 ///
 /// Load pattern: an endpoint returns empty-handed in the middle of a busy day, and every entry sees
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "routing/callerrequest.h"
 #include "routing/coldallowance.h"
+#include "routing/endpointlimits.h"
 #include "routing/endpointlist.h"
 #include "routing/endpointload.h"
 #include "routing/endpointnotices.h"
@@ -37,6 +38,7 @@
     double coldSlack = 5;
     WeightsRequirementOptions weights;
     ColdAllowanceOptions cold;
+    EndpointLimitsOptions limits;
     EndpointLoadOptions load;
     EndpointListOptions list;
     PlacementOptions placement;
@@ -87,6 +89,8 @@
     std::uint64_t newestWeights = 0;
     double startMs = 0;
     bool isCold = false;
+    /// The endpoint has named a limit, and the request uses one of this entry's slots.
+    bool isLimited = false;
 };
 
 enum class RefusalReason {
@@ -94,6 +98,8 @@
     NoEndpoint,
     /// All would start it too late.
     Full,
+    /// An endpoint could take it but for the limit that it has named.
+    Limited,
 };
 
 struct Refusal
@@ -123,6 +129,8 @@
     const EndpointList &endpoints() const { return m_endpoints; }
     EndpointNotices &notices() { return m_notices; }
     const EndpointNotices &notices() const { return m_notices; }
+    EndpointLimits &limits() { return m_limits; }
+    const EndpointLimits &limits() const { return m_limits; }
     WeightsRequirement &weights() { return m_weights; }
     const WeightsRequirement &weights() const { return m_weights; }
     /// How many entries there are, and the place of this one among them.
@@ -165,6 +173,8 @@
         std::vector<PlacementCandidate> paused;
         std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
         std::optional<domain::TimePoint> quietUntil;
+        /// Earliest slot of this entry at an endpoint that is at its limit.
+        std::optional<domain::TimePoint> limitedUntil;
 
         /// With nothing else left, an endpoint that failed lately is still worth a try.
         const std::vector<PlacementCandidate> &pool() const
@@ -203,6 +213,7 @@
     EndpointNotices m_notices;
     WeightsRequirement m_weights;
     ColdAllowance m_cold;
+    EndpointLimits m_limits;
     Placement m_placement;
     std::map<domain::EndpointId, EndpointLoad> m_loads;
     std::map<domain::ServiceId, RetryBudget> m_retries;
--- /dev/null
+++ b/src/routing/endpointinstance.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "domain/strongid.h"
+
+#include <cstdint>
+
+namespace oriolerill::routing {
+
+/// One process of an endpoint; a restart may keep the id.
+struct EndpointInstance
+{
+    domain::EndpointId id;
+    /// Milliseconds since the Unix epoch; zero when not known.
+    std::uint64_t startedAtMs = 0;
+};
+
+/// An instance whose start is not known may be any.
+constexpr bool isSameStart(std::uint64_t one, std::uint64_t other)
+{
+    return one == other || one == 0 || other == 0;
+}
+
+} // namespace oriolerill::routing
--- a/src/routing/endpointnotices.h
+++ b/src/routing/endpointnotices.h
@@ -2,6 +2,7 @@
 
 #include "domain/strongid.h"
 #include "domain/timepoint.h"
+#include "routing/endpointinstance.h"
 #include "routing/endpointlist.h"
 
 #include <cstdint>
@@ -11,14 +12,6 @@
 
 namespace oriolerill::routing {
 
-/// One process of an endpoint; a restart may keep the id.
-struct EndpointInstance
-{
-    domain::EndpointId id;
-    /// Milliseconds since the Unix epoch; zero when not known.
-    std::uint64_t startedAtMs = 0;
-};
-
 struct EndpointNoticesOptions
 {
     /// Bound on the quiet that an endpoint may ask for; a longer one is more likely a fault of the
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -11,6 +11,7 @@
     , m_endpoints(m_options.list)
     , m_weights(m_options.weights)
     , m_cold(m_options.cold)
+    , m_limits(m_options.limits)
     , m_placement(m_options.placement)
     , m_share{m_options.assumedEntries, m_options.seed % m_options.assumedEntries}
     , m_random(m_options.seed)
@@ -231,8 +232,8 @@
 Refusal Dispatcher::refuse(RefusalReason reason, double waitMs)
 {
     using std::chrono::milliseconds;
-    const auto shortest = reason == RefusalReason::Full ? m_options.shortestReturn
-                                                        : m_options.shortestReturnWithout;
+    const auto shortest = reason == RefusalReason::NoEndpoint ? m_options.shortestReturnWithout
+                                                              : m_options.shortestReturn;
     const auto wait = std::chrono::duration_cast<domain::Duration>(
             std::chrono::duration<double, std::milli>(waitMs));
     // Spread over the same time again, so that those who return do not arrive together.
@@ -262,6 +263,11 @@
         candidates.quietUntil = std::min(candidates.quietUntil.value_or(*until), *until);
         return;
     }
+    const auto slot = m_limits.nextSlot(endpoint, m_share, now);
+    if (slot && *slot > now) {
+        candidates.limitedUntil = std::min(candidates.limitedUntil.value_or(*slot), *slot);
+        return;
+    }
     const double coldBound = service.coldPerSecond * m_options.coldOverage + m_options.coldSlack;
     if (isCold(endpoint, service, now)
             && !m_cold.hasRoom(endpoint.id, endpoint.coldUntil, coldBound, m_share, now))
@@ -312,11 +318,16 @@
     const auto &pool = candidates.pool();
     const auto chosen = m_placement.choose(pool, m_random);
     if (!chosen) {
-        Refusal refusal = refuse(RefusalReason::NoEndpoint, 0);
+        const auto reason
+                = candidates.limitedUntil ? RefusalReason::Limited : RefusalReason::NoEndpoint;
+        Refusal refusal = refuse(reason, 0);
         refusal.listed = listedCount(query.service);
-        // Before an endpoint's quiet time ends a caller would come back in vain.
-        if (candidates.quietUntil)
-            refusal.retryAfter = std::max(refusal.retryAfter, *candidates.quietUntil - now);
+        // A caller that returned before an endpoint may take it would be refused again.
+        const auto freeAt = candidates.quietUntil && candidates.limitedUntil
+                ? std::min(candidates.quietUntil, candidates.limitedUntil)
+                : std::max(candidates.quietUntil, candidates.limitedUntil);
+        if (freeAt)
+            refusal.retryAfter = std::max(refusal.retryAfter, *freeAt - now);
         return refusal;
     }
     const PlacementCandidate &best = pool[*chosen];
@@ -340,6 +351,9 @@
     dispatch.isCold = isCold(*endpoint, *service, now);
     if (dispatch.isCold)
         m_cold.onChosen(best.endpoint, now);
+    dispatch.isLimited = m_limits.perSecond(*endpoint).has_value();
+    if (dispatch.isLimited)
+        m_limits.onChosen(*endpoint, m_share, now);
     dispatch.servedWeights = candidates.versions[best.endpoint].value_or(0);
     dispatch.newestWeights = m_weights.newest(query.request->model);
     if (m_weights.lowest(query.request->model, now) > 0 || query.pinnedWeights)
@@ -368,6 +382,8 @@
 {
     if (dispatch.isCold)
         m_cold.onNotSent(dispatch.endpoint);
+    if (dispatch.isLimited)
+        m_limits.onNotSent(dispatch.endpoint, m_share);
 }
 
 } // namespace oriolerill::routing
--- a/src/routing/internal/endpointnotices.cpp
+++ b/src/routing/internal/endpointnotices.cpp
@@ -5,16 +5,6 @@
 
 namespace oriolerill::routing {
 
-namespace {
-
-/// An instance whose start is not known may be any.
-bool isSameStart(std::uint64_t one, std::uint64_t other)
-{
-    return one == other || one == 0 || other == 0;
-}
-
-} // namespace
-
 EndpointNotices::EndpointNotices(EndpointNoticesOptions options)
     : m_options(options)
 {}
