--- a/src/routing/internal/endpointlimits.cpp
+++ b/src/routing/internal/endpointlimits.cpp
@@ -102,8 +102,10 @@
     if (limit.usedAt) {
         const Duration used = limit.usedAt->time_since_epoch() + m_offset;
         // A used slot far ahead stems from a time of day that has been set back since.
-        if (used <= commonNow + period)
-            slot = std::max(slot, floorOf(used - phase, period) + 1);
+        if (used <= commonNow + period) {
+            // The nearest slot is the used one: the offset is read anew and jitters.
+            slot = std::max(slot, floorOf(used - phase + period / 2, period) + 1);
+        }
     }
     return TimePoint(slot * period + phase - m_offset);
 }
--- a/src/routing/tests/endpointlimitstest.cpp
+++ b/src/routing/tests/endpointlimitstest.cpp
@@ -173,6 +173,25 @@
     }
 }
 
+// Guards against slots that are used again, because two readings of the clocks differ a little each
+// time and a used slot seems to begin later than it was used.
+TEST_F(EndpointLimitsFixture, nextSlot_clockReadingsJitter_eachSlotUsedOnce)
+{
+    LimitedFleet fleet(8, 1.8, 5);
+    std::mt19937_64 random(5);
+    std::uniform_int_distribution<int> jitter(-500, 500);
+    for (int i = 0; i < 150; ++i) {
+        for (std::size_t entry = 0; entry < 8; ++entry) {
+            fleet.entry(entry).setTimeOfDayOffset(
+                    std::chrono::microseconds(jitter(random)) - fleet.offset(entry));
+        }
+        fleet.run(400ms, 80);
+    }
+    EXPECT_LE(static_cast<double>(fleet.mostIn4s()), allowedIn4s(1.8));
+    EXPECT_LE(static_cast<double>(fleet.sent()), 1.8 * 60 + 5);
+    EXPECT_GE(static_cast<double>(fleet.sent()), 1.8 * 0.8 * 60);
+}
+
 // Guards against a limit that outlasts its instance, one that ends by an answer from before its
 // naming, and an answer of a replaced instance that limits its successor.
 TEST_F(EndpointLimitsFixture, onAnswer_otherInstanceOrEarlierAnswer_onlyTheNewestCounts)
