--- a/standins/soakchecks.cpp
+++ b/standins/soakchecks.cpp
@@ -56,6 +56,49 @@
             + secondsSince(attempt.sent) + " ago";
 }
 
+void SoakChecks::onLimit(const std::string &instance, double perSecond)
+{
+    if (perSecond > 0)
+        m_limits[instance] = {perSecond, TimePoint::clock::now(), {}, {}};
+    else
+        m_limits.erase(instance);
+}
+
+void SoakChecks::onLimitNamed(const SoakAttempt &attempt, const std::string &instance)
+{
+    const auto limit = m_limits.find(instance);
+    if (limit != m_limits.end())
+        limit->second.named.try_emplace(attempt.entry, TimePoint::clock::now());
+}
+
+/// LIMIT. A fault of an entry excuses it.
+void SoakChecks::checkLimit(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint)
+{
+    const auto found = m_limits.find(endpoint.instance);
+    if (found == m_limits.end())
+        return;
+    Limit &limit = found->second;
+    const TimePoint now = TimePoint::clock::now();
+    const auto named = limit.named.find(attempt.entry);
+    const bool isBound = named != limit.named.end() && now >= named->second + LimitNotice
+            && now >= limit.since + SoakJournal::ContactTime
+            && m_journal.isCalm(attempt.entry, now - SoakJournal::ContactTime, now);
+    if (!isBound)
+        return;
+    ++m_limited;
+    std::deque<TimePoint> &arrivals = limit.arrivals;
+    arrivals.push_back(now);
+    while (arrivals.front() + LimitWindow <= now)
+        arrivals.pop_front();
+    const std::chrono::duration<double> window = LimitWindow;
+    const double allowed = limit.perSecond * LimitOverage * window.count() + LimitSlack;
+    if (static_cast<double>(arrivals.size()) > allowed) {
+        m_journal.violation("LIMIT",
+                std::to_string(arrivals.size()) + " requests in 4 s at a limit of "
+                        + std::to_string(limit.perSecond) + ": " + text(attempt));
+    }
+}
+
 bool SoakChecks::isInTouch(const SoakAttempt &attempt, TimePoint now) const
 {
     return m_journal.isInTouch(attempt.entry, attempt.sent)
@@ -95,6 +138,7 @@
     if (method != attempt.method || target != attempt.target || body != attempt.body)
         m_journal.violation("UNASKED", "changed on the way: " + text(attempt));
     checkLeaving(attempt, endpoint);
+    checkLimit(attempt, endpoint);
     return found->second;
 }
 
@@ -260,6 +304,7 @@
 std::string SoakChecks::summary() const
 {
     std::string line = "requests=" + std::to_string(m_attempts.size());
+    line += " limited=" + std::to_string(m_limited);
     for (const auto &[outcome, count] : m_outcomes)
         line += ' ' + outcome + '=' + std::to_string(count);
     return line;
--- a/standins/soakchecks.h
+++ b/standins/soakchecks.h
@@ -3,6 +3,7 @@
 #include "soakattempt.h"
 #include "soakjournal.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,6 +39,12 @@
     /// Requests that a calm entry may leave without an answer.
     static constexpr int MaxLost = 3;
     static constexpr auto LossSlack = std::chrono::milliseconds(200);
+    /// An endpoint's limit counts from the contact time after it is first named, for entries that
+    /// have had an answer with it for this long.
+    static constexpr auto LimitNotice = std::chrono::milliseconds(500);
+    static constexpr auto LimitWindow = std::chrono::seconds(4);
+    static constexpr double LimitOverage = 1.5;
+    static constexpr double LimitSlack = 5;
 
     explicit SoakChecks(SoakJournal &journal);
 
@@ -45,6 +52,10 @@
     void onConfig(std::uint64_t version);
     void onWeights(std::uint64_t version);
     void onEvacuation(const std::string &zone, bool isWithdrawn);
+    /// An endpoint names a limit from now on; zero: none any more.
+    void onLimit(const std::string &instance, double perSecond);
+    /// An answer that names it is about to be sent.
+    void onLimitNamed(const SoakAttempt &attempt, const std::string &instance);
     std::uint64_t newestConfig() const { return m_configs.empty() ? 0 : m_configs.rbegin()->first; }
     /// Version before the newest; the newest when there is no other.
     std::uint64_t previousConfig() const
@@ -73,6 +84,7 @@
 private:
     void checkConfig(const SoakAttempt &attempt, bool isKnown);
     void checkLeaving(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
+    void checkLimit(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
     void checkWeights(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
     bool isInTouch(const SoakAttempt &attempt, domain::TimePoint now) const;
     /// Whether the bound of configuration or withdrawals, which counts from `since`, has passed.
@@ -88,7 +100,17 @@
         domain::TimePoint seenAt;
     };
 
+    struct Limit
+    {
+        double perSecond = 0;
+        domain::TimePoint since;
+        /// Entries with the time of their first answer that named it.
+        std::map<std::string, domain::TimePoint> named;
+        std::deque<domain::TimePoint> arrivals;
+    };
+
     SoakJournal &m_journal;
+    std::map<std::string, Limit> m_limits;
     std::unordered_map<std::string, std::shared_ptr<SoakAttempt>> m_attempts;
     std::map<std::uint64_t, domain::TimePoint> m_configs;
     std::map<std::uint64_t, domain::TimePoint> m_weights;
@@ -97,6 +119,8 @@
     std::map<SoakKind, std::size_t> m_served;
     std::map<std::string, std::size_t> m_outcomes;
     int m_lost = 0;
+    /// Arrivals for which a limit was in force.
+    std::size_t m_limited = 0;
 };
 
 } // namespace oriolerill::standins
--- a/standins/soakendpoint.cpp
+++ b/standins/soakendpoint.cpp
@@ -218,6 +218,24 @@
     m_journal.endFault(m_options.name);
 }
 
+asio::awaitable<void> SoakEndpoint::nameLimit(double perSecond, domain::Duration time)
+{
+    const std::string instance = m_instance;
+    m_journal.note("endpoint " + instance + " names a limit of " + std::to_string(perSecond));
+    m_limit = perSecond;
+    m_checks.onLimit(instance, perSecond);
+    co_await sleepFor(time);
+    m_limit = 0;
+    m_checks.onLimit(instance, 0);
+}
+
+std::string SoakEndpoint::limitField() const
+{
+    if (m_limit <= 0)
+        return {};
+    return std::string(names::Limit) + ": " + std::to_string(m_limit) + "\r\n";
+}
+
 SoakEndpoint::Fault SoakEndpoint::drawFault()
 {
     constexpr unsigned OneIn = 3;
@@ -281,7 +299,7 @@
 {
     std::string text = "HTTP/1.1 " + std::to_string(status)
             + " Refused\r\nContent-Length: 0\r\nNot-Executed: 1\r\nAttempt-Id: "
-            + fieldOf(request, names::AttemptId) + "\r\n\r\n";
+            + fieldOf(request, names::AttemptId) + "\r\n" + limitField() + "\r\n";
     co_return co_await send(socket, std::move(text));
 }
 
@@ -365,10 +383,12 @@
                 std::uniform_int_distribution<int>(500, 3000)(m_random));
         co_await sleepFor(delay);
     }
-    std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt->id
-            + "\r\nServer-Signature: " + attempt->id + '.' + instance
-            + "\r\nServer-Load: " + std::to_string(m_engine.running) + ','
-            + std::to_string(m_engine.waiting) + ',' + std::to_string(m_options.slots) + "\r\n";
+    std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt->id + "\r\nServer-Signature: "
+            + attempt->id + '.' + instance + "\r\nServer-Load: " + std::to_string(m_engine.running)
+            + ',' + std::to_string(m_engine.waiting) + ',' + std::to_string(m_options.slots)
+            + "\r\n" + limitField();
+    if (m_limit > 0)
+        m_checks.onLimitNamed(*attempt, instance);
     bool isKept = false;
     if (attempt->isStream()) {
         head += "Weight-Versions: " + std::to_string(m_engine.version()) + "\r\n";
--- a/standins/soakendpoint.h
+++ b/standins/soakendpoint.h
@@ -44,6 +44,8 @@
     boost::asio::awaitable<void> drainAndRestart(domain::Duration longer, domain::Duration pause);
     boost::asio::awaitable<void> crashAndRestart(domain::Duration pause);
     boost::asio::awaitable<void> misbehave(Fault fault, domain::Duration time);
+    /// Names a limit in each of its answers for the time.
+    boost::asio::awaitable<void> nameLimit(double perSecond, domain::Duration time);
     bool isBusy = false;
 
 private:
@@ -65,6 +67,7 @@
     boost::asio::awaitable<bool> sendPlain(
             Socket &socket, const std::string &head, const std::string &body, Fault fault);
     boost::asio::awaitable<bool> send(Socket &socket, std::string bytes);
+    std::string limitField() const;
     void end();
     static void reset(Socket &socket);
     SoakEndpointFacts facts() const;
@@ -89,6 +92,8 @@
     bool m_isUp = false;
     bool m_isDraining = false;
     std::optional<domain::TimePoint> m_drainAckedAt;
+    /// Requests a second; zero without a limit.
+    double m_limit = 0;
     bool m_wasStoreStable = false;
     Fault m_fault = Fault::None;
     /// Earlier instances whose entries lapse, as they send nothing more.
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -404,6 +404,10 @@
     add("drain", 2500ms, [this](SoakEndpoint &endpoint) {
         return endpoint.drainAndRestart(drawTime(500, 4000), drawTime(500, 2500));
     });
+    add("limit", 2s, [this](SoakEndpoint &endpoint) {
+        return endpoint.nameLimit(
+                std::uniform_real_distribution<double>(0.5, 6)(m_random), drawTime(5000, 12000));
+    });
     add("crash", 3s, [this](SoakEndpoint &endpoint) {
         return endpoint.crashAndRestart(drawTime(200, 4000));
     });
