--- /dev/null
+++ b/src/relay/internal/answernotices.cpp
@@ -0,0 +1,102 @@
+#include "relay/internal/answernotices.h"
+
+#include "observability/log.h"
+
+namespace oriolerill::relay::internal {
+
+using domain::TimePoint;
+using observability::logEvent;
+using observability::Severity;
+using routing::LimitVerdict;
+using routing::QuietVerdict;
+
+namespace {
+
+const char *toString(QuietVerdict verdict)
+{
+    switch (verdict) {
+    case QuietVerdict::Taken:
+        return "taken";
+    case QuietVerdict::Shortened:
+        return "shortened";
+    case QuietVerdict::Ignored:
+        return "ignored";
+    }
+    return "ignored";
+}
+
+const char *toString(LimitVerdict verdict)
+{
+    switch (verdict) {
+    case LimitVerdict::Unchanged:
+        return "unchanged";
+    case LimitVerdict::Taken:
+        return "taken";
+    case LimitVerdict::Raised:
+        return "raised";
+    case LimitVerdict::Bounded:
+        return "bounded";
+    case LimitVerdict::Ignored:
+        return "ignored";
+    case LimitVerdict::Ended:
+        return "ended";
+    }
+    return "ignored";
+}
+
+void takeLeaving(RelayContext &context, const AnsweredAttempt &attempt, TimePoint now)
+{
+    if (!context.dispatcher.notices().onLeaving(attempt.instance, now))
+        return;
+    logEvent(Severity::Info, "endpoint_leaving",
+            {{"endpoint", attempt.instance.id.value()},
+                    {"started_at_ms", attempt.instance.startedAtMs},
+                    {"request", attempt.request.value()}, {"source", "answer"}});
+    if (context.onLeaving)
+        context.onLeaving();
+}
+
+void takeQuiet(RelayContext &context, double seconds, const AnsweredAttempt &attempt, TimePoint now)
+{
+    const QuietVerdict verdict
+            = context.dispatcher.notices().onQuiet(attempt.instance, seconds, now);
+    logEvent(verdict == QuietVerdict::Taken ? Severity::Info : Severity::Warning, "endpoint_quiet",
+            {{"endpoint", attempt.instance.id.value()}, {"request", attempt.request.value()},
+                    {"seconds", seconds}, {"verdict", toString(verdict)}});
+}
+
+void takeLimit(RelayContext &context, std::optional<double> perSecond,
+        const AnsweredAttempt &attempt, TimePoint now)
+{
+    const LimitVerdict verdict = context.dispatcher.limits().onAnswer(
+            attempt.instance, perSecond, attempt.sentAt, now);
+    if (verdict == LimitVerdict::Unchanged)
+        return;
+    const bool isMalformed = verdict == LimitVerdict::Bounded || verdict == LimitVerdict::Ignored;
+    logEvent(isMalformed ? Severity::Warning : Severity::Info, "endpoint_limit",
+            {{"endpoint", attempt.instance.id.value()},
+                    {"started_at_ms", attempt.instance.startedAtMs},
+                    {"request", attempt.request.value()}, {"per_second", perSecond.value_or(0)},
+                    {"entries", context.dispatcher.share().entries}, {"source", "answer"},
+                    {"verdict", toString(verdict)}});
+    const bool isRaised = verdict == LimitVerdict::Raised || verdict == LimitVerdict::Ended;
+    if (isRaised && context.onLimitRaised)
+        context.onLimitRaised(attempt.instance, perSecond);
+}
+
+} // namespace
+
+void takeNotices(
+        RelayContext &context, const routing::AnswerHead &head, const AnsweredAttempt &attempt)
+{
+    const TimePoint now = TimePoint::clock::now();
+    if (head.isLeaving)
+        takeLeaving(context, attempt, now);
+    if (head.quietSeconds)
+        takeQuiet(context, *head.quietSeconds, attempt, now);
+    // A late copy of an earlier answer names the limit of that time.
+    if (head.id == attempt.request)
+        takeLimit(context, head.limitPerSecond, attempt, now);
+}
+
+} // namespace oriolerill::relay::internal
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -110,6 +110,51 @@
     }
 }
 
+void LoadListener::publishRaisedLimit(
+        const routing::EndpointInstance &instance, std::optional<double> perSecond)
+{
+    const routing::ListedEndpoint *endpoint = m_dispatcher.endpoints().find(instance.id);
+    const routing::ListedEndpoint *publisher
+            = endpoint == nullptr ? nullptr : publisherFor(*endpoint);
+    if (publisher == nullptr)
+        return;
+    protocol::AgentDatagram datagram;
+    protocol::RaisedLimit &raised = *datagram.mutable_raised_limit();
+    raised.set_id(instance.id.value());
+    raised.set_started_at_ms(instance.startedAtMs);
+    if (perSecond)
+        raised.set_per_second(*perSecond);
+    // An entry that misses the datagram learns of it with its next request to the endpoint.
+    sendTo(*publisher, datagram.SerializeAsString());
+}
+
+const routing::ListedEndpoint *LoadListener::publisherFor(const routing::ListedEndpoint &endpoint)
+{
+    if (isEngine(endpoint))
+        return &endpoint;
+    for (const auto &[id, service] : m_dispatcher.config()->services()) {
+        const routing::WorkingSet *set = m_dispatcher.workingSet(id);
+        // All entries subscribe to these agents.
+        if (set != nullptr && !set->counters().empty())
+            return m_dispatcher.endpoints().find(set->counters().front());
+    }
+    return nullptr;
+}
+
+void LoadListener::takeRaisedLimit(const protocol::RaisedLimit &raised)
+{
+    const routing::EndpointInstance instance{
+            domain::EndpointId(raised.id()), raised.started_at_ms()};
+    const auto perSecond
+            = raised.has_per_second() ? std::optional(raised.per_second()) : std::nullopt;
+    if (!m_dispatcher.limits().onRaised(instance, perSecond))
+        return;
+    observability::logEvent(observability::Severity::Info, "endpoint_limit",
+            {{"endpoint", instance.id.value()}, {"started_at_ms", instance.startedAtMs},
+                    {"per_second", perSecond.value_or(0)}, {"source", "entry"},
+                    {"verdict", perSecond ? "raised" : "ended"}});
+}
+
 protocol::StoreKnowledge LoadListener::knowledge() const
 {
     protocol::StoreKnowledge knowledge = m_fleet.knowledge();
@@ -283,6 +328,8 @@
         }
         if (datagram.has_update())
             takeUpdate(datagram.update(), TimePoint::clock::now());
+        if (datagram.has_raised_limit())
+            takeRaisedLimit(datagram.raised_limit());
         if (!datagram.has_report())
             continue;
         const protocol::LoadReport &message = datagram.report();
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -31,6 +31,9 @@
     /// Tells the agents of this data centre at once what this entry has just learnt: a named
     /// version, or an endpoint that is leaving.
     void tellNow();
+    /// Sends the other entries that an endpoint has raised or ended its limit.
+    void publishRaisedLimit(
+            const routing::EndpointInstance &instance, std::optional<double> perSecond);
     /// Tells the other entries of this data centre what the own watches have brought, if this entry
     /// reads the store for them.
     void publishUpdates(const SharedChanges &changes);
@@ -63,6 +66,9 @@
     void sendTo(const routing::ListedEndpoint &endpoint, const std::string &bytes);
     /// What this entry knows of the store, and which endpoints say that they are leaving.
     protocol::StoreKnowledge knowledge() const;
+    /// Endpoint whose agent passes on what concerns the given one: itself, if it has an agent.
+    const routing::ListedEndpoint *publisherFor(const routing::ListedEndpoint &endpoint);
+    void takeRaisedLimit(const protocol::RaisedLimit &raised);
     void learnLeaving(const protocol::StoreKnowledge &knowledge, domain::TimePoint now);
     void countEntries(domain::TimePoint now);
 
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -26,6 +26,9 @@
     std::size_t heldAnswerBytes = 0;
     /// Called when an endpoint has said that it is leaving.
     std::function<void()> onLeaving;
+    /// Called when an endpoint has named a higher limit than before, or none any more.
+    std::function<void(const routing::EndpointInstance &, std::optional<double> perSecond)>
+            onLimitRaised;
     /// The process ends soon: each answer closes its connection.
     bool isStopping = false;
     /// No further request is read from any connection.
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -106,6 +106,10 @@
         m_follower.onOwnChanges(
                 [this](const internal::SharedChanges &changes) { m_load.publishUpdates(changes); });
         m_relay.onLeaving = [this] { m_load.tellNow(); };
+        m_relay.onLimitRaised = [this](const routing::EndpointInstance &instance,
+                                        std::optional<double> perSecond) {
+            m_load.publishRaisedLimit(instance, perSecond);
+        };
         const auto giveConfiguration = [this](transport::HttpServerExchange &exchange) {
             return internal::ConfigurationExchange::answer(exchange, m_follower.configuration());
         };
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -2,6 +2,7 @@
 
 #include "observability/log.h"
 #include "platform/callercodec.h"
+#include "relay/internal/answernotices.h"
 #include "relay/internal/callerwatch.h"
 #include "relay/internal/ownanswer.h"
 
@@ -482,7 +483,8 @@
         if (parser.get().result_int() < 200)
             continue;
         const routing::AnswerHead head = platform::readAnswerHead(parser.get());
-        heed(head, dispatch);
+        takeNotices(m_context, head,
+                {{dispatch.endpoint, dispatch.startedAtMs}, m_about.id, m_sentAt.value()});
         const bool isOwn = head.id == m_about.id;
         const bool isStream = head.isEventStream && head.isSuccess() && isOwn;
         if (head.load && isOwn) {
@@ -529,51 +531,6 @@
     co_return AttemptEnd::Lost;
 }
 
-void RequestRun::heed(const routing::AnswerHead &head, const routing::Dispatch &dispatch)
-{
-    const routing::EndpointInstance instance{dispatch.endpoint, dispatch.startedAtMs};
-    const TimePoint now = TimePoint::clock::now();
-    routing::EndpointNotices &notices = m_context.dispatcher.notices();
-    if (head.isLeaving && notices.onLeaving(instance, now)) {
-        logEvent(Severity::Info, "endpoint_leaving",
-                {{"endpoint", instance.id.value()}, {"started_at_ms", instance.startedAtMs},
-                        {"request", m_about.id.value()}, {"source", "answer"}});
-        if (m_context.onLeaving)
-            m_context.onLeaving();
-    }
-    heedLimit(head, instance);
-    if (!head.quietSeconds)
-        return;
-    constexpr std::array Verdicts = {"taken", "shortened", "ignored"};
-    const routing::QuietVerdict verdict = notices.onQuiet(instance, *head.quietSeconds, now);
-    logEvent(verdict == routing::QuietVerdict::Taken ? Severity::Info : Severity::Warning,
-            "endpoint_quiet",
-            {{"endpoint", instance.id.value()}, {"request", m_about.id.value()},
-                    {"seconds", *head.quietSeconds},
-                    {"verdict", Verdicts[static_cast<std::size_t>(verdict)]}});
-}
-
-void RequestRun::heedLimit(
-        const routing::AnswerHead &head, const routing::EndpointInstance &instance)
-{
-    // A late copy of an earlier answer says what held at that time.
-    if (head.id != m_about.id || !m_sentAt)
-        return;
-    const routing::LimitVerdict verdict = m_context.dispatcher.limits().onAnswer(
-            instance, head.limitPerSecond, *m_sentAt, TimePoint::clock::now());
-    if (verdict == routing::LimitVerdict::Unchanged)
-        return;
-    constexpr std::array Verdicts = {"unchanged", "taken", "bounded", "ignored", "ended"};
-    const bool isSound
-            = verdict == routing::LimitVerdict::Taken || verdict == routing::LimitVerdict::Ended;
-    logEvent(isSound ? Severity::Info : Severity::Warning, "endpoint_limit",
-            {{"endpoint", instance.id.value()}, {"started_at_ms", instance.startedAtMs},
-                    {"request", m_about.id.value()},
-                    {"per_second", head.limitPerSecond.value_or(0)},
-                    {"entries", m_context.dispatcher.share().entries},
-                    {"verdict", Verdicts[static_cast<std::size_t>(verdict)]}});
-}
-
 asio::awaitable<beast::error_code> RequestRun::readSome(
         Parser &parser, std::string &piece, TimePoint deadline)
 {
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -67,9 +67,6 @@
     boost::asio::awaitable<AttemptEnd> relayWhole(Parser &parser, const routing::AnswerHead &head);
     boost::asio::awaitable<boost::beast::error_code> readSome(
             Parser &parser, std::string &piece, domain::TimePoint deadline);
-    /// Takes what the endpoint says about itself.
-    void heed(const routing::AnswerHead &head, const routing::Dispatch &dispatch);
-    void heedLimit(const routing::AnswerHead &head, const routing::EndpointInstance &instance);
     void releaseHeld();
     /// Now, with the time that the machine was suspended since the request arrived.
     domain::TimePoint callersNow();
--- a/src/relay/tests/loadlistenertest.cpp
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -2,6 +2,7 @@
 #include "objectstore/tests/fakeobjectstore.h"
 #include "relay/tests/relayfixture.h"
 
+#include <array>
 #include <limits>
 #include <random>
 
@@ -154,6 +155,43 @@
         EXPECT_EQ(chosen(), "e2");
 }
 
+// Guards against an entry that keeps to a limit which has ended until its own next slot, minutes
+// later in a large fleet, though another entry has learnt of the end.
+TEST_F(LoadListenerFixture, receive_otherEntryLearntOfLimitsEnd_endpointUsedAsBefore)
+{
+    const auto now = domain::TimePoint::clock::now();
+    m_dispatcher.limits().onAnswer({domain::EndpointId("e1"), 0}, 0.1, now, now);
+    m_dispatcher.limits().onAnswer({domain::EndpointId("e2"), 0}, 0.1, now, now);
+    while (!chosen().empty()) {
+    }
+    protocol::EntryDatagram datagram;
+    datagram.mutable_raised_limit()->set_id("e1");
+    send(datagram.SerializeAsString());
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(chosen(), "e1");
+}
+
+// Guards against the end of a limit that reaches no other entry: it goes to the endpoint's own
+// agent.
+TEST_F(LoadListenerFixture, publishRaisedLimit_limitEnded_sentToTheEndpointsAgent)
+{
+    udp::socket agent(m_context, {boost::asio::ip::make_address_v4("127.0.0.7"), Port});
+    routing::ListedEndpoint endpoint;
+    endpoint.id = domain::EndpointId("e7");
+    endpoint.service = domain::ServiceId("models");
+    endpoint.address = {"127.0.0.7", 9};
+    m_dispatcher.endpoints().replaceAll({endpoint}, domain::TimePoint::clock::now());
+    m_listener.publishRaisedLimit({endpoint.id, 5}, std::nullopt);
+    std::array<char, 1500> bytes{};
+    agent.non_blocking(true);
+    const std::size_t size = agent.receive(boost::asio::buffer(bytes));
+    protocol::AgentDatagram datagram;
+    ASSERT_TRUE(datagram.ParseFromArray(bytes.data(), static_cast<int>(size)));
+    EXPECT_EQ(datagram.raised_limit().id(), "e7");
+    EXPECT_EQ(datagram.raised_limit().started_at_ms(), 5U);
+    EXPECT_FALSE(datagram.raised_limit().has_per_second());
+}
+
 // Regression: an entry that learned late of a version sent requests to older engines after the
 // version bound, though agents knew since when the version was named.
 TEST_F(LoadListenerFixture, receive_agentKnowsSinceWhenVersionIsNamed_olderEnginesLeftOutInTime)
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -97,6 +97,8 @@
             onKnowledge(datagram.knowledge());
         if (datagram.has_update())
             passOn(datagram.update(), sender);
+        if (datagram.has_raised_limit())
+            passOn(datagram.raised_limit(), sender);
         if (!datagram.has_subscription())
             continue;
         const protocol::LoadSubscription &message = datagram.subscription();
@@ -238,6 +240,18 @@
     }
 }
 
+void LoadReporter::passOn(const protocol::RaisedLimit &raised, const udp::endpoint &sender)
+{
+    protocol::EntryDatagram datagram;
+    *datagram.mutable_raised_limit() = raised;
+    const std::string bytes = datagram.SerializeAsString();
+    for (const auto &[entry, subscriber] : m_subscribers) {
+        boost::system::error_code code;
+        if (entry != sender)
+            m_socket.send_to(asio::buffer(bytes), entry, 0, code);
+    }
+}
+
 void LoadReporter::setModel(const domain::ModelId &model, const routing::EngineSpeed &speed)
 {
     m_model = model;
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -70,6 +70,8 @@
     void send(bool isUrgent);
     bool isReportDue(
             const Subscriber &subscriber, std::size_t position, domain::TimePoint now) const;
+    /// Sends all entries but the sender that an endpoint has raised its limit.
+    void passOn(const protocol::RaisedLimit &raised, const boost::asio::ip::udp::endpoint &sender);
     /// Tells the other entries of this data centre what one of them has read.
     void passOn(const protocol::StoreUpdate &update, const boost::asio::ip::udp::endpoint &sender);
     void onKnowledge(const protocol::StoreKnowledge &knowledge);
--- a/src/relayagent/tests/agentpushtest.cpp
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <cmath>
 #include <random>
 
@@ -192,6 +193,44 @@
     EXPECT_EQ(m_fleet.wrongLoads(), 0);
 }
 
+// Guards against the end of a limit that an agent keeps to itself: it goes to all entries that
+// subscribe, but not back to its sender.
+TEST_F(AgentPushFixture, receive_limitRaised_sentToTheOtherEntries)
+{
+    using boost::asio::ip::udp;
+    const auto local = boost::asio::ip::make_address_v4("127.0.9.5");
+    udp::socket first(m_fleet.context, {local, 0});
+    udp::socket second(m_fleet.context, {local, 0});
+    const domain::SocketAddress load = m_fleet.loadAddress(m_fleet.agents.front().host);
+    const udp::endpoint agent(boost::asio::ip::make_address_v4(load.host), load.port);
+    protocol::AgentDatagram subscription;
+    subscription.mutable_subscription()->set_entry("e");
+    for (udp::socket *entry : {&first, &second}) {
+        entry->non_blocking(true);
+        entry->send_to(boost::asio::buffer(subscription.SerializeAsString()), agent);
+    }
+    m_fleet.runUntil([] { return false; }, 20ms);
+    protocol::AgentDatagram raised;
+    raised.mutable_raised_limit()->set_id("e7");
+    first.send_to(boost::asio::buffer(raised.SerializeAsString()), agent);
+    m_fleet.runUntil([] { return false; }, 20ms);
+    const auto countRaised = [](udp::socket &entry) {
+        std::array<char, 1500> bytes{};
+        int count = 0;
+        boost::system::error_code code;
+        for (;;) {
+            const std::size_t size = entry.receive(boost::asio::buffer(bytes), 0, code);
+            if (code)
+                return count;
+            protocol::EntryDatagram datagram;
+            datagram.ParseFromArray(bytes.data(), static_cast<int>(size));
+            count += datagram.raised_limit().id() == "e7" ? 1 : 0;
+        }
+    };
+    EXPECT_EQ(countRaised(second), 1);
+    EXPECT_EQ(countRaised(first), 0);
+}
+
 // Guards against agents that never learn model and origin where no entry tells them.
 TEST(AgentsAlone, push_noEntryHeard_configurationReadFromTheStore)
 {
--- a/src/routing/endpointlimits.h
+++ b/src/routing/endpointlimits.h
@@ -34,6 +34,8 @@
     /// The answer changes nothing.
     Unchanged,
     Taken,
+    /// The limit is higher than before.
+    Raised,
     /// The value was outside of the bounds, and the nearest bound holds.
     Bounded,
     /// The value is no rate; what held before still holds. Returned once per instance.
@@ -58,6 +60,10 @@
     /// or none. sentAt is when the request of that answer was sent.
     LimitVerdict onAnswer(const EndpointInstance &instance, std::optional<double> perSecond,
             domain::TimePoint sentAt, domain::TimePoint now);
+    /// Takes from another entry that a limit is higher or has ended; false when that is no news.
+    /// Other statements are not taken from others: a wrong one would keep requests from a sound
+    /// endpoint, while one that raises a limit too far is corrected by the next answer.
+    bool onRaised(const EndpointInstance &instance, std::optional<double> perSecond);
     /// Rate in force in requests a second; none without a limit.
     std::optional<double> perSecond(const ListedEndpoint &endpoint) const;
     /// Start of this entry's next unused slot, not later than now when a request may be sent. None
--- a/src/routing/internal/endpointlimits.cpp
+++ b/src/routing/internal/endpointlimits.cpp
@@ -74,8 +74,28 @@
     const double rate = std::clamp(*perSecond, m_options.least, m_options.most);
     if (rate == limit.perSecond)
         return LimitVerdict::Unchanged;
+    const bool isRaised = limit.perSecond > 0 && rate > limit.perSecond;
     limit.perSecond = rate;
-    return rate == *perSecond ? LimitVerdict::Taken : LimitVerdict::Bounded;
+    if (rate != *perSecond)
+        return LimitVerdict::Bounded;
+    return isRaised ? LimitVerdict::Raised : LimitVerdict::Taken;
+}
+
+bool EndpointLimits::onRaised(const EndpointInstance &instance, std::optional<double> perSecond)
+{
+    const auto known = m_limits.find(instance.id);
+    const bool isInForce = known != m_limits.end() && known->second.perSecond > 0
+            && isSameStart(known->second.startedAtMs, instance.startedAtMs);
+    if (!isInForce)
+        return false;
+    if (!perSecond) {
+        m_limits.erase(known);
+        return true;
+    }
+    if (!std::isfinite(*perSecond) || *perSecond <= known->second.perSecond)
+        return false;
+    known->second.perSecond = std::min(*perSecond, m_options.most);
+    return true;
 }
 
 std::optional<double> EndpointLimits::perSecond(const ListedEndpoint &endpoint) const
--- a/src/routing/tests/endpointlimitstest.cpp
+++ b/src/routing/tests/endpointlimitstest.cpp
@@ -239,6 +239,25 @@
     EXPECT_LE(sent, 5);
 }
 
+// Guards against a datagram of anyone that keeps requests from an endpoint: from others a limit is
+// only raised or ended, and only that of the same instance.
+TEST_F(EndpointLimitsFixture, onRaised_lowerOrUnknownLimit_notTaken)
+{
+    EXPECT_FALSE(m_limits.onRaised(m_instance, 1));
+    EXPECT_EQ(m_limits.perSecond(m_endpoint), std::nullopt);
+    m_limits.onAnswer(m_instance, 2, m_now, m_now);
+    EXPECT_FALSE(m_limits.onRaised(m_instance, 1));
+    EXPECT_FALSE(m_limits.onRaised(m_instance, std::numeric_limits<double>::quiet_NaN()));
+    EXPECT_FALSE(m_limits.onRaised({EndpointId("e"), 9}, std::nullopt));
+    EXPECT_EQ(m_limits.perSecond(m_endpoint), 2);
+    EXPECT_TRUE(m_limits.onRaised(m_instance, 4));
+    EXPECT_EQ(m_limits.perSecond(m_endpoint), 4);
+    EXPECT_TRUE(m_limits.onRaised(m_instance, std::nullopt));
+    EXPECT_EQ(m_limits.perSecond(m_endpoint), std::nullopt);
+    EXPECT_EQ(m_limits.onAnswer(m_instance, 2, m_now, m_now), LimitVerdict::Taken);
+    EXPECT_EQ(m_limits.onAnswer(m_instance, 3, m_now, m_now), LimitVerdict::Raised);
+}
+
 // Guards against slots that are lost with requests which were never sent, and against two requests
 // in one slot.
 TEST_F(EndpointLimitsFixture, onNotSent_chosenRequestGivenUp_slotUsedByTheNext)
