Take the time until SIGKILL from the operators' settings

The agent's stop_ms did nothing and is removed; numbers that no point in time holds are refused. A stop with another grace_s was not played.

--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -185,8 +185,10 @@
     {
         m_relay.isStopping = true;
         const TimePoint begun = TimePoint::clock::now();
-        const TimePoint last = begun + m_settings.stopTime - StopMargin;
-        asio::steady_timer timer(m_context, begun + RotationTime);
+        const auto stopTime = std::chrono::duration_cast<domain::Duration>(
+                std::chrono::duration<double>(m_settings.stopSeconds));
+        const TimePoint last = begun + std::max<domain::Duration>(stopTime - StopMargin, {});
+        asio::steady_timer timer(m_context, std::min(begun + RotationTime, last));
         co_await timer.async_wait(UseTuple);
         m_callers.closeIntake();
         while (m_relay.requestsInFlight > 0 && TimePoint::clock::now() < last) {
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -35,7 +35,8 @@
     double coldSlack = 5;
     domain::Duration weightsBound = std::chrono::milliseconds(8000);
     domain::Duration drainBound = std::chrono::milliseconds(2000);
-    domain::Duration stopTime = std::chrono::milliseconds(8000);
+    /// Time from SIGTERM until the process is killed.
+    double stopSeconds = 8;
     std::uint32_t maxConnections = 2000;
 
     LogLevel logLevel = LogLevel::Info;
@@ -60,7 +61,6 @@
     /// Rate of this VM's link, in Mbit/s.
     double linkMbps = 10;
     domain::Duration weightsBound = std::chrono::milliseconds(8000);
-    domain::Duration stopTime = std::chrono::milliseconds(8000);
 
     LogLevel logLevel = LogLevel::Info;
 };
--- a/src/settings/internal/keytable.cpp
+++ b/src/settings/internal/keytable.cpp
@@ -151,13 +151,15 @@
 {
     KeyDescription text = describe(std::move(key), "number", std::move(description));
     text.unit = std::move(unit);
-    text.range = "0 or more";
+    // Seconds up to this fit a point in time.
+    constexpr double Most = 1e9;
+    text.range = "0 to 1000000000";
     std::ostringstream fallback;
     fallback << target;
     text.fallback = fallback.str();
     add(std::move(text), [&target](const std::string &value) {
         const auto number = parseNumber<double>(value);
-        if (!number || !(*number >= 0.0))
+        if (!number || !(*number >= 0.0 && *number <= Most))
             return false;
         target = *number;
         return true;
--- a/src/settings/internal/settingskeys.cpp
+++ b/src/settings/internal/settingskeys.cpp
@@ -182,7 +182,7 @@
             "time from the naming of a version of weights until no request begins on an older one");
     keys.duration({"bounds", "drain_ms"}, settings.drainBound, DeadlineRange,
             "time from the notice of a leaving endpoint until no request reaches it");
-    keys.duration({"shutdown", "stop_ms"}, settings.stopTime, DrainRange,
+    keys.number({"shutdown", "stop_s"}, settings.stopSeconds, "s",
             "time from SIGTERM until the process is killed");
     keys.whole({"requests", "max_connections"}, settings.maxConnections, ConnectionRange,
             "connections", "most connections of callers open at a time");
@@ -210,8 +210,6 @@
     keys.number({"link", "mbps"}, settings.linkMbps, "Mbit/s", "rate of this VM's link");
     keys.duration({"bounds", "weights_ms"}, settings.weightsBound, DeadlineRange,
             "time from the naming of a version of weights until every engine serves it");
-    keys.duration({"shutdown", "stop_ms"}, settings.stopTime, DrainRange,
-            "time from SIGTERM until the process is killed");
     addLog(keys, settings.logLevel);
     return keys;
 }
--- a/src/settings/tests/settingstest.cpp
+++ b/src/settings/tests/settingstest.cpp
@@ -171,4 +171,21 @@
     EXPECT_FALSE(parseRelaySettings("relay.ini", text("a:north")).problems.empty());
 }
 
+// Guards against a number that no point in time can hold, as one of the operators' bounds.
+TEST_F(SettingsFixture, parse_relayNumberOutOfRange_refused)
+{
+    const auto stopAfter = [](const std::string &seconds) {
+        return "[entry]\nid = e1\ndata_centre = a\n[fleet]\nregions = a=north\n"
+               "[listen]\ncaller = 127.0.0.1:1\nstatus = 127.0.0.1:2\n"
+               "metrics = 127.0.0.1:3\nload = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n"
+               "[shutdown]\nstop_s = "
+                + seconds + '\n';
+    };
+    const auto good = parseRelaySettings("relay.ini", stopAfter("4.5"));
+    EXPECT_TRUE(good.problems.empty());
+    EXPECT_EQ(good.settings.stopSeconds, 4.5);
+    for (const char *value : {"inf", "nan", "-1", "1e300", "soon"})
+        EXPECT_EQ(parseRelaySettings("relay.ini", stopAfter(value)).problems.size(), 1U) << value;
+}
+
 } // namespace oriolerill::settings
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -76,6 +76,7 @@
 std::string SoakFleet::settingsFile(const std::string &name, const std::string &role,
         unsigned number, const std::string &address, const std::string &engine) const
 {
+    const std::chrono::duration<double> graceSeconds = SoakProcess::GraceTime;
     // Fields of the operators' settings page that the templates name.
     const json::object fields = {{"node_name", name}, {"zone", zoneOf(number)},
             {"zones", json::object{{"soak-a", "north"}, {"soak-b", "south"}}}, {"ip", address},
@@ -91,7 +92,8 @@
                     json::object{{"retry_budget_ratio", "0.2"}, {"retry_budget_extra", 104},
                             {"budget_window_s", 10}, {"cold_overage", "1.5"}, {"cold_slack", 5},
                             {"version_ms", SoakChecks::WeightsBound.count()},
-                            {"drain_ms", SoakChecks::DrainBound.count()}}}};
+                            {"drain_ms", SoakChecks::DrainBound.count()},
+                            {"grace_s", graceSeconds.count()}}}};
     std::ifstream file(m_options.repository + "/platform/" + role + ".ini");
     std::stringstream text;
     text << file.rdbuf();
