Tell callers that are refused for limits different times to return

All callers that an entry refused at the same time because of named limits were told the start of the same slot; one of them was served there, the others were refused again. Each slot is now named to one caller, if that caller has the time to come back for it.

choose_allEndpointsAtTheirLimits_eachCallerToldAnotherSlot: 5 of 6 callers refused again before, none now.

--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -173,8 +173,10 @@
         std::vector<PlacementCandidate> paused;
         std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
         std::optional<domain::TimePoint> quietUntil;
-        /// Earliest slot of this entry at an endpoint that is at its limit.
+        /// Earliest slot of this entry, of which no caller has been told, at an endpoint that is at
+        /// its limit.
         std::optional<domain::TimePoint> limitedUntil;
+        const ListedEndpoint *limited = nullptr;
 
         /// With nothing else left, an endpoint that failed lately is still worth a try.
         const std::vector<PlacementCandidate> &pool() const
@@ -201,6 +203,8 @@
             const CallerRequest &request, domain::TimePoint now);
     double longestWaitMs(const domain::ServiceId &service) const;
     Refusal refuse(RefusalReason reason, double waitMs);
+    Refusal refuseAll(
+            const Candidates &candidates, const DispatchQuery &query, domain::TimePoint now);
     RetryBudget &retries(const domain::ServiceId &service, domain::TimePoint now);
     RetryBudgetOptions retryOptions() const;
 
--- a/src/routing/endpointlimits.h
+++ b/src/routing/endpointlimits.h
@@ -22,6 +22,8 @@
     /// operator allows 6 times the limit and 5.
     domain::Duration slotLife = std::chrono::milliseconds(500);
     double slotLifeRequests = 2.5;
+    /// Slots further ahead are not kept for refused callers, who would not wait for them.
+    domain::Duration longestPromise = std::chrono::seconds(10);
     /// Bounds on a limit in requests a second. Below the smaller one nobody would learn that the
     /// limit has ended; above the larger one it limits nothing.
     double least = 0.05;
@@ -70,6 +72,12 @@
     /// without a limit.
     std::optional<domain::TimePoint> nextSlot(
             const ListedEndpoint &endpoint, const EntryShare &share, domain::TimePoint now) const;
+    /// Start of the first slot from now on that no refused caller has been told of; none without a
+    /// limit.
+    std::optional<domain::TimePoint> nextPromise(
+            const ListedEndpoint &endpoint, const EntryShare &share, domain::TimePoint now) const;
+    /// A refused caller has been told of that slot.
+    void onPromised(const ListedEndpoint &endpoint, const EntryShare &share, domain::TimePoint now);
     /// Uses the next slot.
     void onChosen(const ListedEndpoint &endpoint, const EntryShare &share, domain::TimePoint now);
     /// Returns a slot whose request was not sent.
@@ -87,14 +95,17 @@
         /// Start of the last slot that was used, by the clock of time points: a step of the time of
         /// day moves the slots, not what was used.
         std::optional<domain::TimePoint> usedAt;
+        /// Start of the last slot that a refused caller has been told of.
+        std::optional<domain::TimePoint> promisedAt;
         bool hasIgnored = false;
     };
 
     const Limit *find(const ListedEndpoint &endpoint) const;
     Limit &limitOf(const EndpointInstance &instance);
     domain::Duration period(const Limit &limit, const EntryShare &share) const;
-    domain::TimePoint nextSlot(
-            const Limit &limit, const EntryShare &share, domain::TimePoint now) const;
+    /// First slot that is still alive and comes after the given one.
+    domain::TimePoint slotAfter(const std::optional<domain::TimePoint> &last, const Limit &limit,
+            const EntryShare &share, domain::TimePoint now, domain::Duration mostAhead) const;
 
     EndpointLimitsOptions m_options;
     std::map<domain::EndpointId, Limit> m_limits;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -247,6 +247,25 @@
     return refusal;
 }
 
+Refusal Dispatcher::refuseAll(
+        const Candidates &candidates, const DispatchQuery &query, domain::TimePoint now)
+{
+    const auto &quiet = candidates.quietUntil;
+    const auto &limited = candidates.limitedUntil;
+    Refusal refusal = refuse(limited ? RefusalReason::Limited : RefusalReason::NoEndpoint, 0);
+    refusal.listed = listedCount(query.service);
+    // A caller that returned before an endpoint may take its request would be refused again.
+    const auto freeAt = quiet && limited ? std::min(quiet, limited) : std::max(quiet, limited);
+    if (!freeAt)
+        return refusal;
+    refusal.retryAfter = std::max(refusal.retryAfter, *freeAt - now);
+    // Each slot is named to one caller, unless that caller has no time to come back for it.
+    const domain::TimePoint last = query.request->deadline.value_or(now + query.route->timeout);
+    if (limited == freeAt && *freeAt < last)
+        m_limits.onPromised(*candidates.limited, m_share, now);
+    return refusal;
+}
+
 void Dispatcher::look(const ListedEndpoint &endpoint, const ServiceSpec &service,
         const DispatchQuery &query, domain::TimePoint now, Candidates &candidates)
 {
@@ -265,7 +284,11 @@
     }
     const auto slot = m_limits.nextSlot(endpoint, m_share, now);
     if (slot && *slot > now) {
-        candidates.limitedUntil = std::min(candidates.limitedUntil.value_or(*slot), *slot);
+        const auto promise = m_limits.nextPromise(endpoint, m_share, now);
+        if (!candidates.limitedUntil || *promise < *candidates.limitedUntil) {
+            candidates.limitedUntil = promise;
+            candidates.limited = &endpoint;
+        }
         return;
     }
     const double coldBound = service.coldPerSecond * m_options.coldOverage + m_options.coldSlack;
@@ -318,17 +341,7 @@
     const auto &pool = candidates.pool();
     const auto chosen = m_placement.choose(pool, m_random);
     if (!chosen) {
-        const auto reason
-                = candidates.limitedUntil ? RefusalReason::Limited : RefusalReason::NoEndpoint;
-        Refusal refusal = refuse(reason, 0);
-        refusal.listed = listedCount(query.service);
-        // A caller that returned before an endpoint may take it would be refused again.
-        const auto freeAt = candidates.quietUntil && candidates.limitedUntil
-                ? std::min(candidates.quietUntil, candidates.limitedUntil)
-                : std::max(candidates.quietUntil, candidates.limitedUntil);
-        if (freeAt)
-            refusal.retryAfter = std::max(refusal.retryAfter, *freeAt - now);
-        return refusal;
+        return refuseAll(candidates, query, now);
     }
     const PlacementCandidate &best = pool[*chosen];
     if (service->engine) {
--- a/src/routing/internal/endpointlimits.cpp
+++ b/src/routing/internal/endpointlimits.cpp
@@ -110,7 +110,8 @@
     return std::max(seconds(entries / (limit.perSecond * m_options.usedShare)), Duration(1));
 }
 
-TimePoint EndpointLimits::nextSlot(const Limit &limit, const EntryShare &share, TimePoint now) const
+TimePoint EndpointLimits::slotAfter(const std::optional<TimePoint> &last, const Limit &limit,
+        const EntryShare &share, TimePoint now, Duration mostAhead) const
 {
     const Duration period = this->period(limit, share);
     const auto entries = static_cast<std::int64_t>(std::max<std::size_t>(share.entries, 1));
@@ -119,10 +120,10 @@
             = m_options.slotLife + seconds(m_options.slotLifeRequests / limit.perSecond);
     const Duration commonNow = now.time_since_epoch() + m_offset;
     std::int64_t slot = floorOf(commonNow - life - phase, period) + 1;
-    if (limit.usedAt) {
-        const Duration used = limit.usedAt->time_since_epoch() + m_offset;
-        // A used slot far ahead stems from a time of day that has been set back since.
-        if (used <= commonNow + period) {
+    if (last) {
+        const Duration used = last->time_since_epoch() + m_offset;
+        // A slot far ahead stems from a time of day that has been set back since.
+        if (used <= commonNow + period + mostAhead) {
             // The nearest slot is the used one: the offset is read anew and jitters.
             slot = std::max(slot, floorOf(used - phase + period / 2, period) + 1);
         }
@@ -134,7 +135,27 @@
         const ListedEndpoint &endpoint, const EntryShare &share, TimePoint now) const
 {
     const Limit *limit = find(endpoint);
-    return limit == nullptr ? std::nullopt : std::optional(nextSlot(*limit, share, now));
+    if (limit == nullptr)
+        return std::nullopt;
+    return slotAfter(limit->usedAt, *limit, share, now, Duration::zero());
+}
+
+std::optional<TimePoint> EndpointLimits::nextPromise(
+        const ListedEndpoint &endpoint, const EntryShare &share, TimePoint now) const
+{
+    const Limit *limit = find(endpoint);
+    if (limit == nullptr)
+        return std::nullopt;
+    return slotAfter(std::max(limit->usedAt, limit->promisedAt), *limit, share, now,
+            m_options.longestPromise);
+}
+
+void EndpointLimits::onPromised(
+        const ListedEndpoint &endpoint, const EntryShare &share, TimePoint now)
+{
+    const auto promise = nextPromise(endpoint, share, now);
+    if (promise && *promise <= now + m_options.longestPromise)
+        m_limits[endpoint.id].promisedAt = promise;
 }
 
 void EndpointLimits::onChosen(
@@ -143,7 +164,7 @@
     if (find(endpoint) == nullptr)
         return;
     Limit &limit = m_limits[endpoint.id];
-    limit.usedAt = nextSlot(limit, share, now);
+    limit.usedAt = slotAfter(limit.usedAt, limit, share, now, Duration::zero());
 }
 
 void EndpointLimits::onNotSent(const domain::EndpointId &endpoint, const EntryShare &share)
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -121,6 +121,32 @@
     std::uint64_t m_sequence = 0;
 };
 
+// Guards against refused callers who are all told the same time, at which all but one of them are
+// refused again: each is served when it comes back at the time that it was told.
+TEST_F(DispatcherFixture, choose_allEndpointsAtTheirLimits_eachCallerToldAnotherSlot)
+{
+    Dispatcher dispatcher(options(3));
+    prepare(dispatcher, 2);
+    dispatcher.setShare({1, 0});
+    dispatcher.limits().onAnswer({endpoint(0).id, 0}, 1.0, m_now, m_now);
+    dispatcher.limits().onAnswer({endpoint(1).id, 0}, 0.7, m_now, m_now);
+    while (!chosen(dispatcher).empty()) {
+    }
+    std::vector<TimePoint> told;
+    for (int caller = 0; caller < 6; ++caller) {
+        const auto decision = dispatcher.choose(m_query, m_now);
+        const auto *refusal = std::get_if<Refusal>(&decision);
+        ASSERT_NE(refusal, nullptr);
+        EXPECT_EQ(refusal->reason, RefusalReason::Limited);
+        told.push_back(m_now + refusal->retryAfter);
+    }
+    std::sort(told.begin(), told.end());
+    for (const TimePoint &time : told) {
+        m_now = time;
+        EXPECT_NE(chosen(dispatcher), "");
+    }
+}
+
 // Guards against herds: between two reports every entry sees the same free endpoint.
 TEST_F(DispatcherFixture, choose_burstAtTwoEntriesBetweenReports_noEndpointOverfilled)
 {
