--- a/standins/soakchecks.cpp
+++ b/standins/soakchecks.cpp
@@ -85,7 +85,7 @@
             && m_journal.isCalm(attempt.entry, now - SoakJournal::ContactTime, now);
     if (!isBound)
         return;
-    ++m_limited;
+    noteInForce("LIMIT");
     std::deque<TimePoint> &arrivals = limit.arrivals;
     arrivals.push_back(now);
     while (arrivals.front() + LimitWindow <= now)
@@ -133,6 +133,7 @@
         m_journal.violation("UNASKED", endpoint.instance + " got the unknown request " + id);
         return nullptr;
     }
+    noteInForce("UNASKED");
     SoakAttempt &attempt = *found->second;
     attempt.endpoint = endpoint.instance;
     if (method != attempt.method || target != attempt.target || body != attempt.body)
@@ -150,6 +151,10 @@
         m_journal.violation("DRAIN",
                 "draining for " + secondsSince(*endpoint.drainingSince) + ": " + text(attempt));
     }
+    for (const auto &[zone, since] : m_evacuations) {
+        if (isPast(attempt, since, EvacuationBound, now))
+            noteInForce("EVAC");
+    }
     const auto withdrawn = m_evacuations.find(endpoint.zone);
     if (withdrawn != m_evacuations.end()
             && isPast(attempt, withdrawn->second, EvacuationBound, now)) {
@@ -162,6 +167,10 @@
 void SoakChecks::onRun(SoakAttempt &attempt, const SoakEndpointFacts &endpoint)
 {
     ++attempt.runs;
+    if (!attempt.isIdempotent()) {
+        noteInForce("TWICE");
+        noteInForce("REFUSED");
+    }
     if (attempt.runs > 1 && !attempt.isIdempotent())
         m_journal.violation("TWICE", std::to_string(attempt.runs) + " runs: " + text(attempt));
     if (attempt.refusal && !attempt.isIdempotent()) {
@@ -181,6 +190,8 @@
         return;
     const TimePoint stable = m_journal.lastFault("store") + SoakJournal::ContactTime;
     for (const auto &[version, namedAt] : m_weights) {
+        if (version > 1 && now > std::max(namedAt, stable) + WeightsBound)
+            noteInForce("VERSION");
         if (version <= endpoint.weights || now <= std::max(namedAt, stable) + WeightsBound)
             continue;
         m_journal.violation("VERSION",
@@ -198,7 +209,9 @@
     constexpr unsigned Forbidden = 403;
     constexpr unsigned NotFound = 404;
     ++m_outcomes[std::to_string(status)];
+    noteInForce("DENIED");
     if (status == Ok) {
+        noteInForce(attempt.isStream() ? "ORDER" : "MIXED");
         ++m_served[attempt.kind];
         const std::size_t dot = signature.rfind('.');
         const std::string instance = dot == std::string::npos ? "" : signature.substr(dot + 1);
@@ -242,6 +255,11 @@
     LifeState &state = m_lives[attempt.entry];
     if (state.life != attempt.life)
         state = {attempt.life, 0, {}};
+    const auto written = m_configs.find(attempt.configVersion);
+    const bool isPastBound = written != m_configs.end()
+            && isPast(attempt, written->second, ConfigBound, attempt.sent);
+    if (isPastBound)
+        noteInForce("CONFIG");
     if (isKnown) {
         if (attempt.configVersion > state.version)
             state = {attempt.life, attempt.configVersion, now};
@@ -252,8 +270,7 @@
                 "version " + version + " unknown after " + std::to_string(state.version)
                         + " was in force: " + text(attempt));
     }
-    const auto written = m_configs.find(attempt.configVersion);
-    if (written != m_configs.end() && isPast(attempt, written->second, ConfigBound, attempt.sent)) {
+    if (isPastBound) {
         m_journal.violation("CONFIG",
                 "version " + version + ", written " + secondsSince(written->second)
                         + " ago, unknown: " + text(attempt));
@@ -301,10 +318,30 @@
         m_journal.violation("LOST", std::to_string(m_lost) + " at calm entries: " + text(attempt));
 }
 
+void SoakChecks::noteInForce(const std::string &rule)
+{
+    const auto now = TimePoint::clock::now().time_since_epoch();
+    m_inForce[rule].insert(std::chrono::duration_cast<std::chrono::seconds>(now).count());
+}
+
+std::string SoakChecks::inForce() const
+{
+    std::string seconds = "seconds in force:";
+    std::string unchecked;
+    for (const char *rule : {"CONFIG", "DENIED", "DRAIN", "EVAC", "LIMIT", "LOST", "MIXED", "ORDER",
+                 "REFUSED", "TWICE", "UNASKED", "VERSION"}) {
+        const auto found = m_inForce.find(rule);
+        if (found == m_inForce.end())
+            unchecked += std::string(" ") + rule;
+        else
+            seconds += std::string(" ") + rule + '=' + std::to_string(found->second.size());
+    }
+    return seconds + (unchecked.empty() ? "" : "; not checked:" + unchecked);
+}
+
 std::string SoakChecks::summary() const
 {
     std::string line = "requests=" + std::to_string(m_attempts.size());
-    line += " limited=" + std::to_string(m_limited);
     for (const auto &[outcome, count] : m_outcomes)
         line += ' ' + outcome + '=' + std::to_string(count);
     return line;
--- a/standins/soakchecks.h
+++ b/standins/soakchecks.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -77,6 +78,10 @@
     void onBroken(
             const SoakAttempt &attempt, domain::TimePoint stopAskedAt, const std::string &error);
 
+    /// A check of the rule was decided now: a broken rule would have been seen.
+    void noteInForce(const std::string &rule);
+    /// Seconds of the run in which each rule was in force, and the rules that never were.
+    std::string inForce() const;
     std::string summary() const;
     /// Reports kinds of requests of which none was served.
     void checkServed();
@@ -119,8 +124,8 @@
     std::map<SoakKind, std::size_t> m_served;
     std::map<std::string, std::size_t> m_outcomes;
     int m_lost = 0;
-    /// Arrivals for which a limit was in force.
-    std::size_t m_limited = 0;
+    /// Seconds in which each rule was in force.
+    std::map<std::string, std::set<std::int64_t>> m_inForce;
 };
 
 } // namespace oriolerill::standins
--- a/standins/soakclient.cpp
+++ b/standins/soakclient.cpp
@@ -158,6 +158,8 @@
         m_stream.reset();
         co_return;
     }
+    if (m_entry->process->life() == m_life && m_entry->process->stopAskedAt() != TimePoint())
+        m_checks.noteInForce("LOST");
     const auto response = parser.release();
     m_checks.onAnswer(*attempt, response.result_int(), fieldOf(response, "Attempt-Id"),
             fieldOf(response, "Server-Signature"), response.body());
--- a/standins/soakendpoint.cpp
+++ b/standins/soakendpoint.cpp
@@ -141,6 +141,10 @@
             m_store.remove("servers", lapsing->first);
             lapsing = m_lapsing.erase(lapsing);
         }
+        const bool isDrainBinding = m_isUp && m_wasStoreStable && m_drainAckedAt
+                && now > *m_drainAckedAt + SoakChecks::DrainBound;
+        if (isDrainBinding)
+            m_checks.noteInForce("DRAIN");
         json::object current = listed();
         if (m_isUp && m_store.isAccepting() && (current != written || writtenName != m_instance)) {
             m_store.put("servers", m_instance, current);
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -238,7 +238,8 @@
     m_journal.note(m_checks.summary());
     std::cout << "soak seed=" << m_options.seed << " faults=" << m_journal.faults()
               << " stalls=" << m_stalls << " violations=" << m_journal.violations()
-              << (m_journal.violations() == 0 ? " ok" : " FAILED") << std::endl;
+              << (m_journal.violations() == 0 ? " ok" : " FAILED") << "; " << m_checks.inForce()
+              << std::endl;
     return m_journal.violations() == 0;
 }
 
--- /dev/null
+++ b/tests/soakseeds.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Runs the soak with fixed seeds. Fails when a rule is broken, or was not in force in any of the runs.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+lines=
+run() {
+    local line
+    line=$(scripts/soak.sh "$@")
+    status=$?
+    echo "$line"
+    lines+=$line$'\n'
+    [ "$status" = 0 ] || exit 1
+}
+
+run --seed 306 --seconds 30
+run --seed 307 --seconds 30
+# A calm store, so that the bounds that need one are in force.
+run --seed 308 --seconds 30 --entries 3 \
+    --faults endpoint-drain,endpoint-limit,configs,weights,withdrawal
+
+never=$(awk -F'not checked:' 'NF == 2 { n = split($2, rules, " "); for (i = 1; i <= n; ++i) ++count[rules[i]] }
+    END { for (rule in count) if (count[rule] == 3) print rule }' <<<"$lines")
+if [ -n "$never" ]; then
+    echo "soak: in force in none of the runs:" $never
+    exit 1
+fi
