--- a/src/relay/internal/answernotices.cpp
+++ b/src/relay/internal/answernotices.cpp
@@ -94,8 +94,9 @@
         takeLeaving(context, attempt, now);
     if (head.quietSeconds)
         takeQuiet(context, *head.quietSeconds, attempt, now);
-    // A late copy of an earlier answer names the limit of that time.
-    if (head.id == attempt.request)
+    // A late copy of an earlier answer names the limit of that time. A refusal or failure without
+    // the field may come from a part of the endpoint that does not know of its limit.
+    if (head.id == attempt.request && (head.limitPerSecond || head.isSuccess()))
         takeLimit(context, head.limitPerSecond, attempt, now);
 }
 
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -132,7 +132,10 @@
 {
     if (isEngine(endpoint))
         return &endpoint;
-    for (const auto &[id, service] : m_dispatcher.config()->services()) {
+    const auto config = m_dispatcher.config();
+    if (!config)
+        return nullptr;
+    for (const auto &[id, service] : config->services()) {
         const routing::WorkingSet *set = m_dispatcher.workingSet(id);
         // All entries subscribe to these agents.
         if (set != nullptr && !set->counters().empty())
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -16,7 +16,6 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace oriolerill::relay::internal {
@@ -686,19 +685,18 @@
 
 OwnAnswer RequestRun::refuse(const routing::Refusal &refusal)
 {
-    struct Words
-    {
-        const char *metric;
-        const char *detail;
-    };
-    constexpr std::array<Words, 3> Reasons = {{{"no_endpoint", "no endpoint may take the request"},
-            {"full", "all endpoints are full"},
-            {"limited", "the endpoints are at the limits that they name"}}};
-    const Words &words = Reasons[static_cast<std::size_t>(refusal.reason)];
-    m_detail = words.detail;
+    const char *reason = "no_endpoint";
+    m_detail = "no endpoint may take the request";
+    if (refusal.reason == routing::RefusalReason::Full) {
+        reason = "full";
+        m_detail = "all endpoints are full";
+    } else if (refusal.reason == routing::RefusalReason::Limited) {
+        reason = "limited";
+        m_detail = "the endpoints are at the limits that they name";
+    }
     m_detail += ", listed " + std::to_string(refusal.listed) + " usable "
             + std::to_string(refusal.usable);
-    m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", words.metric}});
+    m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", reason}});
     return {503, {ErrorKind::Overloaded, "not run: " + m_detail, "come back after Retry-After"},
             refusal.retryAfter};
 }
--- a/src/relay/tests/endpointlimittest.cpp
+++ b/src/relay/tests/endpointlimittest.cpp
@@ -21,7 +21,7 @@
             const std::scoped_lock lock(m_mutex);
             m_arrivals.push_back(Clock::now());
             const std::string field = m_named.empty() ? "" : "Server-Limit: " + m_named + "\r\n";
-            write(socket, answer("a1", "good", "200 OK", field));
+            write(socket, answer("a1", "good", m_status, field));
             return true;
         });
     }
@@ -32,10 +32,11 @@
         start();
     }
 
-    void name(const std::string &value)
+    void name(const std::string &value, const std::string &status = "200 OK")
     {
         const std::scoped_lock lock(m_mutex);
         m_named = value;
+        m_status = status;
     }
 
     /// Calls again and again, about 50 times a second.
@@ -58,6 +59,7 @@
 private:
     std::mutex m_mutex;
     std::string m_named;
+    std::string m_status = "200 OK";
     std::vector<Clock::time_point> m_arrivals;
 };
 
@@ -89,6 +91,20 @@
     EXPECT_GE(arrivals(begun, 1s), 20U);
 }
 
+// Guards against a limit that is ended by a refusal or failure without the field: an overloaded
+// endpoint may answer those before it knows of its limit.
+TEST_F(EndpointLimitFixture, serve_failuresWithoutLimit_limitStillHolds)
+{
+    addNaming("1");
+    startAsOnlyEntry();
+    ASSERT_EQ(statusOf(call(request("POST", "/order/1", Close, "o"))), 200U);
+    name("", "500 Internal Server Error");
+    const auto begun = Clock::now();
+    callFor(4s);
+    EXPECT_GE(arrivals(begun, 4s), 2U);
+    EXPECT_LE(arrivals(begun, 4s), 11U);
+}
+
 // Guards against a refusal that names a time at which the caller would be refused again, when the
 // only endpoint of a service takes no more than its limit.
 TEST_F(EndpointLimitFixture, serve_onlyEndpointAtItsLimit_refusedAtOnceWithTruthfulTime)
