--- a/src/relay/internal/answernotices.h
+++ b/src/relay/internal/answernotices.h
@@ -13,7 +13,7 @@
     domain::TimePoint sentAt;
 };
 
-/// Hands what an endpoint says about itself in an answer to the dispatcher, and logs what is new.
+/// Applies the notices in an endpoint's answer (leaving, quiet time, limit) and logs each change.
 void takeNotices(
         RelayContext &context, const routing::AnswerHead &head, const AnsweredAttempt &attempt);
 
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -173,8 +173,8 @@
         std::vector<PlacementCandidate> paused;
         std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
         std::optional<domain::TimePoint> quietUntil;
-        /// Earliest slot of this entry, of which no caller has been told, at an endpoint that is at
-        /// its limit.
+        /// Earliest slot of this entry, not yet promised to a caller, at an endpoint that is at its
+        /// limit.
         std::optional<domain::TimePoint> limitedUntil;
         const ListedEndpoint *limited = nullptr;
 
--- a/src/routing/endpointlimits.h
+++ b/src/routing/endpointlimits.h
@@ -48,7 +48,7 @@
 
 /// This entry's part of the request rates that endpoints name in their answers.
 ///
-/// Failure: an overloaded endpoint names what it takes from all entries together, while each entry
+/// Failure: an overloaded endpoint names one rate for all entries together, while each entry
 /// decides alone. Time is divided into slots of one request, which the entries own in turn by their
 /// ranks; an entry sends only in a slot of its own or shortly after. The time of day is common to
 /// all entries, so their slots interleave, and a burst after idle time is as large as the slots
@@ -72,11 +72,11 @@
     /// without a limit.
     std::optional<domain::TimePoint> nextSlot(
             const ListedEndpoint &endpoint, const EntryShare &share, domain::TimePoint now) const;
-    /// Start of the first slot from now on that no refused caller has been told of; none without a
+    /// Start of the first slot from now on that is not promised to a refused caller; none without a
     /// limit.
     std::optional<domain::TimePoint> nextPromise(
             const ListedEndpoint &endpoint, const EntryShare &share, domain::TimePoint now) const;
-    /// A refused caller has been told of that slot.
+    /// Promises that slot to a refused caller.
     void onPromised(const ListedEndpoint &endpoint, const EntryShare &share, domain::TimePoint now);
     /// Uses the next slot.
     void onChosen(const ListedEndpoint &endpoint, const EntryShare &share, domain::TimePoint now);
@@ -93,9 +93,9 @@
         double perSecond = 0;
         domain::TimePoint namedAt;
         /// Start of the last slot that was used, by the clock of time points: a step of the time of
-        /// day moves the slots, not what was used.
+        /// day moves the slots, not this record.
         std::optional<domain::TimePoint> usedAt;
-        /// Start of the last slot that a refused caller has been told of.
+        /// Start of the last slot promised to a refused caller.
         std::optional<domain::TimePoint> promisedAt;
         bool hasIgnored = false;
     };
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -121,8 +121,8 @@
     std::uint64_t m_sequence = 0;
 };
 
-// Guards against refused callers who are all told the same time, at which all but one of them are
-// refused again: each is served when it comes back at the time that it was told.
+// Guards against one Retry-After for all refused callers, of whom all but one are then refused
+// again: each caller that returns at its own time is served.
 TEST_F(DispatcherFixture, choose_allEndpointsAtTheirLimits_eachCallerToldAnotherSlot)
 {
     Dispatcher dispatcher(options(3));
