Discard the undelivered rest of a cancelled request

Cause: the entry closed the endpoint's connection, and a plain close goes on sending what a narrow or lossy link has held up.

Change: a cancelled request whose bytes are not all acknowledged resets the connection, which discards them. A reset is not repeated when it is lost, so an endpoint that has the whole request gets a plain close as before.

--- a/src/relay/internal/endpointconnections.cpp
+++ b/src/relay/internal/endpointconnections.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace oriolerill::relay::internal {
 
 namespace asio = boost::asio;
@@ -23,6 +26,28 @@
 
 } // namespace
 
+bool EndpointConnection::hasUndelivered()
+{
+    int bytes = 0;
+    if (::ioctl(stream.socket().native_handle(), SIOCOUTQ, &bytes) == 0)
+        return bytes > 0;
+    // The system does not tell; an answer shows that the request was delivered.
+    return !hasAnswerBegun;
+}
+
+void EndpointConnection::cancelRequest()
+{
+    // After a plain close the system goes on sending what a narrow or lossy link has held up, and
+    // the endpoint begins the request seconds after its caller has left. A reset discards those
+    // bytes. It is not repeated when it is lost, so an endpoint that has the request gets a close.
+    if (stream.socket().is_open() && hasUndelivered()) {
+        beast::error_code code;
+        stream.socket().set_option(asio::socket_base::linger(true, 0), code);
+        // Without the option the close delivers the rest, as it would for any other socket.
+    }
+    stream.close();
+}
+
 EndpointConnections::EndpointConnections(asio::io_context &context)
     : m_context(context)
 {}
--- a/src/relay/internal/endpointconnections.h
+++ b/src/relay/internal/endpointconnections.h
@@ -24,6 +24,12 @@
         : stream(context)
     {}
 
+    /// Closes the connection of a request whose answer is not wanted any more, and discards what
+    /// of the request was not delivered yet.
+    void cancelRequest();
+    /// Whether bytes that were written may not have reached the endpoint.
+    bool hasUndelivered();
+
     /// Bounds what an endpoint can send without ending a head or the head of a chunk; bodies pass
     /// through it.
     static constexpr std::size_t MaxBuffered = 64U << 10U;
@@ -33,6 +39,8 @@
     domain::TimePoint idleSince;
     domain::TimePoint idleDeadline;
     bool isReused = false;
+    /// The head of an answer to the request under way has come.
+    bool hasAnswerBegun = false;
     boost::asio::cancellation_signal idleWait;
 };
 
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -174,7 +174,7 @@
         m_isCallerGone = true;
         if (m_connection) {
             // Closing tells the endpoint to stop the work.
-            m_connection->stream.close();
+            m_connection->cancelRequest();
         }
     });
     bool isOpen = false;
@@ -401,6 +401,7 @@
     http::async_write(m_connection->stream, *request,
             [request, isWritten, connection = m_connection](
                     beast::error_code code, std::size_t /*size*/) { *isWritten = !code; });
+    m_connection->hasAnswerBegun = false;
     ++m_runs;
     awaitBegin(dispatch);
     const AttemptEnd end = co_await readAnswer(dispatch, isWritten);
@@ -410,7 +411,7 @@
     const bool isWhole = end == AttemptEnd::Delivered || end == AttemptEnd::NotRun
             || end == AttemptEnd::FailedAnswer;
     if (m_connection && !isWhole)
-        m_connection->stream.close();
+        m_connection->cancelRequest();
     co_return end;
 }
 
@@ -448,7 +449,7 @@
     m_context.metrics.increment("oriolerill_relay_withdrawn_total");
     // Closing the connection cancels the request at the endpoint.
     if (m_connection)
-        m_connection->stream.close();
+        m_connection->cancelRequest();
 }
 
 AttemptEnd RequestRun::endOfRead(beast::error_code code) const
@@ -479,6 +480,7 @@
             m_detail = "awaiting the answer: " + code.message();
             co_return endOfRead(code);
         }
+        m_connection->hasAnswerBegun = true;
         if (parser.get().result_int() < 200)
             continue;
         const routing::AnswerHead head = platform::readAnswerHead(parser.get());
--- a/src/relay/tests/endpointtroubletest.cpp
+++ b/src/relay/tests/endpointtroubletest.cpp
@@ -410,6 +410,34 @@
     EXPECT_EQ(m_endpoint->requests().size(), 2U);
 }
 
+// Regression: bytes of a request that were held up on the way were delivered, and the request was
+// run, long after its caller had left.
+TEST_F(EndpointTroubleFixture, serve_callerLeavesWhileRequestIsHeldUp_restNotDeliveredLater)
+{
+    // More than the endpoint's buffer takes, and less than both buffers together.
+    constexpr std::size_t BodySize = 180U << 10U;
+    const auto received = std::make_shared<std::atomic<std::size_t>>(0);
+    const auto isEnded = std::make_shared<std::atomic<bool>>(false);
+    addEndpoint([received, isEnded](Socket &socket, const std::string &) {
+        std::this_thread::sleep_for(500ms);
+        std::string bytes(64U << 10U, '\0');
+        boost::system::error_code code;
+        while (!code)
+            *received += socket.read_some(boost::asio::buffer(bytes), code);
+        *isEnded = true;
+        return false;
+    });
+    start();
+    Socket caller = connect();
+    write(caller, request("POST", "/read/1", "", std::string(BodySize, 'x')));
+    std::this_thread::sleep_for(200ms);
+    caller.close();
+    for (int i = 0; i < 400 && !*isEnded; ++i)
+        std::this_thread::sleep_for(5ms);
+    ASSERT_TRUE(*isEnded);
+    EXPECT_LT(*received, BodySize - (8U << 10U));
+}
+
 // Guards against a stream without events that gets no head, or is not ended.
 TEST_F(EndpointTroubleFixture, serve_streamWithoutEvents_endedWhole)
 {
