--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -436,8 +436,12 @@
     // is, and its short deadline shows the return of the store early; whole lists for all processes
     // at that moment would fill the links between regions.
     m_hasGap = true;
-    if (m_failures > 1)
+    if (m_failures > 1) {
+        logEvent(Severity::Info, "store_call_failed",
+                {{"collection", m_collection}, {"failures", m_failures}, {"error", error.message},
+                        {"remedy", error.remedy}});
         return;
+    }
     logEvent(Severity::Warning, "store_lost",
             {{"collection", m_collection}, {"error", error.message}, {"remedy", error.remedy}});
     if (m_sink.onLost)
