Probe engines whose reports stopped instead of preferring them

Cause: datagrams are lost in a full link, so the engine's reports stop. Without a report an engine counted as idle (busy=0, expected start 18 ms, the engine's last report 1 s old), and every entry sent what it had there, repeats included.

Change: an engine that has had reports and has none now is known by its answers of the last second; after that an entry sends it one request at a time. A repeated request goes neither there nor to an endpoint that has not answered since its last failure, unless nothing else is left.

Tests red before: choose_reportsStopped_oneRequestAtATimeUntilItAnswers, choose_repeatedRequest_endpointWithoutAnswerLeftOut.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -344,8 +344,8 @@
         logEvent(Severity::Info, "attempt_ended",
                 {{"request", m_about.id.value()}, {"endpoint", dispatch.endpoint.value()},
                         {"end", toString(end)}, {"detail", m_detail}, {"busy", load.busy(now)},
-                        {"sent_ms", msSinceArrival(m_sentAt)}, {"weights", m_servedWeights},
-                        {"newest_weights", m_newestWeights}});
+                        {"report_age_ms", m_reportAgeMs}, {"sent_ms", msSinceArrival(m_sentAt)},
+                        {"weights", m_servedWeights}, {"newest_weights", m_newestWeights}});
     }
     co_return m_isCallerGone ? AttemptEnd::CallerGone : end;
 }
@@ -495,6 +495,8 @@
         // An answer that is no stream is the result of the work.
         if (isOwn && !isStream)
             noteBegun();
+        if (isOwn)
+            m_context.dispatcher.load(dispatch.endpoint).onAnswerBegun(TimePoint::clock::now());
         AttemptEnd end = AttemptEnd::Lost;
         if (isStream)
             end = co_await relayEvents(parser, head);
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -169,7 +169,7 @@
     struct Candidates
     {
         std::vector<PlacementCandidate> usable;
-        /// Those that failed lately or are about to load other weights.
+        /// Those that failed lately, are about to load other weights, or have gone silent.
         std::vector<PlacementCandidate> paused;
         std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
         std::optional<domain::TimePoint> quietUntil;
--- a/src/routing/endpointload.h
+++ b/src/routing/endpointload.h
@@ -43,6 +43,8 @@
     /// First pause after a failure; doubles with each further one up to the longest.
     domain::Duration firstPause = std::chrono::milliseconds(200);
     domain::Duration longestPause = std::chrono::milliseconds(3000);
+    /// An engine whose reports have stopped is known by its answers for this long.
+    domain::Duration answerLife = std::chrono::milliseconds(1000);
     /// Weight of the newest sample in the share of failed requests.
     double failureWeight = 0.15;
     /// Wait that a request is charged with at an endpoint that fails all it gets, in milliseconds.
@@ -59,6 +61,8 @@
     void onReport(const EngineReport &report, domain::TimePoint now);
     void onAnsweredLoad(const AnsweredLoad &load, domain::TimePoint now);
     void onSent(domain::TimePoint now);
+    /// An answer to a request of this entry has begun.
+    void onAnswerBegun(domain::TimePoint now) { m_answeredAt = now; }
     void onEnded();
     void onSuccess();
     /// The endpoint did not answer as it should.
@@ -70,7 +74,12 @@
     void onSuspended(domain::Duration time);
 
     bool isPaused(domain::TimePoint now) const { return now < m_pausedUntil; }
+    /// The endpoint has not answered a request since it last did as it should.
+    bool hasFailedLast() const { return m_failures > 0; }
     bool isSwitching(domain::TimePoint now) const;
+    /// The engine's reports have stopped and no answer came lately: it may be dark, or its VM's
+    /// link may be full, which loses reports. What is known of its load is out of date.
+    bool isDoubtful(domain::TimePoint now) const;
     bool hasFreshReport(domain::TimePoint now) const;
     std::optional<std::uint64_t> reportedWeights(domain::TimePoint now) const;
     std::uint32_t inFlight() const { return m_inFlight; }
@@ -96,6 +105,7 @@
     mutable std::deque<domain::TimePoint> m_sent;
     EngineReport m_report;
     domain::TimePoint m_reportedAt;
+    domain::TimePoint m_answeredAt;
     std::uint32_t m_failures = 0;
     double m_failedShare = 0;
     domain::TimePoint m_pausedUntil;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -299,7 +299,12 @@
     const PlacementCandidate candidate{endpoint.id, startMs(endpoint, service, *query.request, now),
             endpoint.dataCentre == m_options.dataCentre};
     candidates.versions[endpoint.id] = version;
-    if (known.isPaused(now) || known.isSwitching(now))
+    // One request at a time shows whether a doubtful endpoint answers. A repeated request has no
+    // time left for that, nor for an endpoint that has just left another one without an answer.
+    const bool isRepeated = !query.excluded.empty();
+    const bool isDoubtful = known.isDoubtful(now) && (isRepeated || known.inFlight() > 0);
+    const bool isSuspect = isDoubtful || (isRepeated && known.hasFailedLast());
+    if (known.isPaused(now) || known.isSwitching(now) || isSuspect)
         candidates.paused.push_back(candidate);
     else
         candidates.usable.push_back(candidate);
--- a/src/routing/internal/endpointload.cpp
+++ b/src/routing/internal/endpointload.cpp
@@ -81,6 +81,12 @@
     return hasFreshReport(now) && m_report.isSwitching;
 }
 
+bool EndpointLoad::isDoubtful(domain::TimePoint now) const
+{
+    const bool hasAgent = m_report.sequence > 0;
+    return hasAgent && !hasFreshReport(now) && now - m_answeredAt > m_options.answerLife;
+}
+
 bool EndpointLoad::hasFreshReport(domain::TimePoint now) const
 {
     return m_reportedAt != domain::TimePoint() && now - m_reportedAt <= m_options.reportLife;
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -121,6 +121,53 @@
     std::uint64_t m_sequence = 0;
 };
 
+// Regression: an engine whose reports had stopped counted as idle, and all entries sent what they
+// had into the full link of its VM (push-twice --vary --seed 439813121140: GONE).
+TEST_F(DispatcherFixture, choose_reportsStopped_oneRequestAtATimeUntilItAnswers)
+{
+    Dispatcher dispatcher(options(3));
+    prepare(dispatcher, 2);
+    report(dispatcher, 0, 12);
+    report(dispatcher, 1, 12);
+    m_now += 1100ms;
+    report(dispatcher, 1, 9);
+    int probes = 0;
+    for (int i = 0; i < 5; ++i) {
+        const std::string name = chosen(dispatcher);
+        ASSERT_NE(name, "");
+        probes += name == endpoint(0).id.value() ? 1 : 0;
+    }
+    EXPECT_LE(probes, 1);
+    // A repeated request does not go there.
+    dispatcher.load(endpoint(0).id).onEnded();
+    m_query.excluded.insert(EndpointId("other"));
+    EXPECT_EQ(chosen(dispatcher), endpoint(1).id.value());
+    dispatcher.load(endpoint(0).id).onAnswerBegun(m_now);
+    EXPECT_EQ(chosen(dispatcher), endpoint(0).id.value());
+    // Without any other endpoint it is used as before.
+    m_now += 1100ms;
+    m_query.excluded.insert(endpoint(1).id);
+    EXPECT_EQ(chosen(dispatcher), endpoint(0).id.value());
+}
+
+// Guards against a repeated request that is sent to an endpoint which has just left another one
+// without an answer: it arrives after its caller has left.
+TEST_F(DispatcherFixture, choose_repeatedRequest_endpointWithoutAnswerLeftOut)
+{
+    Dispatcher dispatcher(options(3));
+    prepare(dispatcher, 2);
+    dispatcher.load(endpoint(0).id).onFailure(m_now);
+    m_now += 300ms;
+    report(dispatcher, 0, 0);
+    report(dispatcher, 1, 14);
+    m_query.excluded.insert(EndpointId("other"));
+    EXPECT_EQ(chosen(dispatcher), endpoint(1).id.value());
+    // Its share of failed requests falls with each success.
+    for (int i = 0; i < 20; ++i)
+        dispatcher.load(endpoint(0).id).onSuccess();
+    EXPECT_EQ(chosen(dispatcher), endpoint(0).id.value());
+}
+
 // Guards against one Retry-After for all refused callers, of whom all but one are then refused
 // again: each caller that returns at its own time is served.
 TEST_F(DispatcherFixture, choose_allEndpointsAtTheirLimits_eachCallerToldAnotherSlot)
