Check in the soak that entries heed leaving and quiet endpoints

Two series: endpoint-leave says in its answers that it leaves, endpoint-quiet refuses for a stated time. Rules LEAVING and QUIET: no new work 1 s after the entry has passed on such an answer; a fault or restart of the entry excuses it.

--- a/standins/soakchecks.cpp
+++ b/standins/soakchecks.cpp
@@ -99,6 +99,35 @@
     }
 }
 
+void SoakChecks::onNotice(const std::string &rule, const SoakAttempt &attempt,
+        const std::string &instance, TimePoint until)
+{
+    const Notice notice{attempt.life, TimePoint::clock::now(), until};
+    Notice &known = m_notices.try_emplace({rule, instance, attempt.entry}, notice).first->second;
+    if (known.life != attempt.life || known.until <= notice.since)
+        known = notice;
+}
+
+bool SoakChecks::isBinding(const Notice &notice, const SoakAttempt &attempt) const
+{
+    const TimePoint now = TimePoint::clock::now();
+    return notice.life == attempt.life && now > notice.since + NoticeBound && now < notice.until
+            && m_journal.isCalm(attempt.entry, notice.since - SoakJournal::ContactTime, now);
+}
+
+/// LEAVING and QUIET. A fault or restart of an entry excuses it.
+void SoakChecks::checkNotice(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint)
+{
+    for (const char *rule : {"LEAVING", "QUIET"}) {
+        const auto found = m_notices.find({rule, endpoint.instance, attempt.entry});
+        if (found != m_notices.end() && isBinding(found->second, attempt)) {
+            m_journal.violation(rule,
+                    secondsSince(found->second.since)
+                            + " after the entry was told: " + text(attempt));
+        }
+    }
+}
+
 bool SoakChecks::isInTouch(const SoakAttempt &attempt, TimePoint now) const
 {
     return m_journal.isInTouch(attempt.entry, attempt.sent)
@@ -140,6 +169,7 @@
         m_journal.violation("UNASKED", "changed on the way: " + text(attempt));
     checkLeaving(attempt, endpoint);
     checkLimit(attempt, endpoint);
+    checkNotice(attempt, endpoint);
     return found->second;
 }
 
@@ -210,6 +240,11 @@
     constexpr unsigned NotFound = 404;
     ++m_outcomes[std::to_string(status)];
     noteInForce("DENIED");
+    // A broken rule would show in any request of an entry that an endpoint has told something.
+    for (const auto &[key, notice] : m_notices) {
+        if (std::get<2>(key) == attempt.entry && isBinding(notice, attempt))
+            noteInForce(std::get<0>(key));
+    }
     if (status == Ok) {
         noteInForce(attempt.isStream() ? "ORDER" : "MIXED");
         ++m_served[attempt.kind];
@@ -328,8 +363,8 @@
 {
     std::string seconds = "seconds in force:";
     std::string unchecked;
-    for (const char *rule : {"CONFIG", "DENIED", "DRAIN", "EVAC", "LIMIT", "LOST", "MIXED", "ORDER",
-                 "REFUSED", "TWICE", "UNASKED", "VERSION"}) {
+    for (const char *rule : {"CONFIG", "DENIED", "DRAIN", "EVAC", "LEAVING", "LIMIT", "LOST",
+                 "MIXED", "ORDER", "QUIET", "REFUSED", "TWICE", "UNASKED", "VERSION"}) {
         const auto found = m_inForce.find(rule);
         if (found == m_inForce.end())
             unchecked += std::string(" ") + rule;
--- a/standins/soakchecks.h
+++ b/standins/soakchecks.h
@@ -46,6 +46,8 @@
     static constexpr auto LimitWindow = std::chrono::seconds(4);
     static constexpr double LimitOverage = 1.5;
     static constexpr double LimitSlack = 5;
+    /// What an endpoint says in an answer binds the entry that passed it on from then on.
+    static constexpr auto NoticeBound = std::chrono::milliseconds(1000);
 
     explicit SoakChecks(SoakJournal &journal);
 
@@ -57,6 +59,10 @@
     void onLimit(const std::string &instance, double perSecond);
     /// An answer that names it is about to be sent.
     void onLimitNamed(const SoakAttempt &attempt, const std::string &instance);
+    /// An answer is about to be sent which says that the endpoint wants nothing more until then;
+    /// the rule is LEAVING or QUIET.
+    void onNotice(const std::string &rule, const SoakAttempt &attempt, const std::string &instance,
+            domain::TimePoint until);
     std::uint64_t newestConfig() const { return m_configs.empty() ? 0 : m_configs.rbegin()->first; }
     /// Version before the newest; the newest when there is no other.
     std::uint64_t previousConfig() const
@@ -87,9 +93,18 @@
     void checkServed();
 
 private:
+    struct Notice
+    {
+        int life = 0;
+        domain::TimePoint since;
+        domain::TimePoint until;
+    };
+
     void checkConfig(const SoakAttempt &attempt, bool isKnown);
     void checkLeaving(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
     void checkLimit(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
+    bool isBinding(const Notice &notice, const SoakAttempt &attempt) const;
+    void checkNotice(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
     void checkWeights(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
     bool isInTouch(const SoakAttempt &attempt, domain::TimePoint now) const;
     /// Whether the bound of configuration or withdrawals, which counts from `since`, has passed.
@@ -115,6 +130,8 @@
     };
 
     SoakJournal &m_journal;
+    /// By rule, instance and entry.
+    std::map<std::tuple<std::string, std::string, std::string>, Notice> m_notices;
     std::map<std::string, Limit> m_limits;
     std::unordered_map<std::string, std::shared_ptr<SoakAttempt>> m_attempts;
     std::map<std::uint64_t, domain::TimePoint> m_configs;
--- a/standins/soakendpoint.cpp
+++ b/standins/soakendpoint.cpp
@@ -233,11 +233,42 @@
     m_checks.onLimit(instance, 0);
 }
 
-std::string SoakEndpoint::limitField() const
+asio::awaitable<void> SoakEndpoint::sayLeavingAndRestart(
+        domain::Duration time, domain::Duration pause)
 {
-    if (m_limit <= 0)
-        return {};
-    return std::string(names::Limit) + ": " + std::to_string(m_limit) + "\r\n";
+    m_journal.beginFault(m_options.name, "says that it leaves");
+    m_isSayingLeaving = true;
+    co_await sleepFor(time);
+    while (m_engine.running > 0)
+        co_await sleepFor(PollInterval);
+    m_lapsing[m_instance] = TimePoint::clock::now() + Lapse;
+    end();
+    co_await sleepFor(pause);
+    m_isSayingLeaving = false;
+    start();
+    m_journal.endFault(m_options.name);
+}
+
+asio::awaitable<void> SoakEndpoint::askQuiet(domain::Duration time)
+{
+    m_journal.note("endpoint " + m_instance + " asks for quiet");
+    m_quietUntil = TimePoint::clock::now() + time;
+    co_await sleepUntil(*m_quietUntil);
+    m_quietUntil.reset();
+}
+
+std::string SoakEndpoint::noticeFields(const SoakAttempt &attempt)
+{
+    std::string fields;
+    if (m_limit > 0) {
+        m_checks.onLimitNamed(attempt, m_instance);
+        fields += std::string(names::Limit) + ": " + std::to_string(m_limit) + "\r\n";
+    }
+    if (m_isSayingLeaving) {
+        m_checks.onNotice("LEAVING", attempt, m_instance, TimePoint::max());
+        fields += std::string(names::Leaving) + ": 1\r\n";
+    }
+    return fields;
 }
 
 SoakEndpoint::Fault SoakEndpoint::drawFault()
@@ -299,11 +330,12 @@
     co_return !code;
 }
 
-asio::awaitable<bool> SoakEndpoint::refuse(Socket &socket, const Request &request, unsigned status)
+asio::awaitable<bool> SoakEndpoint::refuse(
+        Socket &socket, const Request &request, unsigned status, std::string notices)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status)
             + " Refused\r\nContent-Length: 0\r\nNot-Executed: 1\r\nAttempt-Id: "
-            + fieldOf(request, names::AttemptId) + "\r\n" + limitField() + "\r\n";
+            + fieldOf(request, names::AttemptId) + "\r\n" + notices + "\r\n";
     co_return co_await send(socket, std::move(text));
 }
 
@@ -333,8 +365,17 @@
     const std::string method(request.method_string().data(), request.method_string().size());
     auto attempt = m_checks.onArrival(
             fieldOf(request, names::AttemptId), method, target, request.body(), facts());
-    if (attempt == nullptr || m_engine.waiting >= m_options.maxWaiting)
+    if (attempt == nullptr)
         co_return co_await refuse(socket, request, Unavailable);
+    if (m_quietUntil) {
+        m_checks.onNotice("QUIET", *attempt, m_instance, *m_quietUntil);
+        const std::chrono::duration<double> left = *m_quietUntil - TimePoint::clock::now();
+        std::string notices
+                = std::string(names::RetryAfter) + ": " + std::to_string(left.count()) + "\r\n";
+        co_return co_await refuse(socket, request, Unavailable, std::move(notices));
+    }
+    if (m_engine.waiting >= m_options.maxWaiting)
+        co_return co_await refuse(socket, request, Unavailable, noticeFields(*attempt));
     const std::string account = fieldOf(request, names::Account);
     if (!fieldOf(request, names::Key).empty() || account != (attempt->isStream() ? "shop" : "")) {
         m_journal.violation("UNASKED",
@@ -365,7 +406,7 @@
         co_return false;
     --m_engine.waiting;
     if (!hasPlace)
-        co_return co_await refuse(socket, request, Unavailable);
+        co_return co_await refuse(socket, request, Unavailable, noticeFields(*attempt));
     // Checked again where it begins: the weights may have changed while it waited.
     if (!version.empty() && version != std::to_string(m_engine.version()))
         co_return co_await refuse(socket, request, Misdirected);
@@ -390,9 +431,7 @@
     std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt->id + "\r\nServer-Signature: "
             + attempt->id + '.' + instance + "\r\nServer-Load: " + std::to_string(m_engine.running)
             + ',' + std::to_string(m_engine.waiting) + ',' + std::to_string(m_options.slots)
-            + "\r\n" + limitField();
-    if (m_limit > 0)
-        m_checks.onLimitNamed(*attempt, instance);
+            + "\r\n" + noticeFields(*attempt);
     bool isKept = false;
     if (attempt->isStream()) {
         head += "Weight-Versions: " + std::to_string(m_engine.version()) + "\r\n";
--- a/standins/soakendpoint.h
+++ b/standins/soakendpoint.h
@@ -46,6 +46,12 @@
     boost::asio::awaitable<void> misbehave(Fault fault, domain::Duration time);
     /// Names a limit in each of its answers for the time.
     boost::asio::awaitable<void> nameLimit(double perSecond, domain::Duration time);
+    /// Says in each of its answers for the time that it is leaving, and leaves; its entry in the
+    /// store says nothing of it.
+    boost::asio::awaitable<void> sayLeavingAndRestart(
+            domain::Duration time, domain::Duration pause);
+    /// Refuses all requests for the time, and says how long.
+    boost::asio::awaitable<void> askQuiet(domain::Duration time);
     bool isBusy = false;
 
 private:
@@ -62,12 +68,14 @@
             Socket &socket, const Request &request, std::shared_ptr<SoakAttempt> attempt);
     boost::asio::awaitable<bool> stream(Socket &socket, const Request &request,
             const SoakAttempt &attempt, std::string head, bool isCut);
-    boost::asio::awaitable<bool> refuse(Socket &socket, const Request &request, unsigned status);
+    boost::asio::awaitable<bool> refuse(
+            Socket &socket, const Request &request, unsigned status, std::string notices = {});
     /// Sends what the fault says in place of, or after, a plain answer.
     boost::asio::awaitable<bool> sendPlain(
             Socket &socket, const std::string &head, const std::string &body, Fault fault);
     boost::asio::awaitable<bool> send(Socket &socket, std::string bytes);
-    std::string limitField() const;
+    /// Fields in which it tells of itself, in an answer to the attempt.
+    std::string noticeFields(const SoakAttempt &attempt);
     void end();
     static void reset(Socket &socket);
     SoakEndpointFacts facts() const;
@@ -94,6 +102,8 @@
     std::optional<domain::TimePoint> m_drainAckedAt;
     /// Requests a second; zero without a limit.
     double m_limit = 0;
+    bool m_isSayingLeaving = false;
+    std::optional<domain::TimePoint> m_quietUntil;
     bool m_wasStoreStable = false;
     Fault m_fault = Fault::None;
     /// Earlier instances whose entries lapse, as they send nothing more.
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -411,6 +411,11 @@
         return endpoint.nameLimit(
                 std::uniform_real_distribution<double>(0.5, 6)(m_random), drawTime(5000, 12000));
     });
+    add("leave", 4s, [this](SoakEndpoint &endpoint) {
+        return endpoint.sayLeavingAndRestart(drawTime(1500, 4000), drawTime(500, 2500));
+    });
+    add("quiet", 3s,
+            [this](SoakEndpoint &endpoint) { return endpoint.askQuiet(drawTime(1500, 4000)); });
     add("crash", 3s, [this](SoakEndpoint &endpoint) {
         return endpoint.crashAndRestart(drawTime(200, 4000));
     });
--- a/tests/soakseeds.sh
+++ b/tests/soakseeds.sh
@@ -17,7 +17,7 @@
 run --seed 307 --seconds 30
 # A calm store, so that the bounds that need one are in force.
 run --seed 308 --seconds 30 --entries 3 \
-    --faults endpoint-drain,endpoint-limit,configs,weights,withdrawal
+    --faults endpoint-drain,endpoint-limit,endpoint-leave,endpoint-quiet,configs,weights,withdrawal
 
 never=$(awk -F'not checked:' 'NF == 2 { n = split($2, rules, " "); for (i = 1; i <= n; ++i) ++count[rules[i]] }
     END { for (rule in count) if (count[rule] == 3) print rule }' <<<"$lines")
