--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,6 +6,7 @@
 #                              robin without slow start
 #   scripts/bench.sh requests  latency that an entry adds, and requests a second per core
 #   scripts/bench.sh push      the push of agents on the operators' platform, sizes of its sheets
+#   scripts/bench.sh bounds    ways to share one bound among entries, simulated; same figures each time
 #   scripts/bench.sh core      the *_bench programs
 #
 # Options: --endpoints N, --dcs N, --seed N, --fault none|origin|corrupt|cut|platform|silence.
@@ -264,6 +265,12 @@
     finish "bench=core"
 }
 
+bounds() {
+    "$bin/routing_bench" --benchmark_filter='^bounds' --benchmark_counters_tabular=true 2>>"$run_dir/bounds.log" \
+        || note_failure routing_bench
+    finish "bench=bounds"
+}
+
 push() {
     "$bin/relayagent_bench" 2>>"$run_dir/push.log" | grep -v 'event=' || note_failure relayagent_bench
     finish "bench=push"
@@ -271,9 +278,9 @@
 
 fleet_begin "bench-$name"
 case $name in
-    burst | withdraw | requests | push | core) "$name" ;;
+    burst | withdraw | requests | push | bounds | core) "$name" ;;
     *)
-        echo "bench: unknown benchmark $name; use burst, withdraw, requests, push or core" >&2
+        echo "bench: unknown benchmark $name; use burst, withdraw, requests, push, bounds or core" >&2
         exit 2
         ;;
 esac
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -26,9 +26,9 @@
 using domain::Error;
 using domain::ErrorKind;
 using domain::TimePoint;
-using routing::AttemptEnd;
 using observability::logEvent;
 using observability::Severity;
+using routing::AttemptEnd;
 using std::chrono::milliseconds;
 
 namespace {
