--- a/src/relay/internal/endpointconnections.cpp
+++ b/src/relay/internal/endpointconnections.cpp
@@ -37,9 +37,9 @@
 
 void EndpointConnection::cancelRequest()
 {
-    // After a plain close the system goes on sending what a narrow or lossy link has held up, and
-    // the endpoint begins the request seconds after its caller has left. A reset discards those
-    // bytes. It is not repeated when it is lost, so an endpoint that has the request gets a close.
+    // After a plain close the kernel still delivers the bytes delayed by a narrow or lossy link, so
+    // the endpoint may begin the request seconds after its caller has left. A reset discards them.
+    // A lost reset is not retransmitted, so a fully delivered request gets a plain close.
     if (stream.socket().is_open() && hasUndelivered()) {
         beast::error_code code;
         stream.socket().set_option(asio::socket_base::linger(true, 0), code);
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -169,7 +169,7 @@
     struct Candidates
     {
         std::vector<PlacementCandidate> usable;
-        /// Those that failed lately, are about to load other weights, or have gone silent.
+        /// Endpoints with a recent failure, a pending weights switch, or no reports any more.
         std::vector<PlacementCandidate> paused;
         std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
         std::optional<domain::TimePoint> quietUntil;
--- a/src/routing/endpointload.h
+++ b/src/routing/endpointload.h
@@ -77,8 +77,8 @@
     /// The endpoint has not answered a request since it last did as it should.
     bool hasFailedLast() const { return m_failures > 0; }
     bool isSwitching(domain::TimePoint now) const;
-    /// The engine's reports have stopped and no answer came lately: it may be dark, or its VM's
-    /// link may be full, which loses reports. What is known of its load is out of date.
+    /// The engine's reports have stopped and no answer came lately: the engine may be dark, or its
+    /// VM's full link drops the reports. The known load is out of date.
     bool isDoubtful(domain::TimePoint now) const;
     bool hasFreshReport(domain::TimePoint now) const;
     std::optional<std::uint64_t> reportedWeights(domain::TimePoint now) const;
--- a/src/routing/tests/boundsbench.cpp
+++ b/src/routing/tests/boundsbench.cpp
@@ -25,7 +25,7 @@
 constexpr auto Step = 10ms;
 constexpr double Loss = 0.02;
 
-/// What a rule sees of the run.
+/// State of one simulated run, shared by the rule and the driver.
 struct World
 {
     std::size_t entries = 1;
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -159,7 +159,7 @@
     dispatcher.load(endpoint(0).id).onFailure(m_now);
     m_now += 300ms;
     report(dispatcher, 0, 0);
-    // What it waits there costs more than the failure.
+    // The expected wait at this endpoint costs more than the failure of the other one.
     report(dispatcher, 1, 16);
     m_query.excluded.insert(EndpointId("other"));
     EXPECT_EQ(chosen(dispatcher), endpoint(1).id.value());
--- a/standins/soakchecks.cpp
+++ b/standins/soakchecks.cpp
@@ -240,7 +240,7 @@
     constexpr unsigned NotFound = 404;
     ++m_outcomes[std::to_string(status)];
     noteInForce("DENIED");
-    // A broken rule would show in any request of an entry that an endpoint has told something.
+    // A notice that binds the entry puts its rule in force, whichever endpoint gets the request.
     for (const auto &[key, notice] : m_notices) {
         if (std::get<2>(key) == attempt.entry && isBinding(notice, attempt))
             noteInForce(std::get<0>(key));
--- a/standins/soakendpoint.h
+++ b/standins/soakendpoint.h
@@ -74,7 +74,7 @@
     boost::asio::awaitable<bool> sendPlain(
             Socket &socket, const std::string &head, const std::string &body, Fault fault);
     boost::asio::awaitable<bool> send(Socket &socket, std::string bytes);
-    /// Fields in which it tells of itself, in an answer to the attempt.
+    /// Limit and leaving fields for an answer to the attempt.
     std::string noticeFields(const SoakAttempt &attempt);
     void end();
     static void reset(Socket &socket);
