Show in log and metrics which version of the weights an entry requires

request_ended and attempt_ended carry required_weights. Two gauges keep what the log loses: oriolerill_relay_weights_required and oriolerill_relay_weights_named_seconds. No logic changes.

--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -28,6 +28,22 @@
         storeLostAt = now - suspended;
 }
 
+void RelayContext::exposeWeights(domain::TimePoint now)
+{
+    const routing::WeightsRequirement &weights = dispatcher.weights();
+    for (const routing::NamedVersion &named : weights.newestVersions()) {
+        const std::string model = named.model.value();
+        metrics.set("oriolerill_relay_weights_required",
+                static_cast<double>(weights.lowest(named.model, now)), {{"model", model}});
+        // Without a time the version was found at the start of this process.
+        const double age = named.namedAt
+                ? std::chrono::duration<double>(now - *named.namedAt).count()
+                : -1;
+        metrics.set("oriolerill_relay_weights_named_seconds", age,
+                {{"model", model}, {"version", std::to_string(named.version)}});
+    }
+}
+
 asio::awaitable<void> RelayContext::watchUnbegun()
 {
     /// A tenth of a second is small against the margin of a withdrawal, and reports of engines wake
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -42,6 +42,9 @@
     /// Makes what this entry knows as old as it is, if the machine was suspended meanwhile. Called
     /// before decisions that go by age.
     void noteSuspension(domain::TimePoint now);
+    /// Sets the gauges of named and required weights. Log lines of a naming are displaced by those
+    /// of requests where only the end of a log is kept.
+    void exposeWeights(domain::TimePoint now);
     /// Withdraws requests whose engines do not begin them in time. Runs until the context stops.
     boost::asio::awaitable<void> watchUnbegun();
 };
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -146,6 +146,7 @@
             m_metrics.set("oriolerill_relay_store_calls", static_cast<double>(m_store.callCount()));
             m_metrics.set("oriolerill_relay_endpoint_connects",
                     static_cast<double>(m_connections.connectCount()));
+            m_relay.exposeWeights(TimePoint::clock::now());
             response.fields.add("Content-Type", "text/plain; version=0.0.4");
             response.body = m_metrics.exposition();
         } else {
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -253,6 +253,7 @@
     m_sentAt.reset();
     m_servedWeights = dispatch.servedWeights;
     m_newestWeights = dispatch.newestWeights;
+    m_requiredWeights = dispatch.requiredWeights;
     const TimePoint chosenAt = TimePoint::clock::now();
     const routing::EndpointLoad &chosen = m_context.dispatcher.load(dispatch.endpoint);
     m_busy = chosen.busy(chosenAt);
@@ -302,7 +303,8 @@
                 {{"request", m_about.id.value()}, {"endpoint", dispatch.endpoint.value()},
                         {"end", toString(end)}, {"detail", m_detail}, {"busy", load.busy(now)},
                         {"report_age_ms", m_reportAgeMs}, {"sent_ms", msSinceArrival(m_sentAt)},
-                        {"weights", m_servedWeights}, {"newest_weights", m_newestWeights}});
+                        {"weights", m_servedWeights}, {"newest_weights", m_newestWeights},
+                        {"required_weights", m_requiredWeights}});
     }
     co_return m_isCallerGone ? AttemptEnd::CallerGone : end;
 }
@@ -695,6 +697,7 @@
                     {"busy", std::llround(m_busy)}, {"report_age_ms", m_reportAgeMs},
                     {"sent_ms", msSinceArrival(m_sentAt)}, {"weights", m_servedWeights},
                     {"newest_weights", m_newestWeights},
+                    {"required_weights", m_requiredWeights},
                     {"first_ms", msSinceArrival(m_firstByteAt)},
                     {"total_ms", msSinceArrival(TimePoint::clock::now())},
                     {"events", m_events.eventCount()}, {"detail", m_detail}});
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -102,6 +102,7 @@
     bool m_isWithdrawn = false;
     std::uint64_t m_servedWeights = 0;
     std::uint64_t m_newestWeights = 0;
+    std::uint64_t m_requiredWeights = 0;
     std::optional<domain::TimePoint> m_firstByteAt;
     std::string m_detail;
 
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -87,6 +87,8 @@
     /// Version that the endpoint is known to serve, and the newest one named; zero when unknown.
     std::uint64_t servedWeights = 0;
     std::uint64_t newestWeights = 0;
+    /// Oldest version that was allowed at the choice; zero while every version will do.
+    std::uint64_t requiredWeights = 0;
     double startMs = 0;
     bool isCold = false;
     /// The endpoint has named a limit, and the request uses one of this entry's slots.
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -374,7 +374,8 @@
         m_limits.onChosen(*endpoint, m_share, now);
     dispatch.servedWeights = candidates.versions[best.endpoint].value_or(0);
     dispatch.newestWeights = m_weights.newest(query.request->model);
-    if (m_weights.lowest(query.request->model, now) > 0 || query.pinnedWeights)
+    dispatch.requiredWeights = m_weights.lowest(query.request->model, now);
+    if (dispatch.requiredWeights > 0 || query.pinnedWeights)
         dispatch.weightsVersion = candidates.versions[best.endpoint];
     return dispatch;
 }
