Reproduce engines without any allowed version after the origin is lost

Agents that held less than 0.4 of version 2 when version 3 was named turned to version 3, 0.7 s before the origin was lost. A version that is not being fetched counts as stalled, so they never returned to version 2, whose pieces other agents held.

Both tests fail on this code: version 2 is not served everywhere within 12 s, and an agent with a complete older version fetches nothing while the newest one is stalled.

--- a/src/relayagent/tests/agentpushtest.cpp
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -108,6 +108,26 @@
     EXPECT_EQ(m_fleet.wrongLoads(), 0);
 }
 
+// Regression: agents that held little of a version dropped it for the next one, and never returned
+// to it when the origin failed: their engines had neither version when the older one was required.
+TEST(AgentPush, push_originLostAfterSecondNaming_olderVersionServedEverywhere)
+{
+    AgentFleetOptions options;
+    options.bound = 4s;
+    options.linkMbps = 8;
+    options.originMbps = 4;
+    AgentFleet fleet(options);
+    fleet.tellAsEntry();
+    fleet.name(2);
+    fleet.runUntil([] { return false; }, 100ms);
+    fleet.origin.firstMissing = 3;
+    fleet.name(3);
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.isServedEverywhere(2); }, 12s));
+    EXPECT_EQ(fleet.wrongLoads(), 0);
+    fleet.origin.firstMissing.reset();
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.isServedEverywhere(3); }, 15s));
+}
+
 // Regression: an agent took the version of another service's model for one of its own, fetched its
 // pieces and ordered its engine to load them.
 TEST_F(AgentPushFixture, push_versionOfAnotherModelNamed_notFetched)
--- a/src/rollout/tests/pushplantest.cpp
+++ b/src/rollout/tests/pushplantest.cpp
@@ -53,6 +53,15 @@
     EXPECT_TRUE(decision.isDue);
 }
 
+// Regression: an agent whose older version was complete fetched nothing while the newest one was
+// stalled, so the newest came only after its engine had switched to the older one.
+TEST_F(PushPlanFixture, decide_newestStalledAndOlderComplete_newestStillFetched)
+{
+    WantedVersion newest = wanted(3, m_start + 2s, 0.2);
+    newest.isStalled = true;
+    EXPECT_EQ(m_plan.decide({newest, wanted(2, m_start, 1)}, 1, m_start + 4s).fetch, 3U);
+}
+
 // Guards against two switches in a row where one will do.
 TEST_F(PushPlanFixture, decide_newestNearlyThere_olderWaitsUntilItsBound)
 {
