Reproduce a version bound that an entry breaks while the store is away for it

The test fails on this code: an older engine is chosen 7 s after the naming that both agents publish.

--- a/src/relay/tests/loadlistenertest.cpp
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -208,6 +208,32 @@
     EXPECT_EQ(chosen(), "");
 }
 
+// Regression: an entry that the store had turned away sent requests to older engines after the
+// version bound, though all agents published the naming: it had no effect before the entry's own
+// read, which came seconds later. One agent alone proves nothing, and the store's answer decides.
+TEST_F(LoadListenerFixture, receive_agentsKnowOfVersionWhileStoreIsAway_olderEnginesLeftOut)
+{
+    m_store.isDown = true;
+    for (const int agent : {1, 2}) {
+        ASSERT_NE(chosen(), "");
+        protocol::LoadReport message = report(agent);
+        message.mutable_knowledge()->set_weights_changed_at(99);
+        protocol::NamedWeights &named = *message.mutable_knowledge()->add_named();
+        named.set_model("m");
+        named.set_version(2);
+        named.set_age_ms(7000);
+        send(message);
+        send(message);
+    }
+    EXPECT_EQ(chosen(), "");
+    m_store.isDown = false;
+    m_store.put("weights/m", R"({"model":"m","version":1})");
+    const auto end = domain::TimePoint::clock::now() + 20s;
+    while (chosen().empty() && domain::TimePoint::clock::now() < end)
+        m_context.run_for(50ms);
+    EXPECT_NE(chosen(), "");
+}
+
 // Guards against a part of the cold bound that is far too large right after all processes were
 // killed: the first counts of the agents are of the few entries that they have heard by then
 // (hunt-aebc-7 on kovacevic-nakovnji-grown, FAILBACK).
