Return to an older version when the newest one gets no pieces

Cause: a version counted as stalled when no piece of it had come for 900 ms, also because another version was fetched instead. Once the newest one stalled as well, every agent stayed with it, though peers held the older one. An agent with a complete older version fetched nothing at all until its engine had switched.

FetchTurns judges only the version that is being fetched, and tries a stalled one again after 900 ms, so the return of the origin is noticed while an older version is fetched. PushPlan falls back to the newest incomplete version.

--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -47,8 +47,6 @@
 constexpr auto AnnounceTime = milliseconds(40);
 /// An order that was accepted shows in the engine's state within this time.
 constexpr auto LoadTime = milliseconds(6000);
-/// Without a piece for this long a version counts as stalled.
-constexpr auto StallTime = milliseconds(900);
 constexpr auto OrderPause = milliseconds(300);
 /// Versions whose pieces are kept: the newest, and the one before for VMs that join meanwhile.
 constexpr std::size_t KeptVersions = 2;
@@ -317,6 +315,7 @@
     }
     const rollout::PushDecision decision
             = m_plan.decide(wanted, servedVersion(), TimePoint::clock::now());
+    m_turns.onFetch(decision.fetch, TimePoint::clock::now());
     if (decision.fetch) {
         const Version version{m_fleet.model(), *decision.fetch};
         if (const auto found = m_transfers.find(version); found != m_transfers.end()) {
@@ -336,7 +335,7 @@
         bringInWhenDue(m_transfers[{m_fleet.model(), *decision.stage}], decision.isDue);
 }
 
-rollout::WantedVersion WeightsKeeper::describe(std::uint64_t number, const Transfer &transfer) const
+rollout::WantedVersion WeightsKeeper::describe(std::uint64_t number, const Transfer &transfer)
 {
     const TimePoint now = TimePoint::clock::now();
     const Version version{m_fleet.model(), number};
@@ -349,7 +348,7 @@
         wanted.fallbackAt = m_schedule.lastTurnAt(named->second);
         wanted.boundAt = m_schedule.boundAt(named->second);
     }
-    wanted.isStalled = !transfer || now - transfer->progressAt() > StallTime;
+    wanted.isStalled = !transfer || m_turns.isStalled(number, transfer->progressAt(), now);
     if (transfer) {
         wanted.heldShare = static_cast<double>(transfer->heldCount())
                 / static_cast<double>(transfer->manifest().pieces.size());
--- a/src/relayagent/internal/weightskeeper.h
+++ b/src/relayagent/internal/weightskeeper.h
@@ -10,6 +10,7 @@
 #include "relayagent/internal/manifestfinder.h"
 #include "relayagent/internal/peerexchange.h"
 #include "relayagent/internal/stagedweights.h"
+#include "rollout/fetchturns.h"
 #include "rollout/pushplan.h"
 #include "rollout/switchschedule.h"
 #include "transport/httpclient.h"
@@ -61,7 +62,7 @@
     /// Versions newer than the one served, the newest first.
     std::vector<std::uint64_t> wantedVersions() const;
     boost::asio::awaitable<void> advance(std::vector<std::uint64_t> numbers);
-    rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer) const;
+    rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer);
     void bringInWhenDue(const Transfer &transfer, bool isDue);
     std::uint64_t servedVersion() const;
     boost::asio::awaitable<Transfer> transferOf(Version version);
@@ -81,6 +82,7 @@
     std::uint16_t m_peerPort;
     rollout::SwitchSchedule m_schedule;
     rollout::PushPlan m_plan;
+    rollout::FetchTurns m_turns;
     PeerExchange m_exchange;
     transport::HttpClient m_client;
     transport::HttpClient m_originClient;
--- a/src/rollout/internal/pushplan.cpp
+++ b/src/rollout/internal/pushplan.cpp
@@ -33,11 +33,13 @@
     }
     for (const WantedVersion &version : wanted) {
         if (version.isComplete())
-            return std::nullopt;
+            break;
         if (!version.isStalled)
             return version.number;
     }
-    return wanted.empty() ? std::nullopt : std::optional(wanted.front().number);
+    // Nothing makes progress; the newest one's sources may be back at any moment.
+    const bool isMissing = !wanted.empty() && !wanted.front().isComplete();
+    return isMissing ? std::optional(wanted.front().number) : std::nullopt;
 }
 
 bool PushPlan::isDue(const std::vector<WantedVersion> &wanted, const WantedVersion &version,
--- /dev/null
+++ b/src/rollout/tests/fetchturnstest.cpp
@@ -0,0 +1,46 @@
+#include "rollout/fetchturns.h"
+
+#include <gtest/gtest.h>
+
+namespace oriolerill::rollout {
+
+using namespace std::chrono_literals;
+using domain::TimePoint;
+
+class FetchTurnsFixture : public testing::Test
+{
+protected:
+    const TimePoint m_start{1h};
+    FetchTurns m_turns;
+};
+
+// Regression: a version counted as stalled because another one was fetched instead of it, so that
+// it was never fetched again when the other one's sources failed.
+TEST_F(FetchTurnsFixture, isStalled_otherVersionFetched_no)
+{
+    m_turns.onFetch(3, m_start);
+    EXPECT_FALSE(m_turns.isStalled(2, m_start - 5s, m_start + 5s));
+    EXPECT_TRUE(m_turns.isStalled(3, m_start - 5s, m_start + 5s));
+}
+
+// Guards against a version that is given up before its sources could answer, when it is fetched
+// again after a pause.
+TEST_F(FetchTurnsFixture, isStalled_fetchedAgainAfterPause_countsFromThen)
+{
+    m_turns.onFetch(3, m_start);
+    m_turns.onFetch(2, m_start + 5s);
+    EXPECT_FALSE(m_turns.isStalled(2, m_start, m_start + 5500ms));
+    EXPECT_TRUE(m_turns.isStalled(2, m_start, m_start + 6s));
+}
+
+// Guards against an origin that is back unnoticed because an older version is fetched.
+TEST_F(FetchTurnsFixture, isStalled_whileAnOlderOneIsFetched_triedAgain)
+{
+    m_turns.onFetch(3, m_start);
+    ASSERT_TRUE(m_turns.isStalled(3, m_start, m_start + 1s));
+    m_turns.onFetch(2, m_start + 1s);
+    EXPECT_TRUE(m_turns.isStalled(3, m_start, m_start + 1800ms));
+    EXPECT_FALSE(m_turns.isStalled(3, m_start, m_start + 2s));
+}
+
+} // namespace oriolerill::rollout
