Require a version that several agents publish before the own read of the store

Cause, as far as the record and own plays show it: the operator's bound holds for every process, but a naming had no effect in an entry before the entry had read it from the store. An entry that the store turns away reads it up to two seconds after the store's return (26.0 s in a play with a return at 24.0 s, for a naming at 20.0 s), both publishers of a data centre among them, while all agents publish the naming since 20.02 s.

A naming that two agents of listed endpoints publish, from a later revision of the store than the entry has read, now counts like one that the entry has read, with the earliest time that they state. One agent alone proves nothing. Two whole reads of the store without the version refute it: the first of them may have been sent before the naming. A restarted entry that has not read the versions yet is covered as well.

receive_agentsKnowOfVersionWhileStoreIsAway_olderEnginesLeftOut failed before: it chose "e1". Its end is stricter now: the agents go on publishing what the store refutes.

--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -138,17 +138,29 @@
     return knowledge;
 }
 
-void FleetFollower::onHint(const protocol::StoreKnowledge &knowledge)
+void FleetFollower::onHint(
+        const protocol::StoreKnowledge &knowledge, const domain::SocketAddress &agent)
 {
     const TimePoint now = TimePoint::clock::now();
+    routing::WeightsRequirement &weights = m_relay.dispatcher.weights();
+    // What the own copy covers, it decides.
+    const bool isNews = knowledge.weights_changed_at() > m_weights->knownRevision()
+            && m_relay.dispatcher.isEndpointAt(agent);
     m_configuration->onHint(knowledge.configuration_changed_at(), now);
     m_withdrawals->onHint(knowledge.withdrawals_changed_at(), now);
     m_weights->onHint(knowledge.weights_changed_at(), now);
     for (const protocol::NamedWeights &named : knowledge.named()) {
         const routing::NamedVersion version = routing::decodeNamedVersion(named, now);
-        if (version.namedAt) {
-            m_relay.dispatcher.weights().onNamingTime(
-                    version.model, version.version, *version.namedAt);
+        if (!version.namedAt)
+            continue;
+        weights.onNamingTime(version.model, version.version, *version.namedAt);
+        const bool isInForceNow = isNews
+                && weights.onPublished(version.model, version.version, *version.namedAt, agent);
+        if (isInForceNow) {
+            logEvent(Severity::Info, "weights_published",
+                    {{"model", version.model.value()}, {"version", version.version},
+                            {"revision", knowledge.weights_changed_at()},
+                            {"age_ms", named.age_ms()}});
         }
     }
 }
@@ -177,7 +189,10 @@
                     [this](const ObjectList &objects) { onWithdrawals(objects, false); }, {}, {}},
             {});
     m_weights = &share("weights",
-            {[this](const ObjectList &objects) { onWeights(objects, !m_hasWeights); },
+            {[this](const ObjectList &objects) {
+                 onWeights(objects, !m_hasWeights);
+                 m_relay.dispatcher.weights().onStoreRead();
+             },
                     [this](const ObjectList &objects) { onWeights(objects, false); }, {}, {}},
             {});
     // One of four finds out when the store answers again.
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -38,8 +38,8 @@
     bool isStoreLost() const { return m_relay.storeLostAt.has_value(); }
     /// What another entry of the data centre has read.
     void onShared(const SharedChanges &changes, domain::TimePoint now);
-    /// What other entries know, as agents tell it.
-    void onHint(const protocol::StoreKnowledge &knowledge);
+    /// Knowledge of other entries, published by the agent of the endpoint at this address.
+    void onHint(const protocol::StoreKnowledge &knowledge, const domain::SocketAddress &agent);
 
 private:
     void onConfig(const objectstore::ObjectList &objects);
--- a/src/relay/tests/loadlistenertest.cpp
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -214,8 +214,7 @@
 TEST_F(LoadListenerFixture, receive_agentsKnowOfVersionWhileStoreIsAway_olderEnginesLeftOut)
 {
     m_store.isDown = true;
-    for (const int agent : {1, 2}) {
-        ASSERT_NE(chosen(), "");
+    const auto publish = [this](int agent) {
         protocol::LoadReport message = report(agent);
         message.mutable_knowledge()->set_weights_changed_at(99);
         protocol::NamedWeights &named = *message.mutable_knowledge()->add_named();
@@ -223,14 +222,24 @@
         named.set_version(2);
         named.set_age_ms(7000);
         send(message);
-        send(message);
+    };
+    for (const int agent : {1, 2}) {
+        ASSERT_NE(chosen(), "");
+        publish(agent);
+        publish(agent);
     }
     EXPECT_EQ(chosen(), "");
+    // The store does not have the version, whatever the agents go on to publish.
     m_store.isDown = false;
     m_store.put("weights/m", R"({"model":"m","version":1})");
     const auto end = domain::TimePoint::clock::now() + 20s;
-    while (chosen().empty() && domain::TimePoint::clock::now() < end)
+    while (chosen().empty() && domain::TimePoint::clock::now() < end) {
+        publish(1);
+        publish(2);
         m_context.run_for(50ms);
+    }
+    publish(1);
+    publish(2);
     EXPECT_NE(chosen(), "");
 }
 
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -127,6 +127,10 @@
     std::shared_ptr<const ServingConfig> config() const { return m_config; }
     void setWithdrawn(std::set<domain::DataCentreId> dataCentres);
     const std::set<domain::DataCentreId> &withdrawn() const { return m_withdrawn; }
+    bool isEndpointAt(const domain::SocketAddress &address)
+    {
+        return byAddress().count(address) > 0;
+    }
     EndpointList &endpoints() { return m_endpoints; }
     const EndpointList &endpoints() const { return m_endpoints; }
     EndpointNotices &notices() { return m_notices; }
--- a/src/routing/internal/weightsrequirement.cpp
+++ b/src/routing/internal/weightsrequirement.cpp
@@ -23,14 +23,43 @@
 
 void WeightsRequirement::onNamingTime(
         const domain::ModelId &model, std::uint64_t version, domain::TimePoint namedAt)
+{
+    if (Naming *naming = namingOf(model, version))
+        naming->namedAt = std::min(naming->namedAt.value_or(namedAt), namedAt);
+}
+
+WeightsRequirement::Naming *WeightsRequirement::namingOf(
+        const domain::ModelId &model, std::uint64_t version)
 {
     if (m_versions.size() >= m_options.maxModels && m_versions.count(model) == 0)
-        return;
+        return nullptr;
     Versions &versions = m_versions[model];
     if (versions.size() >= m_options.maxVersions && versions.count(version) == 0)
-        return;
-    Naming &naming = versions[version];
-    naming.namedAt = std::min(naming.namedAt.value_or(namedAt), namedAt);
+        return nullptr;
+    return &versions[version];
+}
+
+bool WeightsRequirement::onPublished(const domain::ModelId &model, std::uint64_t version,
+        domain::TimePoint namedAt, const domain::SocketAddress &agent)
+{
+    Naming *naming = namingOf(model, version);
+    if (naming == nullptr || naming->readsWithout >= m_options.readsToRefute)
+        return false;
+    const bool wasInForce = isInForce(*naming);
+    naming->namedAt = std::min(naming->namedAt.value_or(namedAt), namedAt);
+    if (naming->publishers.size() < m_options.minPublishers)
+        naming->publishers.insert(agent);
+    return isInForce(*naming) && !wasInForce;
+}
+
+void WeightsRequirement::onStoreRead()
+{
+    for (auto &[model, versions] : m_versions) {
+        for (auto &[version, naming] : versions) {
+            if (!naming.isNamed && !naming.publishers.empty())
+                ++naming.readsWithout;
+        }
+    }
 }
 
 void WeightsRequirement::onSuspended(domain::Duration time)
@@ -61,12 +90,26 @@
     return newest == versions.rend() ? 0 : newest->first;
 }
 
+bool WeightsRequirement::isInForce(const Naming &naming) const
+{
+    const bool isPublished = naming.publishers.size() >= m_options.minPublishers
+            && naming.readsWithout < m_options.readsToRefute;
+    return naming.isNamed || isPublished;
+}
+
+std::uint64_t WeightsRequirement::newestInForce(const Versions &versions) const
+{
+    const auto newest = std::find_if(versions.rbegin(), versions.rend(),
+            [this](const auto &version) { return isInForce(version.second); });
+    return newest == versions.rend() ? 0 : newest->first;
+}
+
 std::uint64_t WeightsRequirement::lowest(const domain::ModelId &model, domain::TimePoint now) const
 {
     const auto versions = m_versions.find(model);
     if (versions == m_versions.end())
         return 0;
-    const std::uint64_t newest = newestNamed(versions->second);
+    const std::uint64_t newest = newestInForce(versions->second);
     std::uint64_t required = 0;
     for (const auto &[version, naming] : versions->second) {
         if (version <= newest && now >= requiredAt(naming))
@@ -87,7 +130,7 @@
     const auto versions = m_versions.find(model);
     if (versions == m_versions.end())
         return std::nullopt;
-    const std::uint64_t newest = newestNamed(versions->second);
+    const std::uint64_t newest = newestInForce(versions->second);
     const domain::Duration left = m_options.margin - m_options.withdrawalMargin;
     std::optional<domain::TimePoint> deadline;
     for (const auto &[version, naming] : versions->second) {
--- a/src/routing/tests/weightsrequirementtest.cpp
+++ b/src/routing/tests/weightsrequirementtest.cpp
@@ -74,6 +74,31 @@
     EXPECT_EQ(requirement.lowest(m_model, m_start + 10s), 200U);
 }
 
+// Guards against one wrong agent that makes all older engines useless, and against agents that are
+// believed although the store does not have the version.
+TEST_F(WeightsRequirementFixture, onPublished_oneAgentOrRefutedByTheStore_notRequired)
+{
+    const domain::SocketAddress first{"10.0.0.1", 8100};
+    const domain::SocketAddress second{"10.0.0.2", 8100};
+    WeightsRequirement requirement(options());
+    EXPECT_FALSE(requirement.onPublished(m_model, 2, m_start, first));
+    EXPECT_FALSE(requirement.onPublished(m_model, 2, m_start, first));
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 8s), 0U);
+    EXPECT_TRUE(requirement.onPublished(m_model, 2, m_start, second));
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 6200ms), 0U);
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 6300ms), 2U);
+    EXPECT_LE(requirement.beginBy(m_model, 1).value(), m_start + 8s);
+    // The first read may have been sent before the version was named.
+    requirement.onStoreRead();
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 8s), 2U);
+    requirement.onStoreRead();
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 8s), 0U);
+    EXPECT_FALSE(requirement.onPublished(m_model, 2, m_start, second));
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 8s), 0U);
+    requirement.onNamed(m_model, 2, false, m_start + 8s);
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 8s), 2U);
+}
+
 // Guards against ages in datagrams that overflow the clock.
 TEST_F(WeightsRequirementFixture, decodeNamedVersion_ageOutOfRange_bounded)
 {
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "domain/socketaddress.h"
 #include "domain/strongid.h"
 #include "domain/timepoint.h"
 #include "routing/namedversion.h"
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace oriolerill::routing {
@@ -32,12 +34,19 @@
     /// which comes in a datagram.
     std::size_t maxModels = 16;
     std::size_t maxVersions = 16;
+    /// Agents that must publish a naming before it counts without the store: one may be wrong.
+    std::size_t minPublishers = 2;
+    /// Whole reads of the store, since agents published a naming, that must not show it before it
+    /// is dropped. The first of them may have been sent before the version was named.
+    std::uint32_t readsToRefute = 2;
 };
 
 /// Which version of a model's weights a request must at least begin on.
 ///
 /// The store says which versions are named. Other processes say since when: one that learns of a
-/// version late counts the operator's bound from the time at which the first one saw it.
+/// version late counts the operator's bound from the time at which the first one saw it. A process
+/// that the store does not answer is bound as well, so what several agents publish counts until the
+/// process has read the store itself.
 class WeightsRequirement
 {
 public:
@@ -50,6 +59,13 @@
     /// later version: the store keeps the newest version only, but the bounds of earlier ones hold.
     void onNamingTime(
             const domain::ModelId &model, std::uint64_t version, domain::TimePoint namedAt);
+    /// A naming published by an agent, from a later revision of the store than this process has
+    /// read. Ignored after the store's own answers have refuted it. True when the version comes
+    /// into force by it.
+    bool onPublished(const domain::ModelId &model, std::uint64_t version, domain::TimePoint namedAt,
+            const domain::SocketAddress &agent);
+    /// This process has read all named versions from the store.
+    void onStoreRead();
     /// All named versions are required so much earlier.
     void onSuspended(domain::Duration time);
     /// Zero while every version will do.
@@ -70,11 +86,20 @@
         bool isFoundAtStart = false;
         /// Earliest known time at which a process saw it become named.
         std::optional<domain::TimePoint> namedAt;
+        /// Agents that publish it; not more than are needed.
+        std::set<domain::SocketAddress> publishers;
+        /// Reads of the store without it since it was first published.
+        std::uint32_t readsWithout = 0;
     };
     using Versions = std::map<std::uint64_t, Naming>;
 
     domain::TimePoint requiredAt(const Naming &naming) const;
     static std::uint64_t newestNamed(const Versions &versions);
+    /// Named in the store, or published by enough agents.
+    bool isInForce(const Naming &naming) const;
+    std::uint64_t newestInForce(const Versions &versions) const;
+    /// Null when there is no room for another model or version.
+    Naming *namingOf(const domain::ModelId &model, std::uint64_t version);
 
     WeightsRequirementOptions m_options;
     std::map<domain::ModelId, Versions> m_versions;
