--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -87,6 +87,8 @@
     /// Version that the endpoint is known to serve, and the newest one named; zero when unknown.
     std::uint64_t servedWeights = 0;
     std::uint64_t newestWeights = 0;
+    /// Oldest version that was allowed at the choice; zero while every version will do.
+    std::uint64_t requiredWeights = 0;
     double startMs = 0;
     bool isCold = false;
     /// The endpoint has named a limit, and the request uses one of this entry's slots.
@@ -125,6 +127,10 @@
     std::shared_ptr<const ServingConfig> config() const { return m_config; }
     void setWithdrawn(std::set<domain::DataCentreId> dataCentres);
     const std::set<domain::DataCentreId> &withdrawn() const { return m_withdrawn; }
+    bool isEndpointAt(const domain::SocketAddress &address)
+    {
+        return byAddress().count(address) > 0;
+    }
     EndpointList &endpoints() { return m_endpoints; }
     const EndpointList &endpoints() const { return m_endpoints; }
     EndpointNotices &notices() { return m_notices; }
