--- a/src/rollout/tests/fetchturnstest.cpp
+++ b/src/rollout/tests/fetchturnstest.cpp
@@ -43,4 +43,13 @@
     EXPECT_FALSE(m_turns.isStalled(3, m_start, m_start + 2s));
 }
 
+// Guards against a version that counts as stalled although its pieces come again, so that an engine
+// is switched to an older one shortly before the newest is complete.
+TEST_F(FetchTurnsFixture, isStalled_pieceCameSince_no)
+{
+    m_turns.onFetch(3, m_start);
+    ASSERT_TRUE(m_turns.isStalled(3, m_start, m_start + 1s));
+    EXPECT_FALSE(m_turns.isStalled(3, m_start + 1050ms, m_start + 1100ms));
+}
+
 } // namespace oriolerill::rollout
