Show faults of published versions and of dropped versions with failing tests

A version that two agents publish stays required for good when a watch, not a whole list, passes the revision they stated; after 16 versions, or datagrams with 16 invented ones, publishing has no effect; a refuted version has none when it is named later; one agent's naming time counts alone; newest() names an older version than the one required. Agents drop a staged version when two more are named, and fetch nothing that exists after datagrams with two invented versions.

--- a/src/relay/tests/loadlistenertest.cpp
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -243,6 +243,33 @@
     EXPECT_NE(chosen(), "");
 }
 
+// Guards against a version that stays required for good though the store never had it: a watch, not
+// a whole list, brought this entry to the revision that agents had stated.
+TEST_F(LoadListenerFixture, receive_watchPassesPublishedRevision_versionNotRequiredAnyMore)
+{
+    for (const int agent : {1, 2}) {
+        protocol::LoadReport message = report(agent);
+        message.mutable_knowledge()->set_weights_changed_at(1);
+        protocol::NamedWeights &named = *message.mutable_knowledge()->add_named();
+        named.set_model("m");
+        named.set_version(2);
+        named.set_age_ms(7000);
+        send(message);
+    }
+    ASSERT_EQ(chosen(), "");
+    m_store.put("weights/other", R"({"model":"other","version":1})");
+    const auto end = domain::TimePoint::clock::now() + 5s;
+    while (chosen().empty() && domain::TimePoint::clock::now() < end) {
+        for (const int agent : {1, 2}) {
+            protocol::LoadReport message = report(agent);
+            message.mutable_knowledge()->set_weights_changed_at(1);
+            send(message);
+        }
+        m_context.run_for(50ms);
+    }
+    EXPECT_NE(chosen(), "");
+}
+
 // Guards against a part of the cold bound that is far too large right after all processes were
 // killed: the first counts of the agents are of the few entries that they have heard by then
 // (hunt-aebc-7 on kovacevic-nakovnji-grown, FAILBACK).
--- a/src/relayagent/tests/agentpushtest.cpp
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -128,6 +128,35 @@
     EXPECT_TRUE(fleet.runUntil([&] { return fleet.isServedEverywhere(3); }, 15s));
 }
 
+// Guards against a staged version that is dropped before its turn because two more were named: the
+// engines have no allowed version between its bound and the next one.
+TEST(AgentPush, push_originLostAfterThirdNaming_stagedVersionServedEverywhere)
+{
+    AgentFleetOptions options;
+    options.bound = 4500ms;
+    AgentFleet fleet(options);
+    fleet.tellAsEntry();
+    fleet.name(2);
+    fleet.runUntil([] { return false; }, 1200ms);
+    fleet.origin.firstMissing = 3;
+    fleet.name(3);
+    fleet.runUntil([] { return false; }, 100ms);
+    fleet.name(4);
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.isServedEverywhere(2); }, 8s));
+}
+
+// Guards against agents that bring no named version any more after datagrams that state two higher
+// ones, which the store does not have.
+TEST(AgentPush, push_datagramsStateInventedVersions_namedVersionServedEverywhere)
+{
+    AgentFleet fleet{AgentFleetOptions()};
+    fleet.tellAsEntry(98);
+    fleet.tellAsEntry(99);
+    fleet.origin.firstMissing = 98;
+    fleet.name(2);
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.isServedEverywhere(2); }, 10s));
+}
+
 // Regression: an agent took the version of another service's model for one of its own, fetched its
 // pieces and ordered its engine to load them.
 TEST_F(AgentPushFixture, push_versionOfAnotherModelNamed_notFetched)
--- a/src/routing/tests/weightsrequirementtest.cpp
+++ b/src/routing/tests/weightsrequirementtest.cpp
@@ -99,6 +99,69 @@
     EXPECT_EQ(requirement.lowest(m_model, m_start + 8s), 2U);
 }
 
+// Guards against a process that no longer believes its agents once it has seen as many versions as
+// are kept for a naming time: versions are never forgotten, and those that the store named count.
+TEST_F(WeightsRequirementFixture, onPublished_manyVersionsNamedBefore_required)
+{
+    WeightsRequirement requirement(options());
+    const std::uint64_t last = options().maxVersions;
+    for (std::uint64_t version = 1; version <= last; ++version)
+        requirement.onNamed(m_model, version, false, m_start);
+    requirement.onPublished(m_model, last + 1, m_start + 10s, {"10.0.0.1", 8100});
+    EXPECT_TRUE(requirement.onPublished(m_model, last + 1, m_start + 10s, {"10.0.0.2", 8100}));
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 17s), last + 1);
+}
+
+// Guards against one sender whose naming times for versions that do not exist leave no room for the
+// version that agents publish.
+TEST_F(WeightsRequirementFixture, onPublished_namingTimesOfInventedVersions_required)
+{
+    WeightsRequirement requirement(options());
+    for (std::uint64_t version = 100; version < 100 + options().maxVersions; ++version)
+        requirement.onNamingTime(m_model, version, m_start);
+    requirement.onPublished(m_model, 2, m_start, {"10.0.0.1", 8100});
+    EXPECT_TRUE(requirement.onPublished(m_model, 2, m_start, {"10.0.0.2", 8100}));
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 7s), 2U);
+}
+
+// Guards against a version that was published wrongly once, and has no effect when it is named
+// later while the store is away.
+TEST_F(WeightsRequirementFixture, onPublished_refutedVersionNamedLater_required)
+{
+    const domain::SocketAddress first{"10.0.0.1", 8100};
+    const domain::SocketAddress second{"10.0.0.2", 8100};
+    WeightsRequirement requirement(options());
+    requirement.onPublished(m_model, 2, m_start, first);
+    requirement.onStoreRead();
+    requirement.onStoreRead();
+    requirement.onPublished(m_model, 2, m_start + 60s, first);
+    requirement.onPublished(m_model, 2, m_start + 60s, second);
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 67s), 2U);
+}
+
+// Guards against a naming time that a single agent states for a version that is in force by others'
+// word: it makes all older engines useless at once.
+TEST_F(WeightsRequirementFixture, onPublished_oneAgentStatesEarlierTime_othersTimeCounts)
+{
+    WeightsRequirement requirement(options());
+    requirement.onPublished(m_model, 2, m_start, {"10.0.0.1", 8100});
+    requirement.onPublished(m_model, 2, m_start, {"10.0.0.2", 8100});
+    requirement.onPublished(m_model, 2, m_start - 1h, {"10.0.0.3", 8100});
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 1s), 0U);
+}
+
+// Guards against logs and metrics of a request that name an older version as the newest one than
+// the one that was required.
+TEST_F(WeightsRequirementFixture, newest_versionInForceByAgents_notOlderThanRequired)
+{
+    WeightsRequirement requirement(options());
+    requirement.onNamed(m_model, 1, false, m_start - 20s);
+    requirement.onPublished(m_model, 2, m_start, {"10.0.0.1", 8100});
+    requirement.onPublished(m_model, 2, m_start, {"10.0.0.2", 8100});
+    EXPECT_EQ(requirement.lowest(m_model, m_start + 7s), 2U);
+    EXPECT_EQ(requirement.newest(m_model), 2U);
+}
+
 // Guards against ages in datagrams that overflow the clock.
 TEST_F(WeightsRequirementFixture, decodeNamedVersion_ageOutOfRange_bounded)
 {
