Keep published namings with their revision and their agents

Published namings now stand apart from those of the store, with the revision and the time of each agent. They are dropped as soon as the own copy covers the revision, a refutation holds for that revision only, the time that two agents state counts, and room is made by versions with the fewest agents. Versions that were replaced long ago are forgotten.

--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -144,6 +144,7 @@
     const TimePoint now = TimePoint::clock::now();
     routing::WeightsRequirement &weights = m_relay.dispatcher.weights();
     // What the own copy covers, it decides.
+    weights.onCovered(m_weights->knownRevision());
     const bool isNews = knowledge.weights_changed_at() > m_weights->knownRevision()
             && m_relay.dispatcher.isEndpointAt(agent);
     m_configuration->onHint(knowledge.configuration_changed_at(), now);
@@ -154,8 +155,8 @@
         if (!version.namedAt)
             continue;
         weights.onNamingTime(version.model, version.version, *version.namedAt);
-        const bool isInForceNow = isNews
-                && weights.onPublished(version.model, version.version, *version.namedAt, agent);
+        const bool isInForceNow
+                = isNews && weights.onPublished(version, knowledge.weights_changed_at(), agent);
         if (isInForceNow) {
             logEvent(Severity::Info, "weights_published",
                     {{"model", version.model.value()}, {"version", version.version},
--- a/src/routing/internal/weightsrequirement.cpp
+++ b/src/routing/internal/weightsrequirement.cpp
@@ -19,6 +19,10 @@
     naming.isFoundAtStart = isAtStart;
     if (!isAtStart)
         naming.namedAt = std::min(naming.namedAt.value_or(now), now);
+    Versions &versions = m_versions[model];
+    while (versions.size() > m_options.maxVersions
+            && versions.begin()->first < newestNamed(versions))
+        versions.erase(versions.begin());
 }
 
 void WeightsRequirement::onNamingTime(
@@ -34,34 +38,88 @@
     if (m_versions.size() >= m_options.maxModels && m_versions.count(model) == 0)
         return nullptr;
     Versions &versions = m_versions[model];
-    if (versions.size() >= m_options.maxVersions && versions.count(version) == 0)
+    if (versions.size() >= m_options.maxVersions && versions.count(version) == 0) {
+        // The bounds of versions that were replaced long ago are over.
+        if (versions.begin()->first >= newestNamed(versions))
+            return nullptr;
+        versions.erase(versions.begin());
+    }
+    return &versions[version];
+}
+
+WeightsRequirement::Published *WeightsRequirement::publishedOf(
+        const domain::ModelId &model, std::uint64_t version)
+{
+    if (m_published.size() >= m_options.maxModels && m_published.count(model) == 0)
         return nullptr;
+    PublishedVersions &versions = m_published[model];
+    if (versions.size() >= m_options.maxVersions && versions.count(version) == 0) {
+        // One wrong agent must not leave room for nothing else.
+        const auto least = std::min_element(
+                versions.begin(), versions.end(), [](const auto &one, const auto &other) {
+                    return one.second.agents.size() < other.second.agents.size();
+                });
+        if (least->second.agents.size() >= m_options.minPublishers)
+            return nullptr;
+        versions.erase(least);
+    }
     return &versions[version];
 }
 
-bool WeightsRequirement::onPublished(const domain::ModelId &model, std::uint64_t version,
-        domain::TimePoint namedAt, const domain::SocketAddress &agent)
+bool WeightsRequirement::onPublished(
+        const NamedVersion &version, std::uint64_t revision, const domain::SocketAddress &agent)
 {
-    Naming *naming = namingOf(model, version);
-    if (naming == nullptr || naming->readsWithout >= m_options.readsToRefute)
+    Published *published = version.namedAt ? publishedOf(version.model, version.version) : nullptr;
+    if (published == nullptr)
         return false;
-    const bool wasInForce = isInForce(*naming);
-    naming->namedAt = std::min(naming->namedAt.value_or(namedAt), namedAt);
-    if (naming->publishers.size() < m_options.minPublishers)
-        naming->publishers.insert(agent);
-    return isInForce(*naming) && !wasInForce;
+    if (published->isRefuted && published->revision != revision)
+        *published = {};
+    if (published->isRefuted)
+        return false;
+    const bool wasInForce = namedAt(*published).has_value();
+    published->revision = std::max(published->revision, revision);
+    const bool hasRoom = published->agents.size() < m_options.maxAgents;
+    if (hasRoom || published->agents.count(agent) > 0) {
+        domain::TimePoint &stated
+                = published->agents.try_emplace(agent, *version.namedAt).first->second;
+        stated = std::min(stated, *version.namedAt);
+    }
+    return !wasInForce && namedAt(*published).has_value();
+}
+
+void WeightsRequirement::onCovered(std::uint64_t revision)
+{
+    for (auto &[model, versions] : m_published) {
+        std::erase_if(versions,
+                [revision](const auto &entry) { return entry.second.revision <= revision; });
+    }
 }
 
 void WeightsRequirement::onStoreRead()
 {
-    for (auto &[model, versions] : m_versions) {
-        for (auto &[version, naming] : versions) {
-            if (!naming.isNamed && !naming.publishers.empty())
-                ++naming.readsWithout;
+    for (auto &[model, versions] : m_published) {
+        for (auto &[version, published] : versions) {
+            if (++published.readsWithout < m_options.readsToRefute)
+                continue;
+            published.isRefuted = true;
+            published.agents.clear();
         }
     }
 }
 
+std::optional<domain::TimePoint> WeightsRequirement::namedAt(const Published &published) const
+{
+    if (published.agents.size() < m_options.minPublishers)
+        return std::nullopt;
+    std::vector<domain::TimePoint> stated;
+    for (const auto &[agent, at] : published.agents)
+        stated.push_back(at);
+    // So many agents state this time or an earlier one.
+    const auto decisive = stated.begin() + static_cast<std::ptrdiff_t>(m_options.minPublishers - 1);
+    std::nth_element(stated.begin(), decisive, stated.end());
+    return *decisive;
+}
+
 void WeightsRequirement::onSuspended(domain::Duration time)
 {
     m_options.startedAt -= time;
@@ -71,6 +129,12 @@
                 *naming.namedAt -= time;
         }
     }
+    for (auto &[model, versions] : m_published) {
+        for (auto &[version, published] : versions) {
+            for (auto &[agent, at] : published.agents)
+                at -= time;
+        }
+    }
 }
 
 domain::TimePoint WeightsRequirement::requiredAt(const Naming &naming) const
@@ -90,29 +154,34 @@
     return newest == versions.rend() ? 0 : newest->first;
 }
 
-bool WeightsRequirement::isInForce(const Naming &naming) const
+WeightsRequirement::Deadlines WeightsRequirement::deadlines(const domain::ModelId &model) const
 {
-    const bool isPublished = naming.publishers.size() >= m_options.minPublishers
-            && naming.readsWithout < m_options.readsToRefute;
-    return naming.isNamed || isPublished;
-}
-
-std::uint64_t WeightsRequirement::newestInForce(const Versions &versions) const
-{
-    const auto newest = std::find_if(versions.rbegin(), versions.rend(),
-            [this](const auto &version) { return isInForce(version.second); });
-    return newest == versions.rend() ? 0 : newest->first;
+    Deadlines required;
+    const std::uint64_t newestKnown = newest(model);
+    if (const auto versions = m_versions.find(model); versions != m_versions.end()) {
+        for (const auto &[version, naming] : versions->second) {
+            if (version <= newestKnown)
+                required[version] = requiredAt(naming);
+        }
+    }
+    if (const auto published = m_published.find(model); published != m_published.end()) {
+        for (const auto &[version, one] : published->second) {
+            const auto at = namedAt(one);
+            if (!at)
+                continue;
+            const auto deadline = *at + m_options.bound - m_options.margin;
+            const auto [known, isNew] = required.emplace(version, deadline);
+            known->second = std::min(known->second, deadline);
+        }
+    }
+    return required;
 }
 
 std::uint64_t WeightsRequirement::lowest(const domain::ModelId &model, domain::TimePoint now) const
 {
-    const auto versions = m_versions.find(model);
-    if (versions == m_versions.end())
-        return 0;
-    const std::uint64_t newest = newestInForce(versions->second);
     std::uint64_t required = 0;
-    for (const auto &[version, naming] : versions->second) {
-        if (version <= newest && now >= requiredAt(naming))
+    for (const auto &[version, at] : deadlines(model)) {
+        if (now >= at)
             required = std::max(required, version);
     }
     return required;
@@ -120,24 +189,26 @@
 
 std::uint64_t WeightsRequirement::newest(const domain::ModelId &model) const
 {
-    const auto versions = m_versions.find(model);
-    return versions == m_versions.end() ? 0 : newestNamed(versions->second);
+    std::uint64_t newestKnown = 0;
+    if (const auto versions = m_versions.find(model); versions != m_versions.end())
+        newestKnown = newestNamed(versions->second);
+    if (const auto published = m_published.find(model); published != m_published.end()) {
+        for (const auto &[version, one] : published->second) {
+            if (namedAt(one))
+                newestKnown = std::max(newestKnown, version);
+        }
+    }
+    return newestKnown;
 }
 
 std::optional<domain::TimePoint> WeightsRequirement::beginBy(
         const domain::ModelId &model, std::uint64_t served) const
 {
-    const auto versions = m_versions.find(model);
-    if (versions == m_versions.end())
-        return std::nullopt;
-    const std::uint64_t newest = newestInForce(versions->second);
     const domain::Duration left = m_options.margin - m_options.withdrawalMargin;
     std::optional<domain::TimePoint> deadline;
-    for (const auto &[version, naming] : versions->second) {
-        const bool isNewer = version > served && version <= newest;
-        if (isNewer)
-            deadline = std::min(
-                    deadline.value_or(domain::TimePoint::max()), requiredAt(naming) + left);
+    for (const auto &[version, at] : deadlines(model)) {
+        if (version > served)
+            deadline = std::min(deadline.value_or(domain::TimePoint::max()), at + left);
     }
     return deadline;
 }
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace oriolerill::routing {
@@ -39,6 +38,8 @@
     /// Whole reads of the store, since agents published a naming, that must not show it before it
     /// is dropped. The first of them may have been sent before the version was named.
     std::uint32_t readsToRefute = 2;
+    /// Maximum number of agents whose naming times are kept for one version.
+    std::size_t maxAgents = 8;
 };
 
 /// Which version of a model's weights a request must at least begin on.
@@ -62,8 +63,10 @@
     /// A naming published by an agent, from a later revision of the store than this process has
     /// read. Ignored after the store's own answers have refuted it. True when the version comes
     /// into force by it.
-    bool onPublished(const domain::ModelId &model, std::uint64_t version, domain::TimePoint namedAt,
+    bool onPublished(const NamedVersion &version, std::uint64_t revision,
             const domain::SocketAddress &agent);
+    /// The own copy covers the store up to this revision: what was published up to it is dropped.
+    void onCovered(std::uint64_t revision);
     /// This process has read all named versions from the store.
     void onStoreRead();
     /// All named versions are required so much earlier.
@@ -86,23 +89,37 @@
         bool isFoundAtStart = false;
         /// Earliest known time at which a process saw it become named.
         std::optional<domain::TimePoint> namedAt;
-        /// Agents that publish it; not more than are needed.
-        std::set<domain::SocketAddress> publishers;
-        /// Reads of the store without it since it was first published.
-        std::uint32_t readsWithout = 0;
     };
     using Versions = std::map<std::uint64_t, Naming>;
 
+    /// A naming that agents publish and that the own reads of the store do not cover.
+    struct Published
+    {
+        /// Revision of the store at which it was published.
+        std::uint64_t revision = 0;
+        /// Naming time that each agent states.
+        std::map<domain::SocketAddress, domain::TimePoint> agents;
+        std::uint32_t readsWithout = 0;
+        /// The store's answers have refuted it at this revision.
+        bool isRefuted = false;
+    };
+    using PublishedVersions = std::map<std::uint64_t, Published>;
+    using Deadlines = std::map<std::uint64_t, domain::TimePoint>;
+
     domain::TimePoint requiredAt(const Naming &naming) const;
     static std::uint64_t newestNamed(const Versions &versions);
-    /// Named in the store, or published by enough agents.
-    bool isInForce(const Naming &naming) const;
-    std::uint64_t newestInForce(const Versions &versions) const;
+    /// Naming time that enough agents state; none when too few publish the version.
+    std::optional<domain::TimePoint> namedAt(const Published &published) const;
+    /// When each version is required that the store or enough agents have named, and each one that
+    /// it replaced.
+    Deadlines deadlines(const domain::ModelId &model) const;
     /// Null when there is no room for another model or version.
     Naming *namingOf(const domain::ModelId &model, std::uint64_t version);
+    Published *publishedOf(const domain::ModelId &model, std::uint64_t version);
 
     WeightsRequirementOptions m_options;
     std::map<domain::ModelId, Versions> m_versions;
+    std::map<domain::ModelId, PublishedVersions> m_published;
 };
 
 } // namespace oriolerill::routing
