--- a/src/relayagent/internal/weightskeeper.cpp
+++ b/src/relayagent/internal/weightskeeper.cpp
@@ -48,8 +48,9 @@
 /// An order that was accepted shows in the engine's state within this time.
 constexpr auto LoadTime = milliseconds(6000);
 constexpr auto OrderPause = milliseconds(300);
-/// Versions whose pieces are kept: the newest, and the one before for VMs that join meanwhile.
-constexpr std::size_t KeptVersions = 2;
+/// Versions whose pieces are kept: the newest, and two before it. The bounds of two versions may be
+/// ahead at the same time, and an older one may be whole while the origin has no newer one.
+constexpr std::size_t KeptVersions = 3;
 
 std::string_view toString(FetchEnd end)
 {
