Double the pause of a version that stalls again without a piece

A version that no VM has would otherwise take half of the time of another one that makes progress, 900 ms each in turn. A piece ends the pause at once.

isStalled_againWithoutAPiece_pauseDoubles fails without the change (the second pause is 900 ms).

--- a/src/rollout/fetchturns.h
+++ b/src/rollout/fetchturns.h
@@ -13,8 +13,10 @@
     /// A version that is fetched and gets no piece for this long is stalled. Pieces take 42 ms over
     /// a VM's link; a source is given up after 1500 ms, with others asked meanwhile.
     domain::Duration stallTime = std::chrono::milliseconds(900);
-    /// A stalled version is tried again after this long: its sources may be back.
+    /// A stalled version is tried again after this long: its sources may be back. Doubles with each
+    /// stall without a piece in between, so that a version nobody has takes little of another's time.
     domain::Duration retryAfter = std::chrono::milliseconds(900);
+    std::uint32_t mostDoublings = 3;
 };
 
 /// Which versions get no pieces at present, among several of which one is fetched at a time.
@@ -36,7 +38,13 @@
     FetchTurnsOptions m_options;
     std::optional<std::uint64_t> m_fetched;
     domain::TimePoint m_fetchedSince;
-    std::map<std::uint64_t, domain::TimePoint> m_stalledUntil;
+    struct Stall
+    {
+        domain::TimePoint at;
+        domain::TimePoint until;
+        std::uint32_t count = 0;
+    };
+    std::map<std::uint64_t, Stall> m_stalls;
 };
 
 } // namespace oriolerill::rollout
--- a/src/rollout/internal/fetchturns.cpp
+++ b/src/rollout/internal/fetchturns.cpp
@@ -19,17 +19,22 @@
 bool FetchTurns::isStalled(
         std::uint64_t version, domain::TimePoint progressAt, domain::TimePoint now)
 {
-    std::erase_if(m_stalledUntil, [now](const auto &entry) { return now >= entry.second; });
-    const auto known = m_stalledUntil.find(version);
-    const bool hasProgressed
-            = known != m_stalledUntil.end() && progressAt > known->second - m_options.retryAfter;
-    if (hasProgressed)
-        m_stalledUntil.erase(known);
+    Stall &stall = m_stalls[version];
+    if (progressAt > stall.at) {
+        stall.count = 0;
+        stall.until = {};
+    }
+    if (now < stall.until)
+        return true;
     const bool isFailing = m_fetched == version
             && now - std::max(progressAt, m_fetchedSince) > m_options.stallTime;
-    if (isFailing)
-        m_stalledUntil[version] = now + m_options.retryAfter;
-    return m_stalledUntil.count(version) > 0;
+    if (!isFailing)
+        return false;
+    stall.at = now;
+    stall.until
+            = now + m_options.retryAfter * (1U << std::min(stall.count, m_options.mostDoublings));
+    ++stall.count;
+    return true;
 }
 
 } // namespace oriolerill::rollout
--- a/src/rollout/tests/fetchturnstest.cpp
+++ b/src/rollout/tests/fetchturnstest.cpp
@@ -43,8 +43,28 @@
     EXPECT_FALSE(m_turns.isStalled(3, m_start, m_start + 2s));
 }
 
-// Guards against a version that counts as stalled although its pieces come again, so that an engine
-// is switched to an older one shortly before the newest is complete.
+// Guards against an older version that nobody has and that takes half of the newest one's time.
+TEST_F(FetchTurnsFixture, isStalled_againWithoutAPiece_pauseDoubles)
+{
+    m_turns.onFetch(2, m_start);
+    ASSERT_TRUE(m_turns.isStalled(2, m_start, m_start + 1s));
+    m_turns.onFetch(3, m_start + 1s);
+    ASSERT_FALSE(m_turns.isStalled(2, m_start, m_start + 2s));
+    m_turns.onFetch(2, m_start + 2s);
+    ASSERT_TRUE(m_turns.isStalled(2, m_start, m_start + 3s));
+    m_turns.onFetch(3, m_start + 3s);
+    EXPECT_TRUE(m_turns.isStalled(2, m_start, m_start + 4700ms));
+    EXPECT_FALSE(m_turns.isStalled(2, m_start, m_start + 4900ms));
+    // A piece shows that the sources are back.
+    ASSERT_FALSE(m_turns.isStalled(2, m_start + 5s, m_start + 5s));
+    m_turns.onFetch(2, m_start + 6s);
+    ASSERT_TRUE(m_turns.isStalled(2, m_start + 5s, m_start + 7s));
+    m_turns.onFetch(3, m_start + 7s);
+    EXPECT_FALSE(m_turns.isStalled(2, m_start + 5s, m_start + 7900ms));
+}
+
+// Guards against a version that counts as stalled although its pieces come again, so that an
+// engine is switched to an older one shortly before the newest is complete.
 TEST_F(FetchTurnsFixture, isStalled_pieceCameSince_no)
 {
     m_turns.onFetch(3, m_start);
