Use the slowness that plain services state of their VMs

A plain endpoint's expected wait now grows with an average of that figure, so that another endpoint is chosen, and an answer of the slow one is waited for longer.

Stated figures are bounded and forgotten after 3 s.

--- a/src/routing/callerrequest.h
+++ b/src/routing/callerrequest.h
@@ -49,6 +49,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes on the endpoint's VM at this moment; 1 as usual. None where the endpoint
+    /// does not state it.
+    std::optional<double> slowness = std::nullopt;
 };
 
 /// What the head of an endpoint's answer says.
--- a/src/routing/endpointload.h
+++ b/src/routing/endpointload.h
@@ -47,6 +47,14 @@
     domain::Duration answerLife = std::chrono::milliseconds(1000);
     /// Weight of the newest sample in the share of failed requests.
     double failureWeight = 0.15;
+    /// Weight of the newest figure in the slowness of an endpoint's VM, which changes many times a
+    /// second: a single figure says little about the time that the next request takes.
+    double slownessWeight = 0.35;
+    /// A slowness stated this long ago says nothing about the present.
+    domain::Duration slownessLife = std::chrono::milliseconds(3000);
+    /// Bounds of a stated slowness; a wrong figure must not shut an endpoint out for good.
+    double leastSlowness = 0.1;
+    double mostSlowness = 20;
     /// Wait that a request is charged with at an endpoint that fails all it gets, in milliseconds.
     double failureCostMs = 800;
 };
@@ -94,6 +102,9 @@
     /// Milliseconds until a request with such a prompt would give its first event.
     double expectedStartMs(
             const EngineSpeed &speed, std::uint32_t promptTokens, domain::TimePoint now) const;
+    /// How long work takes there compared with usual; 1 where the endpoint has not stated it
+    /// lately.
+    double slowness(domain::TimePoint now) const;
     double failureCostMs() const { return m_failedShare * m_options.failureCostMs; }
     domain::Duration reportAge(domain::TimePoint now) const { return now - m_reportedAt; }
 
@@ -108,6 +119,9 @@
     domain::TimePoint m_answeredAt;
     std::uint32_t m_failures = 0;
     double m_failedShare = 0;
+    /// Average of the stated figures, the newest weighing most.
+    double m_slowness = 1;
+    domain::TimePoint m_slownessAt;
     domain::TimePoint m_pausedUntil;
 };
 
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -212,12 +212,15 @@
     if (service.engine)
         return known.expectedStartMs(*service.engine, request.promptTokens, now)
                 + known.failureCostMs();
-    // Plain services take little time; what counts is how full they are. A place that is taken
-    // costs about one usual run.
+    // Plain services take little time; what counts is how full they are, and how slow their VM is
+    // at present. A place that is taken costs about one usual run.
     constexpr double UsualRunMs = 40;
     const double slots = std::max<double>(endpoint.slots, 1);
     const double ahead = std::max(0.0, known.busy(now) + 1 - slots);
-    return known.busy(now) + ahead * UsualRunMs / slots + known.failureCostMs();
+    const double slowness = known.slowness(now);
+    // Never negative: the result is an expected wait, by which attempts are timed.
+    const double slower = std::max((slowness - 1) * UsualRunMs, 0.0);
+    return known.busy(now) + slower + ahead * UsualRunMs * slowness / slots + known.failureCostMs();
 }
 
 double Dispatcher::longestWaitMs(const domain::ServiceId &service) const
--- a/src/routing/internal/endpointload.cpp
+++ b/src/routing/internal/endpointload.cpp
@@ -18,6 +18,13 @@
 
 void EndpointLoad::onAnsweredLoad(const AnsweredLoad &load, domain::TimePoint now)
 {
+    if (load.slowness) {
+        const double stated
+                = std::clamp(*load.slowness, m_options.leastSlowness, m_options.mostSlowness);
+        m_slowness = slowness(now) * (1 - m_options.slownessWeight)
+                + stated * m_options.slownessWeight;
+        m_slownessAt = now;
+    }
     // The agent's reports are more frequent than answers; those of plain services have no agent.
     if (hasFreshReport(now) && m_report.sequence > 0)
         return;
@@ -28,6 +35,13 @@
     onReport(report, now);
 }
 
+double EndpointLoad::slowness(domain::TimePoint now) const
+{
+    const bool isKnown
+            = m_slownessAt != domain::TimePoint() && now - m_slownessAt <= m_options.slownessLife;
+    return isKnown ? m_slowness : 1;
+}
+
 void EndpointLoad::onSent(domain::TimePoint now)
 {
     ++m_inFlight;
