Test refusals that are written again and streams that break off

An earlier refusal is written once more on a kept connection (503, 429, 421; in one packet with the answer before, while idle, before or with the next answer, twice, without an id, with Connection: close, cut in its body or behind its id, behind a HEAD answer), for lookups, resumable streams and orders: no caller is told "not run" about a request that an endpoint got, and no order is sent twice. An endpoint that refuses gets a request once. Server-Limit and Server-Load of such a copy are not taken. Interim and foreign answers without end are given up.

A stream has begun and broke off, and the next endpoint answers with an error, another status, other weights, a cut or endless head or body, chunked, or not at all; on resumable and other routes, kept and closing callers: whole events only, and no last chunk.

--- /dev/null
+++ b/src/relay/tests/brokenstreamtest.cpp
@@ -0,0 +1,237 @@
+#include "relay/tests/relayfixture.h"
+
+namespace oriolerill::relay {
+
+using namespace std::chrono_literals;
+using Socket = ScriptedEndpoint::Socket;
+
+namespace {
+
+/// What the second endpoint does with the stream that it is to continue.
+struct Continuation
+{
+    const char *name;
+    const char *bytes;
+    /// Bytes that follow until the entry closes; none ends the connection after `bytes`.
+    const char *endless = nullptr;
+    /// How the entry's stream ends, if its route may be resumed.
+    bool isContinued = false;
+};
+
+constexpr Continuation Continuations[] = {
+        {"Status500",
+                "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Length: 7\r\n\r\nfailure"},
+        {"Status503",
+                "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Length: 7\r\n\r\nfailure"},
+        {"Status503NotRun",
+                "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\n"
+                "Content-Length: 7\r\n\r\nfailure"},
+        {"Status404",
+                "HTTP/1.1 404 Not Found\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Length: 7\r\n\r\nfailure"},
+        {"Status404EventStream",
+                "HTTP/1.1 404 Not Found\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: failure\n\n"},
+        {"Status200Plain",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Type: text/plain\r\nContent-Length: 16\r\n\r\nid: 2\ndata: fail"},
+        {"OtherWeights",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\nWeight-Versions: 5\r\n"
+                "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: failure\n\n"},
+        {"OtherId",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a2\r\nServer-Signature: s\r\nWeight-Versions: 4\r\n"
+                "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: failure\n\n"},
+        {"ChunkedError",
+                "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n7\r\nfailure\r\n0\r\n\r\n"},
+        {"ChunkedErrorEventStream",
+                "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "16\r\nid: 2\ndata: failure\n\n\r\n0\r\n\r\n"},
+        {"CutInHead", "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nServer-Sig"},
+        {"CutInBody",
+                "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Length: 700\r\n\r\nfailure"},
+        {"NoAnswer", ""},
+        {"BytesThatAreNoAnswer", "failure\n\nid: 2\ndata: failure\n\n\r\n\r\n"},
+        {"HeadWithoutEnd", "HTTP/1.1 500 Internal Server Error\r\n", "X-Failure: 1\r\n"},
+        {"BodyWithoutEnd",
+                "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Connection: close\r\n\r\n",
+                "id: 2\ndata: failure\n\n"},
+        {"ErrorBehindHalfEvent",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\nWeight-Versions: 4\r\n"
+                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "6\r\nid: 2\n\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\n"
+                "failure"},
+        {"Sound",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\nWeight-Versions: 4\r\n"
+                "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 2\ndata: b\n\n",
+                nullptr, true},
+};
+
+void PrintTo(const Continuation &value, std::ostream *out)
+{
+    *out << value.name;
+}
+
+/// Body of a chunked answer, as far as its chunks are whole.
+struct Chunks
+{
+    std::string body;
+    bool hasLast = false;
+};
+
+Chunks chunksOf(const std::string &answer)
+{
+    Chunks chunks;
+    std::size_t at = answer.find("\r\n\r\n");
+    at = at == std::string::npos ? answer.size() : at + 4;
+    while (at < answer.size()) {
+        const std::size_t line = answer.find("\r\n", at);
+        if (line == std::string::npos)
+            break;
+        const std::size_t size = std::stoul(answer.substr(at, line - at), nullptr, 16);
+        chunks.body += answer.substr(line + 2, size);
+        at = line + 4 + size;
+        chunks.hasLast = size == 0;
+    }
+    return chunks;
+}
+
+} // namespace
+
+/// Streams that break off after their first event, before an endpoint that is to continue them.
+class BrokenStreamFixture : public RelayFixture
+{
+protected:
+    static constexpr const char *FirstEvent = "id: 1\ndata: a\n\n";
+
+    routing::Route route(const std::string &prefix, routing::RequestKind kind) const override
+    {
+        routing::Route route = RelayFixture::route(prefix, kind);
+        route.isResumable = route.isResumable && m_isResumable;
+        return route;
+    }
+
+    /// The first to be asked begins the stream and resets it within its second event.
+    void addEndpoints(const std::string &continuation, const std::string &endless = "")
+    {
+        const auto script = [calls = m_calls, continuation, endless](
+                                    Socket &socket, const std::string &) {
+            if ((*calls)++ == 0) {
+                write(socket,
+                        std::string("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                                    "Content-Type: text/event-stream\r\nWeight-Versions: 4\r\n"
+                                    "Connection: close\r\n\r\n")
+                                + FirstEvent + "id: 2\nda");
+                std::this_thread::sleep_for(30ms);
+                // A reset, not an end: without a length, an end would complete the answer.
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+                return false;
+            }
+            write(socket, continuation);
+            boost::system::error_code code;
+            while (!endless.empty() && !code)
+                boost::asio::write(socket, boost::asio::buffer(endless), code);
+            return false;
+        };
+        addEndpoint(script);
+        addEndpoint(script);
+    }
+
+    /// Calls over HTTP/1.0 and reads to the end; the code tells how the connection ended.
+    std::pair<std::string, boost::system::error_code> callOld()
+    {
+        auto socket = connect();
+        write(socket,
+                "POST /stream/1 HTTP/1.0\r\nHost: h.example\r\nAttempt-Id: a1\r\n"
+                "Key: secret\r\n\r\n");
+        std::string got;
+        boost::system::error_code code;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(got), code);
+        return {got, code};
+    }
+
+    bool m_isResumable = true;
+    std::shared_ptr<std::atomic<int>> m_calls = std::make_shared<std::atomic<int>>(0);
+};
+
+class ContinuationFixture : public BrokenStreamFixture,
+                            public testing::WithParamInterface<std::tuple<Continuation, bool, bool>>
+{};
+
+INSTANTIATE_TEST_SUITE_P(Continuations, ContinuationFixture,
+        testing::Combine(testing::ValuesIn(Continuations), testing::Bool(), testing::Bool()),
+        [](const auto &test) {
+            return std::string(std::get<0>(test.param).name)
+                    + (std::get<1>(test.param) ? "Resumable" : "Once")
+                    + (std::get<2>(test.param) ? "Closing" : "Kept");
+        });
+
+// Guards against an error's text or head in the middle of a caller's stream, and against a broken
+// stream that ends as if it were complete: a stream has begun and broke off, and the next endpoint
+// answers with an error or not at all.
+TEST_P(ContinuationFixture, serve_streamBrokeOff_wholeEventsOnlyAndNoFalseEnd)
+{
+    const auto &[continuation, isResumable, isClosing] = GetParam();
+    m_isResumable = isResumable;
+    // A caller's kept connection ends soon after its answer, so that the test need not wait.
+    m_limits.idleTimeout = 200ms;
+    addEndpoints(continuation.bytes, continuation.endless == nullptr ? "" : continuation.endless);
+    start();
+    const std::string got = call(request("POST", "/stream/1", isClosing ? Close : ""));
+    EXPECT_EQ(statusOf(got), 200U);
+    EXPECT_EQ(*m_calls, isResumable ? 2 : 1);
+    const bool isContinued = isResumable && continuation.isContinued;
+    const Chunks chunks = chunksOf(got);
+    EXPECT_EQ(
+            chunks.body, isContinued ? std::string(FirstEvent) + "id: 2\ndata: b\n\n" : FirstEvent)
+            << got;
+    EXPECT_EQ(chunks.hasLast, isContinued) << got;
+    EXPECT_EQ(got.find("failure"), std::string::npos);
+    EXPECT_EQ(got.find("HTTP/1.1", 1), std::string::npos) << got;
+}
+
+// Guards against an error that gets between the events while they are on their way to the caller:
+// the endpoint resets its stream and the next one answers before the caller has read anything.
+TEST_F(BrokenStreamFixture, serve_errorWhileFirstBytesAreOnTheirWay_callerSeesWholeEvents)
+{
+    constexpr int Events = 400;
+    const std::string padding(8000, 'y');
+    const auto script = [calls = m_calls, padding](Socket &socket, const std::string &) {
+        if ((*calls)++ > 0) {
+            write(socket, answer("a1", "failure", "500 Internal Server Error"));
+            return false;
+        }
+        write(socket,
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
+        for (int i = 1; i <= Events; ++i)
+            write(socket, "id: " + std::to_string(i) + "\ndata: " + padding + "\n\n");
+        write(socket, "id: 401\nda");
+        std::this_thread::sleep_for(300ms);
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        return false;
+    };
+    addEndpoint(script);
+    addEndpoint(script);
+    m_routeTimeout = 3s;
+    start();
+    auto socket = connect();
+    write(socket, request("POST", "/stream/1", Close));
+    std::this_thread::sleep_for(200ms);
+    const Chunks chunks = chunksOf(readAll(socket));
+    EXPECT_FALSE(chunks.hasLast);
+    EXPECT_TRUE(chunks.body.empty() || chunks.body.ends_with("y\n\n"));
+    EXPECT_EQ(chunks.body.find("failure"), std::string::npos);
+    for (std::size_t at = 0, id = 1; at < chunks.body.size(); ++id) {
+        const std::string event = "id: " + std::to_string(id) + "\ndata: " + padding + "\n\n";
+        ASSERT_EQ(chunks.body.compare(at, event.size(), event), 0) << "event " << id;
+        at += event.size();
+    }
+}
+
+} // namespace oriolerill::relay
--- /dev/null
+++ b/src/relay/tests/foreignanswertest.cpp
@@ -0,0 +1,313 @@
+#include "relay/tests/relayfixture.h"
+
+#include <cstdio>
+
+namespace oriolerill::relay {
+
+using namespace std::chrono_literals;
+using Socket = ScriptedEndpoint::Socket;
+
+namespace {
+
+/// When the further copy of an earlier refusal is written.
+enum class CopyTime {
+    /// In one packet with the answer before.
+    WithPreviousAnswer,
+    WhileIdle,
+    /// After the next request has come, some time before its answer.
+    BeforeAnswer,
+    /// In one packet with the next answer.
+    WithAnswer,
+};
+
+struct CopyCase
+{
+    const char *name;
+    CopyTime time;
+    /// "{id}" stands for the Attempt-Id of the request before.
+    const char *copy;
+    /// The copy is whole and keeps the connection, so that the own answer behind it is found.
+    bool isSkippable = true;
+};
+
+constexpr const char *Refusal503
+        = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nServer-Signature: s\r\n"
+          "Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+constexpr const char *Refusal503Twice
+        = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n"
+          "Content-Length: 4\r\n\r\nfull"
+          "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n"
+          "Content-Length: 4\r\n\r\nfull";
+constexpr const char *Refusal503WithoutId
+        = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+constexpr const char *Refusal503Closing
+        = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n"
+          "Connection: close\r\nContent-Length: 4\r\n\r\nfull";
+constexpr const char *Refusal503Unstated
+        = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nContent-Length: 4\r\n\r\nfull";
+constexpr const char *Refusal421
+        = "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {id}\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *Refusal421WithoutId
+        = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *Refusal429
+        = "HTTP/1.1 429 Too Many Requests\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n";
+constexpr const char *CutInBody
+        = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n"
+          "Content-Length: 400\r\n\r\nfu";
+constexpr const char *CutInBodyWithoutId
+        = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 400\r\n\r\nfu";
+constexpr const char *CutBehindId
+        = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nRetry-Af";
+
+constexpr CopyCase Cases[] = {
+        {"InOnePacketWithPrevious", CopyTime::WithPreviousAnswer, Refusal503},
+        {"WhileIdle", CopyTime::WhileIdle, Refusal503},
+        {"BeforeAnswer", CopyTime::BeforeAnswer, Refusal503},
+        {"InOnePacketWithAnswer", CopyTime::WithAnswer, Refusal503},
+        {"TwiceBeforeAnswer", CopyTime::BeforeAnswer, Refusal503Twice},
+        {"TwiceWhileIdle", CopyTime::WhileIdle, Refusal503Twice},
+        {"WithoutIdWithPrevious", CopyTime::WithPreviousAnswer, Refusal503WithoutId},
+        {"WithoutIdWhileIdle", CopyTime::WhileIdle, Refusal503WithoutId},
+        {"WithoutIdBeforeAnswer", CopyTime::BeforeAnswer, Refusal503WithoutId},
+        {"ClosingBeforeAnswer", CopyTime::BeforeAnswer, Refusal503Closing, false},
+        {"ClosingWhileIdle", CopyTime::WhileIdle, Refusal503Closing},
+        {"Status421BeforeAnswer", CopyTime::BeforeAnswer, Refusal421},
+        {"Status421WithoutIdWithAnswer", CopyTime::WithAnswer, Refusal421WithoutId},
+        {"Status429BeforeAnswer", CopyTime::BeforeAnswer, Refusal429},
+        {"CutInBodyWithAnswer", CopyTime::WithAnswer, CutInBody, false},
+        {"CutInBodyWithoutIdWithAnswer", CopyTime::WithAnswer, CutInBodyWithoutId, false},
+        {"CutInBodyWhileIdle", CopyTime::WhileIdle, CutInBody},
+        {"CutBehindIdWithAnswer", CopyTime::WithAnswer, CutBehindId, false},
+};
+
+std::string copyFor(std::string copy, const std::string &id)
+{
+    constexpr std::string_view Place = "{id}";
+    for (std::size_t at = 0; (at = copy.find(Place, at)) != std::string::npos; at += id.size())
+        copy.replace(at, Place.size(), id);
+    return copy;
+}
+
+void PrintTo(const CopyCase &value, std::ostream *out)
+{
+    *out << value.name;
+}
+
+} // namespace
+
+/// Endpoints that run every request, and write the refusal of an earlier one once more.
+class ForeignAnswerFixture : public RelayFixture
+{
+protected:
+    static constexpr const char *Kinds[] = {"/read/", "/stream/", "/order/"};
+
+    /// The own answer; a stream's has one event.
+    static std::string ownAnswer(const std::string &got)
+    {
+        const std::string id = fieldOf(got, "Attempt-Id");
+        if (got.find("/stream/") == std::string::npos)
+            return answer(id, "own " + id);
+        const std::string event = "id: 1\ndata: own " + id + "\n\n";
+        char size[16];
+        std::snprintf(size, sizeof size, "%zx", event.size());
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id
+                + "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"
+                + size + "\r\n" + event + "\r\n0\r\n\r\n";
+    }
+
+    void addRepeating(CopyTime time, std::string copy)
+    {
+        struct Last
+        {
+            std::mutex mutex;
+            std::string id;
+        };
+        const auto last = std::make_shared<Last>();
+        addEndpoint([last, time, copy = std::move(copy)](Socket &socket, const std::string &got) {
+            const std::string id = fieldOf(got, "Attempt-Id");
+            std::string before;
+            {
+                const std::scoped_lock lock(last->mutex);
+                before = std::exchange(last->id, id);
+            }
+            std::string own = ownAnswer(got);
+            if (!before.empty() && time == CopyTime::WithAnswer)
+                own.insert(0, copyFor(copy, before));
+            if (!before.empty() && time == CopyTime::BeforeAnswer) {
+                write(socket, copyFor(copy, before));
+                std::this_thread::sleep_for(20ms);
+            }
+            if (time == CopyTime::WithPreviousAnswer)
+                own += copyFor(copy, id);
+            write(socket, own);
+            if (time == CopyTime::WhileIdle) {
+                std::this_thread::sleep_for(10ms);
+                write(socket, copyFor(copy, id));
+            }
+            return true;
+        });
+    }
+
+    static std::string requestWithId(
+            const std::string &path, const std::string &id, const std::string &method = "POST")
+    {
+        return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nKey: secret\r\nAttempt-Id: "
+                + id + "\r\nContent-Length: 0\r\n" + Close + "\r\n";
+    }
+
+    /// How often the endpoints got a request.
+    std::size_t timesSent(const std::string &id) const
+    {
+        std::size_t times = 0;
+        for (const auto &endpoint : m_endpoints) {
+            for (const std::string &got : endpoint->requests())
+                times += fieldOf(got, "Attempt-Id") == id ? 1 : 0;
+        }
+        return times;
+    }
+
+    static bool isPromise(unsigned status)
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+};
+
+class RepeatedRefusalFixture : public ForeignAnswerFixture,
+                               public testing::WithParamInterface<CopyCase>
+{};
+
+INSTANTIATE_TEST_SUITE_P(Copies, RepeatedRefusalFixture, testing::ValuesIn(Cases),
+        [](const auto &test) { return std::string(test.param.name); });
+
+// Guards against a caller that is told "not run" about a request which an endpoint has run, and
+// against an order that a second endpoint gets: an earlier refusal is written once more on a kept
+// connection.
+TEST_P(RepeatedRefusalFixture, serve_refusalWrittenAgain_neverTakenForTheNextRequest)
+{
+    m_routeTimeout = 400ms;
+    addRepeating(GetParam().time, GetParam().copy);
+    addRepeating(GetParam().time, GetParam().copy);
+    start();
+    int number = 0;
+    int answered = 0;
+    constexpr int Rounds = 5;
+    for (int i = 0; i < Rounds; ++i) {
+        for (const char *kind : Kinds) {
+            const std::string id = kind[1] + std::to_string(++number);
+            const std::string got = call(requestWithId(std::string(kind) + "1", id));
+            const unsigned status = statusOf(got);
+            if (GetParam().time == CopyTime::WhileIdle)
+                std::this_thread::sleep_for(25ms);
+            if (isPromise(status)) {
+                EXPECT_EQ(timesSent(id), 0U) << kind << ' ' << got;
+            }
+            if (kind[1] == 'o') {
+                EXPECT_LE(timesSent(id), 1U);
+            }
+            if (status == 200) {
+                ++answered;
+                EXPECT_EQ(fieldOf(got, "Attempt-Id"), id) << got;
+                EXPECT_NE(got.find("own " + id), std::string::npos) << got;
+                EXPECT_EQ(got.find("full"), std::string::npos) << got;
+            }
+        }
+    }
+    if (GetParam().isSkippable) {
+        EXPECT_EQ(answered, 3 * Rounds);
+    }
+}
+
+// Guards against an endpoint that gets one request twice: it refuses it, and is the only one.
+TEST_F(ForeignAnswerFixture, serve_onlyEndpointRefuses_requestSentToItOnce)
+{
+    ScriptedEndpoint &endpoint = addEndpoint([](Socket &socket, const std::string &got) {
+        write(socket,
+                answer(fieldOf(got, "Attempt-Id"), "full", "503 Service Unavailable",
+                        "Not-Executed: 1\r\n"));
+        return true;
+    });
+    start();
+    std::size_t calls = 0;
+    for (const char *kind : Kinds) {
+        const std::string id = std::string("o") + kind[1];
+        EXPECT_EQ(statusOf(call(requestWithId(std::string(kind) + "1", id))), 503U);
+        EXPECT_LE(timesSent(id), 1U);
+        ++calls;
+    }
+    EXPECT_LE(endpoint.requests().size(), calls);
+}
+
+// Guards against figures of another answer that are taken for the state of now: limit and load.
+TEST_F(ForeignAnswerFixture, serve_copyNamesLimitAndLoad_neitherTaken)
+{
+    addRepeating(CopyTime::BeforeAnswer,
+            "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n"
+            "Server-Limit: 0.01\r\nServer-Load: 900,900,4\r\nContent-Length: 0\r\n\r\n");
+    start();
+    for (int i = 0; i < 6; ++i) {
+        const std::string id = "a" + std::to_string(i);
+        EXPECT_EQ(statusOf(call(requestWithId("/order/1", id))), 200U) << "request " << i;
+    }
+}
+
+// Guards against a refusal behind the answer to a HEAD request, where a body would stand.
+TEST_F(ForeignAnswerFixture, serve_refusalBehindHeadAnswer_notTakenForTheNextRequest)
+{
+    for (const auto pause : {0ms, 10ms}) {
+        addEndpoint([pause](Socket &socket, const std::string &got) {
+            const std::string id = fieldOf(got, "Attempt-Id");
+            if (!got.starts_with("HEAD")) {
+                write(socket, ownAnswer(got));
+                return true;
+            }
+            const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id
+                    + "\r\nServer-Signature: s\r\nContent-Length: 300\r\n\r\n";
+            const std::string copy = copyFor(Refusal503, "a0");
+            write(socket, pause == 0ms ? head + copy : head);
+            std::this_thread::sleep_for(pause);
+            if (pause > 0ms)
+                write(socket, copy);
+            return true;
+        });
+    }
+    start();
+    for (int i = 0; i < 12; ++i) {
+        const std::string id = "b" + std::to_string(i);
+        EXPECT_EQ(statusOf(call(requestWithId("/read/1", "h" + id, "HEAD"))), 200U);
+        const std::string got = call(requestWithId("/order/1", id));
+        EXPECT_EQ(statusOf(got), 200U) << got;
+        EXPECT_EQ(timesSent(id), 1U);
+    }
+}
+
+// Guards against interim answers and answers to other requests that come without end: the caller
+// is held up, and the endpoint's connection stays.
+TEST_F(ForeignAnswerFixture, serve_foreignAnswersWithoutEnd_givenUpAtOnce)
+{
+    m_routeTimeout = 4s;
+    const std::vector<std::string> endless = {"HTTP/1.1 100 Continue\r\n\r\n",
+            "HTTP/1.1 103 Early Hints\r\nAttempt-Id: z\r\n\r\n", copyFor(Refusal503, "z"),
+            "HTTP/1.1 200 OK\r\nAttempt-Id: z\r\nServer-Signature: s\r\nContent-Length: "
+            "2\r\n\r\nok"};
+    for (const std::string &text : endless) {
+        addEndpoint([text](Socket &socket, const std::string &) {
+            boost::system::error_code code;
+            while (!code)
+                boost::asio::write(socket, boost::asio::buffer(text), code);
+            return false;
+        });
+    }
+    start();
+    for (int i = 0; i < 12; ++i) {
+        const std::string id = "e" + std::to_string(i);
+        const auto begun = std::chrono::steady_clock::now();
+        const unsigned status = statusOf(call(requestWithId("/order/1", id)));
+        EXPECT_LT(std::chrono::steady_clock::now() - begun, 1s);
+        EXPECT_TRUE(status == 502 || (status == 503 && timesSent(id) == 0)) << status;
+        EXPECT_LE(timesSent(id), 1U);
+    }
+}
+
+} // namespace oriolerill::relay
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -165,7 +165,7 @@
         return *m_endpoints.back();
     }
 
-    routing::Route route(const std::string &prefix, routing::RequestKind kind) const
+    virtual routing::Route route(const std::string &prefix, routing::RequestKind kind) const
     {
         routing::Route route;
         route.name = prefix;
