Skip an answer to another request whatever its status

Callers saw 502, or a cut stream, for a request whose own answer followed: the endpoint had first written an answer to an earlier request. Foreign answers went through relayWhole(), which judged them as the request's own. A 503 without Not-Executed, an unsigned success, and any answer while a stream was being continued ended the attempt; the wait for the rest of a foreign body went on to the request's deadline; a foreign answer replaced an own failure that was held.

skipForeign() reads such an answer to its end, within the time of the first byte, and takes nothing of it.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -429,17 +429,21 @@
         const routing::AnswerHead head = platform::readAnswerHead(parser.get());
         takeNotices(m_context, head,
                 {{dispatch.endpoint, dispatch.startedAtMs}, m_about.id, m_sentAt.value()});
-        const bool isOwn = head.id == m_about.id;
-        const bool isStream = head.isEventStream && head.isSuccess() && isOwn;
-        if (head.load && isOwn) {
+        if (head.id != m_about.id) {
+            const auto skipped = co_await skipForeign(parser, deadline);
+            if (skipped)
+                co_return *skipped;
+            continue;
+        }
+        const bool isStream = head.isEventStream && head.isSuccess();
+        if (head.load) {
             m_context.dispatcher.load(dispatch.endpoint)
                     .onAnsweredLoad(*head.load, TimePoint::clock::now());
         }
         // An answer that is no stream is the result of the work.
-        if (isOwn && !isStream)
+        if (!isStream)
             noteBegun();
-        if (isOwn)
-            m_context.dispatcher.load(dispatch.endpoint).onAnswerBegun(TimePoint::clock::now());
+        m_context.dispatcher.load(dispatch.endpoint).onAnswerBegun(TimePoint::clock::now());
         AttemptEnd end = AttemptEnd::Lost;
         if (isStream)
             end = co_await relayEvents(parser, head);
@@ -447,15 +451,6 @@
             end = co_await relayWhole(parser, head);
         if (!routing::isWholeAnswer(end))
             co_return end;
-        if (!isOwn && parser.keep_alive()) {
-            m_hasAnswer = false;
-            continue;
-        }
-        if (!isOwn) {
-            m_hasAnswer = false;
-            m_detail = "the answer belongs to another request";
-            co_return AttemptEnd::Lost;
-        }
         if (parser.keep_alive() && *isWritten) {
             const domain::Duration idle = head.keepAlive
                     ? std::max<domain::Duration>(*head.keepAlive - IdleMargin, milliseconds(100))
@@ -475,6 +470,29 @@
     co_return AttemptEnd::Lost;
 }
 
+asio::awaitable<std::optional<AttemptEnd>> RequestRun::skipForeign(
+        Parser &parser, TimePoint deadline)
+{
+    std::string piece;
+    std::size_t skippedBytes = 0;
+    while (!parser.is_done()) {
+        const beast::error_code code = co_await readSome(parser, piece, deadline);
+        skippedBytes += piece.size();
+        if (code) {
+            m_detail = "reading an answer to another request: " + code.message();
+            co_return endOfRead(code);
+        }
+        if (skippedBytes > MaxWholeAnswer) {
+            m_detail = "an answer to another request is too large";
+            co_return AttemptEnd::Lost;
+        }
+    }
+    if (parser.keep_alive())
+        co_return std::nullopt;
+    m_detail = "the answer belongs to another request";
+    co_return AttemptEnd::Lost;
+}
+
 asio::awaitable<beast::error_code> RequestRun::readSome(
         Parser &parser, std::string &piece, TimePoint deadline)
 {
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -47,6 +47,9 @@
             const routing::Dispatch &dispatch, const std::shared_ptr<bool> &isWritten);
     boost::asio::awaitable<AttemptEnd> relayEvents(Parser &parser, const routing::AnswerHead &head);
     boost::asio::awaitable<AttemptEnd> relayWhole(Parser &parser, const routing::AnswerHead &head);
+    /// Reads the rest of an answer to another request; an end when the own answer cannot follow.
+    boost::asio::awaitable<std::optional<AttemptEnd>> skipForeign(
+            Parser &parser, domain::TimePoint deadline);
     boost::asio::awaitable<boost::beast::error_code> readSome(
             Parser &parser, std::string &piece, domain::TimePoint deadline);
     void releaseHeld();
--- a/src/relay/tests/brokenstreamtest.cpp
+++ b/src/relay/tests/brokenstreamtest.cpp
@@ -66,6 +66,12 @@
                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                 "6\r\nid: 2\n\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\n"
                 "failure"},
+        {"ForeignErrorThenOwnStream",
+                "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: z\r\nServer-Signature: s\r\n"
+                "Content-Length: 7\r\n\r\nfailure"
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\nWeight-Versions: 4\r\n"
+                "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 2\ndata: b\n\n",
+                nullptr, true},
         {"Sound",
                 "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\nWeight-Versions: 4\r\n"
                 "Content-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 2\ndata: b\n\n",
--- a/src/relay/tests/foreignanswertest.cpp
+++ b/src/relay/tests/foreignanswertest.cpp
@@ -72,6 +72,7 @@
         {"WithoutIdBeforeAnswer", CopyTime::BeforeAnswer, Refusal503WithoutId},
         {"ClosingBeforeAnswer", CopyTime::BeforeAnswer, Refusal503Closing, false},
         {"ClosingWhileIdle", CopyTime::WhileIdle, Refusal503Closing},
+        {"UnstatedBeforeAnswer", CopyTime::BeforeAnswer, Refusal503Unstated},
         {"Status421BeforeAnswer", CopyTime::BeforeAnswer, Refusal421},
         {"Status421WithoutIdWithAnswer", CopyTime::WithAnswer, Refusal421WithoutId},
         {"Status429BeforeAnswer", CopyTime::BeforeAnswer, Refusal429},
@@ -310,4 +311,55 @@
     }
 }
 
+// Guards against a lookup that waits to its end for the body of an answer to another request,
+// though another endpoint may answer it.
+TEST_F(ForeignAnswerFixture, serve_foreignBodyDoesNotEnd_lookupAnsweredElsewhere)
+{
+    m_routeTimeout = 6s;
+    const auto calls = std::make_shared<std::atomic<int>>(0);
+    const auto script = [calls](Socket &socket, const std::string &got) {
+        if ((*calls)++ > 0) {
+            write(socket, ownAnswer(got));
+            return true;
+        }
+        write(socket,
+                "HTTP/1.1 200 OK\r\nAttempt-Id: z\r\nServer-Signature: s\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n");
+        boost::system::error_code code;
+        for (int i = 0; i < 60 && !code; ++i) {
+            boost::asio::write(socket, boost::asio::buffer("1\r\nx\r\n", 6), code);
+            std::this_thread::sleep_for(100ms);
+        }
+        return false;
+    };
+    addEndpoint(script);
+    addEndpoint(script);
+    start();
+    const auto begun = std::chrono::steady_clock::now();
+    EXPECT_EQ(statusOf(call(requestWithId("/read/1", "a1"))), 200U);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 3s);
+}
+
+// Guards against an endpoint's own failure that is lost because an answer to another request came
+// at the next endpoint.
+TEST_F(ForeignAnswerFixture, serve_failureThenForeignAnswer_ownFailureDelivered)
+{
+    const auto calls = std::make_shared<std::atomic<int>>(0);
+    const auto script = [calls](Socket &socket, const std::string &) {
+        if ((*calls)++ == 0) {
+            write(socket, answer("a1", "own failure", "500 Internal Server Error"));
+            return true;
+        }
+        write(socket, answer("z", "foreign"));
+        return false;
+    };
+    addEndpoint(script);
+    addEndpoint(script);
+    start();
+    const std::string got = call(requestWithId("/read/1", "a1"));
+    EXPECT_EQ(*calls, 2);
+    EXPECT_EQ(statusOf(got), 500U) << got;
+    EXPECT_TRUE(got.ends_with("own failure")) << got;
+}
+
 } // namespace oriolerill::relay
