Pass on no event stream without the endpoint's signature

Callers got 200 and events without Server-Signature (MIXED), and unsigned events behind those of the first endpoint when a broken stream was continued: the check for the signature was in relayWhole() alone, which event streams never reach.

Only a signed success is relayed as a stream. An answer that the head alone shows to be unusable is not read any more, since an event stream may not end; the attempt ends as before, and its connection was not kept before either.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -435,7 +435,7 @@
                 co_return *skipped;
             continue;
         }
-        const bool isStream = head.isEventStream && head.isSuccess();
+        const bool isStream = head.isEventStream && head.isSuccess() && head.isSigned;
         if (head.load) {
             m_context.dispatcher.load(dispatch.endpoint)
                     .onAnsweredLoad(*head.load, TimePoint::clock::now());
@@ -559,6 +559,16 @@
 
 asio::awaitable<AttemptEnd> RequestRun::relayWhole(Parser &parser, const routing::AnswerHead &head)
 {
+    // These statuses promise that the request has not run, which the endpoint has not stated.
+    constexpr unsigned Promises[] = {408, 421, 429, 503};
+    const bool isFalsePromise = std::find(std::begin(Promises), std::end(Promises), head.status)
+            != std::end(Promises);
+    const bool isUnsigned = head.isSuccess() && !head.isSigned;
+    if (!head.isNotRun && (isFalsePromise || isUnsigned || m_isStreamBegun)) {
+        // The head decides: an answer that cannot be used is not read, as it may not end.
+        m_detail = "unusable answer with status " + std::to_string(head.status);
+        co_return AttemptEnd::Lost;
+    }
     std::string body;
     std::string piece;
     releaseHeld();
@@ -580,15 +590,6 @@
         m_detail = "refused with " + std::to_string(head.status);
         co_return AttemptEnd::NotRun;
     }
-    // These statuses promise that the request has not run, which the endpoint has not stated.
-    constexpr unsigned Promises[] = {408, 421, 429, 503};
-    const bool isFalsePromise = std::find(std::begin(Promises), std::end(Promises), head.status)
-            != std::end(Promises);
-    const bool isUnsigned = head.isSuccess() && !head.isSigned;
-    if (isFalsePromise || isUnsigned || m_isStreamBegun) {
-        m_detail = "unusable answer with status " + std::to_string(head.status);
-        co_return AttemptEnd::Lost;
-    }
     m_answerHead = platform::callerAnswerHead(parser.get());
     m_answerBody = std::move(body);
     m_hasAnswer = true;
--- a/src/relay/tests/brokenstreamtest.cpp
+++ b/src/relay/tests/brokenstreamtest.cpp
@@ -40,6 +40,9 @@
         {"OtherWeights",
                 "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\nWeight-Versions: 5\r\n"
                 "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: failure\n\n"},
+        {"Unsigned",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nWeight-Versions: 4\r\n"
+                "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: failure\n\n"},
         {"OtherId",
                 "HTTP/1.1 200 OK\r\nAttempt-Id: a2\r\nServer-Signature: s\r\nWeight-Versions: 4\r\n"
                 "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: failure\n\n"},
@@ -201,6 +204,50 @@
     EXPECT_EQ(got.find("HTTP/1.1", 1), std::string::npos) << got;
 }
 
+// Guards against a stream that is passed on as a success without the endpoint's signature.
+TEST_F(BrokenStreamFixture, serve_firstStreamUnsigned_notDelivered)
+{
+    addEndpoint([](Socket &socket, const std::string &) {
+        write(socket,
+                std::string("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
+                            "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+                        + FirstEvent);
+        return false;
+    });
+    start();
+    const std::string got = call(request("POST", "/stream/1", Close));
+    EXPECT_EQ(statusOf(got), 502U) << got;
+    EXPECT_EQ(got.find("data: a"), std::string::npos) << got;
+}
+
+// Guards against the wait for an unsigned stream that does not end, when another endpoint may
+// answer.
+TEST_F(BrokenStreamFixture, serve_unsignedStreamWithoutEnd_answeredElsewhere)
+{
+    m_routeTimeout = 6s;
+    const auto script = [calls = m_calls](Socket &socket, const std::string &) {
+        const bool isFirst = (*calls)++ == 0;
+        write(socket,
+                std::string("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n")
+                        + (isFirst ? "" : "Server-Signature: s\r\n")
+                        + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+                        + FirstEvent);
+        boost::system::error_code code;
+        for (int i = 0; isFirst && i < 60 && !code; ++i) {
+            boost::asio::write(socket, boost::asio::buffer(":\n\n", 3), code);
+            std::this_thread::sleep_for(100ms);
+        }
+        return false;
+    };
+    addEndpoint(script);
+    addEndpoint(script);
+    start();
+    const auto begun = std::chrono::steady_clock::now();
+    const std::string got = call(request("POST", "/stream/1", Close));
+    EXPECT_EQ(chunksOf(got).body, FirstEvent) << got;
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 3s);
+}
+
 // Guards against an error that gets between the events while they are on their way to the caller:
 // the endpoint resets its stream and the next one answers before the caller has read anything.
 TEST_F(BrokenStreamFixture, serve_errorWhileFirstBytesAreOnTheirWay_callerSeesWholeEvents)
