Heed Retry-After only in the request's own answer

An endpoint that wrote an earlier 503 with Retry-After once more was left out again for the time it named, and callers were refused with 503 though it took requests. takeNotices() took the time of any answer, also of a foreign one.

Test before: serve_copyAsksForQuiet got 503 from request 2 of 6 on.

The time counts from the answer that first named it. Server-Leaving is still taken from any answer, as it stays true; limit and load were the own answer's already.

--- a/src/relay/internal/answernotices.cpp
+++ b/src/relay/internal/answernotices.cpp
@@ -92,11 +92,14 @@
     const TimePoint now = TimePoint::clock::now();
     if (head.isLeaving)
         takeLeaving(context, attempt, now);
-    if (head.quietSeconds)
+    // A late copy of an earlier answer names the times and limits of that time. That the endpoint
+    // leaves stays true.
+    const bool isOwn = head.id == attempt.request;
+    if (head.quietSeconds && isOwn)
         takeQuiet(context, *head.quietSeconds, attempt, now);
-    // A late copy of an earlier answer names the limit of that time. A refusal or failure without
-    // the field may come from a part of the endpoint that does not know of its limit.
-    if (head.id == attempt.request && (head.limitPerSecond || head.isSuccess()))
+    // A refusal or failure without the field may come from a part of the endpoint that does not
+    // know of its limit.
+    if (isOwn && (head.limitPerSecond || head.isSuccess()))
         takeLimit(context, head.limitPerSecond, attempt, now);
 }
 
--- a/src/relay/tests/foreignanswertest.cpp
+++ b/src/relay/tests/foreignanswertest.cpp
@@ -240,6 +240,20 @@
     EXPECT_LE(endpoint.requests().size(), calls);
 }
 
+// Guards against an endpoint that is left out again for the time of an earlier refusal, which it
+// writes once more.
+TEST_F(ForeignAnswerFixture, serve_copyAsksForQuiet_endpointStaysInUse)
+{
+    addRepeating(CopyTime::BeforeAnswer,
+            "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n"
+            "Retry-After: 1\r\nContent-Length: 0\r\n\r\n");
+    start();
+    for (int i = 0; i < 6; ++i) {
+        const std::string id = "a" + std::to_string(i);
+        EXPECT_EQ(statusOf(call(requestWithId("/order/1", id))), 200U) << "request " << i;
+    }
+}
+
 // Guards against figures of another answer that are taken for the state of now: limit and load.
 TEST_F(ForeignAnswerFixture, serve_copyNamesLimitAndLoad_neitherTaken)
 {
