Reset a cut stream of an HTTP/1.0 caller

Callers of HTTP/1.0 got chunk sizes between the events, and a broken stream ended with the end of the connection, which completes an answer without chunks: it looked whole. Streams were chunked for every caller.

Tests before: serve_streamBrokeOffForOldCaller read end of file instead of a reset, with Transfer-Encoding: chunked; serve_wholeStreamForOldCaller got chunks.

Such a caller gets plain bytes that end with the connection; a stream that is cut resets it. Callers of HTTP/1.1 get what they got.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -204,6 +204,11 @@
     if (m_isStreamBegun) {
         // The connection ends before the last chunk, so that the answer does not look whole.
         logEnd("stream_cut", 200);
+        if (!isChunked()) {
+            // Without chunks the end of the connection would complete the answer; a reset does not.
+            beast::error_code code;
+            m_caller.socket().set_option(asio::socket_base::linger(true, 0), code);
+        }
         m_caller.close();
         co_return false;
     }
@@ -622,24 +627,39 @@
     if (!m_isStreamBegun) {
         m_isStreamBegun = true;
         http::response<http::empty_body> message(m_answerHead);
-        m_isKeptAlive = m_isKeptAlive && !m_context.isStopping;
+        m_isKeptAlive = m_isKeptAlive && !m_context.isStopping && isChunked();
         message.keep_alive(m_isKeptAlive);
-        message.chunked(true);
+        if (isChunked())
+            message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
         auto [code, size] = co_await http::async_write_header(m_caller, serializer, UseTuple);
         if (code)
             co_return false;
     }
-    auto [code, size] = co_await asio::async_write(
-            m_caller, http::make_chunk(asio::const_buffer(events.data(), events.size())), UseTuple);
+    const asio::const_buffer bytes(events.data(), events.size());
+    beast::error_code code;
+    std::size_t size = 0;
+    if (isChunked())
+        std::tie(code, size)
+                = co_await asio::async_write(m_caller, http::make_chunk(bytes), UseTuple);
+    else
+        std::tie(code, size) = co_await asio::async_write(m_caller, bytes, UseTuple);
     co_return !code;
 }
 
+bool RequestRun::isChunked() const
+{
+    constexpr unsigned Http11 = 11;
+    return m_request.version() >= Http11;
+}
+
 asio::awaitable<bool> RequestRun::finishStream()
 {
     // A stream without any event still needs its head.
     if (!m_isStreamBegun && !co_await sendEvents(":\n\n"))
         co_return false;
+    if (!isChunked())
+        co_return true;
     m_caller.expires_after(CallerWriteTime);
     auto [code, size] = co_await asio::async_write(m_caller, http::make_chunk_last(), UseTuple);
     co_return !code;
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -64,6 +64,8 @@
     bool mayTryAgain(AttemptEnd end, const routing::Dispatch &dispatch);
     boost::asio::awaitable<bool> deliverWhole();
     boost::asio::awaitable<bool> answer(OwnAnswer answer);
+    /// Whether the caller's streams are chunked; otherwise they end with the connection.
+    bool isChunked() const;
     boost::asio::awaitable<bool> sendEvents(std::string events);
     boost::asio::awaitable<bool> finishStream();
     OwnAnswer giveUp(AttemptEnd end) const;
--- a/src/relay/tests/brokenstreamtest.cpp
+++ b/src/relay/tests/brokenstreamtest.cpp
@@ -204,6 +204,35 @@
     EXPECT_EQ(got.find("HTTP/1.1", 1), std::string::npos) << got;
 }
 
+// Guards against a broken stream that looks complete to a caller of HTTP/1.0: it knows no chunks,
+// so the answer ends with the connection, which has to be reset.
+TEST_F(BrokenStreamFixture, serve_streamBrokeOffForOldCaller_connectionReset)
+{
+    addEndpoints("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\n"
+                 "Server-Signature: s\r\nContent-Length: 7\r\n\r\nfailure");
+    start();
+    const auto [got, code] = callOld();
+    EXPECT_EQ(code, boost::asio::error::connection_reset) << code.message() << '\n' << got;
+    EXPECT_EQ(got.find("failure"), std::string::npos);
+    EXPECT_EQ(fieldOf(got, "Transfer-Encoding"), "") << got;
+}
+
+// Guards against chunks in an answer to a caller of HTTP/1.0, which reads their sizes as events.
+TEST_F(BrokenStreamFixture, serve_wholeStreamForOldCaller_endsWithConnection)
+{
+    addEndpoint([](Socket &socket, const std::string &) {
+        write(socket,
+                std::string("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                            "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+                        + FirstEvent);
+        return false;
+    });
+    start();
+    const auto [got, code] = callOld();
+    EXPECT_EQ(code, boost::asio::error::eof) << code.message();
+    EXPECT_TRUE(got.ends_with(std::string("\r\n\r\n") + FirstEvent)) << got;
+}
+
 // Guards against a stream that is passed on as a success without the endpoint's signature.
 TEST_F(BrokenStreamFixture, serve_firstStreamUnsigned_notDelivered)
 {
