Trust no answer that has the head of another one in it

Callers were told "not run" for requests that an endpoint had run, and such orders went to a second endpoint (REFUSED, TWICE). The endpoint had written an earlier refusal once more and cut it within its reason or the value of a field, on a connection that stayed open. The status line of the next answer became part of that text, and the fields behind it, with the Attempt-Id of the present request, those of the refusal: the id matched.

Tests before: CutInValue and CutInReason, each before the own answer and in one packet with it: 503 "not run: refused with 421" or "with 503" though timesSent() was 1 instead of 0, in 22 of 24 requests each, 8 of them orders; one order of each of the four went to both endpoints.

A reason or value in which a status line begins ("HTTP/1.1 2") shows that two heads ran together. The attempt is lost: lookups go on elsewhere, orders get 502. A cut elsewhere in a head is malformed, and cut bodies swallow the own answer.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -432,6 +432,10 @@
         if (parser.get().result_int() < 200)
             continue;
         const routing::AnswerHead head = platform::readAnswerHead(parser.get());
+        if (head.isRunTogether) {
+            m_detail = "an answer was cut and another one follows in its head";
+            co_return AttemptEnd::Lost;
+        }
         takeNotices(m_context, head,
                 {{dispatch.endpoint, dispatch.startedAtMs}, m_about.id, m_sentAt.value()});
         if (head.id != m_about.id) {
--- a/src/relay/tests/foreignanswertest.cpp
+++ b/src/relay/tests/foreignanswertest.cpp
@@ -59,6 +59,9 @@
         = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 400\r\n\r\nfu";
 constexpr const char *CutBehindId
         = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nRetry-Af";
+constexpr const char *CutInValue
+        = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Type: text/pl";
+constexpr const char *CutInReason = "HTTP/1.1 421 Misdir";
 
 constexpr CopyCase Cases[] = {
         {"InOnePacketWithPrevious", CopyTime::WithPreviousAnswer, Refusal503},
@@ -80,6 +83,10 @@
         {"CutInBodyWithoutIdWithAnswer", CopyTime::WithAnswer, CutInBodyWithoutId, false},
         {"CutInBodyWhileIdle", CopyTime::WhileIdle, CutInBody},
         {"CutBehindIdWithAnswer", CopyTime::WithAnswer, CutBehindId, false},
+        {"CutInValueWithAnswer", CopyTime::WithAnswer, CutInValue, false},
+        {"CutInValueBeforeAnswer", CopyTime::BeforeAnswer, CutInValue, false},
+        {"CutInReasonWithAnswer", CopyTime::WithAnswer, CutInReason, false},
+        {"CutInReasonBeforeAnswer", CopyTime::BeforeAnswer, CutInReason, false},
 };
 
 std::string copyFor(std::string copy, const std::string &id)
--- a/src/routing/callerrequest.h
+++ b/src/routing/callerrequest.h
@@ -60,6 +60,8 @@
     bool isNotRun = false;
     bool isSigned = false;
     bool isEventStream = false;
+    /// The head of another answer follows within this one, which was cut: neither can be trusted.
+    bool isRunTogether = false;
     std::optional<std::uint64_t> weightsVersion;
     std::optional<AnsweredLoad> load;
     /// Time after which the endpoint closes the idle connection; none when it does not say.
