Use no endpoint connection twice for the same Attempt-Id

A caller that sent an id again which this endpoint had refused was told "not run" though the endpoint had run it: the refusal, written once more on the kept connection, bore the id of the present request.

Test before: serve_sameIdSentAgain got 503 although runs was 1.

--- a/src/relay/internal/endpointconnections.cpp
+++ b/src/relay/internal/endpointconnections.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
@@ -48,12 +50,27 @@
     stream.close();
 }
 
+bool EndpointConnection::hasCarried(const domain::RequestId &request) const
+{
+    return std::find(requests.begin(), requests.end(), request) != requests.end();
+}
+
+void EndpointConnection::noteRequest(const domain::RequestId &request)
+{
+    // An id comes again within the few attempts of one caller, if at all.
+    constexpr std::size_t MostKept = 8;
+    requests.push_front(request);
+    if (requests.size() > MostKept)
+        requests.pop_back();
+}
+
 EndpointConnections::EndpointConnections(asio::io_context &context)
     : m_context(context)
 {}
 
 std::shared_ptr<EndpointConnection> EndpointConnections::takeIdle(
-        const domain::EndpointId &endpoint, domain::Duration maxAge, domain::TimePoint now)
+        const domain::EndpointId &endpoint, const domain::RequestId &request,
+        domain::Duration maxAge, domain::TimePoint now)
 {
     const auto found = m_idle.find(endpoint);
     if (found == m_idle.end())
@@ -63,6 +80,8 @@
         std::shared_ptr<EndpointConnection> connection = idle.back();
         if (now < connection->idleDeadline && now - connection->idleSince > maxAge)
             return nullptr;
+        if (connection->hasCarried(request))
+            return nullptr;
         idle.pop_back();
         connection->idleWait.emit(asio::cancellation_type::all);
         if (now < connection->idleDeadline) {
--- a/src/relay/internal/endpointconnections.h
+++ b/src/relay/internal/endpointconnections.h
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -36,6 +37,13 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer{MaxBuffered};
+    /// Whether the connection has carried such a request not long ago; a late copy of its answer
+    /// could not be told from the answer to another request with the same id.
+    bool hasCarried(const domain::RequestId &request) const;
+    void noteRequest(const domain::RequestId &request);
+
+    /// The last requests, newest first.
+    std::deque<domain::RequestId> requests;
     domain::TimePoint idleSince;
     domain::TimePoint idleDeadline;
     bool isReused = false;
@@ -53,10 +61,10 @@
 public:
     explicit EndpointConnections(boost::asio::io_context &context);
 
-    /// The connection that became idle last, if it has been idle for no longer than the age given;
-    /// null without one.
-    std::shared_ptr<EndpointConnection> takeIdle(
-            const domain::EndpointId &endpoint, domain::Duration maxAge, domain::TimePoint now);
+    /// The connection that became idle last, if it has been idle for no longer than the age given
+    /// and has not carried a request with the same id; null without one.
+    std::shared_ptr<EndpointConnection> takeIdle(const domain::EndpointId &endpoint,
+            const domain::RequestId &request, domain::Duration maxAge, domain::TimePoint now);
     boost::asio::awaitable<domain::Expected<std::shared_ptr<EndpointConnection>>> connect(
             domain::SocketAddress address, domain::TimePoint deadline);
     /// Keeps a connection for later, at most for the idle time and as one of so many.
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -319,8 +319,8 @@
     // Without an id nothing tells a late copy of an earlier answer from this request's own.
     const bool mayReuse = !m_about.id.isEmpty();
     if (mayReuse) {
-        m_connection
-                = m_context.connections.takeIdle(dispatch.endpoint, m_policy->longestIdle(), now);
+        m_connection = m_context.connections.takeIdle(
+                dispatch.endpoint, m_about.id, m_policy->longestIdle(), now);
     }
     if (!m_connection) {
         auto connection = co_await m_context.connections.connect(
@@ -363,6 +363,7 @@
             [request, isWritten, connection = m_connection](
                     beast::error_code code, std::size_t /*size*/) { *isWritten = !code; });
     m_connection->hasAnswerBegun = false;
+    m_connection->noteRequest(m_about.id);
     m_policy->onSent();
     awaitBegin(dispatch);
     const AttemptEnd end = co_await readAnswer(dispatch, isWritten);
--- a/src/relay/tests/foreignanswertest.cpp
+++ b/src/relay/tests/foreignanswertest.cpp
@@ -227,6 +227,38 @@
     }
 }
 
+// Guards against a refusal that is taken for the answer to a request with the same id: the caller
+// sends an id again that this endpoint has refused on a connection which is kept.
+TEST_F(ForeignAnswerFixture, serve_sameIdSentAgain_copyOfItsRefusalNotTaken)
+{
+    const auto runs = std::make_shared<std::atomic<int>>(0);
+    const auto requests = std::make_shared<std::atomic<int>>(0);
+    const auto refusing = std::make_shared<std::atomic<Socket *>>(nullptr);
+    const std::string refusal
+            = answer("a1", "full", "503 Service Unavailable", "Not-Executed: 1\r\n");
+    addEndpoint([runs, requests, refusing, refusal](Socket &socket, const std::string &) {
+        if ((*requests)++ == 0) {
+            *refusing = &socket;
+            write(socket, refusal);
+            return true;
+        }
+        ++*runs;
+        write(socket, (refusing->load() == &socket ? refusal : "") + answer("a1", "own"));
+        return true;
+    });
+    start();
+    EXPECT_EQ(statusOf(call(requestWithId("/order/1", "a1"))), 503U);
+    EXPECT_EQ(*requests, 1) << "an endpoint got a request again that it had refused";
+    // Whether the entry lets the endpoint rest after a refusal is not under test here.
+    std::string got;
+    for (int i = 0; i < 40 && *requests < 2; ++i) {
+        got = call(requestWithId("/order/1", "a1"));
+        std::this_thread::sleep_for(2ms);
+    }
+    ASSERT_EQ(*runs, 1);
+    EXPECT_FALSE(isPromise(statusOf(got))) << got;
+}
+
 // Guards against an endpoint that gets one request twice: it refuses it, and is the only one.
 TEST_F(ForeignAnswerFixture, serve_onlyEndpointRefuses_requestSentToItOnce)
 {
