Drop a kept HTTP connection that has brought further bytes

Callers of HttpClient (the store, agents, entries, an agent's endpoint) got the answer of an earlier call: the peer had written it twice on a kept connection. Bytes behind an answer stayed in the connection's buffer or its socket and were read as the answer to the next call.

Tests before: send_copyInOnePacket and send_copyWhileIdle got "200 1" as the second answer, and errors after cut copies; send_peerClosedIdleConnection failed with "end of stream"; handle_endpointWritesAnswerTwice got "2" for the third lookup.

A connection with buffered bytes is not given back, and an idle one is taken only if its socket has neither bytes nor an end. A copy that arrives after the next request was sent cannot be told from its answer here, as these calls bear no id.

--- a/src/agent/tests/requestproxytest.cpp
+++ b/src/agent/tests/requestproxytest.cpp
@@ -1,6 +1,7 @@
 #include "agent/internal/requestproxy.h"
 #include "requests/answerchecksum.h"
 #include "requests/attemptframecodec.h"
+#include "transport/tests/scriptedpeer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -335,6 +336,34 @@
     EXPECT_EQ(m_calls, 1);
 }
 
+// Guards against a second copy of an answer that is taken for the answer to the next lookup or
+// order: it comes in one packet with the first, or while the connection is idle.
+TEST_F(RequestProxyFixture, handle_endpointWritesAnswerTwice_nextAttemptGetsItsOwn)
+{
+    useOneSlot();
+    for (const auto pause : {0ms, 10ms}) {
+        transport::ScriptedPeer peer([pause](transport::ScriptedPeer::Socket &socket, int number) {
+            const std::string answer
+                    = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(number);
+            transport::ScriptedPeer::write(socket, pause == 0ms ? answer + answer : answer);
+            std::this_thread::sleep_for(pause);
+            if (pause > 0ms)
+                transport::ScriptedPeer::write(socket, answer);
+            return true;
+        });
+        m_options.endpoint = peer.address();
+        m_agent->closeAll();
+        startProxy();
+        for (int i = 1; i <= 6; ++i) {
+            const std::string id = std::to_string(pause.count()) + "-" + std::to_string(i);
+            const auto frames = send(i % 2 == 0 ? order(id, id) : attempt(id));
+            EXPECT_EQ(dataOf(frames), std::to_string(i));
+            std::this_thread::sleep_for(2 * pause);
+        }
+        m_client->closeIdle();
+    }
+}
+
 // Guards against a stop that loses results, or that takes new work.
 TEST_F(RequestProxyFixture, drain_runningAttempt_finishesAndRefusesNewWork)
 {
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -11,11 +11,14 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cerrno>
 #include <map>
 #include <mutex>
 #include <utility>
 #include <vector>
 
+#include <sys/socket.h>
+
 namespace oriolerill::transport {
 
 namespace asio = boost::asio;
@@ -62,6 +65,16 @@
             "check that the peer runs and can be reached"};
 }
 
+/// False when the peer has sent bytes to an idle connection, which belong to no request, or has
+/// closed it.
+bool isSilent(Connection &connection)
+{
+    char byte = 0;
+    const auto size
+            = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 http::request<http::string_body> toBeast(const SocketAddress &peer, HttpRequest request)
 {
     constexpr unsigned Http11 = 11;
@@ -96,7 +109,7 @@
         while (!idle.empty()) {
             std::unique_ptr<Connection> connection = std::move(idle.back());
             idle.pop_back();
-            if (connection->idleUntil > now) {
+            if (connection->idleUntil > now && isSilent(*connection)) {
                 connection->isReused = true;
                 return connection;
             }
@@ -197,7 +210,8 @@
 
     void release()
     {
-        if (m_parser->keep_alive())
+        // Bytes behind the answer belong to no request: the next one would take them for its own.
+        if (m_parser->keep_alive() && m_connection->buffer.size() == 0)
             m_owner->giveBack(m_peer, std::move(m_connection));
         m_connection.reset();
     }
--- a/src/transport/tests/secondcopytest.cpp
+++ b/src/transport/tests/secondcopytest.cpp
@@ -52,6 +52,52 @@
     HttpClient m_client{m_context.get_executor(), HttpClientOptions()};
 };
 
+// Guards against a second copy of an answer that is taken for the answer to the next call: it comes
+// in one packet with the first.
+TEST_F(SecondCopyFixture, send_copyInOnePacket_nextCallGetsItsOwn)
+{
+    ScriptedPeer peer([](Socket &socket, int number) {
+        ScriptedPeer::write(socket, answerTo(number) + answerTo(number));
+        return true;
+    });
+    for (int i = 1; i <= 4; ++i)
+        EXPECT_EQ(send(peer), "200 " + std::to_string(i));
+    m_client.closeIdle();
+}
+
+// Guards against the same with a copy that comes while the connection is idle, whole or cut.
+TEST_F(SecondCopyFixture, send_copyWhileIdle_nextCallGetsItsOwn)
+{
+    for (const std::size_t cut : {0U, 10U, 30U}) {
+        ScriptedPeer peer([cut](Socket &socket, int number) {
+            ScriptedPeer::write(socket, answerTo(number));
+            std::this_thread::sleep_for(10ms);
+            const std::string copy = answerTo(number);
+            ScriptedPeer::write(socket, cut == 0 ? copy : copy.substr(0, cut));
+            return true;
+        });
+        for (int i = 1; i <= 4; ++i) {
+            EXPECT_EQ(send(peer), "200 " + std::to_string(i));
+            std::this_thread::sleep_for(30ms);
+        }
+        m_client.closeIdle();
+    }
+}
+
+// Guards against an idle connection that the peer has closed: the next call would fail on it.
+TEST_F(SecondCopyFixture, send_peerClosedIdleConnection_nextCallAnswered)
+{
+    ScriptedPeer peer([](Socket &socket, int number) {
+        ScriptedPeer::write(socket, answerTo(number));
+        return false;
+    });
+    for (int i = 1; i <= 4; ++i) {
+        EXPECT_EQ(send(peer), "200 " + std::to_string(i));
+        std::this_thread::sleep_for(20ms);
+    }
+    m_client.closeIdle();
+}
+
 // Guards against connections that are never used again.
 TEST_F(SecondCopyFixture, send_soundPeer_connectionReused)
 {
