Skip interim answers in HttpClient, at most four

A call got "100" with an empty body as its answer, and the next call on the connection got the real one: an interim answer was taken for the final one.

Interim answers are read past; a fifth in a row ends the call with an error.

--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -267,14 +267,25 @@
     if (writeCode)
         co_return failure(peer, "sending to", writeCode);
 
-    auto parser = std::make_unique<http::response_parser<http::buffer_body>>();
-    parser->body_limit(boost::none);
-    if (message.method() == http::verb::head)
-        parser->skip(true);
-    auto [readCode, size] = co_await http::async_read_header(
-            connection->stream, connection->buffer, *parser, UseTuple);
-    if (readCode)
-        co_return failure(peer, "awaiting the answer of", readCode);
+    constexpr int MaxInterimAnswers = 4;
+    constexpr unsigned FirstFinalStatus = 200;
+    std::unique_ptr<http::response_parser<http::buffer_body>> parser;
+    for (int interim = 0;; ++interim) {
+        if (interim > MaxInterimAnswers) {
+            co_return Error{ErrorKind::Corrupted,
+                    "only interim answers came from " + peer.toString(), "check the peer"};
+        }
+        parser = std::make_unique<http::response_parser<http::buffer_body>>();
+        parser->body_limit(boost::none);
+        if (message.method() == http::verb::head)
+            parser->skip(true);
+        auto [readCode, size] = co_await http::async_read_header(
+                connection->stream, connection->buffer, *parser, UseTuple);
+        if (readCode)
+            co_return failure(peer, "awaiting the answer of", readCode);
+        if (parser->get().result_int() >= FirstFinalStatus)
+            break;
+    }
     std::unique_ptr<HttpExchange> exchange = std::make_unique<PooledExchange<Implementation>>(
             shared_from_this(), std::move(peer), std::move(connection), std::move(parser));
     co_return std::move(exchange);
--- a/src/transport/tests/secondcopytest.cpp
+++ b/src/transport/tests/secondcopytest.cpp
@@ -111,4 +111,37 @@
     m_client.closeIdle();
 }
 
+// Guards against an interim answer that is taken for the answer, so that the next call gets the
+// answer to this one.
+TEST_F(SecondCopyFixture, send_interimAnswers_skipped)
+{
+    ScriptedPeer peer([](Socket &socket, int number) {
+        ScriptedPeer::write(
+                socket, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+        std::this_thread::sleep_for(5ms);
+        ScriptedPeer::write(socket, answerTo(number));
+        return true;
+    });
+    for (int i = 1; i <= 4; ++i)
+        EXPECT_EQ(send(peer), "200 " + std::to_string(i));
+    m_client.closeIdle();
+}
+
+// Guards against a call that reads interim answers without end.
+TEST_F(SecondCopyFixture, send_interimAnswersWithoutEnd_givenUpAtOnce)
+{
+    ScriptedPeer peer([](Socket &socket, int) {
+        boost::system::error_code code;
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        while (!code)
+            asio::write(socket, asio::buffer(interim), code);
+        return false;
+    });
+    const auto begun = std::chrono::steady_clock::now();
+    const std::string result = send(peer);
+    EXPECT_TRUE(result.starts_with("error: ")) << result;
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 1s);
+    m_client.closeIdle();
+}
+
 } // namespace oriolerill::transport
