Resume an answer only behind a head that continues it

Callers of the own interface found an error's text in the middle of their stream, which then ended as complete, with a matching checksum: the endpoint that was to resume answered with 404, 400 or another status below 500, or from other weights, and the entry took its data whatever the head said.

Tests before: handleCaller_resumedAtEndpointThatFails got "one twfailure" as a whole answer; handleCaller_resumptionFailsOnce as well, instead of "one two three" from the next endpoint.

The head of a resumed attempt has to be a success from the required weights; otherwise its outcome is unknown, and the answer is resumed elsewhere or cut.

--- a/src/entry/internal/attemptclient.cpp
+++ b/src/entry/internal/attemptclient.cpp
@@ -83,6 +83,8 @@
     asio::awaitable<void> onData(Link &link, std::string data);
     void onEnd(Link &link, const protocol::AnswerEnd &end);
     bool isOwn(const std::string &requestId, std::uint32_t attempt) const;
+    /// Whether the data behind the head may follow what the caller has already.
+    bool continues(const protocol::AnswerHead &head) const;
     bool isWhole(const protocol::AnswerEnd &end) const;
     void finish(protocol::Outcome outcome, Error error);
 
@@ -241,6 +243,14 @@
 {
     if (std::exchange(m_hasHead, true))
         co_return;
+    if (!continues(head)) {
+        finish(protocol::OUTCOME_UNKNOWN,
+                Error{ErrorKind::Unavailable,
+                        "the answer was to be resumed, and the endpoint answered with status "
+                                + std::to_string(head.status()),
+                        "resume it at another endpoint"});
+        co_return;
+    }
     const Expected<Done> taken = co_await m_sink.head(std::move(head));
     if (!taken) {
         finish(protocol::OUTCOME_UNKNOWN, taken.error());
@@ -265,6 +275,16 @@
     }
 }
 
+bool AttemptCarrier::continues(const protocol::AnswerHead &head) const
+{
+    if (m_attempt.resume_offset() == 0)
+        return true;
+    constexpr unsigned FirstSuccess = 200;
+    constexpr unsigned FirstRedirect = 300;
+    const bool isSuccess = head.status() >= FirstSuccess && head.status() < FirstRedirect;
+    return isSuccess && head.active_digest() == m_attempt.required_digest();
+}
+
 bool AttemptCarrier::isWhole(const protocol::AnswerEnd &end) const
 {
     return m_hasHead && end.length() == m_attempt.resume_offset() + m_checksum.length()
--- a/src/entry/tests/callerfronttest.cpp
+++ b/src/entry/tests/callerfronttest.cpp
@@ -214,6 +214,17 @@
         finishAnswered(*running);
 }
 
+/// An endpoint's error as the whole answer.
+asio::awaitable<void> answerError(
+        std::shared_ptr<RunningAttempt> running, unsigned status, domain::Digest weights)
+{
+    protocol::AnswerHead head = headWith(weights);
+    head.set_status(status);
+    running->setHead(std::move(head));
+    co_await running->append("failure");
+    finishAnswered(*running);
+}
+
 asio::awaitable<void> streamLong(
         std::shared_ptr<RunningAttempt> running, domain::Digest weights, std::size_t size)
 {
@@ -560,6 +571,56 @@
     EXPECT_GE(resumed, 1);
 }
 
+// Guards against an error's text in the middle of a caller's stream, and against a stream that ends
+// with it as if it were complete: the endpoint that is to resume answers with an error, or from
+// other weights.
+TEST_F(CallerFrontFixture, handleCaller_resumedAtEndpointThatFails_errorNotInStream)
+{
+    const domain::Digest weights = domain::Digest::of("w1");
+    const auto failures = std::make_shared<std::atomic<int>>(0);
+    const auto script = [weights, failures](const std::shared_ptr<RunningAttempt> &running) {
+        constexpr unsigned Statuses[] = {400, 404, 302, 500, 200};
+        if (running->attempt().resume_offset() == 0)
+            return streamBroken(running, weights, true);
+        const unsigned status = Statuses[(*failures)++ % std::size(Statuses)];
+        const bool isOtherWeights = status == 200;
+        return answerError(running, status, isOtherWeights ? domain::Digest::of("w2") : weights);
+    };
+    addAgent("drafts", script, weights);
+    addAgent("drafts", script, weights);
+    m_options.maxResumeTime = 300ms;
+    start();
+    for (int i = 0; i < 5; ++i) {
+        const auto response = call("drafts/v1/generate?" + std::to_string(i), "POST", {}, 800ms);
+        EXPECT_FALSE(response) << response->body;
+    }
+    EXPECT_GE(*failures, 5);
+}
+
+// Guards against a stream that is given up because one endpoint answered its resumption with an
+// error, while another can resume it.
+TEST_F(CallerFrontFixture, handleCaller_resumptionFailsOnce_resumedAtNext)
+{
+    const domain::Digest weights = domain::Digest::of("w1");
+    const auto failures = std::make_shared<std::atomic<int>>(0);
+    for (int i = 0; i < 3; ++i) {
+        addAgent(
+                "drafts",
+                [weights, failures](const std::shared_ptr<RunningAttempt> &running) {
+                    const bool isResumption = running->attempt().resume_offset() > 0;
+                    if (isResumption && (*failures)++ == 0)
+                        return answerError(running, 404, weights);
+                    return streamBroken(running, weights, true);
+                },
+                weights);
+    }
+    start();
+    const auto response = call("drafts/v1/generate", "POST");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->body, "one two three");
+    EXPECT_EQ(*failures, 2);
+}
+
 // Guards against a stream that is cut because the only other endpoint has no room at that moment.
 TEST_F(CallerFrontFixture, handleCaller_modelStreamBreaksOtherFull_resumedWhenRoomComes)
 {
