--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -204,6 +204,11 @@
     if (m_isStreamBegun) {
         // The connection ends before the last chunk, so that the answer does not look whole.
         logEnd("stream_cut", 200);
+        if (!isChunked()) {
+            // Without chunks the end of the connection would complete the answer; a reset does not.
+            beast::error_code code;
+            m_caller.socket().set_option(asio::socket_base::linger(true, 0), code);
+        }
         m_caller.close();
         co_return false;
     }
@@ -316,8 +321,8 @@
     // Without an id nothing tells a late copy of an earlier answer from this request's own.
     const bool mayReuse = !m_about.id.isEmpty();
     if (mayReuse) {
-        m_connection
-                = m_context.connections.takeIdle(dispatch.endpoint, m_policy->longestIdle(), now);
+        m_connection = m_context.connections.takeIdle(
+                dispatch.endpoint, m_about.id, m_policy->longestIdle(), now);
     }
     if (!m_connection) {
         auto connection = co_await m_context.connections.connect(
@@ -360,6 +365,7 @@
             [request, isWritten, connection = m_connection](
                     beast::error_code code, std::size_t /*size*/) { *isWritten = !code; });
     m_connection->hasAnswerBegun = false;
+    m_connection->noteRequest(m_about.id);
     m_policy->onSent();
     awaitBegin(dispatch);
     const AttemptEnd end = co_await readAnswer(dispatch, isWritten);
@@ -429,19 +435,27 @@
         if (parser.get().result_int() < 200)
             continue;
         const routing::AnswerHead head = platform::readAnswerHead(parser.get());
+        if (head.isRunTogether) {
+            m_detail = "an answer was cut and another one follows in its head";
+            co_return AttemptEnd::Lost;
+        }
         takeNotices(m_context, head,
                 {{dispatch.endpoint, dispatch.startedAtMs}, m_about.id, m_sentAt.value()});
-        const bool isOwn = head.id == m_about.id;
-        const bool isStream = head.isEventStream && head.isSuccess() && isOwn;
-        if (head.load && isOwn) {
+        if (head.id != m_about.id) {
+            const auto skipped = co_await skipForeign(parser, deadline);
+            if (skipped)
+                co_return *skipped;
+            continue;
+        }
+        const bool isStream = head.isEventStream && head.isSuccess() && head.isSigned;
+        if (head.load) {
             m_context.dispatcher.load(dispatch.endpoint)
                     .onAnsweredLoad(*head.load, TimePoint::clock::now());
         }
         // An answer that is no stream is the result of the work.
-        if (isOwn && !isStream)
+        if (!isStream)
             noteBegun();
-        if (isOwn)
-            m_context.dispatcher.load(dispatch.endpoint).onAnswerBegun(TimePoint::clock::now());
+        m_context.dispatcher.load(dispatch.endpoint).onAnswerBegun(TimePoint::clock::now());
         AttemptEnd end = AttemptEnd::Lost;
         if (isStream)
             end = co_await relayEvents(parser, head);
@@ -449,15 +463,6 @@
             end = co_await relayWhole(parser, head);
         if (!routing::isWholeAnswer(end))
             co_return end;
-        if (!isOwn && parser.keep_alive()) {
-            m_hasAnswer = false;
-            continue;
-        }
-        if (!isOwn) {
-            m_hasAnswer = false;
-            m_detail = "the answer belongs to another request";
-            co_return AttemptEnd::Lost;
-        }
         if (parser.keep_alive() && *isWritten) {
             const domain::Duration idle = head.keepAlive
                     ? std::max<domain::Duration>(*head.keepAlive - IdleMargin, milliseconds(100))
@@ -477,6 +482,29 @@
     co_return AttemptEnd::Lost;
 }
 
+asio::awaitable<std::optional<AttemptEnd>> RequestRun::skipForeign(
+        Parser &parser, TimePoint deadline)
+{
+    std::string piece;
+    std::size_t skippedBytes = 0;
+    while (!parser.is_done()) {
+        const beast::error_code code = co_await readSome(parser, piece, deadline);
+        skippedBytes += piece.size();
+        if (code) {
+            m_detail = "reading an answer to another request: " + code.message();
+            co_return endOfRead(code);
+        }
+        if (skippedBytes > MaxWholeAnswer) {
+            m_detail = "an answer to another request is too large";
+            co_return AttemptEnd::Lost;
+        }
+    }
+    if (parser.keep_alive())
+        co_return std::nullopt;
+    m_detail = "the answer belongs to another request";
+    co_return AttemptEnd::Lost;
+}
+
 asio::awaitable<beast::error_code> RequestRun::readSome(
         Parser &parser, std::string &piece, TimePoint deadline)
 {
@@ -543,6 +571,16 @@
 
 asio::awaitable<AttemptEnd> RequestRun::relayWhole(Parser &parser, const routing::AnswerHead &head)
 {
+    // These statuses promise that the request has not run, which the endpoint has not stated.
+    constexpr unsigned Promises[] = {408, 421, 429, 503};
+    const bool isFalsePromise = std::find(std::begin(Promises), std::end(Promises), head.status)
+            != std::end(Promises);
+    const bool isUnsigned = head.isSuccess() && !head.isSigned;
+    if (!head.isNotRun && (isFalsePromise || isUnsigned || m_isStreamBegun)) {
+        // The head decides: an answer that cannot be used is not read, as it may not end.
+        m_detail = "unusable answer with status " + std::to_string(head.status);
+        co_return AttemptEnd::Lost;
+    }
     std::string body;
     std::string piece;
     releaseHeld();
@@ -564,15 +602,6 @@
         m_detail = "refused with " + std::to_string(head.status);
         co_return AttemptEnd::NotRun;
     }
-    // These statuses promise that the request has not run, which the endpoint has not stated.
-    constexpr unsigned Promises[] = {408, 421, 429, 503};
-    const bool isFalsePromise = std::find(std::begin(Promises), std::end(Promises), head.status)
-            != std::end(Promises);
-    const bool isUnsigned = head.isSuccess() && !head.isSigned;
-    if (isFalsePromise || isUnsigned || m_isStreamBegun) {
-        m_detail = "unusable answer with status " + std::to_string(head.status);
-        co_return AttemptEnd::Lost;
-    }
     m_answerHead = platform::callerAnswerHead(parser.get());
     m_answerBody = std::move(body);
     m_hasAnswer = true;
@@ -605,24 +634,39 @@
     if (!m_isStreamBegun) {
         m_isStreamBegun = true;
         http::response<http::empty_body> message(m_answerHead);
-        m_isKeptAlive = m_isKeptAlive && !m_context.isStopping;
+        m_isKeptAlive = m_isKeptAlive && !m_context.isStopping && isChunked();
         message.keep_alive(m_isKeptAlive);
-        message.chunked(true);
+        if (isChunked())
+            message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
         auto [code, size] = co_await http::async_write_header(m_caller, serializer, UseTuple);
         if (code)
             co_return false;
     }
-    auto [code, size] = co_await asio::async_write(
-            m_caller, http::make_chunk(asio::const_buffer(events.data(), events.size())), UseTuple);
+    const asio::const_buffer bytes(events.data(), events.size());
+    beast::error_code code;
+    std::size_t size = 0;
+    if (isChunked())
+        std::tie(code, size)
+                = co_await asio::async_write(m_caller, http::make_chunk(bytes), UseTuple);
+    else
+        std::tie(code, size) = co_await asio::async_write(m_caller, bytes, UseTuple);
     co_return !code;
 }
 
+bool RequestRun::isChunked() const
+{
+    constexpr unsigned Http11 = 11;
+    return m_request.version() >= Http11;
+}
+
 asio::awaitable<bool> RequestRun::finishStream()
 {
     // A stream without any event still needs its head.
     if (!m_isStreamBegun && !co_await sendEvents(":\n\n"))
         co_return false;
+    if (!isChunked())
+        co_return true;
     m_caller.expires_after(CallerWriteTime);
     auto [code, size] = co_await asio::async_write(m_caller, http::make_chunk_last(), UseTuple);
     co_return !code;
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -47,6 +47,9 @@
             const routing::Dispatch &dispatch, const std::shared_ptr<bool> &isWritten);
     boost::asio::awaitable<AttemptEnd> relayEvents(Parser &parser, const routing::AnswerHead &head);
     boost::asio::awaitable<AttemptEnd> relayWhole(Parser &parser, const routing::AnswerHead &head);
+    /// Reads the rest of an answer to another request; an end when the own answer cannot follow.
+    boost::asio::awaitable<std::optional<AttemptEnd>> skipForeign(
+            Parser &parser, domain::TimePoint deadline);
     boost::asio::awaitable<boost::beast::error_code> readSome(
             Parser &parser, std::string &piece, domain::TimePoint deadline);
     void releaseHeld();
@@ -61,6 +64,8 @@
     bool mayTryAgain(AttemptEnd end, const routing::Dispatch &dispatch);
     boost::asio::awaitable<bool> deliverWhole();
     boost::asio::awaitable<bool> answer(OwnAnswer answer);
+    /// Whether the caller's streams are chunked; otherwise they end with the connection.
+    bool isChunked() const;
     boost::asio::awaitable<bool> sendEvents(std::string events);
     boost::asio::awaitable<bool> finishStream();
     OwnAnswer giveUp(AttemptEnd end) const;
--- /dev/null
+++ b/src/transport/tests/secondcopytest.cpp
@@ -0,0 +1,147 @@
+#include "transport/httpclient.h"
+#include "transport/tests/scriptedpeer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace oriolerill::transport {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using Socket = ScriptedPeer::Socket;
+
+namespace {
+
+std::string answerTo(int number)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(number);
+}
+
+} // namespace
+
+/// The client of the store, of other agents and of endpoints; its answers bear no ids.
+class SecondCopyFixture : public testing::Test
+{
+protected:
+    /// Body of the answer to one more request, or the error.
+    std::string send(const ScriptedPeer &peer)
+    {
+        std::string result = "none";
+        const auto ask = [&]() -> asio::awaitable<void> {
+            HttpRequest request;
+            request.method = "GET";
+            request.target = "/";
+            const auto answer = co_await m_client.send(
+                    peer.address(), std::move(request), domain::TimePoint::clock::now() + 2s);
+            result = answer ? std::to_string(answer->status) + ' ' + answer->body
+                            : "error: " + answer.error().message;
+        };
+        asio::co_spawn(m_context, ask(), asio::detached);
+        m_context.run();
+        m_context.restart();
+        return result;
+    }
+
+    asio::io_context m_context{1};
+    HttpClient m_client{m_context.get_executor(), HttpClientOptions()};
+};
+
+// Guards against a second copy of an answer that is taken for the answer to the next call: it comes
+// in one packet with the first.
+TEST_F(SecondCopyFixture, send_copyInOnePacket_nextCallGetsItsOwn)
+{
+    ScriptedPeer peer([](Socket &socket, int number) {
+        ScriptedPeer::write(socket, answerTo(number) + answerTo(number));
+        return true;
+    });
+    for (int i = 1; i <= 4; ++i)
+        EXPECT_EQ(send(peer), "200 " + std::to_string(i));
+    m_client.closeIdle();
+}
+
+// Guards against the same with a copy that comes while the connection is idle, whole or cut.
+TEST_F(SecondCopyFixture, send_copyWhileIdle_nextCallGetsItsOwn)
+{
+    for (const std::size_t cut : {0U, 10U, 30U}) {
+        ScriptedPeer peer([cut](Socket &socket, int number) {
+            ScriptedPeer::write(socket, answerTo(number));
+            std::this_thread::sleep_for(10ms);
+            const std::string copy = answerTo(number);
+            ScriptedPeer::write(socket, cut == 0 ? copy : copy.substr(0, cut));
+            return true;
+        });
+        for (int i = 1; i <= 4; ++i) {
+            EXPECT_EQ(send(peer), "200 " + std::to_string(i));
+            std::this_thread::sleep_for(30ms);
+        }
+        m_client.closeIdle();
+    }
+}
+
+// Guards against an idle connection that the peer has closed: the next call would fail on it.
+TEST_F(SecondCopyFixture, send_peerClosedIdleConnection_nextCallAnswered)
+{
+    ScriptedPeer peer([](Socket &socket, int number) {
+        ScriptedPeer::write(socket, answerTo(number));
+        return false;
+    });
+    for (int i = 1; i <= 4; ++i) {
+        EXPECT_EQ(send(peer), "200 " + std::to_string(i));
+        std::this_thread::sleep_for(20ms);
+    }
+    m_client.closeIdle();
+}
+
+// Guards against connections that are never used again.
+TEST_F(SecondCopyFixture, send_soundPeer_connectionReused)
+{
+    ScriptedPeer peer([](Socket &socket, int number) {
+        ScriptedPeer::write(socket, answerTo(number));
+        return true;
+    });
+    for (int i = 1; i <= 4; ++i)
+        EXPECT_EQ(send(peer), "200 " + std::to_string(i));
+    EXPECT_EQ(peer.accepted(), 1);
+    m_client.closeIdle();
+}
+
+// Guards against an interim answer that is taken for the answer, so that the next call gets the
+// answer to this one.
+TEST_F(SecondCopyFixture, send_interimAnswers_skipped)
+{
+    ScriptedPeer peer([](Socket &socket, int number) {
+        ScriptedPeer::write(
+                socket, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+        std::this_thread::sleep_for(5ms);
+        ScriptedPeer::write(socket, answerTo(number));
+        return true;
+    });
+    for (int i = 1; i <= 4; ++i)
+        EXPECT_EQ(send(peer), "200 " + std::to_string(i));
+    m_client.closeIdle();
+}
+
+// Guards against a call that reads interim answers without end.
+TEST_F(SecondCopyFixture, send_interimAnswersWithoutEnd_givenUpAtOnce)
+{
+    ScriptedPeer peer([](Socket &socket, int) {
+        boost::system::error_code code;
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        while (!code)
+            asio::write(socket, asio::buffer(interim), code);
+        return false;
+    });
+    const auto begun = std::chrono::steady_clock::now();
+    const std::string result = send(peer);
+    EXPECT_TRUE(result.starts_with("error: ")) << result;
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 1s);
+    m_client.closeIdle();
+}
+
+} // namespace oriolerill::transport
