Refuse addresses of lists that no socket takes

An entry whose address has zeros before an octet, such as 10.1.0.09:8080, was taken as an endpoint, and its host may reach HttpClient in an agent. There make_address_v4() threw, as it refuses such octets, and the exception went on to the caller, which expects an error as a result. SocketAddress::parse() now refuses such octets, and HttpClient fails the call for any host that is no address.

Before, SocketAddress.parse_malformedText_empty printed "Which is: (127.000.0.1:1)" in place of nullopt, and HttpFixture.send_hostThatIsNoAddress_failsWithoutException "it throws boost::wrapexcept<boost::system::system_error> with description "Invalid argument"" for 127.0.0.01. Ports out of range were refused already.

--- a/src/domain/internal/socketaddress.cpp
+++ b/src/domain/internal/socketaddress.cpp
@@ -23,7 +23,10 @@
         const std::size_t dot = text.find('.');
         if ((dot == std::string_view::npos) != (octet == 3))
             return false;
-        if (!parseNumber(text.substr(0, dot), HighestOctet))
+        const std::string_view number = text.substr(0, dot);
+        // As inet_pton() does, because others read a number that begins with zero as octal.
+        const bool isPadded = number.size() > 1 && number.front() == '0';
+        if (isPadded || !parseNumber(number, HighestOctet))
             return false;
         if (octet < 3)
             text.remove_prefix(dot + 1);
--- a/src/domain/tests/domaintest.cpp
+++ b/src/domain/tests/domaintest.cpp
@@ -14,11 +14,14 @@
     EXPECT_EQ(Digest::fromHex(digest.hex().substr(1)), std::nullopt);
 }
 
+// Guards against an address that is taken here and refused where a socket is opened, such as one
+// with zeros before an octet, which some systems read as octal.
 TEST(SocketAddress, parse_malformedText_empty)
 {
     EXPECT_EQ(SocketAddress::parse("127.0.0.1:80"), (SocketAddress{"127.0.0.1", 80}));
     for (const char *text : {"127.0.0.1", "localhost:80", "127.0.0:80", "127.0.0.256:1",
-                 "127.0.0.1:65536", "127.0.0.1:", "1.2.3.4.5:6"})
+                 "127.0.0.1:65536", "127.0.0.1:", "1.2.3.4.5:6", "127.0.0.01:1", "127.000.0.1:1",
+                 "127.0.0.1:-1", "127.0.0.1:4294967297", "127.0.0.1:99999999999999999999"})
         EXPECT_EQ(SocketAddress::parse(text), std::nullopt) << text;
 }
 
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -225,9 +225,12 @@
         const auto size = static_cast<int>(m_options.receiveBuffer.count());
         socket.set_option(asio::socket_base::receive_buffer_size(size), code);
     }
+    // Peers are read from lists that others write; one that is no address must not end the caller.
+    const asio::ip::address_v4 host
+            = code ? asio::ip::address_v4() : asio::ip::make_address_v4(peer.host, code);
     if (code)
         co_return code;
-    const tcp::endpoint target(asio::ip::make_address_v4(peer.host), peer.port);
+    const tcp::endpoint target(host, peer.port);
     std::tie(code) = co_await connection.stream.async_connect(target, UseTuple);
     if (!code)
         socket.set_option(tcp::no_delay(true), code);
--- a/src/transport/tests/httptest.cpp
+++ b/src/transport/tests/httptest.cpp
@@ -92,6 +92,17 @@
     EXPECT_EQ(response.error().kind, domain::ErrorKind::Unavailable);
 }
 
+// Guards against a peer of a list that is no address: the exception ended the loop that called it.
+TEST_F(HttpFixture, send_hostThatIsNoAddress_failsWithoutException)
+{
+    for (const char *host : {"127.0.0.01", "nowhere", ""}) {
+        m_address.host = host;
+        domain::Expected<HttpResponse> response = HttpResponse();
+        EXPECT_NO_THROW(response = send("/echo", "one")) << host;
+        EXPECT_FALSE(response) << host;
+    }
+}
+
 // Guards against an oversized body that exhausts memory or gets no explanation.
 TEST_F(HttpFixture, send_oversizedBody_refusedWithRemedy)
 {
