Show that odd items of the own interface hide no others

The own object API carries values as base64, and each item is parsed on its own, so one item nested 1,000,000 levels deep, with a number that no integer holds or with invalid bytes is refused alone.

SpecReader casts a number only when it is whole: to_number() casts a double first and compares then, which is undefined for 1e300.

--- a/src/config/internal/specreader.cpp
+++ b/src/config/internal/specreader.cpp
@@ -40,9 +40,10 @@
     const json::value *const value = find(name);
     if (value == nullptr)
         return fallback;
+    // Whole numbers only: to_number() casts a double that may be beyond any whole number.
     json::error_code code;
-    const auto given = value->is_number() ? value->to_number<std::int64_t>(code) : -1;
     const bool isWhole = value->is_int64() || value->is_uint64();
+    const auto given = isWhole ? value->to_number<std::int64_t>(code) : -1;
     if (isWhole && !code && given >= lowest && given <= highest)
         return static_cast<std::uint32_t>(given);
     report(name, "is not a whole number in its range",
--- a/src/config/tests/configtabletest.cpp
+++ b/src/config/tests/configtabletest.cpp
@@ -244,6 +244,29 @@
     EXPECT_EQ(table.buildSnapshot().limits.at(domain::ServiceId("books")).maxConcurrency, 8U);
 }
 
+// Guards against an item of another writer that ends the process, or hides the others: nested
+// deeper than any stack, or with a number that no integer holds.
+TEST(ConfigTable, merge_deeplyNestedItemOrHugeNumber_othersInForce)
+{
+    constexpr std::size_t Levels = 1'000'000;
+    const std::string nested = std::string(Levels, '[') + std::string(Levels, ']');
+    for (const std::string &odd : {R"({"maxConcurrency":)" + nested + "}", nested,
+                 std::string(R"({"maxConcurrency":1e300})"),
+                 std::string(R"({"maxConcurrency":1e999})"),
+                 std::string(R"({"maxConcurrency":18446744073709551615})"),
+                 std::string("{\"maxConcurrency\":\"\xff\"}")}) {
+        ConfigTable table;
+        protocol::ConfigDelta delta = listOf({1, 3});
+        addItem(delta, "limit", "a", {1, 1}, LimitJson);
+        addItem(delta, "limit", "odd", {1, 2}, odd);
+        addItem(delta, "limit", "z", {1, 3}, LimitJson);
+        table.merge(delta);
+        const auto limits = limitsOf(table);
+        EXPECT_EQ(limits.size(), 2U) << odd.substr(0, 60);
+        EXPECT_EQ(limits.count("odd"), 0U) << odd.substr(0, 60);
+    }
+}
+
 // Guards against changes that do not fit into one message and never arrive.
 TEST(ConfigTable, deltaSince_manyChanges_arriveInParts)
 {
