Show that a known endpoint is dropped when its entry turns odd

An entry that follows the store drops the endpoint and takes those listed before and after it, whatever the publishers tell. The new test passed on its first run; readEndpoint() refused these forms before, too.

--- a/src/relay/tests/fleetfreshnesstest.cpp
+++ b/src/relay/tests/fleetfreshnesstest.cpp
@@ -131,6 +131,30 @@
     EXPECT_EQ(behind(), "");
 }
 
+// Guards against a known endpoint that stays in use after another writer has spoilt its entry, and
+// against an entry that keeps the later ones from being read.
+TEST_P(FleetFreshnessFixture, run_entryOfKnownEndpointTurnsOdd_droppedAndOthersFollow)
+{
+    constexpr std::size_t Levels = 1000000;
+    const std::string nested = std::string(Levels, '[') + std::string(Levels, ']');
+    const auto isListed = [this](const domain::EndpointId &id) {
+        return m_dispatcher.endpoints().find(id) != nullptr;
+    };
+    for (const std::string &odd :
+            {R"({"service":"s","x":)" + nested + "}", std::string("\xff\xfe")}) {
+        const domain::EndpointId spoilt = m_endpoint;
+        putAll();
+        runFor(DrainBound / 2);
+        ASSERT_TRUE(isListed(spoilt) && isListed(m_endpoint));
+        m_store.put("endpoints/" + spoilt.value(), odd);
+        const domain::EndpointId earlier = m_endpoint;
+        putAll();
+        runFor(DrainBound / 2);
+        EXPECT_FALSE(isListed(spoilt)) << odd.substr(0, 60);
+        EXPECT_TRUE(isListed(earlier) && isListed(m_endpoint)) << odd.substr(0, 60);
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Publishers, FleetFreshnessFixture,
         testing::Values(Published::Nothing, Published::Loss, Published::ChangesWithoutObjects));
 
