--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -11,11 +11,14 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cerrno>
 #include <map>
 #include <mutex>
 #include <utility>
 #include <vector>
 
+#include <sys/socket.h>
+
 namespace oriolerill::transport {
 
 namespace asio = boost::asio;
@@ -62,6 +65,16 @@
             "check that the peer runs and can be reached"};
 }
 
+/// False when the peer has sent bytes to an idle connection, which belong to no request, or has
+/// closed it.
+bool isSilent(Connection &connection)
+{
+    char byte = 0;
+    const auto size
+            = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 http::request<http::string_body> toBeast(const SocketAddress &peer, HttpRequest request)
 {
     constexpr unsigned Http11 = 11;
@@ -96,7 +109,7 @@
         while (!idle.empty()) {
             std::unique_ptr<Connection> connection = std::move(idle.back());
             idle.pop_back();
-            if (connection->idleUntil > now) {
+            if (connection->idleUntil > now && isSilent(*connection)) {
                 connection->isReused = true;
                 return connection;
             }
@@ -197,7 +210,8 @@
 
     void release()
     {
-        if (m_parser->keep_alive())
+        // Bytes behind the answer belong to no request: the next one would take them for its own.
+        if (m_parser->keep_alive() && m_connection->buffer.size() == 0)
             m_owner->giveBack(m_peer, std::move(m_connection));
         m_connection.reset();
     }
@@ -225,9 +239,12 @@
         const auto size = static_cast<int>(m_options.receiveBuffer.count());
         socket.set_option(asio::socket_base::receive_buffer_size(size), code);
     }
+    // Peers are read from lists that others write; one that is no address must not end the caller.
+    const asio::ip::address_v4 host
+            = code ? asio::ip::address_v4() : asio::ip::make_address_v4(peer.host, code);
     if (code)
         co_return code;
-    const tcp::endpoint target(asio::ip::make_address_v4(peer.host), peer.port);
+    const tcp::endpoint target(host, peer.port);
     std::tie(code) = co_await connection.stream.async_connect(target, UseTuple);
     if (!code)
         socket.set_option(tcp::no_delay(true), code);
@@ -253,14 +270,25 @@
     if (writeCode)
         co_return failure(peer, "sending to", writeCode);
 
-    auto parser = std::make_unique<http::response_parser<http::buffer_body>>();
-    parser->body_limit(boost::none);
-    if (message.method() == http::verb::head)
-        parser->skip(true);
-    auto [readCode, size] = co_await http::async_read_header(
-            connection->stream, connection->buffer, *parser, UseTuple);
-    if (readCode)
-        co_return failure(peer, "awaiting the answer of", readCode);
+    constexpr int MaxInterimAnswers = 4;
+    constexpr unsigned FirstFinalStatus = 200;
+    std::unique_ptr<http::response_parser<http::buffer_body>> parser;
+    for (int interim = 0;; ++interim) {
+        if (interim > MaxInterimAnswers) {
+            co_return Error{ErrorKind::Corrupted,
+                    "only interim answers came from " + peer.toString(), "check the peer"};
+        }
+        parser = std::make_unique<http::response_parser<http::buffer_body>>();
+        parser->body_limit(boost::none);
+        if (message.method() == http::verb::head)
+            parser->skip(true);
+        auto [readCode, size] = co_await http::async_read_header(
+                connection->stream, connection->buffer, *parser, UseTuple);
+        if (readCode)
+            co_return failure(peer, "awaiting the answer of", readCode);
+        if (parser->get().result_int() >= FirstFinalStatus)
+            break;
+    }
     std::unique_ptr<HttpExchange> exchange = std::make_unique<PooledExchange<Implementation>>(
             shared_from_this(), std::move(peer), std::move(connection), std::move(parser));
     co_return std::move(exchange);
