--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -178,6 +178,8 @@
         /// Endpoints with a recent failure, a pending weights switch, or no reports any more.
         std::vector<PlacementCandidate> paused;
         std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
+        /// Oldest version of the weights that the request may begin on.
+        std::uint64_t requiredWeights = 0;
         std::optional<domain::TimePoint> quietUntil;
         /// Earliest slot of this entry, not yet promised to a caller, at an endpoint that is at its
         /// limit.
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -278,7 +278,7 @@
     if (service.engine) {
         version = weightsOf(endpoint, query.request->model, now);
         const bool isOther = query.pinnedWeights && version != query.pinnedWeights;
-        if (!version || *version < m_weights.lowest(query.request->model, now) || isOther)
+        if (!version || *version < candidates.requiredWeights || isOther)
             return;
     }
     if (const auto until = m_notices.quietUntil(endpoint, now)) {
@@ -316,7 +316,9 @@
 Dispatcher::Candidates Dispatcher::candidatesFor(
         const ServiceSpec &service, const DispatchQuery &query, domain::TimePoint now)
 {
+    const std::uint64_t required = m_weights.lowest(query.request->model, now);
     Candidates candidates;
+    candidates.requiredWeights = required;
     if (const WorkingSet *set = workingSet(query.service)) {
         for (const domain::EndpointId &id : set->engines()) {
             if (const ListedEndpoint *endpoint = m_endpoints.find(id))
@@ -327,6 +329,7 @@
         return candidates;
     // Nothing in the working set may take the request: any other endpoint will do.
     candidates = {};
+    candidates.requiredWeights = required;
     for (const auto &[id, endpoint] : m_endpoints.endpoints())
         look(endpoint, service, query, now, candidates);
     return candidates;
@@ -377,7 +380,7 @@
         m_limits.onChosen(*endpoint, m_share, now);
     dispatch.servedWeights = candidates.versions[best.endpoint].value_or(0);
     dispatch.newestWeights = m_weights.newest(query.request->model);
-    dispatch.requiredWeights = m_weights.lowest(query.request->model, now);
+    dispatch.requiredWeights = candidates.requiredWeights;
     if (dispatch.requiredWeights > 0 || query.pinnedWeights)
         dispatch.weightsVersion = candidates.versions[best.endpoint];
     return dispatch;
