Publish which data centres are withdrawn

An entry that the store does not answer sent to a withdrawn data centre past the operator's bound though all agents published that withdrawals had changed: not which.

Entries state the withdrawn data centres with the revision of the last change, agents pass on the statement of the latest revision, and an entry that lags behind leaves out what two agents state alike. The own copy decides as soon as it covers the revision; two whole reads without it refute it. A return is taken from the store only.

publishedwithdrawalstest and receive_agentsKnowOfWithdrawalWhileStoreIsAway_... pass; they were not run on the code before, which has no field for the names.

--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -131,6 +131,8 @@
     knowledge.set_configuration_changed_at(m_configuration->changedAt());
     knowledge.set_withdrawals_changed_at(m_withdrawals->changedAt());
     knowledge.set_weights_changed_at(m_weights->changedAt());
+    for (const domain::DataCentreId &dataCentre : m_relay.dispatcher.withdrawn())
+        knowledge.add_withdrawn(dataCentre.value());
     const TimePoint now = TimePoint::clock::now();
     for (const auto &version : m_relay.dispatcher.weights().newestVersions())
         *knowledge.add_named() = routing::encodeNamedVersion(version, now);
@@ -147,6 +149,7 @@
     weights.onCovered(m_weights->knownRevision());
     const bool isNews = knowledge.weights_changed_at() > m_weights->knownRevision()
             && m_relay.dispatcher.isEndpointAt(agent);
+    takePublishedWithdrawals(knowledge, agent);
     m_configuration->onHint(knowledge.configuration_changed_at(), now);
     m_withdrawals->onHint(knowledge.withdrawals_changed_at(), now);
     m_weights->onHint(knowledge.weights_changed_at(), now);
@@ -166,6 +169,22 @@
     }
 }
 
+void FleetFollower::takePublishedWithdrawals(
+        const protocol::StoreKnowledge &knowledge, const domain::SocketAddress &agent)
+{
+    routing::PublishedWithdrawals &published = m_relay.dispatcher.publishedWithdrawals();
+    published.onCovered(m_withdrawals->knownRevision());
+    const bool isNews = knowledge.withdrawals_changed_at() > m_withdrawals->knownRevision()
+            && m_relay.dispatcher.isEndpointAt(agent);
+    if (isNews) {
+        std::set<domain::DataCentreId> withdrawn;
+        for (const std::string &dataCentre : knowledge.withdrawn())
+            withdrawn.emplace(dataCentre);
+        published.onPublished(knowledge.withdrawals_changed_at(), std::move(withdrawn), agent);
+    }
+    m_relay.dispatcher.setPublishedWithdrawn(published.inForce());
+}
+
 void FleetFollower::start()
 {
     const auto onConfigObjects = [this](const ObjectList &objects) { onConfig(objects); };
@@ -186,7 +205,10 @@
             endpointOptions);
     m_configuration->keepLastList();
     m_withdrawals = &share("withdrawals",
-            {[this](const ObjectList &objects) { onWithdrawals(objects, true); },
+            {[this](const ObjectList &objects) {
+                 onWithdrawals(objects, true);
+                 m_relay.dispatcher.publishedWithdrawals().onStoreRead();
+             },
                     [this](const ObjectList &objects) { onWithdrawals(objects, false); }, {}, {}},
             {});
     m_weights = &share("weights",
--- a/src/relay/internal/fleetfollower.h
+++ b/src/relay/internal/fleetfollower.h
@@ -44,6 +44,8 @@
 private:
     void onConfig(const objectstore::ObjectList &objects);
     void onEndpoints(const objectstore::ObjectList &objects, bool isWhole);
+    void takePublishedWithdrawals(
+            const protocol::StoreKnowledge &knowledge, const domain::SocketAddress &agent);
     void onWithdrawals(const objectstore::ObjectList &objects, bool isWhole);
     void onWeights(const objectstore::ObjectList &objects, bool isAtStart);
     void onStoreLost();
--- a/src/relay/tests/loadlistenertest.cpp
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -208,6 +208,27 @@
     EXPECT_EQ(chosen(), "");
 }
 
+// Regression: an entry that could not read the store sent to a withdrawn data centre though all
+// agents published that withdrawals had changed: they did not publish which ones.
+TEST_F(LoadListenerFixture, receive_agentsKnowOfWithdrawalWhileStoreIsAway_dataCentreLeftOut)
+{
+    m_store.isDown = true;
+    std::vector<routing::ListedEndpoint> listed;
+    for (const auto &[id, endpoint] : m_dispatcher.endpoints().endpoints()) {
+        listed.push_back(endpoint);
+        listed.back().dataCentre = domain::DataCentreId("b");
+    }
+    m_dispatcher.endpoints().replaceAll(listed, domain::TimePoint::clock::now());
+    for (const int agent : {1, 2}) {
+        ASSERT_NE(chosen(), "");
+        protocol::LoadReport message = report(agent);
+        message.mutable_knowledge()->set_withdrawals_changed_at(99);
+        message.mutable_knowledge()->add_withdrawn("b");
+        send(message);
+    }
+    EXPECT_EQ(chosen(), "");
+}
+
 // Regression: an entry that the store had turned away sent requests to older engines after the
 // version bound, though all agents published the naming: it had no effect before the entry's own
 // read, which came seconds later. One agent alone proves nothing, and the store's answer decides.
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -201,8 +201,11 @@
         const protocol::StoreKnowledge &one = subscriber.knowledge;
         all.set_configuration_changed_at(
                 std::max(all.configuration_changed_at(), one.configuration_changed_at()));
-        all.set_withdrawals_changed_at(
-                std::max(all.withdrawals_changed_at(), one.withdrawals_changed_at()));
+        // Only the entry that has read the latest change knows which data centres it names.
+        if (one.withdrawals_changed_at() > all.withdrawals_changed_at()) {
+            all.set_withdrawals_changed_at(one.withdrawals_changed_at());
+            *all.mutable_withdrawn() = one.withdrawn();
+        }
         all.set_weights_changed_at(std::max(all.weights_changed_at(), one.weights_changed_at()));
         for (const protocol::LeavingEndpoint &leaving : one.leaving()) {
             if (all.leaving_size() < MostLeaving && told.insert(leaving.id()).second)
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -7,6 +7,7 @@
 #include "routing/endpointload.h"
 #include "routing/endpointnotices.h"
 #include "routing/placement.h"
+#include "routing/publishedwithdrawals.h"
 #include "routing/retrybudget.h"
 #include "routing/servingconfig.h"
 #include "routing/weightsrequirement.h"
@@ -126,6 +127,8 @@
     bool setConfig(std::shared_ptr<const ServingConfig> config);
     std::shared_ptr<const ServingConfig> config() const { return m_config; }
     void setWithdrawn(std::set<domain::DataCentreId> dataCentres);
+    /// Data centres that agents state as withdrawn while the store does not answer this process.
+    void setPublishedWithdrawn(std::set<domain::DataCentreId> dataCentres);
     const std::set<domain::DataCentreId> &withdrawn() const { return m_withdrawn; }
     bool isEndpointAt(const domain::SocketAddress &address)
     {
@@ -137,6 +140,7 @@
     const EndpointNotices &notices() const { return m_notices; }
     EndpointLimits &limits() { return m_limits; }
     const EndpointLimits &limits() const { return m_limits; }
+    PublishedWithdrawals &publishedWithdrawals() { return m_publishedWithdrawals; }
     WeightsRequirement &weights() { return m_weights; }
     const WeightsRequirement &weights() const { return m_weights; }
     /// How many entries there are, and the place of this one among them.
@@ -202,6 +206,7 @@
     /// Endpoints by address; reports come for each engine ten times a second.
     const AddressIndex &byAddress();
     std::size_t listedCount(const domain::ServiceId &service) const;
+    bool isWithdrawn(const domain::DataCentreId &dataCentre) const;
     bool mayTake(const ListedEndpoint &endpoint, const DispatchQuery &query) const;
     bool isCold(const ListedEndpoint &endpoint, const ServiceSpec &service,
             domain::TimePoint now) const;
@@ -221,6 +226,8 @@
     /// Strictest objective of the routes to each service.
     std::map<domain::ServiceId, domain::Duration> m_objectives;
     std::set<domain::DataCentreId> m_withdrawn;
+    PublishedWithdrawals m_publishedWithdrawals;
+    std::set<domain::DataCentreId> m_publishedWithdrawn;
     EndpointList m_endpoints;
     EndpointNotices m_notices;
     WeightsRequirement m_weights;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -38,6 +38,19 @@
     ++m_withdrawalCount;
 }
 
+void Dispatcher::setPublishedWithdrawn(std::set<domain::DataCentreId> dataCentres)
+{
+    if (dataCentres == m_publishedWithdrawn)
+        return;
+    m_publishedWithdrawn = std::move(dataCentres);
+    ++m_withdrawalCount;
+}
+
+bool Dispatcher::isWithdrawn(const domain::DataCentreId &dataCentre) const
+{
+    return m_withdrawn.count(dataCentre) > 0 || m_publishedWithdrawn.count(dataCentre) > 0;
+}
+
 const WorkingSet *Dispatcher::workingSet(const domain::ServiceId &service)
 {
     const ServiceSpec *spec = m_config ? m_config->service(service) : nullptr;
@@ -57,7 +70,7 @@
     std::vector<const ListedEndpoint *> engines;
     for (const auto &[id, endpoint] : m_endpoints.endpoints()) {
         const bool isOpen = endpoint.service == service && !endpoint.isDraining
-                && m_withdrawn.count(endpoint.dataCentre) == 0;
+                && !isWithdrawn(endpoint.dataCentre);
         if (isOpen)
             engines.push_back(&endpoint);
     }
@@ -194,7 +207,7 @@
 bool Dispatcher::mayTake(const ListedEndpoint &endpoint, const DispatchQuery &query) const
 {
     if (endpoint.service != query.service || endpoint.isDraining || m_notices.isLeaving(endpoint)
-            || query.excluded.count(endpoint.id) > 0 || m_withdrawn.count(endpoint.dataCentre) > 0)
+            || query.excluded.count(endpoint.id) > 0 || isWithdrawn(endpoint.dataCentre))
         return false;
     const auto region = m_options.regions.find(endpoint.dataCentre);
     const auto isAllowed = [&](const std::set<domain::RegionId> &regions) {
