--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -38,6 +38,19 @@
     ++m_withdrawalCount;
 }
 
+void Dispatcher::setPublishedWithdrawn(std::set<domain::DataCentreId> dataCentres)
+{
+    if (dataCentres == m_publishedWithdrawn)
+        return;
+    m_publishedWithdrawn = std::move(dataCentres);
+    ++m_withdrawalCount;
+}
+
+bool Dispatcher::isWithdrawn(const domain::DataCentreId &dataCentre) const
+{
+    return m_withdrawn.count(dataCentre) > 0 || m_publishedWithdrawn.count(dataCentre) > 0;
+}
+
 const WorkingSet *Dispatcher::workingSet(const domain::ServiceId &service)
 {
     const ServiceSpec *spec = m_config ? m_config->service(service) : nullptr;
@@ -57,7 +70,7 @@
     std::vector<const ListedEndpoint *> engines;
     for (const auto &[id, endpoint] : m_endpoints.endpoints()) {
         const bool isOpen = endpoint.service == service && !endpoint.isDraining
-                && m_withdrawn.count(endpoint.dataCentre) == 0;
+                && !isWithdrawn(endpoint.dataCentre);
         if (isOpen)
             engines.push_back(&endpoint);
     }
@@ -194,7 +207,7 @@
 bool Dispatcher::mayTake(const ListedEndpoint &endpoint, const DispatchQuery &query) const
 {
     if (endpoint.service != query.service || endpoint.isDraining || m_notices.isLeaving(endpoint)
-            || query.excluded.count(endpoint.id) > 0 || m_withdrawn.count(endpoint.dataCentre) > 0)
+            || query.excluded.count(endpoint.id) > 0 || isWithdrawn(endpoint.dataCentre))
         return false;
     const auto region = m_options.regions.find(endpoint.dataCentre);
     const auto isAllowed = [&](const std::set<domain::RegionId> &regions) {
@@ -278,7 +291,7 @@
     if (service.engine) {
         version = weightsOf(endpoint, query.request->model, now);
         const bool isOther = query.pinnedWeights && version != query.pinnedWeights;
-        if (!version || *version < m_weights.lowest(query.request->model, now) || isOther)
+        if (!version || *version < candidates.requiredWeights || isOther)
             return;
     }
     if (const auto until = m_notices.quietUntil(endpoint, now)) {
@@ -316,7 +329,9 @@
 Dispatcher::Candidates Dispatcher::candidatesFor(
         const ServiceSpec &service, const DispatchQuery &query, domain::TimePoint now)
 {
+    const std::uint64_t required = m_weights.lowest(query.request->model, now);
     Candidates candidates;
+    candidates.requiredWeights = required;
     if (const WorkingSet *set = workingSet(query.service)) {
         for (const domain::EndpointId &id : set->engines()) {
             if (const ListedEndpoint *endpoint = m_endpoints.find(id))
@@ -327,6 +342,7 @@
         return candidates;
     // Nothing in the working set may take the request: any other endpoint will do.
     candidates = {};
+    candidates.requiredWeights = required;
     for (const auto &[id, endpoint] : m_endpoints.endpoints())
         look(endpoint, service, query, now, candidates);
     return candidates;
@@ -377,7 +393,7 @@
         m_limits.onChosen(*endpoint, m_share, now);
     dispatch.servedWeights = candidates.versions[best.endpoint].value_or(0);
     dispatch.newestWeights = m_weights.newest(query.request->model);
-    dispatch.requiredWeights = m_weights.lowest(query.request->model, now);
+    dispatch.requiredWeights = candidates.requiredWeights;
     if (dispatch.requiredWeights > 0 || query.pinnedWeights)
         dispatch.weightsVersion = candidates.versions[best.endpoint];
     return dispatch;
