--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -36,9 +36,8 @@
         metrics.set("oriolerill_relay_weights_required",
                 static_cast<double>(weights.lowest(named.model, now)), {{"model", model}});
         // Without a time the version was found at the start of this process.
-        const double age = named.namedAt
-                ? std::chrono::duration<double>(now - *named.namedAt).count()
-                : -1;
+        const double age
+                = named.namedAt ? std::chrono::duration<double>(now - *named.namedAt).count() : -1;
         metrics.set("oriolerill_relay_weights_named_seconds", age,
                 {{"model", model}, {"version", std::to_string(named.version)}});
     }
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -740,8 +740,7 @@
                     {"expected_ms", std::llround(m_expectedStartMs)},
                     {"busy", std::llround(m_busy)}, {"report_age_ms", m_reportAgeMs},
                     {"sent_ms", msSinceArrival(m_sentAt)}, {"weights", m_servedWeights},
-                    {"newest_weights", m_newestWeights},
-                    {"required_weights", m_requiredWeights},
+                    {"newest_weights", m_newestWeights}, {"required_weights", m_requiredWeights},
                     {"first_ms", msSinceArrival(m_firstByteAt)},
                     {"total_ms", msSinceArrival(TimePoint::clock::now())},
                     {"events", m_events.eventCount()}, {"detail", m_detail}});
--- a/src/rollout/fetchturns.h
+++ b/src/rollout/fetchturns.h
@@ -14,7 +14,8 @@
     /// a VM's link; a source is given up after 1500 ms, with others asked meanwhile.
     domain::Duration stallTime = std::chrono::milliseconds(900);
     /// A stalled version is tried again after this long: its sources may be back. Doubles with each
-    /// stall without a piece in between, so that a version nobody has takes little of another's time.
+    /// stall without a piece in between, so that a version nobody has takes little of another's
+    /// time.
     domain::Duration retryAfter = std::chrono::milliseconds(900);
     std::uint32_t mostDoublings = 3;
 };
