--- a/src/relay/tests/brokenstreamtest.cpp
+++ b/src/relay/tests/brokenstreamtest.cpp
@@ -81,9 +81,9 @@
                 nullptr, true},
 };
 
-void PrintTo(const Continuation &value, std::ostream *out)
+std::ostream &operator<<(std::ostream &stream, const Continuation &value)
 {
-    *out << value.name;
+    return stream << value.name;
 }
 
 /// Body of a chunked answer, as far as its chunks are whole.
--- a/src/relay/tests/foreignanswertest.cpp
+++ b/src/relay/tests/foreignanswertest.cpp
@@ -97,9 +97,9 @@
     return copy;
 }
 
-void PrintTo(const CopyCase &value, std::ostream *out)
+std::ostream &operator<<(std::ostream &stream, const CopyCase &value)
 {
-    *out << value.name;
+    return stream << value.name;
 }
 
 } // namespace
--- a/src/routing/internal/weightsrequirement.cpp
+++ b/src/routing/internal/weightsrequirement.cpp
@@ -54,7 +54,7 @@
         return nullptr;
     PublishedVersions &versions = m_published[model];
     if (versions.size() >= m_options.maxVersions && versions.count(version) == 0) {
-        // One wrong agent must not leave room for nothing else.
+        // The versions of one wrong agent must not take all the room.
         const auto least = std::min_element(
                 versions.begin(), versions.end(), [](const auto &one, const auto &other) {
                     return one.second.agents.size() < other.second.agents.size();
--- a/src/routing/publishedwithdrawals.h
+++ b/src/routing/publishedwithdrawals.h
@@ -34,7 +34,7 @@
 
     void onPublished(std::uint64_t revision, std::set<domain::DataCentreId> withdrawn,
             const domain::SocketAddress &agent);
-    /// The own copy covers the store up to this revision: what was stated up to it is dropped.
+    /// The own copy covers the store up to this revision: drops the statements up to it.
     void onCovered(std::uint64_t revision);
     /// This process has read all withdrawals from the store.
     void onStoreRead();
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -65,7 +65,7 @@
     /// into force by it.
     bool onPublished(const NamedVersion &version, std::uint64_t revision,
             const domain::SocketAddress &agent);
-    /// The own copy covers the store up to this revision: what was published up to it is dropped.
+    /// The own copy covers the store up to this revision: drops the namings published up to it.
     void onCovered(std::uint64_t revision);
     /// This process has read all named versions from the store.
     void onStoreRead();
