--- a/src/relay/internal/endpointconnections.h
+++ b/src/relay/internal/endpointconnections.h
@@ -37,8 +37,8 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer{MaxBuffered};
-    /// Whether the connection has carried such a request not long ago; a late copy of its answer
-    /// could not be told from the answer to another request with the same id.
+    /// Whether the connection has recently carried a request with this id: a late copy of its
+    /// answer would match a further request with the same id.
     bool hasCarried(const domain::RequestId &request) const;
     void noteRequest(const domain::RequestId &request);
 
--- a/src/relay/tests/brokenstreamtest.cpp
+++ b/src/relay/tests/brokenstreamtest.cpp
@@ -151,7 +151,7 @@
         addEndpoint(script);
     }
 
-    /// Calls over HTTP/1.0 and reads to the end; the code tells how the connection ended.
+    /// Calls over HTTP/1.0 and reads to the end; the error code is that of the last read.
     std::pair<std::string, boost::system::error_code> callOld()
     {
         auto socket = connect();
--- a/src/relay/tests/foreignanswertest.cpp
+++ b/src/relay/tests/foreignanswertest.cpp
@@ -189,9 +189,8 @@
 INSTANTIATE_TEST_SUITE_P(Copies, RepeatedRefusalFixture, testing::ValuesIn(Cases),
         [](const auto &test) { return std::string(test.param.name); });
 
-// Guards against a caller that is told "not run" about a request which an endpoint has run, and
-// against an order that a second endpoint gets: an earlier refusal is written once more on a kept
-// connection.
+// Guards against "not run" for a request that an endpoint has run, and against an order that
+// reaches a second endpoint: an earlier refusal is written once more on a kept connection.
 TEST_P(RepeatedRefusalFixture, serve_refusalWrittenAgain_neverTakenForTheNextRequest)
 {
     m_routeTimeout = 400ms;
--- a/src/routing/tests/weightsrequirementtest.cpp
+++ b/src/routing/tests/weightsrequirementtest.cpp
@@ -104,8 +104,8 @@
     EXPECT_EQ(requirement.lowest(m_model, m_start + 14300ms), 2U);
 }
 
-// Guards against a process that no longer believes its agents once it has seen as many versions as
-// are kept for a naming time: versions are never forgotten, and those that the store named count.
+// Regression: published namings had no effect after maxVersions versions from the store, which were
+// never removed.
 TEST_F(WeightsRequirementFixture, onPublished_manyVersionsNamedBefore_required)
 {
     WeightsRequirement requirement(options());
--- a/src/transport/tests/scriptedpeer.h
+++ b/src/transport/tests/scriptedpeer.h
@@ -14,7 +14,7 @@
 
 namespace oriolerill::transport {
 
-/// A peer that writes what a script says to each request, over plain sockets. One thread a
+/// A peer that answers each request by a script, over plain sockets. One thread a
 /// connection.
 class ScriptedPeer
 {
