Go by the homes in force when a request is sent

Each choice now takes the route and the account of the configuration in force, and a choice that another configuration has overtaken is made again.

--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -35,6 +35,8 @@
     bool isIntakeClosed = false;
     /// The store has not been heard from since then; none while it answers.
     std::optional<domain::TimePoint> storeLostAt;
+    /// A newer configuration is known to exist than the one in force here.
+    std::function<bool()> isConfigurationBehind = [] { return false; };
     domain::SuspensionClock suspension;
     /// Shared with the requests, whose destructors may run after this object's at process exit.
     std::shared_ptr<UnbegunAttempts> unbegun = std::make_shared<UnbegunAttempts>();
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -89,8 +89,9 @@
                 {ErrorKind::Unavailable, "this entry has no configuration yet", "try again"},
                 StartRetryAfter};
     }
-    const bool isDoubtful
+    const bool isStoreSilent
             = m_context.storeLostAt && m_arrivedAt - *m_context.storeLostAt > StoreDoubt;
+    const bool isDoubtful = isStoreSilent || m_context.isConfigurationBehind();
     const OwnAnswer doubtful{503,
             {ErrorKind::Unavailable, "the configuration may be out of date", "try again"},
             StartRetryAfter};
@@ -118,6 +119,7 @@
     if (m_about.deadline)
         deadline = std::min(deadline, *m_about.deadline);
     m_policy.emplace(*m_route, deadline);
+    m_chosenConfig = m_config;
     m_query.route = m_route;
     m_query.account = m_account;
     m_query.request = &m_about;
@@ -177,6 +179,7 @@
             logEnd("caller_gone", 0);
             co_return false;
         }
+        followConfiguration();
         m_query.pinnedWeights = m_isStreamBegun ? m_weights : std::nullopt;
         const routing::DispatchDecision decision = m_context.dispatcher.choose(m_query, now);
         if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
@@ -224,6 +227,24 @@
     co_return isOpen;
 }
 
+/// Homes bind when a request is sent, so a repeat goes by those that are in force then. A route or
+/// key that is gone meanwhile stays as it was: the request was accepted by it.
+void RequestRun::followConfiguration()
+{
+    const auto config = m_context.dispatcher.config();
+    if (config == m_chosenConfig)
+        return;
+    m_chosenConfig = config;
+    m_query.route = m_route;
+    m_query.account = m_account;
+    if (const routing::Route *route = config->route(m_about.host, m_about.path))
+        m_query.route = route;
+    const routing::CallerAccount *account
+            = m_account == nullptr ? nullptr : config->account(m_about.key);
+    if (account != nullptr)
+        m_query.account = account;
+}
+
 TimePoint RequestRun::callersNow()
 {
     const TimePoint now = TimePoint::clock::now();
@@ -338,8 +359,10 @@
     const TimePoint sendAt = callersNow();
     if (sendAt >= m_policy->deadline())
         co_return AttemptEnd::NotSent;
-    // The process stood still meanwhile: the endpoint may be leaving, cold or switching by now.
-    if (m_policy->isChoiceOutdated(sendAt - chosenAt)) {
+    // The process stood still meanwhile, and the endpoint may be leaving, cold or switching by now;
+    // or another configuration is in force, which may name other homes.
+    const bool isConfigurationOutdated = m_context.dispatcher.config() != m_chosenConfig;
+    if (isConfigurationOutdated || m_policy->isChoiceOutdated(sendAt - chosenAt)) {
         m_isChoiceOutdated = true;
         m_detail = "the choice is out of date";
         co_return AttemptEnd::NotSent;
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -54,6 +54,7 @@
             Parser &parser, std::string &piece, domain::TimePoint deadline);
     void releaseHeld();
     /// Now, with the time that the machine was suspended since the request arrived.
+    void followConfiguration();
     domain::TimePoint callersNow();
     AttemptEnd endOfRead(boost::beast::error_code code) const;
     /// From the sending to an engine until it begins, the request may be withdrawn.
@@ -83,6 +84,8 @@
     /// The process stood still between the choice and the sending.
     bool m_isChoiceOutdated = false;
     std::shared_ptr<const routing::ServingConfig> m_config;
+    /// In force when the endpoint was chosen; the route and the account of the query are of it.
+    std::shared_ptr<const routing::ServingConfig> m_chosenConfig;
     routing::CallerRequest m_about;
     const routing::Route *m_route = nullptr;
     const routing::CallerAccount *m_account = nullptr;
--- /dev/null
+++ b/src/relay/tests/changedhometest.cpp
@@ -0,0 +1,121 @@
+#include "relay/tests/relayfixture.h"
+
+#include <future>
+#include <set>
+
+namespace oriolerill::relay {
+
+using namespace std::chrono_literals;
+using Socket = ScriptedEndpoint::Socket;
+using domain::RegionId;
+using domain::TimePoint;
+
+/// An entry in the south, whose endpoints stand in the south too, and a configuration that changes
+/// while it serves a request.
+class ChangedHomeFixture : public RelayFixture
+{
+protected:
+    ChangedHomeFixture()
+        : RelayFixture(options())
+    {
+        m_routeTimeout = 4s;
+    }
+
+    static routing::DispatcherOptions options()
+    {
+        routing::DispatcherOptions options;
+        options.dataCentre = domain::DataCentreId("south-a");
+        options.regions = {{domain::DataCentreId("south-a"), RegionId("south")}};
+        return options;
+    }
+
+    ScriptedEndpoint &addSouthern(ScriptedEndpoint::Script script)
+    {
+        ScriptedEndpoint &endpoint = addEndpoint(std::move(script));
+        m_listed.back().dataCentre = domain::DataCentreId("south-a");
+        return endpoint;
+    }
+
+    /// Keeps the request until it is released, and then states that it has not run it.
+    ScriptedEndpoint &addHolding()
+    {
+        return addSouthern([this](Socket &socket, const std::string &) {
+            m_isHeld = true;
+            m_released.wait();
+            write(socket, answer("a1", "", "503 Service Unavailable", "Not-Executed: 1\r\n"));
+            return true;
+        });
+    }
+
+    ScriptedEndpoint &addAnswering()
+    {
+        return addSouthern([](Socket &socket, const std::string &) {
+            write(socket, answer("a1", "good"));
+            return true;
+        });
+    }
+
+    /// Answer to a request whose first endpoint refuses it after a configuration with these homes
+    /// has come into force and a second endpoint in the south is listed.
+    std::string callWhileHomesChange(
+            const std::set<RegionId> &accountHomes, const std::set<RegionId> &routeHomes)
+    {
+        auto answer = std::async(std::launch::async,
+                [this] { return call(request("POST", "/order/1", Close, "o")); });
+        EXPECT_TRUE(waitFor(m_isHeld));
+        std::promise<void> changed;
+        boost::asio::post(m_context, [&] {
+            routing::Route changedRoute = route("/order/", routing::RequestKind::NonIdempotent);
+            changedRoute.allowedRegions = routeHomes;
+            auto config = std::make_shared<routing::ServingConfig>(
+                    2, std::vector{changedRoute}, std::vector{service()}, m_limits);
+            config->addAccount("secret", {domain::AccountId("shop"), std::nullopt, accountHomes});
+            m_dispatcher.setConfig(config);
+            m_dispatcher.endpoints().replaceAll(m_listed, TimePoint::clock::now());
+            changed.set_value();
+        });
+        changed.get_future().get();
+        m_release.set_value();
+        return answer.get();
+    }
+
+    std::atomic<bool> m_isHeld = false;
+    std::promise<void> m_release;
+    std::shared_future<void> m_released = m_release.get_future().share();
+};
+
+// Regression: a request that was repeated after its account had got a home went on by the
+// configuration of its arrival, to a server in another region (HOME).
+TEST_F(ChangedHomeFixture, serve_accountGetsHomeBeforeRepeat_notSentToOtherRegion)
+{
+    addHolding();
+    start();
+    ScriptedEndpoint &foreign = addAnswering();
+    const std::string answer = callWhileHomesChange({RegionId("north")}, {});
+    EXPECT_EQ(statusOf(answer), 503U) << answer;
+    EXPECT_TRUE(foreign.requests().empty());
+}
+
+// Regression: the same, for a route that gets a home.
+TEST_F(ChangedHomeFixture, serve_routeGetsHomeBeforeRepeat_notSentToOtherRegion)
+{
+    addHolding();
+    start();
+    ScriptedEndpoint &foreign = addAnswering();
+    const std::string answer = callWhileHomesChange({}, {RegionId("north")});
+    EXPECT_EQ(statusOf(answer), 503U) << answer;
+    EXPECT_TRUE(foreign.requests().empty());
+}
+
+// Guards against a check of homes that also refuses a repeat which they allow.
+TEST_F(ChangedHomeFixture, serve_homeOfOwnRegionBeforeRepeat_repeated)
+{
+    addHolding();
+    start();
+    ScriptedEndpoint &second = addAnswering();
+    const std::string answer = callWhileHomesChange({RegionId("south")}, {RegionId("south")});
+    EXPECT_EQ(statusOf(answer), 200U) << answer;
+    EXPECT_EQ(second.requests().size(), 1U);
+}
+
+} // namespace oriolerill::relay
--- a/src/relay/tests/relayfixture.h
+++ b/src/relay/tests/relayfixture.h
@@ -127,8 +127,9 @@
 class RelayFixture : public testing::Test
 {
 protected:
-    RelayFixture()
-        : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    explicit RelayFixture(const routing::DispatcherOptions &options = {})
+        : m_dispatcher(options)
+        , m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0})
     {}
 
     /// Ends the thread; afterwards nothing of the entry runs.
@@ -285,7 +286,7 @@
     boost::asio::io_context m_callerContext;
     routing::CallerLimits m_limits;
     domain::Duration m_routeTimeout = std::chrono::milliseconds(1500);
-    routing::Dispatcher m_dispatcher{routing::DispatcherOptions()};
+    routing::Dispatcher m_dispatcher;
     internal::EndpointConnections m_connections{m_context};
     observability::Metrics m_metrics;
     internal::RelayContext m_relay{m_dispatcher, m_connections, m_metrics};
