--- a/src/objectstore/tests/resettablestore.h
+++ b/src/objectstore/tests/resettablestore.h
@@ -117,6 +117,18 @@
         co_return connectionReset();
     }
 
+protected:
+    ObjectList select(const std::string &prefix, std::uint64_t after) const
+    {
+        ObjectList list;
+        list.storeVersion = {0, m_revision};
+        for (const auto &[key, object] : m_objects) {
+            if (key.starts_with(prefix) && object.version.revision > after)
+                list.objects.push_back(object);
+        }
+        return list;
+    }
+
 private:
     static domain::Error connectionReset()
     {
@@ -129,17 +141,6 @@
         boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, AnswerTime);
         co_await timer.async_wait(boost::asio::use_awaitable);
     }
-    ObjectList select(const std::string &prefix, std::uint64_t after) const
-    {
-        ObjectList list;
-        list.storeVersion = {0, m_revision};
-        for (const auto &[key, object] : m_objects) {
-            if (key.starts_with(prefix) && object.version.revision > after)
-                list.objects.push_back(object);
-        }
-        return list;
-    }
-
     std::uint64_t m_revision = 1;
     std::uint64_t m_resets = 0;
     std::uint64_t m_forgotten = 0;
