Move the planned stop of an entry into a class of its own

No change of behaviour: the sequence behind SIGTERM becomes testable without a store, and the listener of the tests moves into a fixture that two tests share.

--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -9,6 +9,7 @@
 #include "relay/internal/collectionexchange.h"
 #include "relay/internal/fleetfollower.h"
 #include "relay/internal/loadlistener.h"
+#include "relay/internal/plannedstop.h"
 #include "settings/settingsloader.h"
 #include "transport/httpserver.h"
 
@@ -34,12 +35,6 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-/// The load balancer asks each second and takes an entry out after two misses; until then new
-/// connections still arrive. What is taken later could not be ended in the time until SIGKILL.
-constexpr auto RotationTime = std::chrono::milliseconds(2600);
-/// Kept back of the time until SIGKILL, for the end of the process itself.
-constexpr auto StopMargin = std::chrono::milliseconds(500);
-constexpr auto StopCheckInterval = std::chrono::milliseconds(100);
 /// The settings file may change without a signal.
 constexpr auto FileCheckInterval = std::chrono::milliseconds(2000);
 
@@ -189,18 +184,11 @@
 
     asio::awaitable<void> stop()
     {
-        m_relay.isStopping = true;
         const TimePoint begun = TimePoint::clock::now();
         const auto stopTime = std::chrono::duration_cast<domain::Duration>(
                 std::chrono::duration<double>(m_settings.stopSeconds));
-        const TimePoint last = begun + std::max<domain::Duration>(stopTime - StopMargin, {});
-        asio::steady_timer timer(m_context, std::min(begun + RotationTime, last));
-        co_await timer.async_wait(UseTuple);
-        m_callers.closeIntake();
-        while (m_relay.requestsInFlight > 0 && TimePoint::clock::now() < last) {
-            timer.expires_after(StopCheckInterval);
-            co_await timer.async_wait(UseTuple);
-        }
+        internal::PlannedStop stop(m_relay, m_callers, begun, begun + stopTime);
+        co_await stop.run();
         m_context.stop();
     }
 
--- a/src/relay/tests/callerlistenertest.cpp
+++ b/src/relay/tests/callerlistenertest.cpp
@@ -1,5 +1,4 @@
-#include "relay/internal/callerlistener.h"
-#include "relay/tests/relayfixture.h"
+#include "relay/tests/listenerfixture.h"
 
 namespace oriolerill::relay {
 
@@ -7,7 +6,7 @@
 using Socket = ScriptedEndpoint::Socket;
 
 /// Callers at the moment at which the entry ends its intake.
-class CallerListenerFixture : public RelayFixture
+class CallerListenerFixture : public ListenerFixture
 {
 protected:
     void SetUp() override
@@ -16,29 +15,13 @@
             write(socket, answer("a1", "good"));
             return true;
         });
-        ASSERT_TRUE(m_listener.open({"127.0.0.1", 0}).hasValue());
-    }
-
-    Socket connectToListener()
-    {
-        Socket socket(m_callerContext);
-        const domain::SocketAddress address = m_listener.address();
-        socket.connect({boost::asio::ip::make_address(address.host), address.port});
-        return socket;
-    }
-
-    void startListening()
-    {
-        start();
-        boost::asio::co_spawn(m_context, m_listener.acceptAll(), boost::asio::detached);
+        ListenerFixture::SetUp();
     }
 
     void closeIntake()
     {
         boost::asio::post(m_context, [this] { m_listener.closeIntake(); });
     }
-
-    internal::CallerListener m_listener{m_context, m_relay, 100};
 };
 
 // Guards against requests that are cut at a planned stop because their connections were still
