Answer every request that is read before a planned stop ends

What callers saw: in a planned stop, requests that came after SIGTERM were passed on with all of their own time and cut without an answer when the process ended, among them requests that may not be repeated. A request whose connection was accepted as the intake closed was cut too when nothing else was in progress.

Cause: the stop ended the process 0.5 s before SIGKILL, whatever ran, and waited for requests only, not for connections whose request was still to be read.

From SIGTERM on, each request and each further attempt has a deadline before the end of the process, which the endpoint is told. Shortly after it, what still runs is given up: 504, or 503 if it was never sent; a begun stream is cut. The process ends when no session is left. Margins shrink with a short grace.

--- a/src/relay/internal/callerlistener.cpp
+++ b/src/relay/internal/callerlistener.cpp
@@ -126,7 +126,7 @@
     }
     logEvent(Severity::Info, "intake_closed",
             {{"connections", m_sessions.size()}, {"idle", idle},
-                    {"requests", m_relay.requestsInFlight}});
+                    {"requests", m_relay.requestsInFlight.size()}});
 }
 
 } // namespace oriolerill::relay::internal
--- a/src/relay/internal/callerlistener.h
+++ b/src/relay/internal/callerlistener.h
@@ -28,6 +28,8 @@
     /// Ends the intake: connections that wait to be accepted and requests whose first bytes are
     /// here are still served, idle connections are closed, nothing else is read.
     void closeIntake();
+    /// Connections that carry a request or wait for one.
+    std::size_t sessionCount() const { return m_sessions.size(); }
 
 private:
     void begin(boost::asio::ip::tcp::socket socket);
--- a/src/relay/internal/plannedstop.cpp
+++ b/src/relay/internal/plannedstop.cpp
@@ -19,8 +19,13 @@
 /// connections still arrive. What is taken later could not be ended in the time until SIGKILL.
 constexpr auto RotationTime = std::chrono::milliseconds(2600);
 /// Kept back of the time until SIGKILL, for the end of the process itself.
-constexpr auto StopMargin = std::chrono::milliseconds(500);
-constexpr auto StopCheckInterval = std::chrono::milliseconds(100);
+constexpr auto ExitMargin = std::chrono::milliseconds(500);
+/// Before that, time for the last answers: an answer that is on its way at the deadline of its
+/// request is still delivered, and after half of this time all others are given up.
+constexpr auto AnswerMargin = std::chrono::milliseconds(400);
+/// Each margin takes at most this part of a short time until SIGKILL.
+constexpr int MarginParts = 4;
+constexpr auto CheckInterval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -28,20 +33,31 @@
         RelayContext &relay, CallerListener &callers, TimePoint begun, TimePoint killedAt)
     : m_relay(relay)
     , m_callers(callers)
-    , m_begun(begun)
-    , m_killedAt(killedAt)
-{}
+{
+    const domain::Duration most = std::max<domain::Duration>(killedAt - begun, {}) / MarginParts;
+    const domain::Duration answerMargin = std::min<domain::Duration>(AnswerMargin, most);
+    m_exitAt = killedAt - std::min<domain::Duration>(ExitMargin, most);
+    m_deadline = m_exitAt - answerMargin;
+    m_expireAt = m_exitAt - answerMargin / 2;
+    m_intakeEndsAt = std::min(begun + RotationTime, m_deadline);
+}
 
 asio::awaitable<void> PlannedStop::run()
 {
     m_relay.isStopping = true;
-    const TimePoint last = std::max(m_begun, m_killedAt - StopMargin);
-    asio::steady_timer timer(
-            co_await asio::this_coro::executor, std::min(m_begun + RotationTime, last));
+    m_relay.stopDeadline = m_deadline;
+    asio::steady_timer timer(co_await asio::this_coro::executor, m_intakeEndsAt);
     co_await timer.async_wait(UseTuple);
     m_callers.closeIntake();
-    while (m_relay.requestsInFlight > 0 && TimePoint::clock::now() < last) {
-        timer.expires_after(StopCheckInterval);
+    // Sessions count as well as requests: one that was accepted last has not read its request yet.
+    bool isExpired = false;
+    for (TimePoint now = TimePoint::clock::now(); m_callers.sessionCount() > 0 && now < m_exitAt;
+            now = TimePoint::clock::now()) {
+        if (!isExpired && now >= m_expireAt) {
+            m_relay.expireRequests();
+            isExpired = true;
+        }
+        timer.expires_after(CheckInterval);
         co_await timer.async_wait(UseTuple);
     }
 }
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -1,6 +1,7 @@
 #include "relay/internal/relaycontext.h"
 
 #include "observability/log.h"
+#include "relay/internal/requestrun.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,7 +19,7 @@
         return;
     observability::logEvent(observability::Severity::Warning, "suspended",
             {{"ms", std::chrono::duration_cast<std::chrono::milliseconds>(suspended).count()},
-                    {"requests", requestsInFlight},
+                    {"requests", requestsInFlight.size()},
                     {"remedy", "check why the machine stood still"}});
     metrics.increment("oriolerill_relay_suspensions_total");
     dispatcher.onSuspended(suspended);
@@ -28,6 +29,12 @@
         storeLostAt = now - suspended;
 }
 
+void RelayContext::expireRequests()
+{
+    for (RequestRun *run : requestsInFlight)
+        run->expire();
+}
+
 void RelayContext::exposeWeights(domain::TimePoint now)
 {
     const routing::WeightsRequirement &weights = dispatcher.weights();
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -12,16 +12,19 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace oriolerill::relay::internal {
 
+class RequestRun;
+
 /// What the sessions of one entry share; used on one thread.
 struct RelayContext
 {
     routing::Dispatcher &dispatcher;
     EndpointConnections &connections;
     observability::Metrics &metrics;
-    std::size_t requestsInFlight = 0;
+    std::set<RequestRun *> requestsInFlight;
     /// Bytes of answers that are held until they are whole, over all requests.
     std::size_t heldAnswerBytes = 0;
     /// Called when an endpoint has said that it is leaving.
@@ -33,6 +36,8 @@
     bool isStopping = false;
     /// No further request is read from any connection.
     bool isIntakeClosed = false;
+    /// Deadline of every request, set when the process is to end.
+    std::optional<domain::TimePoint> stopDeadline;
     /// The store has not been heard from since then; none while it answers.
     std::optional<domain::TimePoint> storeLostAt;
     /// A newer configuration is known to exist than the one in force here.
@@ -44,6 +49,8 @@
     /// Makes what this entry knows as old as it is, if the machine was suspended meanwhile. Called
     /// before decisions that go by age.
     void noteSuspension(domain::TimePoint now);
+    /// Ends the wait for endpoints, so that each caller gets its last answer now.
+    void expireRequests();
     /// Sets the gauges of named and required weights. Log lines of a naming are displaced by those
     /// of requests where only the end of a log is kept.
     void exposeWeights(domain::TimePoint now);
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -127,7 +127,7 @@
                 {{"version", ORIOLERILL_VERSION}, {"caller", m_settings.listenCaller.toString()},
                         {"store", m_settings.storeAddress.toString()}});
         observability::runUntilStopped(m_context);
-        logEvent(Severity::Info, "stopped", {{"requests", m_relay.requestsInFlight}});
+        logEvent(Severity::Info, "stopped", {{"requests", m_relay.requestsInFlight.size()}});
         return Done{};
     }
 
@@ -141,7 +141,7 @@
             response.status = isReady ? 200 : 503;
         } else if (target == "/metrics") {
             m_metrics.set("oriolerill_relay_requests_in_flight",
-                    static_cast<double>(m_relay.requestsInFlight));
+                    static_cast<double>(m_relay.requestsInFlight.size()));
             m_metrics.set("oriolerill_relay_store_calls", static_cast<double>(m_store.callCount()));
             m_metrics.set("oriolerill_relay_endpoint_connects",
                     static_cast<double>(m_connections.connectCount()));
@@ -176,7 +176,7 @@
                 continue;
             }
             logEvent(Severity::Info, "stopping",
-                    {{"signal", number}, {"requests", m_relay.requestsInFlight}});
+                    {{"signal", number}, {"requests", m_relay.requestsInFlight.size()}});
             co_await stop();
             co_return;
         }
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -129,7 +129,7 @@
 
 asio::awaitable<bool> RequestRun::run()
 {
-    ++m_context.requestsInFlight;
+    m_context.requestsInFlight.insert(this);
     const auto watch = std::make_shared<CallerWatch>();
     watch->start(m_caller.socket(), [this] {
         m_isCallerGone = true;
@@ -144,11 +144,11 @@
     } catch (...) {
         // The session logs the error. The watch refers to this object.
         watch->stop();
-        --m_context.requestsInFlight;
+        m_context.requestsInFlight.erase(this);
         throw;
     }
     watch->stop();
-    --m_context.requestsInFlight;
+    m_context.requestsInFlight.erase(this);
     co_return isOpen;
 }
 
@@ -169,9 +169,10 @@
     m_context.dispatcher.onRequest(m_query.service, m_arrivedAt);
     AttemptEnd last = AttemptEnd::NotSent;
     for (;;) {
-        const bool isOver = callersNow() >= m_policy->deadline();
         const TimePoint now = TimePoint::clock::now();
-        if (isOver) {
+        if (isOver()) {
+            if (m_detail.empty())
+                m_detail = "the time is over";
             last = AttemptEnd::TimedOut;
             break;
         }
@@ -207,11 +208,7 @@
     if (m_isStreamBegun) {
         // The connection ends before the last chunk, so that the answer does not look whole.
         logEnd("stream_cut", 200);
-        if (!isChunked()) {
-            // Without chunks the end of the connection would complete the answer; a reset does not.
-            beast::error_code code;
-            m_caller.socket().set_option(asio::socket_base::linger(true, 0), code);
-        }
+        resetOnClose();
         m_caller.close();
         co_return false;
     }
@@ -245,6 +242,31 @@
         m_query.account = account;
 }
 
+void RequestRun::expire()
+{
+    m_isExpired = true;
+    // A caller that takes no bytes holds its stream until the process ends.
+    if (m_isStreamBegun)
+        resetOnClose();
+    if (m_connection)
+        m_connection->cancelRequest();
+}
+
+void RequestRun::resetOnClose()
+{
+    if (isChunked())
+        return;
+    beast::error_code code;
+    m_caller.socket().set_option(asio::socket_base::linger(true, 0), code);
+}
+
+bool RequestRun::isOver()
+{
+    if (m_context.stopDeadline)
+        m_policy->limitDeadline(*m_context.stopDeadline);
+    return callersNow() >= m_policy->deadline();
+}
+
 TimePoint RequestRun::callersNow()
 {
     const TimePoint now = TimePoint::clock::now();
@@ -254,11 +276,11 @@
 
 bool RequestRun::mayTryAgain(AttemptEnd end, const routing::Dispatch &dispatch)
 {
-    const bool isOver = callersNow() >= m_policy->deadline();
+    const bool isTimeOver = isOver();
     const bool isOutdated = std::exchange(m_isChoiceOutdated, false);
     if (!isOutdated)
         m_query.excluded.insert(dispatch.endpoint);
-    if (isOver)
+    if (isTimeOver)
         return false;
     switch (m_policy->next(end)) {
     case routing::NextAttempt::None:
@@ -357,7 +379,7 @@
             co_return AttemptEnd::NotSent;
     }
     const TimePoint sendAt = callersNow();
-    if (sendAt >= m_policy->deadline())
+    if (isOver())
         co_return AttemptEnd::NotSent;
     // The process stood still meanwhile, and the endpoint may be leaving, cold or switching by now;
     // or another configuration is in force, which may name other homes.
@@ -431,6 +453,8 @@
         return AttemptEnd::CallerGone;
     if (m_isWithdrawn)
         return AttemptEnd::Withdrawn;
+    if (m_isExpired)
+        return AttemptEnd::TimedOut;
     if (code == beast::error::timeout && TimePoint::clock::now() >= m_policy->deadline())
         return AttemptEnd::TimedOut;
     return AttemptEnd::Lost;
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -33,6 +33,8 @@
 
     /// True when the caller's connection may carry a further request.
     boost::asio::awaitable<bool> run();
+    /// The process ends soon: gives up what the endpoint has not answered yet.
+    void expire();
 
 private:
     using AttemptEnd = routing::AttemptEnd;
@@ -56,6 +58,10 @@
     /// Now, with the time that the machine was suspended since the request arrived.
     void followConfiguration();
     domain::TimePoint callersNow();
+    /// The time of the request is over, or that of the process.
+    bool isOver();
+    /// Makes the end of a connection without chunks a reset, which does not complete an answer.
+    void resetOnClose();
     AttemptEnd endOfRead(boost::beast::error_code code) const;
     /// From the sending to an engine until it begins, the request may be withdrawn.
     void awaitBegin(const routing::Dispatch &dispatch);
@@ -95,6 +101,7 @@
 
     std::shared_ptr<EndpointConnection> m_connection;
     bool m_isCallerGone = false;
+    bool m_isExpired = false;
     bool m_isStreamBegun = false;
     EventSplitter m_events;
     std::optional<std::uint64_t> m_weights;
--- a/src/relay/tests/endpointtroubletest.cpp
+++ b/src/relay/tests/endpointtroubletest.cpp
@@ -377,7 +377,7 @@
     std::size_t requestsInFlight()
     {
         std::promise<std::size_t> count;
-        boost::asio::post(m_context, [&] { count.set_value(m_relay.requestsInFlight); });
+        boost::asio::post(m_context, [&] { count.set_value(m_relay.requestsInFlight.size()); });
         return count.get_future().get();
     }
 
@@ -484,7 +484,7 @@
     EXPECT_EQ(call(request("POST", "/order/1", "", "o")), "");
     EXPECT_EQ(leaving.requests().size(), 1U);
     stop();
-    EXPECT_EQ(m_relay.requestsInFlight, 0U);
+    EXPECT_EQ(m_relay.requestsInFlight.size(), 0U);
     EXPECT_EQ(m_dispatcher.load(domain::EndpointId("e1")).inFlight(), 0U);
 }
 
--- a/src/relay/tests/relaybench.cpp
+++ b/src/relay/tests/relaybench.cpp
@@ -39,7 +39,8 @@
                 constexpr double Nano = 1e-9;
                 const double now = static_cast<double>(time.tv_sec)
                         + static_cast<double>(time.tv_nsec) * Nano;
-                sample.set_value(m_relay.requestsInFlight == 0 ? std::optional(now) : std::nullopt);
+                sample.set_value(
+                        m_relay.requestsInFlight.empty() ? std::optional(now) : std::nullopt);
             });
             seconds = sample.get_future().get();
         }
--- a/src/routing/attemptpolicy.h
+++ b/src/routing/attemptpolicy.h
@@ -3,6 +3,7 @@
 #include "domain/timepoint.h"
 #include "routing/servingconfig.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string_view>
 
@@ -75,6 +76,8 @@
             const Route &route, domain::TimePoint deadline, AttemptPolicyOptions options = {});
 
     domain::TimePoint deadline() const { return m_deadline; }
+    /// Moves the deadline forward, never back.
+    void limitDeadline(domain::TimePoint latest) { m_deadline = std::min(m_deadline, latest); }
     /// Until then an answer that is on its way is read.
     domain::TimePoint lastAnswerAt() const { return m_deadline + m_options.answerSlack; }
     domain::TimePoint connectDeadline(domain::TimePoint now) const;
--- a/src/routing/internal/attemptpolicy.cpp
+++ b/src/routing/internal/attemptpolicy.cpp
@@ -1,7 +1,5 @@
 #include "routing/attemptpolicy.h"
 
-#include <algorithm>
-
 namespace oriolerill::routing {
 
 using domain::Duration;
