Take an event stream that ends behind its head for lost

What callers saw: an endpoint that stopped behind the head of an event stream without a length, and closed, gave a 200 with an empty stream that looked complete.

Cause: such an answer ends with its connection, so the stop looked like the end. A stream without any event of this attempt is now an attempt without a whole answer.

--- a/src/agent/tests/requestproxytest.cpp
+++ b/src/agent/tests/requestproxytest.cpp
@@ -364,6 +364,38 @@
     }
 }
 
+// Guards against an answer that was cut in its head and is taken for a whole one, or for a request
+// that has not run.
+TEST_F(RequestProxyFixture, handle_answerCutAtEveryByteOfHead_unknown)
+{
+    useOneSlot();
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+    std::atomic<std::size_t> cut = 0;
+    std::atomic<bool> isReset = false;
+    transport::ScriptedPeer peer([&](transport::ScriptedPeer::Socket &socket, int) {
+        transport::ScriptedPeer::write(socket, head.substr(0, cut));
+        if (isReset)
+            socket.set_option(asio::socket_base::linger(true, 0));
+        return false;
+    });
+    m_options.endpoint = peer.address();
+    m_agent->closeAll();
+    startProxy();
+    for (std::size_t i = 0; i < 2 * (head.size() + 1); ++i) {
+        cut = i / 2;
+        isReset = i % 2 == 1;
+        const std::string id = std::to_string(i);
+        protocol::Attempt unkeyed = attempt("u" + id);
+        unkeyed.set_idempotent(false);
+        for (const auto &sent : {attempt("l" + id), unkeyed, order("o" + id, id)}) {
+            const auto frames = send(sent);
+            EXPECT_EQ(frames.back().end().outcome(), protocol::OUTCOME_UNKNOWN)
+                    << sent.request_id() << " cut at " << cut;
+            EXPECT_EQ(dataOf(frames), "");
+        }
+    }
+}
+
 // Guards against a stop that loses results, or that takes new work.
 TEST_F(RequestProxyFixture, drain_runningAttempt_finishesAndRefusesNewWork)
 {
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -578,6 +578,7 @@
         m_detail = "the endpoint continues with another version of the weights";
         co_return AttemptEnd::Lost;
     }
+    const std::size_t eventsBefore = m_events.eventCount();
     std::string piece;
     TimePoint progressAt = TimePoint::clock::now();
     while (!parser.is_done()) {
@@ -611,6 +612,11 @@
         m_events.dropRest();
         co_return AttemptEnd::Lost;
     }
+    // Without a length or chunks, an endpoint that stops behind the head looks like the end.
+    if (parser.need_eof() && m_events.eventCount() == eventsBefore) {
+        m_detail = "the stream ended without an event";
+        co_return AttemptEnd::Lost;
+    }
     if (!co_await finishStream())
         co_return AttemptEnd::CallerGone;
     co_return AttemptEnd::Delivered;
--- a/src/relay/tests/brokenstreamtest.cpp
+++ b/src/relay/tests/brokenstreamtest.cpp
@@ -53,6 +53,9 @@
                 "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                 "16\r\nid: 2\ndata: failure\n\n\r\n0\r\n\r\n"},
+        {"CutBehindHead",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\nWeight-Versions: 4\r\n"
+                "Content-Type: text/event-stream\r\n\r\n"},
         {"CutInHead", "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nServer-Sig"},
         {"CutInBody",
                 "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
--- /dev/null
+++ b/src/transport/tests/httpclientfixture.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "transport/httpclient.h"
+#include "transport/tests/scriptedpeer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+namespace oriolerill::transport {
+
+/// The client of the store, of other agents and of endpoints; its answers bear no ids.
+class HttpClientFixture : public testing::Test
+{
+protected:
+    /// Body of the answer to one more request, or the error.
+    std::string send(const ScriptedPeer &peer)
+    {
+        std::string result = "none";
+        const auto ask = [&]() -> boost::asio::awaitable<void> {
+            HttpRequest request;
+            request.method = "GET";
+            request.target = "/";
+            const auto answer = co_await m_client.send(peer.address(), std::move(request),
+                    domain::TimePoint::clock::now() + std::chrono::seconds(2));
+            result = answer ? std::to_string(answer->status) + ' ' + answer->body
+                            : "error: " + answer.error().message;
+        };
+        boost::asio::co_spawn(m_context, ask(), boost::asio::detached);
+        m_context.run();
+        m_context.restart();
+        return result;
+    }
+
+    boost::asio::io_context m_context{1};
+    HttpClient m_client{m_context.get_executor(), HttpClientOptions()};
+};
+
+} // namespace oriolerill::transport
--- a/src/transport/tests/secondcopytest.cpp
+++ b/src/transport/tests/secondcopytest.cpp
@@ -1,13 +1,7 @@
-#include "transport/httpclient.h"
-#include "transport/tests/scriptedpeer.h"
+#include "transport/tests/httpclientfixture.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
-#include <gtest/gtest.h>
-
 #include <thread>
 
 namespace oriolerill::transport {
@@ -25,32 +19,8 @@
 
 } // namespace
 
-/// The client of the store, of other agents and of endpoints; its answers bear no ids.
-class SecondCopyFixture : public testing::Test
-{
-protected:
-    /// Body of the answer to one more request, or the error.
-    std::string send(const ScriptedPeer &peer)
-    {
-        std::string result = "none";
-        const auto ask = [&]() -> asio::awaitable<void> {
-            HttpRequest request;
-            request.method = "GET";
-            request.target = "/";
-            const auto answer = co_await m_client.send(
-                    peer.address(), std::move(request), domain::TimePoint::clock::now() + 2s);
-            result = answer ? std::to_string(answer->status) + ' ' + answer->body
-                            : "error: " + answer.error().message;
-        };
-        asio::co_spawn(m_context, ask(), asio::detached);
-        m_context.run();
-        m_context.restart();
-        return result;
-    }
-
-    asio::io_context m_context{1};
-    HttpClient m_client{m_context.get_executor(), HttpClientOptions()};
-};
+class SecondCopyFixture : public HttpClientFixture
+{};
 
 // Guards against a second copy of an answer that is taken for the answer to the next call: it comes
 // in one packet with the first.
