Log how many engines a refusal leaves out for their weights

A refused request did not tell engines without the required version from engines that were paused, cold or switching, nor which version was required: the line had required_weights=0. It counts them as outdated and names the version now.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -737,7 +737,8 @@
         m_detail = "the endpoints are at the limits that they name";
     }
     m_detail += ", listed " + std::to_string(refusal.listed) + " usable "
-            + std::to_string(refusal.usable);
+            + std::to_string(refusal.usable) + " outdated " + std::to_string(refusal.outdated);
+    m_requiredWeights = refusal.requiredWeights;
     m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", reason}});
     return {503, {ErrorKind::Overloaded, "not run: " + m_detail, "come back after Retry-After"},
             refusal.retryAfter};
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -112,6 +112,9 @@
     /// Endpoints of the service that are listed, and those that could take a request.
     std::size_t listed = 0;
     std::size_t usable = 0;
+    /// Engines that were left out for the weights that they hold, and the version required.
+    std::size_t outdated = 0;
+    std::uint64_t requiredWeights = 0;
 };
 
 using DispatchDecision = std::variant<Dispatch, Refusal>;
@@ -184,6 +187,8 @@
         std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
         /// Oldest version of the weights that the request may begin on.
         std::uint64_t requiredWeights = 0;
+        /// Engines without the required version, or with another one than the stream began on.
+        std::size_t outdated = 0;
         std::optional<domain::TimePoint> quietUntil;
         /// Earliest slot of this entry, not yet promised to a caller, at an endpoint that is at its
         /// limit.
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -270,6 +270,8 @@
     const auto &limited = candidates.limitedUntil;
     Refusal refusal = refuse(limited ? RefusalReason::Limited : RefusalReason::NoEndpoint, 0);
     refusal.listed = listedCount(query.service);
+    refusal.outdated = candidates.outdated;
+    refusal.requiredWeights = candidates.requiredWeights;
     // A caller that returned before an endpoint may take its request would be refused again.
     const auto freeAt = quiet && limited ? std::min(quiet, limited) : std::max(quiet, limited);
     if (!freeAt)
@@ -291,8 +293,10 @@
     if (service.engine) {
         version = weightsOf(endpoint, query.request->model, now);
         const bool isOther = query.pinnedWeights && version != query.pinnedWeights;
-        if (!version || *version < candidates.requiredWeights || isOther)
+        if (!version || *version < candidates.requiredWeights || isOther) {
+            ++candidates.outdated;
             return;
+        }
     }
     if (const auto until = m_notices.quietUntil(endpoint, now)) {
         candidates.quietUntil = std::min(candidates.quietUntil.value_or(*until), *until);
@@ -376,6 +380,8 @@
             Refusal refusal = refuse(RefusalReason::Full, std::max(queueMs - longestMs, 0.0));
             refusal.listed = listedCount(query.service);
             refusal.usable = candidates.usable.size();
+            refusal.outdated = candidates.outdated;
+            refusal.requiredWeights = candidates.requiredWeights;
             return refusal;
         }
     }
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -232,6 +232,26 @@
     EXPECT_LE(refusal->retryAfter, 1500ms);
 }
 
+// Guards against a refusal that does not tell engines that lack the required version from engines
+// that may take nothing for another reason.
+TEST_F(DispatcherFixture, choose_noEngineHasRequiredVersion_refusalCountsThem)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 3);
+    for (int i = 0; i < 3; ++i)
+        report(dispatcher, i, 0);
+    dispatcher.weights().onNamed(ModelId("m"), 2, false, m_now);
+    m_now += 10s;
+    m_query.excluded.insert(endpoint(0).id);
+    const DispatchDecision decision = dispatcher.choose(m_query, m_now);
+    const auto *refusal = std::get_if<Refusal>(&decision);
+    ASSERT_NE(refusal, nullptr);
+    EXPECT_EQ(refusal->reason, RefusalReason::NoEndpoint);
+    EXPECT_EQ(refusal->listed, 3U);
+    EXPECT_EQ(refusal->outdated, 2U);
+    EXPECT_EQ(refusal->requiredWeights, 2U);
+}
+
 // Guards against refused callers who all come back in the same moment.
 TEST_F(DispatcherFixture, refuse_manyAtOnce_returnTimesSpread)
 {
