Reset connections for certain in the tests of cut heads

Asio takes the linger option back in the destructor of a socket, so the endpoints of these tests closed plainly.

--- a/src/agent/tests/requestproxytest.cpp
+++ b/src/agent/tests/requestproxytest.cpp
@@ -374,8 +374,11 @@
     std::atomic<bool> isReset = false;
     transport::ScriptedPeer peer([&](transport::ScriptedPeer::Socket &socket, int) {
         transport::ScriptedPeer::write(socket, head.substr(0, cut));
-        if (isReset)
+        if (isReset) {
             socket.set_option(asio::socket_base::linger(true, 0));
+            // The destructor of the socket takes the option back.
+            socket.close();
+        }
         return false;
     });
     m_options.endpoint = peer.address();
--- a/src/relay/tests/cutheadtest.cpp
+++ b/src/relay/tests/cutheadtest.cpp
@@ -65,8 +65,11 @@
                 const std::string whole = std::string(answer.head) + answer.body;
                 const std::size_t from = request.find('/', request.find('/') + 1) + 1;
                 write(socket, whole.substr(0, std::stoul(request.substr(from))));
-                if (isReset)
+                if (isReset) {
                     socket.set_option(boost::asio::socket_base::linger(true, 0));
+                    // The destructor of the socket takes the option back.
+                    socket.close();
+                }
                 return false;
             });
         }
--- a/src/transport/tests/cutheadtest.cpp
+++ b/src/transport/tests/cutheadtest.cpp
@@ -44,8 +44,11 @@
         ScriptedPeer peer(
                 [text = head.substr(0, cut), isReset = isReset](ScriptedPeer::Socket &socket, int) {
                     ScriptedPeer::write(socket, text);
-                    if (isReset)
+                    if (isReset) {
                         socket.set_option(boost::asio::socket_base::linger(true, 0));
+                        // The destructor of the socket takes the option back.
+                        socket.close();
+                    }
                     return false;
                 });
         const std::string got = send(peer);
