Log each read of the list of members by an agent

The reads cross the links out of the store's region, and only those that failed were logged. Their number and time tell whether they fill a link.

--- a/src/relayagent/internal/fleetview.cpp
+++ b/src/relayagent/internal/fleetview.cpp
@@ -89,6 +89,10 @@
         m_members.push_back({endpoint->address.host, endpoint->dataCentre,
                 served == endpoint->weights.end() || endpoint->isDraining ? 0 : served->second});
     }
+    const domain::Duration time = TimePoint::clock::now() - now;
+    logEvent(Severity::Info, "members_read",
+            {{"objects", list->objects.size()}, {"members", m_members.size()},
+                    {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(time).count()}});
     co_return true;
 }
 
