--- a/src/relay/tests/loadlistenertest.cpp
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -264,6 +264,27 @@
     EXPECT_NE(chosen(), "");
 }
 
+// Regression: after a restart of all processes nobody knows since when a version is named, so
+// agents publish it without a time, which had no effect. An entry whose own read of the store
+// came 5.3 s after its start sent requests to older engines until then (trouble-3 of
+// probador-rill-large).
+TEST_F(LoadListenerFixture,
+        receive_agentsPublishVersionFoundAtStartWhileStoreIsAway_olderEnginesLeftOut)
+{
+    m_store.isDown = true;
+    for (const int agent : {1, 2}) {
+        ASSERT_NE(chosen(), "");
+        protocol::LoadReport message = report(agent);
+        message.mutable_knowledge()->set_weights_changed_at(99);
+        protocol::NamedWeights &named = *message.mutable_knowledge()->add_named();
+        named.set_model("m");
+        named.set_version(2);
+        send(message);
+    }
+    // The fixture's process has run for longer than the grace at its start.
+    EXPECT_EQ(chosen(), "");
+}
+
 // Guards against a version that stays required for good though the store never had it: a watch, not
 // a whole list, brought this entry to the revision that agents had stated.
 TEST_F(LoadListenerFixture, receive_watchPassesPublishedRevision_versionNotRequiredAnyMore)
--- a/src/relay/tests/weightsboundtest.cpp
+++ b/src/relay/tests/weightsboundtest.cpp
@@ -1,5 +1,7 @@
 #include "relay/tests/relayfixture.h"
+#include "relay/tests/slowlink.h"
 
+#include <atomic>
 #include <future>
 
 namespace oriolerill::relay {
@@ -158,4 +160,60 @@
     EXPECT_LT(closed, m_boundAt);
 }
 
+// Regression: a request waited 2.05 s in a full link between regions, more than the margin of the
+// version bound, and began on the older version 0.4 s after it. The entry had closed the connection
+// a second before, which does not call back what a link holds (scale-1 of probador-rill-large).
+TEST_F(WeightsBoundFixture, serve_linkHoldsRequestsLongerThanMargin_notBegunAfterVersionBound)
+{
+    constexpr auto LinkDelay = 2050ms;
+    std::atomic<std::int64_t> lastArrival = 0;
+    const auto sinceStart = [begin = TimePoint::clock::now()] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                TimePoint::clock::now() - begin)
+                .count();
+    };
+    ScriptedEndpoint &engine
+            = addEngine(1, [&lastArrival, sinceStart](Socket &socket, const std::string &request) {
+                  lastArrival = sinceStart();
+                  std::this_thread::sleep_for(200ms);
+                  write(socket,
+                          "HTTP/1.1 200 OK\r\nAttempt-Id: " + fieldOf(request, "Attempt-Id")
+                                  + "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n"
+                                    "f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n");
+                  return true;
+              });
+    SlowLink link(engine.address());
+    m_listed.back().address = link.address();
+    m_listed.back().dataCentre = domain::DataCentreId("far");
+    start();
+    const auto send = [this](const std::string &id) {
+        std::string text = request("POST", "/stream/1", std::string("Model: m\r\n") + Close, "o");
+        text.replace(text.find("Attempt-Id: a1"), 14, "Attempt-Id: " + id);
+        return std::async(std::launch::async, [this, text] { return call(text); });
+    };
+    // Two connections that are open when the link becomes slow.
+    auto first = send("a1");
+    auto second = send("a2");
+    ASSERT_EQ(statusOf(first.get()), 200U);
+    ASSERT_EQ(statusOf(second.get()), 200U);
+    link.setDelay(LinkDelay);
+    // The entry gets no answer over this link before it sends the next request.
+    auto unanswered = send("a3");
+    EXPECT_NE(statusOf(unanswered.get()), 200U);
+    const auto boundIn = routing::WeightsRequirementOptions().margin + 100ms;
+    const std::int64_t bound
+            = sinceStart() + std::chrono::duration_cast<std::chrono::milliseconds>(boundIn).count();
+    std::promise<void> named;
+    boost::asio::post(m_context, [&] {
+        nameVersionWithBoundIn(boundIn);
+        named.set_value();
+    });
+    named.get_future().get();
+    auto late = send("a4");
+    EXPECT_NE(statusOf(late.get()), 200U);
+    std::this_thread::sleep_for(LinkDelay);
+    EXPECT_LE(lastArrival, bound) << engine.requests().back();
+}
+
 } // namespace oriolerill::relay
--- a/src/relayagent/tests/agentpushtest.cpp
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -128,6 +128,25 @@
     EXPECT_TRUE(fleet.runUntil([&] { return fleet.isServedEverywhere(3); }, 15s));
 }
 
+// Regression: every agent read the list of endpoints when a version was named, and again every 2.5
+// s at the same time as all others while pieces were missing. The copies filled the links out of
+// the store's region for a second each time (scale-1 of probador-rill-large: VERSION).
+TEST(AgentPush, push_versionNamedWhileOriginIsDown_membersReadTwiceByEachDataCentre)
+{
+    constexpr int ReadersOfDataCentre = 2;
+    AgentFleetOptions options;
+    options.agentsEach = 8;
+    AgentFleet fleet(options);
+    fleet.tellAsEntry();
+    fleet.runUntil([] { return false; }, 1s);
+    fleet.origin.isDown = true;
+    const int before = fleet.store.lists;
+    fleet.name(2);
+    fleet.runUntil([] { return false; }, 1s);
+    EXPECT_LE(fleet.store.lists - before,
+            ReadersOfDataCentre * static_cast<int>(options.dataCentres));
+}
+
 // Guards against a staged version that is dropped before its turn because two more were named: the
 // engines have no allowed version between its bound and the next one.
 TEST(AgentPush, push_originLostAfterThirdNaming_stagedVersionServedEverywhere)
