--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -21,8 +21,8 @@
 namespace {
 
 /// Shows how often a collection is read, by which way, and what it costs the link.
-void logRead(const std::string &collection, const char *source, const ObjectList &read,
-        TimePoint sentAt)
+void logRead(
+        const std::string &collection, const char *source, const ObjectList &read, TimePoint sentAt)
 {
     std::size_t bytes = 0;
     for (const StoredObject &object : read.objects)
@@ -337,6 +337,14 @@
     return heardAt != TimePoint() && now - heardAt <= m_options.sharedLife;
 }
 
+bool StoreFollower::isUnconfirmed(TimePoint now) const
+{
+    const bool isSubscriber = m_turns != nullptr && !m_turns->isPublisher();
+    const domain::Duration longest
+            = m_options.sharedLife + m_options.subscriberWatchTime + m_options.answerTime;
+    return isSubscriber && m_hasList && now - m_answeredAt > longest;
+}
+
 std::optional<std::uint64_t> StoreFollower::ownRevision(TimePoint now) const
 {
     const bool isAnswered = m_hasList && m_failures == 0 && !isShared(now)
--- a/src/objectstore/storefollower.h
+++ b/src/objectstore/storefollower.h
@@ -106,6 +106,9 @@
     /// Others have told lately what the collection holds, or that the store is lost.
     bool isSharedLately(domain::TimePoint now) const;
     const std::string &collection() const { return m_collection; }
+    /// Neither a publisher nor the store has confirmed the copy for longer than they need while all
+    /// is well. A publisher is not asked: its watch may wait for long.
+    bool isUnconfirmed(domain::TimePoint now) const;
     /// Revision of the store up to which the collection is known, if a watch or list of this
     /// process brought it lately; what was told by others is not told again.
     std::optional<std::uint64_t> ownRevision(domain::TimePoint now) const;
--- a/src/objectstore/tests/storehinttest.cpp
+++ b/src/objectstore/tests/storehinttest.cpp
@@ -355,6 +355,21 @@
     EXPECT_EQ(m_follower->changedAt(), 20U);
 }
 
+// Regression: an entry whose publishers were silent refused routes as unknown that had been added
+// more than four seconds before (trouble-3 of probador-rill-large, CONFIG).
+TEST_F(StoreSharedFixture, isUnconfirmed_publishersAndStoreSilent_trueUntilConfirmed)
+{
+    makeLarge();
+    tell(Known, changesTo(Known));
+    EXPECT_FALSE(m_follower->isUnconfirmed(TimePoint::clock::now()));
+    m_store.isDown = true;
+    m_store.watchAnswerTime = 1ms;
+    runFor(3500ms);
+    EXPECT_TRUE(m_follower->isUnconfirmed(TimePoint::clock::now()));
+    tell(Known, changesTo(Known));
+    EXPECT_FALSE(m_follower->isUnconfirmed(TimePoint::clock::now()));
+}
+
 // Regression: an entry that was told of a change by other entries read it from the store only, over
 // a full link, while the publisher beside it had it (scale-1 and trouble-2 of
 // probador-rill-large, CONFIG).
--- a/src/relay/internal/fleetfollower.cpp
+++ b/src/relay/internal/fleetfollower.cpp
@@ -267,7 +267,10 @@
                     [this](const ObjectList &objects) { onWeights(objects, false); },
                     [this] { onStoreLost(); }, [this] { onStoreBack(); }},
             probeOptions);
-    m_relay.isConfigurationBehind = [this] { return m_configuration->isBehind(); };
+    m_relay.isConfigurationBehind = [this] {
+        return m_configuration->isBehind()
+                || m_configuration->isUnconfirmed(TimePoint::clock::now());
+    };
     // The smallest collection shows when the store answers again: probes of all entries at the same
     // time must not fill the links between regions.
     for (objectstore::StoreFollower *follower : {m_configuration, m_withdrawals, m_endpoints})
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -40,7 +40,7 @@
     std::optional<domain::TimePoint> stopDeadline;
     /// The store has not been heard from since then; none while it answers.
     std::optional<domain::TimePoint> storeLostAt;
-    /// A newer configuration is known to exist than the one in force here.
+    /// A newer configuration is known to exist than the one in force here, or may exist unnoticed.
     std::function<bool()> isConfigurationBehind = [] { return false; };
     domain::SuspensionClock suspension;
     /// Shared with the requests, whose destructors may run after this object's at process exit.
