--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -347,8 +347,9 @@
 
 std::optional<std::uint64_t> StoreFollower::ownRevision(TimePoint now) const
 {
-    const bool isAnswered = m_hasList && m_failures == 0 && !isShared(now)
-            && now - m_ownAnsweredAt <= watchTime() + m_options.answerTime;
+    // A copy in doubt must not confirm those of others.
+    const bool isAnswered = m_hasList && m_failures == 0 && !m_freshness.isInDoubt()
+            && !isShared(now) && now - m_ownAnsweredAt <= watchTime() + m_options.answerTime;
     if (!isAnswered)
         return std::nullopt;
     return m_version.revision;
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -288,7 +288,8 @@
     // an old copy to each other.
     if (m_fleet.turns().isPublisher() && !m_fleet.isStoreLost())
         return;
-    if (update.changes_size() > 0)
+    // A publisher that has lost the store may still read its small collections.
+    if (update.changes_size() > 0 && !update.is_store_lost())
         m_updatedAt = now;
     if (const auto source = domain::SocketAddress::parse(update.source()))
         noteSource(*source, update.is_store_lost(), now);
@@ -419,7 +420,9 @@
             - now.time_since_epoch());
     const bool wasReader = m_fleet.turns().isPublisher();
     m_localRank = local;
-    m_fleet.setRank(local.rank, local.entries);
+    // Without any report the last rank stands: entries without one would all read at once.
+    if (local.entries > 0)
+        m_fleet.setRank(local.rank, local.entries);
     if (wasReader != m_fleet.turns().isPublisher()) {
         observability::logEvent(observability::Severity::Info, "store_reader",
                 {{"is_reader", m_fleet.turns().isPublisher() ? 1 : 0}, {"rank", local.rank},
