--- a/src/objectstore/tests/storehinttest.cpp
+++ b/src/objectstore/tests/storehinttest.cpp
@@ -370,8 +370,8 @@
     EXPECT_FALSE(m_follower->isUnconfirmed(TimePoint::clock::now()));
 }
 
-// Regression: an entry that was told of a change by other entries read it from the store only, over
-// a full link, while the publisher beside it had it (scale-1 and trouble-2 of
+// Regression: an entry that received a change's revision from other entries read it from the store
+// only, over a full link, while the publisher beside it had it (scale-1 and trouble-2 of
 // probador-rill-large, CONFIG).
 TEST_F(StoreSharedFixture, onHint_storeSilentAndPeerGivesList_takenFromPeer)
 {
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -225,7 +225,7 @@
         return;
     std::vector<protocol::StoreChanges> parts = splitChanges(changes);
     if (parts.empty()) {
-        // Too large for datagrams: the others are told of the revision, and fetch it here.
+        // Too large for datagrams: subscribers get the revision and fetch the collection here.
         const std::uint64_t upTo = changes.changes.storeVersion.revision;
         parts = splitChanges({changes.collection, upTo, {{}, {0, upTo}}, true});
     }
@@ -306,7 +306,8 @@
         return;
     }
     const bool wasReachable = m_sources.erase(source) > 0;
-    // What a lost publisher confirmed last is in doubt; the others go on confirming.
+    // The last confirmation of a publisher that lost the store is in doubt; the other publisher
+    // still confirms.
     if (wasReachable || !nextSource())
         m_fleet.onSharedLoss(now);
 }
