--- a/src/objectstore/internal/storefollower.cpp
+++ b/src/objectstore/internal/storefollower.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-/// Shows how often a collection is read, by which way, and what it costs the link.
+/// Logs the source, size and duration of each read of a collection.
 void logRead(
         const std::string &collection, const char *source, const ObjectList &read, TimePoint sentAt)
 {
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -88,7 +88,7 @@
     /// Until then the entries may not all have been heard by the agents.
     domain::TimePoint m_startEnd;
     StoreUpdateAssembler m_assembler;
-    /// When an update that tells of the store was last received from another entry.
+    /// Time of the last update from a publisher that reaches the store.
     domain::TimePoint m_updatedAt;
     /// When each publisher has sent its last update.
     std::map<domain::SocketAddress, domain::TimePoint> m_sources;
--- a/src/relay/tests/collectionslinktest.cpp
+++ b/src/relay/tests/collectionslinktest.cpp
@@ -24,7 +24,7 @@
     static constexpr double RegionRate = 35e6 / 8;
     static constexpr double EntryRate = 40e6 / 8;
     static constexpr auto Bound = 4000ms;
-    /// Time in which the last entry has to have what is written.
+    /// Limit until the last entry has a written change.
     static constexpr auto Target = 2000ms;
     /// A configuration with 1200 added routes.
     static constexpr std::size_t LargeConfiguration = 430000;
