Log whose answer a caller received, and each attempt's status

Evidence: the line request_ended names the last endpoint and the status sent to the caller.

Change: request_ended has answered_by, the endpoint whose body or events went to the caller; attempt_ended has the status of the answer's head.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -315,6 +315,7 @@
     m_lastEndpoint = dispatch.endpoint;
     m_expectedStartMs = dispatch.expectedStartMs;
     m_sentAt.reset();
+    m_attemptStatus = 0;
     m_hasAttemptBegun = false;
     m_isConnectionLost = false;
     m_servedWeights = dispatch.servedWeights;
@@ -370,7 +371,8 @@
     if (end != AttemptEnd::Delivered) {
         logEvent(Severity::Info, "attempt_ended",
                 {{"request", m_callerRequest.id.value()}, {"endpoint", dispatch.endpoint.value()},
-                        {"end", toString(end)}, {"begun", m_hasAttemptBegun ? 1 : 0},
+                        {"end", toString(end)}, {"status", m_attemptStatus},
+                        {"begun", m_hasAttemptBegun ? 1 : 0},
                         {"parts", toText(m_callerRequest.sharedParts)}, {"detail", m_detail},
                         {"busy", load.occupancy(now)}, {"report_age_ms", m_reportAgeMs},
                         {"sent_ms", msSinceArrival(m_sentAt)}, {"weights", m_servedWeights},
@@ -545,6 +547,7 @@
                 co_return *discardEnd;
             continue;
         }
+        m_attemptStatus = head.status;
         const bool isStream = head.isEventStream && head.isSuccess() && head.isSigned;
         if (head.load) {
             m_context.dispatcher.load(dispatch.endpoint)
@@ -721,6 +724,7 @@
     markAnswerBegun(head);
     m_answerHead = platform::callerAnswerHead(parser.get());
     m_answerBody = std::move(body);
+    m_answeredBy = m_lastEndpoint;
     m_hasAnswer = true;
     constexpr unsigned ServerError = 500;
     if (head.status >= ServerError) {
@@ -750,6 +754,7 @@
     m_caller.expires_after(CallerWriteTimeout);
     if (!m_isStreamBegun) {
         m_isStreamBegun = true;
+        m_answeredBy = m_lastEndpoint;
         http::response<http::empty_body> message(m_answerHead);
         m_isKeptAlive = m_isKeptAlive && !m_context.isStopping && isChunked();
         message.keep_alive(m_isKeptAlive);
@@ -869,7 +874,7 @@
                     {"route", routeName},
                     {"account", m_account == nullptr ? "" : m_account->id.value()},
                     {"config", m_config ? m_config->version() : 0},
-                    {"endpoint", m_lastEndpoint.value()},
+                    {"endpoint", m_lastEndpoint.value()}, {"answered_by", m_answeredBy.value()},
                     {"attempts", m_policy ? m_policy->attempts() : 0},
                     {"runs", m_policy ? m_policy->runs() : 0},
                     {"expected_ms", std::llround(m_expectedStartMs)},
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -118,6 +118,10 @@
     EventSplitter m_events;
     std::optional<std::uint64_t> m_weights;
     domain::EndpointId m_lastEndpoint;
+    /// Status of the answer that the last attempt received; zero without one.
+    unsigned m_attemptStatus = 0;
+    /// Endpoint whose answer the caller received, or is kept for it.
+    domain::EndpointId m_answeredBy;
     double m_expectedStartMs = 0;
     /// At the last choice: number of requests at the endpoint, and age of its load report; -1
     /// without a fresh report.
--- a/src/relay/tests/requestlogtest.cpp
+++ b/src/relay/tests/requestlogtest.cpp
@@ -85,6 +85,33 @@
     EXPECT_EQ(lines[1].at("runs"), "1");
 }
 
+// Guards against an answer whose log lines do not tell which endpoint's answer the caller received:
+// after a failure that no further attempt replaced, the last endpoint is another one.
+TEST_F(RequestLogFixture, log_failureDeliveredAfterLostAttempt_endpointOfEachAnswerAndStatus)
+{
+    const auto calls = std::make_shared<std::atomic<int>>(0);
+    const auto script = [calls](Socket &socket, const std::string &) {
+        if ((*calls)++ == 0)
+            write(socket, answer("a1", "failure", "500 Internal Server Error"));
+        return false;
+    };
+    addEndpoint(script);
+    addEndpoint(script);
+    start();
+    testing::internal::CaptureStdout();
+    EXPECT_EQ(statusOf(call(request("GET", "/read/1", Close))), 500U);
+    const auto lines = linesOf(testing::internal::GetCapturedStdout(), "a1");
+    ASSERT_EQ(lines.size(), 3U);
+    EXPECT_EQ(lines[0].at("end"), "failed_answer");
+    EXPECT_EQ(lines[0].at("status"), "500");
+    EXPECT_EQ(lines[1].at("end"), "lost");
+    EXPECT_EQ(lines[1].at("status"), "0");
+    EXPECT_EQ(lines[2].at("status"), "500");
+    EXPECT_EQ(lines[2].at("answered_by"), lines[0].at("endpoint"));
+    EXPECT_EQ(lines[2].at("endpoint"), lines[1].at("endpoint"));
+    EXPECT_NE(lines[0].at("endpoint"), lines[1].at("endpoint"));
+}
+
 // Guards against a rejected key whose log line does not state the version of the configuration that
 // was applied.
 TEST_F(RequestLogFixture, log_rejectedKey_configurationVersion)
