Deliver a kept failure with the head of the endpoint that sent it

Cause: RequestRun kept a failed attempt's head, body and weights in separate members, in case no further attempt succeeds. relayEvents() of the next attempt wrote head and weights as soon as the head of its stream arrived, before any event could be passed on. If that stream ended before its first event, for whatever reason, serve() delivered the old body under the new head.

Change: an answer is one value, EndpointAnswer, with its endpoint, weights, head and body. A stream's value stays local to its attempt until its first event goes to the caller; the latest complete answer and the begun stream are separate values, and each is replaced as a whole. first_ms is the time of the first byte sent to the caller. Bytes of a kept failure count as buffered until it is delivered or replaced.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -77,14 +77,15 @@
 RequestRun::~RequestRun()
 {
     markStarted();
-    setBuffered(0);
+    m_context.bufferedAnswerBytes -= m_bufferedBytes;
 }
 
 bool RequestRun::setBuffered(std::size_t bytes)
 {
-    m_context.bufferedAnswerBytes -= std::exchange(m_bufferedBytes, bytes);
-    m_context.bufferedAnswerBytes += bytes;
-    return bytes <= MinBufferedBytes || m_context.bufferedAnswerBytes <= MaxTotalBufferedBytes;
+    const std::size_t total = bytes + (m_buffered ? m_buffered->body.size() : 0);
+    m_context.bufferedAnswerBytes -= std::exchange(m_bufferedBytes, total);
+    m_context.bufferedAnswerBytes += total;
+    return total <= MinBufferedBytes || m_context.bufferedAnswerBytes <= MaxTotalBufferedBytes;
 }
 
 std::optional<LocalAnswer> RequestRun::resolve()
@@ -191,10 +192,10 @@
             co_return false;
         }
         useCurrentConfiguration();
-        m_query.pinnedWeights = m_isStreamBegun ? m_weights : std::nullopt;
+        m_query.pinnedWeights = m_stream ? m_stream->weights : std::nullopt;
         const routing::DispatchDecision decision = m_context.dispatcher.choose(m_query, now);
         if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
-            const bool isUnsent = m_policy->runs() == 0 && !m_isStreamBegun && !m_hasAnswer;
+            const bool isUnsent = m_policy->runs() == 0 && callerAnswer() == nullptr;
             if (!isUnsent)
                 break;
             LocalAnswer localAnswer = refusalAnswer(*refusal);
@@ -205,7 +206,7 @@
         const auto &dispatch = std::get<routing::Dispatch>(decision);
         last = co_await attempt(dispatch);
         if (last == AttemptEnd::Delivered) {
-            logEnd("answered", m_answerHead.result_int());
+            logEnd("answered", callerStatus());
             co_return m_isKeptAlive;
         }
         if (last == AttemptEnd::CallerDisconnected || m_isCallerDisconnected) {
@@ -215,16 +216,16 @@
         if (!mayRetry(last, dispatch))
             break;
     }
-    if (m_isStreamBegun) {
+    if (m_stream) {
         // Closed before the last chunk, so that the caller does not take the answer as complete.
         logEnd("stream_cut", 200);
         resetOnClose();
         m_caller.close();
         co_return false;
     }
-    if (m_hasAnswer) {
+    if (m_buffered) {
         const bool isOpen = co_await deliverBuffered();
-        logEnd("answered", m_answerHead.result_int());
+        logEnd("answered", callerStatus());
         co_return isOpen &&m_isKeptAlive;
     }
     LocalAnswer localAnswer = failureAnswer(last);
@@ -257,7 +258,7 @@
     m_isExpired = true;
     // The connection of a caller that reads nothing stays open until the process exits. The reset
     // then shows that the stream is incomplete.
-    if (m_isStreamBegun)
+    if (m_stream)
         resetOnClose();
     if (m_connection)
         m_connection->cancelRequest();
@@ -424,7 +425,7 @@
     if (m_account != nullptr)
         head.account = m_account->id;
     head.weightsVersion = dispatch.weightsVersion;
-    if (m_isStreamBegun && !m_events.lastEventId().empty())
+    if (m_stream && !m_events.lastEventId().empty())
         head.lastEventId = m_events.lastEventId();
     const auto request = std::make_shared<Request>(
             platform::endpointRequest(m_request, m_request.body(), head));
@@ -560,9 +561,9 @@
         m_context.dispatcher.load(dispatch.endpoint).onAnswerBegun(TimePoint::clock::now());
         AttemptEnd end = AttemptEnd::Lost;
         if (isStream)
-            end = co_await relayEvents(parser, head);
+            end = co_await relayEvents(dispatch, parser, head);
         else
-            end = co_await relayBuffered(parser, head);
+            end = co_await relayBuffered(dispatch, parser, head);
         if (!routing::isCompleteAnswer(end))
             co_return end;
         if (parser.keep_alive() && *isWritten) {
@@ -624,15 +625,16 @@
     co_return code;
 }
 
-asio::awaitable<AttemptEnd> RequestRun::relayEvents(Parser &parser, const routing::AnswerHead &head)
+asio::awaitable<AttemptEnd> RequestRun::relayEvents(
+        const routing::Dispatch &dispatch, Parser &parser, const routing::AnswerHead &head)
 {
-    if (!m_isStreamBegun) {
-        m_answerHead = platform::callerAnswerHead(parser.get());
-        m_weights = head.weightsVersion;
-    } else if (m_weights && head.weightsVersion && m_weights != head.weightsVersion) {
+    if (m_stream && m_stream->weights && head.weightsVersion
+            && m_stream->weights != head.weightsVersion) {
         m_detail = "the endpoint continues with another version of the weights";
         co_return AttemptEnd::Lost;
     }
+    EndpointAnswer stream{
+            dispatch.endpoint, head.weightsVersion, platform::callerAnswerHead(parser.get()), {}};
     const std::size_t eventsBefore = m_events.eventCount();
     std::string received;
     TimePoint progressAt = TimePoint::clock::now();
@@ -642,11 +644,11 @@
                 = co_await readSome(parser, received, m_policy->nextEventDeadline(progressAt));
         if (!received.empty()) {
             markStarted();
-            if (!m_firstByteAt)
-                m_firstByteAt = TimePoint::clock::now();
             std::string events = m_events.feed(received);
             if (!events.empty()) {
                 markAnswerBegun(head);
+                if (!m_stream && !co_await beginStream(std::move(stream)))
+                    co_return AttemptEnd::CallerDisconnected;
                 if (!co_await sendEvents(std::move(events)))
                     co_return AttemptEnd::CallerDisconnected;
                 progressAt = TimePoint::clock::now();
@@ -675,6 +677,11 @@
         m_detail = "the stream ended without an event";
         co_return AttemptEnd::Lost;
     }
+    if (!m_stream) {
+        // A stream without any event still needs its head.
+        if (!co_await beginStream(std::move(stream)) || !co_await sendEvents(":\n\n"))
+            co_return AttemptEnd::CallerDisconnected;
+    }
     if (!co_await finishStream())
         co_return AttemptEnd::CallerDisconnected;
     co_return AttemptEnd::Delivered;
@@ -687,7 +694,7 @@
 }
 
 asio::awaitable<AttemptEnd> RequestRun::relayBuffered(
-        Parser &parser, const routing::AnswerHead &head)
+        const routing::Dispatch &dispatch, Parser &parser, const routing::AnswerHead &head)
 {
     // Callers take these statuses to mean that the request was not run, which the endpoint has not
     // stated.
@@ -696,7 +703,7 @@
             = std::find(std::begin(NotRunStatuses), std::end(NotRunStatuses), head.status)
             != std::end(NotRunStatuses);
     const bool isUnsigned = head.isSuccess() && !head.isSigned;
-    if (!head.isNotRun && (impliesNotRun || isUnsigned || m_isStreamBegun)) {
+    if (!head.isNotRun && (impliesNotRun || isUnsigned || m_stream)) {
         // The body of an unusable answer is not read, as it may be endless.
         m_detail = "unusable answer with status " + std::to_string(head.status);
         co_return AttemptEnd::Lost;
@@ -722,10 +729,9 @@
         co_return AttemptEnd::NotRun;
     }
     markAnswerBegun(head);
-    m_answerHead = platform::callerAnswerHead(parser.get());
-    m_answerBody = std::move(body);
-    m_answeredBy = m_lastEndpoint;
-    m_hasAnswer = true;
+    m_buffered = EndpointAnswer{dispatch.endpoint, head.weightsVersion,
+            platform::callerAnswerHead(parser.get()), std::move(body)};
+    setBuffered(0);
     constexpr unsigned ServerError = 500;
     if (head.status >= ServerError) {
         m_detail = "failed with " + std::to_string(head.status);
@@ -734,14 +740,26 @@
     co_return AttemptEnd::Delivered;
 }
 
+const EndpointAnswer *RequestRun::callerAnswer() const
+{
+    if (m_stream)
+        return &*m_stream;
+    return m_buffered ? &*m_buffered : nullptr;
+}
+
+unsigned RequestRun::callerStatus() const
+{
+    const EndpointAnswer *answer = callerAnswer();
+    return answer == nullptr ? 0 : answer->head.result_int();
+}
+
 asio::awaitable<bool> RequestRun::deliverBuffered()
 {
-    if (!m_firstByteAt)
-        m_firstByteAt = TimePoint::clock::now();
-    http::response<http::string_body> message(m_answerHead);
+    m_firstByteAt = TimePoint::clock::now();
+    http::response<http::string_body> message(m_buffered->head);
     m_isKeptAlive = m_isKeptAlive && !m_context.isStopping;
     message.keep_alive(m_isKeptAlive);
-    message.body() = std::move(m_answerBody);
+    message.body() = std::move(m_buffered->body);
     if (!m_isHeadRequest)
         message.prepare_payload();
     m_caller.expires_after(CallerWriteTimeout);
@@ -749,22 +767,25 @@
     co_return !code;
 }
 
+asio::awaitable<bool> RequestRun::beginStream(EndpointAnswer stream)
+{
+    m_firstByteAt = TimePoint::clock::now();
+    m_stream = std::move(stream);
+    m_buffered.reset();
+    http::response<http::empty_body> message(m_stream->head);
+    m_isKeptAlive = m_isKeptAlive && !m_context.isStopping && isChunked();
+    message.keep_alive(m_isKeptAlive);
+    if (isChunked())
+        message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    m_caller.expires_after(CallerWriteTimeout);
+    auto [code, size] = co_await http::async_write_header(m_caller, serializer, UseTuple);
+    co_return !code;
+}
+
 asio::awaitable<bool> RequestRun::sendEvents(std::string events)
 {
     m_caller.expires_after(CallerWriteTimeout);
-    if (!m_isStreamBegun) {
-        m_isStreamBegun = true;
-        m_answeredBy = m_lastEndpoint;
-        http::response<http::empty_body> message(m_answerHead);
-        m_isKeptAlive = m_isKeptAlive && !m_context.isStopping && isChunked();
-        message.keep_alive(m_isKeptAlive);
-        if (isChunked())
-            message.chunked(true);
-        http::response_serializer<http::empty_body> serializer(message);
-        auto [code, size] = co_await http::async_write_header(m_caller, serializer, UseTuple);
-        if (code)
-            co_return false;
-    }
     const asio::const_buffer bytes(events.data(), events.size());
     beast::error_code code;
     std::size_t size = 0;
@@ -784,9 +805,6 @@
 
 asio::awaitable<bool> RequestRun::finishStream()
 {
-    // A stream without any event still needs its head.
-    if (!m_isStreamBegun && !co_await sendEvents(":\n\n"))
-        co_return false;
     if (!isChunked())
         co_return true;
     m_caller.expires_after(CallerWriteTimeout);
@@ -862,6 +880,7 @@
 void RequestRun::logEnd(std::string_view outcome, unsigned status)
 {
     const std::string routeName = m_route == nullptr ? "" : m_route->name;
+    const EndpointAnswer *answer = callerAnswer();
     m_context.metrics.increment(
             "oriolerill_relay_requests_total", {{"route", routeName}, {"outcome", outcome}});
     if (m_firstByteAt) {
@@ -874,7 +893,8 @@
                     {"route", routeName},
                     {"account", m_account == nullptr ? "" : m_account->id.value()},
                     {"config", m_config ? m_config->version() : 0},
-                    {"endpoint", m_lastEndpoint.value()}, {"answered_by", m_answeredBy.value()},
+                    {"endpoint", m_lastEndpoint.value()},
+                    {"answered_by", answer == nullptr ? "" : answer->endpoint.value()},
                     {"attempts", m_policy ? m_policy->attempts() : 0},
                     {"runs", m_policy ? m_policy->runs() : 0},
                     {"expected_ms", std::llround(m_expectedStartMs)},
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/eventsplitter.h"
+#include "relay/internal/endpointanswer.h"
 #include "relay/internal/localanswer.h"
 #include "relay/internal/relaycontext.h"
 #include "routing/attemptpolicy.h"
@@ -48,17 +49,18 @@
     boost::asio::awaitable<AttemptEnd> exchange(const routing::Dispatch &dispatch);
     boost::asio::awaitable<AttemptEnd> readAnswer(
             const routing::Dispatch &dispatch, const std::shared_ptr<bool> &isWritten);
-    boost::asio::awaitable<AttemptEnd> relayEvents(Parser &parser, const routing::AnswerHead &head);
+    boost::asio::awaitable<AttemptEnd> relayEvents(
+            const routing::Dispatch &dispatch, Parser &parser, const routing::AnswerHead &head);
     boost::asio::awaitable<AttemptEnd> relayBuffered(
-            Parser &parser, const routing::AnswerHead &head);
+            const routing::Dispatch &dispatch, Parser &parser, const routing::AnswerHead &head);
     /// Discards an answer to another request; returns an end when the expected answer cannot follow
     /// on the connection.
     boost::asio::awaitable<std::optional<AttemptEnd>> discardForeignAnswer(
             Parser &parser, domain::TimePoint deadline);
     boost::asio::awaitable<boost::beast::error_code> readSome(
             Parser &parser, std::string &received, domain::TimePoint deadline);
-    /// Sets the size of what is buffered for this request; false when it is too much beside that of
-    /// all other requests.
+    /// Sets the size of what the attempt in progress has buffered, to which that of the buffered
+    /// answer is added; false when it is too much beside that of all other requests.
     bool setBuffered(std::size_t bytes);
     void discardPartialEvent();
     void useCurrentConfiguration();
@@ -80,9 +82,15 @@
     /// Whether another attempt is allowed after such an end.
     bool mayRetry(AttemptEnd end, const routing::Dispatch &dispatch);
     boost::asio::awaitable<bool> deliverBuffered();
+    /// The answer that the caller has received or will receive; null without one.
+    const EndpointAnswer *callerAnswer() const;
+    /// Status of that answer.
+    unsigned callerStatus() const;
     boost::asio::awaitable<bool> answer(LocalAnswer answer);
     /// Whether streams to the caller are chunked; otherwise the close of the connection ends them.
     bool isChunked() const;
+    /// Sends the head of the stream to the caller.
+    boost::asio::awaitable<bool> beginStream(EndpointAnswer stream);
     boost::asio::awaitable<bool> sendEvents(std::string events);
     boost::asio::awaitable<bool> finishStream();
     LocalAnswer failureAnswer(AttemptEnd end) const;
@@ -114,14 +122,13 @@
     std::shared_ptr<EndpointConnection> m_connection;
     bool m_isCallerDisconnected = false;
     bool m_isExpired = false;
-    bool m_isStreamBegun = false;
+    /// The stream whose head and first events were sent to the caller. Other endpoints may continue
+    /// it.
+    std::optional<EndpointAnswer> m_stream;
     EventSplitter m_events;
-    std::optional<std::uint64_t> m_weights;
     domain::EndpointId m_lastEndpoint;
     /// Status of the answer that the last attempt received; zero without one.
     unsigned m_attemptStatus = 0;
-    /// Endpoint whose answer the caller received, or is kept for it.
-    domain::EndpointId m_answeredBy;
     double m_expectedStartMs = 0;
     /// At the last choice: number of requests at the endpoint, and age of its load report; -1
     /// without a fresh report.
@@ -140,14 +147,13 @@
     std::uint64_t m_servedWeights = 0;
     std::uint64_t m_newestWeights = 0;
     std::uint64_t m_requiredWeights = 0;
+    /// When the first byte of an answer was sent to the caller.
     std::optional<domain::TimePoint> m_firstByteAt;
     std::string m_detail;
 
-    /// Complete answer, buffered for the caller.
-    boost::beast::http::response_header<> m_answerHead;
-    std::string m_answerBody;
+    /// The latest complete answer: a failure is kept in case no further attempt succeeds.
+    std::optional<EndpointAnswer> m_buffered;
     std::size_t m_bufferedBytes = 0;
-    bool m_hasAnswer = false;
     bool m_isHeadRequest = false;
 };
 
