Send no chunks after the head of a stream to HEAD requests

What callers saw: after the answer to a HEAD request on a route of streams, a chunk with an empty comment and the last chunk. On a kept connection they are read as the answer to the next request.

Cause: a HEAD answer has no body, so relayEvents() saw a stream that ended without an event and sent a comment to complete it.

Change: the head alone answers a HEAD request.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -635,6 +635,10 @@
     }
     EndpointAnswer stream{
             dispatch.endpoint, head.weightsVersion, platform::callerAnswerHead(parser.get()), {}};
+    if (m_isHeadRequest) {
+        const bool isSent = co_await beginStream(std::move(stream));
+        co_return isSent ? AttemptEnd::Delivered : AttemptEnd::CallerDisconnected;
+    }
     const std::size_t eventsBefore = m_events.eventCount();
     std::string received;
     TimePoint progressAt = TimePoint::clock::now();
