Send no body in answers to HEAD requests of the own interface

What callers saw: answers to HEAD requests on the own interface (and on the status and metrics addresses, which use the same server) had a body, which a client reads as the answer to its next request.

Cause: HttpServer wrote the body whatever the method of the request.

Change: for HEAD, the head of the answer is written, with the length or coding that GET would have, and nothing after it.

Measured: respond_headRequest_noBodyBeforeNextAnswer failed before the change for a buffered and a chunked answer, and passes now.

--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -18,6 +18,7 @@
 #include <atomic>
 #include <mutex>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -91,6 +92,7 @@
         : m_connection(connection)
         , m_request(std::move(request))
         , m_writeTimeout(options.writeTimeout)
+        , m_isHeadRequest(m_request.method == "HEAD")
         , m_isKeptAlive(isKeptAlive)
     {}
 
@@ -117,7 +119,16 @@
         message.prepare_payload();
         m_isStarted = true;
         renewDeadline();
-        auto [code, size] = co_await http::async_write(m_connection.stream, message, UseTuple);
+        beast::error_code code;
+        std::size_t size = 0;
+        if (m_isHeadRequest) {
+            http::response_serializer<http::string_body> serializer(message);
+            std::tie(code, size)
+                    = co_await http::async_write_header(m_connection.stream, serializer, UseTuple);
+        } else {
+            std::tie(code, size)
+                    = co_await http::async_write(m_connection.stream, message, UseTuple);
+        }
         m_isFinished = !code;
         co_return toResult(code);
     }
@@ -140,7 +151,7 @@
 
     asio::awaitable<Expected<Done>> write(std::string data) override
     {
-        if (data.empty())
+        if (data.empty() || m_isHeadRequest)
             co_return Done{};
         renewDeadline();
         auto [code, size] = co_await asio::async_write(m_connection.stream,
@@ -150,6 +161,10 @@
 
     asio::awaitable<Expected<Done>> finish(HttpFields trailers) override
     {
+        if (m_isHeadRequest) {
+            m_isFinished = true;
+            co_return Done{};
+        }
         http::fields fields;
         internal::copyToBeast(trailers, fields);
         renewDeadline();
@@ -181,6 +196,8 @@
     Connection &m_connection;
     HttpRequest m_request;
     domain::Duration m_writeTimeout;
+    /// An answer without a body, whose head states that of a GET request.
+    bool m_isHeadRequest;
     bool m_isKeptAlive;
     bool m_isStarted = false;
     bool m_isFinished = false;
--- a/src/transport/tests/httptest.cpp
+++ b/src/transport/tests/httptest.cpp
@@ -2,8 +2,11 @@
 #include "transport/httpserver.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 
 #include <gtest/gtest.h>
 
@@ -84,6 +87,29 @@
     EXPECT_EQ(send("/stream")->body, "piece0piece1piece2");
 }
 
+// Regression: answers to HEAD requests had a body, which the client read as the answer to its next
+// request.
+TEST_F(HttpFixture, respond_headRequest_noBodyBeforeNextAnswer)
+{
+    for (const char *target : {"/echo", "/stream"}) {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address(m_address.host), m_address.port});
+        const std::string requests = std::string("HEAD ") + target
+                + " HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+                  "POST /echo HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                  "Content-Length: 4\r\n\r\nnext";
+        asio::write(socket, asio::buffer(requests));
+        std::string got;
+        boost::system::error_code code;
+        asio::read(socket, asio::dynamic_buffer(got), code);
+        const std::size_t end = got.find("\r\n\r\n");
+        ASSERT_NE(end, std::string::npos);
+        EXPECT_EQ(got.compare(end + 4, 9, "HTTP/1.1 "), 0) << got;
+        EXPECT_TRUE(got.ends_with("\r\n\r\nnext")) << got;
+    }
+}
+
 // Guards against a truncated stream that is accepted as a complete answer.
 TEST_F(HttpFixture, send_abortedAnswer_unavailable)
 {
