Replace what was received of a failed attempt as one value

What operators saw: on the own interface, the burn report took the first byte of a failed attempt as that of the answer, so retried requests looked faster than they were.

What is known of an answer stood in separate members, and restart() did not name the time of its first byte.

Change: CallerAnswer::Received has head, buffer, checksum and first byte, and restart() replaces it.

--- a/src/entry/internal/calleranswer.cpp
+++ b/src/entry/internal/calleranswer.cpp
@@ -43,24 +43,25 @@
 
 domain::Digest CallerAnswer::digest() const
 {
-    return domain::Digest::fromBytes(m_head.active_digest()).value_or(domain::Digest());
+    return domain::Digest::fromBytes(m_received.head.active_digest()).value_or(domain::Digest());
 }
 
 asio::awaitable<Expected<Done>> CallerAnswer::head(protocol::AnswerHead head)
 {
     // The head of a resumed answer repeats the first one.
     if (!m_isStarted)
-        m_head = std::move(head);
+        m_received.head = std::move(head);
     co_return Done{};
 }
 
 asio::awaitable<Expected<Done>> CallerAnswer::data(std::string data)
 {
-    m_checksum.add(data);
-    if (!m_firstByteAt)
-        m_firstByteAt = domain::TimePoint::clock::now();
-    if (!m_isStarted && !m_isStreamed && m_buffer.size() + data.size() <= MaxBufferedBytes) {
-        m_buffer += data;
+    m_received.checksum.add(data);
+    if (!m_received.firstByteAt)
+        m_received.firstByteAt = domain::TimePoint::clock::now();
+    if (!m_isStarted && !m_isStreamed
+            && m_received.buffer.size() + data.size() <= MaxBufferedBytes) {
+        m_received.buffer += data;
         co_return Done{};
     }
     if (!m_isStarted) {
@@ -76,18 +77,18 @@
 {
     m_isStarted = true;
     transport::HttpResponseHead head;
-    head.status = m_head.status();
+    head.status = m_received.head.status();
     head.fields = fields(true);
     Expected<Done> result = co_await m_exchange.start(std::move(head));
-    if (result && !m_buffer.empty())
-        result = co_await m_exchange.write(std::exchange(m_buffer, {}));
+    if (result && !m_received.buffer.empty())
+        result = co_await m_exchange.write(std::exchange(m_received.buffer, {}));
     co_return result;
 }
 
 transport::HttpFields CallerAnswer::fields(bool isStreamed) const
 {
     transport::HttpFields fields;
-    for (const protocol::Header &header : m_head.headers())
+    for (const protocol::Header &header : m_received.head.headers())
         fields.add(header.name(), header.value());
     fields.add("X-Oriolerill-Request-Id", m_id.value());
     fields.add("X-Oriolerill-Outcome", outcomeText(protocol::OUTCOME_ANSWERED));
@@ -102,18 +103,16 @@
 {
     if (m_isStarted)
         return;
-    m_buffer.clear();
-    m_head.Clear();
-    m_checksum = requests::AnswerChecksum();
+    m_received = {};
 }
 
 asio::awaitable<Expected<Done>> CallerAnswer::finish()
 {
     if (!m_isStarted && !m_isStreamed) {
         transport::HttpResponse response;
-        response.status = m_head.status();
+        response.status = m_received.head.status();
         response.fields = fields(false);
-        response.body = std::move(m_buffer);
+        response.body = std::move(m_received.buffer);
         Expected<Done> sent = co_await m_exchange.respond(std::move(response));
         co_return sent;
     }
@@ -123,8 +122,8 @@
             co_return started;
     }
     transport::HttpFields trailers;
-    trailers.add("X-Oriolerill-Length", std::to_string(m_checksum.length()));
-    trailers.add("X-Oriolerill-Checksum", m_checksum.hex());
+    trailers.add("X-Oriolerill-Length", std::to_string(m_received.checksum.length()));
+    trailers.add("X-Oriolerill-Checksum", m_received.checksum.hex());
     Expected<Done> finished = co_await m_exchange.finish(std::move(trailers));
     co_return finished;
 }
--- a/src/entry/internal/calleranswer.h
+++ b/src/entry/internal/calleranswer.h
@@ -37,12 +37,23 @@
 
     bool hasSentData() const { return m_isStarted; }
     /// Bytes of the answer that were sent or are buffered.
-    std::uint64_t sentBytes() const { return m_checksum.length(); }
+    std::uint64_t sentBytes() const { return m_received.checksum.length(); }
     /// Digest of the weights that produce the answer; none before the head and for plain services.
     domain::Digest digest() const;
-    std::optional<domain::TimePoint> firstByteAt() const { return m_firstByteAt; }
+    /// Time of the first byte of the answer that was sent or is buffered.
+    std::optional<domain::TimePoint> firstByteAt() const { return m_received.firstByteAt; }
 
 private:
+    /// What was received of one answer. A failed attempt's is replaced as a whole, so that nothing
+    /// of it is delivered with the next attempt's answer.
+    struct Received
+    {
+        protocol::AnswerHead head;
+        std::string buffer;
+        requests::AnswerChecksum checksum;
+        std::optional<domain::TimePoint> firstByteAt;
+    };
+
     boost::asio::awaitable<domain::Expected<domain::Done>> startStream();
     transport::HttpFields fields(bool isStreamed) const;
 
@@ -50,10 +61,7 @@
     domain::RequestId m_id;
     bool m_isStreamed;
     bool m_isStarted = false;
-    protocol::AnswerHead m_head;
-    std::string m_buffer;
-    requests::AnswerChecksum m_checksum;
-    std::optional<domain::TimePoint> m_firstByteAt;
+    Received m_received;
 };
 
 } // namespace oriolerill::entry
--- a/src/entry/tests/callerfronttest.cpp
+++ b/src/entry/tests/callerfronttest.cpp
@@ -51,10 +51,12 @@
 public:
     void record(const observability::RequestRecord &record) override
     {
+        m_lastFirstByte = record.firstByte;
         ++m_counts[static_cast<int>(record.outcome)];
     }
 
     std::array<std::atomic<int>, 4> m_counts = {};
+    std::atomic<domain::Duration> m_lastFirstByte = {};
 };
 
 /// An agent that runs each attempt with a script.
@@ -432,6 +434,33 @@
     EXPECT_EQ(call("stock/stock/9")->body, "12 left");
 }
 
+// Regression: the first byte of a failed attempt counted as that of the answer, so the burn report
+// showed requests as faster than they were.
+TEST_F(CallerFrontFixture, handleCaller_attemptFailsAfterFirstByte_nothingOfItDelivered)
+{
+    addAgent("stock", [](auto running) -> asio::awaitable<void> {
+        if (running->attempt().attempt() > 1) {
+            co_await answerWith(running, "12 left");
+            co_return;
+        }
+        protocol::AnswerHead head = headWith(domain::Digest());
+        head.set_status(500);
+        running->setHead(std::move(head));
+        co_await running->append("failure");
+        const auto executor = co_await asio::this_coro::executor;
+        asio::steady_timer timer(executor, 200ms);
+        co_await timer.async_wait(asio::use_awaitable);
+        running->fail(protocol::OUTCOME_UNKNOWN,
+                {domain::ErrorKind::Unavailable, "interrupted", ""}, {}, {});
+    });
+    start();
+    const auto response = call("stock/stock/9");
+    EXPECT_EQ(response->status, 200U);
+    EXPECT_EQ(response->body, "12 left");
+    EXPECT_EQ(recordCount(observability::RequestOutcome::Answered, 1), 1);
+    EXPECT_GE(m_recorder.m_lastFirstByte.load(), 200ms);
+}
+
 // Guards against forwarding a truncated answer as complete.
 TEST_F(CallerFrontFixture, handleCaller_answerTruncatedBeforeEnd_reattachedAndComplete)
 {
