Log the age of the check of staged pieces at each order to load

Evidence: the line had the time of the order, and none told when the pieces had been checked. Three hypotheses looked alike: the check missed a piece, a piece was corrupted within milliseconds after its check, or the check was old when the order was sent.

Change: engine_ordered has checked_ms, the time since the check of the first piece began.

--- a/src/relayagent/internal/weightsupdater.cpp
+++ b/src/relayagent/internal/weightsupdater.cpp
@@ -487,6 +487,7 @@
 {
     const Version version = transfer->manifest().version;
     const std::uint64_t before = servedVersion();
+    const TimePoint checkedAt = TimePoint::clock::now();
     // Staged bytes can become corrupted later, and the engine loads them unchecked.
     if (!co_await m_staged.verify(transfer)) {
         m_staged.invalidate();
@@ -497,9 +498,12 @@
         co_await wait(SwitchAnnounceDelay);
     }
     const auto ordered = co_await m_engine.orderLoad(version);
-    m_nextOrderAt = TimePoint::clock::now() + OrderRetryDelay;
+    const TimePoint now = TimePoint::clock::now();
+    m_nextOrderAt = now + OrderRetryDelay;
     logEvent(ordered ? Severity::Info : Severity::Warning, "engine_ordered",
             {{"version", version.number}, {"before", before},
+                    {"checked_ms",
+                            std::chrono::duration_cast<milliseconds>(now - checkedAt).count()},
                     {"error", ordered ? "" : ordered.error().message}});
     const bool isRefused = !ordered && ordered.error().kind == ErrorKind::Conflict;
     // An order without an answer may have been accepted; the engine's state shows whether it was.
