Order loads only while the check of the staged pieces is valid

Cause: the agent read all staged pieces back and then ordered the load, however long ago the first check was: after a pause of the process or the VM, or when the check itself took long. The engine loads what is staged when it accepts the order. Nothing bounded the time between.

Change: - verify() returns VerifiedWeights, which expires 2 s after the check of the first piece began. Only it can be ordered, and the call has the same deadline. The time is that of SuspensionClock, which advances while the VM is suspended. An engine that restarted since the check is not ordered either. - The order states the number of orders that the engine has accepted so far. An order that is accepted late conflicts with any that was accepted before it, so it cannot load the pieces of another version. - An order without an answer in time is unconfirmed. If the engine then serves the version, the pieces are read back; when one is corrupted, the engine is reported as switching until it serves another version or restarts, so that entries send it no requests. - EngineSwitcher takes this over from WeightsUpdater.

--- a/src/domain/internal/suspensionclock.cpp
+++ b/src/domain/internal/suspensionclock.cpp
@@ -40,4 +40,10 @@
     return suspended;
 }
 
+TimePoint SuspensionClock::now()
+{
+    takeSuspended();
+    return TimePoint::clock::now() + m_total;
+}
+
 } // namespace oriolerill::domain
--- a/src/domain/suspensionclock.h
+++ b/src/domain/suspensionclock.h
@@ -23,6 +23,10 @@
     /// Returns the suspended time since the last call that returned one. Zero below a threshold,
     /// because the two clocks are read one after the other and so differ slightly.
     Duration takeSuspended();
+    /// The current time plus the suspended time since this object was made: unlike the steady
+    /// clock, it advances while the machine is suspended. For deadlines that are compared with it
+    /// alone.
+    TimePoint now();
     /// Sum of the results of takeSuspended().
     Duration total() const { return m_total; }
 
--- a/src/relayagent/internal/engineclient.h
+++ b/src/relayagent/internal/engineclient.h
@@ -26,13 +26,23 @@
             const domain::ModelId &model, std::uint32_t piece);
     boost::asio::awaitable<domain::Expected<domain::Done>> stage(
             domain::ModelId model, std::uint32_t piece, std::string bytes);
-    /// Orders the engine to load the staged pieces; Conflict while its state does not allow that.
-    boost::asio::awaitable<domain::Expected<domain::Done>> orderLoad(
-            distribution::WeightsVersion version);
+    enum class OrderAnswer {
+        /// The order began a load.
+        Begun,
+        /// An earlier order has loaded this version, or is loading it.
+        AlreadyInEffect,
+    };
+    /// Orders the engine to load the staged pieces; Conflict while its state does not allow that,
+    /// or when it has accepted another number of orders than expected. No order is sent after the
+    /// deadline; one without an answer may still be accepted, until the engine accepts another one.
+    boost::asio::awaitable<domain::Expected<OrderAnswer>> orderLoad(
+            distribution::WeightsVersion version, std::uint64_t expectedOrders,
+            domain::TimePoint deadline);
 
 private:
-    boost::asio::awaitable<domain::Expected<std::string>> call(
-            std::string method, std::string target, std::string body);
+    boost::asio::awaitable<domain::Expected<transport::HttpResponse>> call(std::string method,
+            std::string target, std::string body,
+            domain::TimePoint deadline = domain::TimePoint::max());
 
     domain::SocketAddress m_address;
     transport::HttpClient m_client;
--- a/src/relayagent/internal/stagedweights.cpp
+++ b/src/relayagent/internal/stagedweights.cpp
@@ -9,8 +9,23 @@
 using observability::logEvent;
 using observability::Severity;
 
-StagedWeights::StagedWeights(EngineClient &engine)
+namespace {
+
+/// The platform tolerates the load of a piece that was corrupted less than 3 s before the engine
+/// accepted the order. The rest of that time is for an engine that reads the order late.
+constexpr auto VerificationLifetime = std::chrono::milliseconds(2000);
+
+bool isPiece(
+        const std::string &bytes, const distribution::PieceManifest &manifest, std::uint32_t piece)
+{
+    return domain::Digest::of(std::string_view(bytes)) == manifest.pieces[piece];
+}
+
+} // namespace
+
+StagedWeights::StagedWeights(EngineClient &engine, domain::SuspensionClock &clock)
     : m_engine(engine)
+    , m_clock(clock)
 {}
 
 asio::awaitable<void> StagedWeights::offerTo(Transfer transfer)
@@ -43,21 +58,32 @@
     co_return true;
 }
 
-asio::awaitable<bool> StagedWeights::verify(Transfer transfer)
+asio::awaitable<std::optional<VerifiedWeights>> StagedWeights::verify(Transfer transfer)
 {
     const WeightsVersion version = transfer->manifest().version;
+    const domain::TimePoint checkedAt = m_clock.now();
     for (std::uint32_t piece = 0; piece < transfer->manifest().pieces.size(); ++piece) {
         const auto staged = co_await m_engine.readStaged(version.model, piece);
-        const bool isIntact = staged
-                && domain::Digest::of(std::string_view(*staged))
-                        == transfer->manifest().pieces[piece];
-        if (isIntact)
+        if (staged && isPiece(*staged, transfer->manifest(), piece))
             continue;
         logEvent(Severity::Warning, "staged_piece_bad",
                 {{"version", version.number}, {"piece", piece},
                         {"remedy", "the piece is staged again"}});
         auto restaged = co_await m_engine.stage(version.model, piece, *transfer->piece(piece));
         if (!restaged)
+            co_return std::nullopt;
+    }
+    co_return VerifiedWeights{version, checkedAt, checkedAt + VerificationLifetime};
+}
+
+asio::awaitable<std::optional<bool>> StagedWeights::areIntact(Transfer transfer)
+{
+    const WeightsVersion version = transfer->manifest().version;
+    for (std::uint32_t piece = 0; piece < transfer->manifest().pieces.size(); ++piece) {
+        const auto staged = co_await m_engine.readStaged(version.model, piece);
+        if (!staged)
+            co_return std::nullopt;
+        if (!isPiece(*staged, transfer->manifest(), piece))
             co_return false;
     }
     co_return true;
--- a/src/relayagent/internal/weightsupdater.cpp
+++ b/src/relayagent/internal/weightsupdater.cpp
@@ -44,11 +44,6 @@
 /// which a request waits at a peer that does not hold the piece yet.
 constexpr auto PeerFetchTimeout = milliseconds(1500);
 constexpr auto OriginFetchTimeout = milliseconds(2500);
-/// Time between the report of the switch to entries and the order to load.
-constexpr auto SwitchAnnounceDelay = milliseconds(40);
-/// The engine's state shows the new version within this time after an accepted order.
-constexpr auto LoadTimeout = milliseconds(6000);
-constexpr auto OrderRetryDelay = milliseconds(300);
 /// Number of versions whose pieces are kept: the newest, and two before it. The bounds of two
 /// versions may be pending at the same time, and an older one may be complete while the origin
 /// cannot supply a newer one.
@@ -99,9 +94,9 @@
 
 WeightsUpdater::WeightsUpdater(asio::io_context &context, EngineClient &engine,
         LoadReporter &reporter, FleetView &fleet, observability::Metrics &metrics,
-        std::uint16_t peerPort, rollout::SwitchSchedule schedule, distribution::UploadPacer pacer)
+        std::uint16_t peerPort, rollout::SwitchSchedule schedule, distribution::UploadPacer pacer,
+        domain::SuspensionClock clock)
     : m_context(context)
-    , m_engine(engine)
     , m_reporter(reporter)
     , m_fleet(fleet)
     , m_metrics(metrics)
@@ -111,7 +106,7 @@
     , m_client(context.get_executor(), peerOptions())
     , m_originClient(context.get_executor(), originOptions())
     , m_manifests(fleet, m_client, m_originClient, peerPort)
-    , m_staged(engine)
+    , m_switcher(context, engine, reporter, metrics, std::move(clock))
     , m_startedAt(TimePoint::clock::now())
 {
     m_reporter.setFactsHandler([this](const protocol::ServiceFacts &facts) {
@@ -279,11 +274,7 @@
 {
     if (!m_reporter.state() || !co_await refreshConfig() || !m_reporter.state())
         co_return;
-    if (m_reporter.state()->startedAtMs != m_engineStartedAtMs) {
-        // A restarted engine keeps the staged pieces, but they may be corrupted.
-        m_engineStartedAtMs = m_reporter.state()->startedAtMs;
-        m_staged.invalidate();
-    }
+    m_switcher.onEngineState();
     if (servedVersion() != 0 && wantedVersions().empty())
         co_return;
     const TimePoint now = TimePoint::clock::now();
@@ -338,7 +329,7 @@
         }
     }
     if (decision.stage)
-        startStageAndLoad(m_transfers[{m_fleet.model(), *decision.stage}], decision.isDue);
+        m_switcher.begin(m_transfers[{m_fleet.model(), *decision.stage}], decision.isDue);
 }
 
 rollout::WantedVersion WeightsUpdater::describe(std::uint64_t number, const Transfer &transfer)
@@ -362,29 +353,6 @@
     return wanted;
 }
 
-void WeightsUpdater::startStageAndLoad(const Transfer &transfer, bool isDue)
-{
-    const Version version = transfer->manifest().version;
-    if (m_isSwitching || !m_reporter.state() || m_reporter.state()->isBusy)
-        return;
-    const bool mayOrder = isDue && TimePoint::clock::now() >= m_nextOrderAt;
-    if (m_staged.version() == version && !mayOrder)
-        return;
-    m_isSwitching = true;
-    asio::co_spawn(m_context, stageAndLoad(transfer, mayOrder), asio::detached);
-}
-
-asio::awaitable<void> WeightsUpdater::stageAndLoad(Transfer transfer, bool isDue)
-{
-    const Version version = transfer->manifest().version;
-    bool isStaged = m_staged.version() == version;
-    if (!isStaged)
-        isStaged = co_await m_staged.stage(transfer);
-    if (isStaged && isDue)
-        co_await switchEngine(transfer);
-    m_isSwitching = false;
-}
-
 asio::awaitable<WeightsUpdater::Transfer> WeightsUpdater::transferOf(Version version)
 {
     const auto known = m_transfers.find(version);
@@ -403,7 +371,7 @@
         // crash.
         const std::uint64_t served = servedVersion();
         if (served == 0 || served == version.number)
-            co_await m_staged.offerTo(transfer);
+            co_await m_switcher.staged().offerTo(transfer);
         m_transfers[version] = transfer;
         evictOldTransfers();
         m_exchange.onPieceStored();
@@ -483,43 +451,4 @@
         beginFetches(transfer);
 }
 
-asio::awaitable<void> WeightsUpdater::switchEngine(Transfer transfer)
-{
-    const Version version = transfer->manifest().version;
-    const std::uint64_t before = servedVersion();
-    const TimePoint checkedAt = TimePoint::clock::now();
-    // Staged bytes can become corrupted later, and the engine loads them unchecked.
-    if (!co_await m_staged.verify(transfer)) {
-        m_staged.invalidate();
-        co_return;
-    }
-    if (before > 0) {
-        m_reporter.setSwitching(true);
-        co_await wait(SwitchAnnounceDelay);
-    }
-    const auto ordered = co_await m_engine.orderLoad(version);
-    const TimePoint now = TimePoint::clock::now();
-    m_nextOrderAt = now + OrderRetryDelay;
-    logEvent(ordered ? Severity::Info : Severity::Warning, "engine_ordered",
-            {{"version", version.number}, {"before", before},
-                    {"checked_ms",
-                            std::chrono::duration_cast<milliseconds>(now - checkedAt).count()},
-                    {"error", ordered ? "" : ordered.error().message}});
-    const bool isRefused = !ordered && ordered.error().kind == ErrorKind::Conflict;
-    // An order without an answer may have been accepted; the engine's state shows whether it was.
-    const TimePoint deadline = TimePoint::clock::now()
-            + (isRefused ? domain::Duration(OrderRetryDelay) : LoadTimeout);
-    while (TimePoint::clock::now() < deadline && servedVersion() != version.number) {
-        co_await wait(StepInterval);
-        const bool isIdle = m_reporter.state() && !m_reporter.state()->isBusy;
-        if (isIdle && TimePoint::clock::now() >= m_nextOrderAt && servedVersion() != version.number)
-            break;
-    }
-    m_reporter.setSwitching(false);
-    if (servedVersion() == version.number) {
-        logEvent(Severity::Info, "engine_switched",
-                {{"version", version.number}, {"before", before}});
-    }
-}
-
 } // namespace oriolerill::relayagent::internal
--- a/src/relayagent/internal/weightsupdater.h
+++ b/src/relayagent/internal/weightsupdater.h
@@ -1,15 +1,16 @@
 #pragma once
 
 #include "distribution/versiontransfer.h"
+#include "domain/suspensionclock.h"
 #include "domain/timepoint.h"
 #include "objectstore/storesubscriber.h"
 #include "observability/metrics.h"
 #include "relayagent/internal/engineclient.h"
+#include "relayagent/internal/engineswitcher.h"
 #include "relayagent/internal/fleetview.h"
 #include "relayagent/internal/loadreporter.h"
 #include "relayagent/internal/manifestfinder.h"
 #include "relayagent/internal/peerexchange.h"
-#include "relayagent/internal/stagedweights.h"
 #include "rollout/fetchrotation.h"
 #include "rollout/pushplan.h"
 #include "rollout/switchschedule.h"
@@ -33,7 +34,8 @@
 public:
     WeightsUpdater(boost::asio::io_context &context, EngineClient &engine, LoadReporter &reporter,
             FleetView &fleet, observability::Metrics &metrics, std::uint16_t peerPort,
-            rollout::SwitchSchedule schedule, distribution::UploadPacer pacer);
+            rollout::SwitchSchedule schedule, distribution::UploadPacer pacer,
+            domain::SuspensionClock clock = domain::SuspensionClock());
 
     void onNamed(const objectstore::ObjectList &objects);
     void onNamed(const routing::NamedVersion &version, std::string_view source);
@@ -63,20 +65,14 @@
     std::vector<std::uint64_t> wantedVersions() const;
     boost::asio::awaitable<void> advance(std::vector<std::uint64_t> numbers);
     rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer);
-    void startStageAndLoad(const Transfer &transfer, bool isDue);
     std::uint64_t servedVersion() const;
     boost::asio::awaitable<Transfer> transferOf(Version version);
     void beginFetches(const Transfer &transfer);
     boost::asio::awaitable<void> fetch(Transfer transfer, distribution::PieceFetch fetch);
-    /// Stages the version unless it is staged already, and orders the engine to load it if that is
-    /// due.
-    boost::asio::awaitable<void> stageAndLoad(Transfer transfer, bool isDue);
-    boost::asio::awaitable<void> switchEngine(Transfer transfer);
     boost::asio::awaitable<void> wait(domain::Duration duration);
     void evictOldTransfers();
 
     boost::asio::io_context &m_context;
-    EngineClient &m_engine;
     LoadReporter &m_reporter;
     FleetView &m_fleet;
     observability::Metrics &m_metrics;
@@ -88,7 +84,7 @@
     transport::HttpClient m_client;
     transport::HttpClient m_originClient;
     ManifestFinder m_manifests;
-    StagedWeights m_staged;
+    EngineSwitcher m_switcher;
 
     /// Earliest known time at which each version was named, including models of other services.
     std::map<Version, domain::TimePoint> m_namedAt;
@@ -98,9 +94,6 @@
     Transfer m_plannedTransfer;
     std::uint64_t m_plannedGeneration = 0;
     std::set<Version> m_opening;
-    /// Pieces are being staged or an order is in progress; fetches continue meanwhile.
-    bool m_isSwitching = false;
-    std::uint64_t m_engineStartedAtMs = 0;
     domain::TimePoint m_configReadAt;
     bool m_hasOriginFailed = false;
     /// When service facts were last received from an entry.
@@ -108,7 +101,6 @@
     /// Start of this process.
     domain::TimePoint m_startedAt;
     domain::TimePoint m_membersReadAt;
-    domain::TimePoint m_nextOrderAt;
 };
 
 } // namespace oriolerill::relayagent::internal
--- a/src/relayagent/tests/agentfleet.h
+++ b/src/relayagent/tests/agentfleet.h
@@ -25,6 +25,8 @@
     domain::Duration bound = std::chrono::milliseconds(1500);
     /// First of the ports that this fleet uses; fleets that run at the same time need other ports.
     std::uint16_t firstPort = 21300;
+    /// Total time for which the VMs were suspended; null for that of this machine.
+    domain::SuspensionClock::Reader suspended;
 };
 
 /// Agents and their engines, each pair on its own loopback address, with an origin and a store;
@@ -173,7 +175,9 @@
                 static_cast<std::uint64_t>(bytesPerSecond(m_options.linkMbps)));
         agent.updater = std::make_unique<WeightsUpdater>(context, *agent.engineClient,
                 *agent.reporter, *agent.fleet, m_metrics, peers.port,
-                rollout::SwitchSchedule(schedule), distribution::UploadPacer(pacer));
+                rollout::SwitchSchedule(schedule), distribution::UploadPacer(pacer),
+                m_options.suspended ? domain::SuspensionClock(m_options.suspended)
+                                    : domain::SuspensionClock());
         WeightsUpdater *updater = agent.updater.get();
         const auto onNamed
                 = [updater](const objectstore::ObjectList &named) { updater->onNamed(named); };
