Let the soak fail whole answers, cut first events and stop agents

Change: the series endpoint-failures gives every endpoint either signed failures or cuts for 2 to 5 s, and half of all cuts are within the first event. The series agent-freeze-after-check corrupts a piece when an agent has read all back, and stops the agent for 3.2 to 5 s. The rule WHOLE is checked at each order, and a failure must have the body of the endpoint that signed it.

--- a/standins/soakattempt.cpp
+++ b/standins/soakattempt.cpp
@@ -24,6 +24,11 @@
     return text + '|' + id;
 }
 
+std::string soakFailure(const std::string &id, const std::string &instance)
+{
+    return "failure of " + id + " at " + instance;
+}
+
 std::uint64_t soakEvents(const std::string &id)
 {
     constexpr std::uint64_t MinEvents = 5;
--- a/standins/soakattempt.h
+++ b/standins/soakattempt.h
@@ -44,6 +44,8 @@
 
 /// Complete body with which an endpoint instance answers a plain request.
 std::string soakAnswer(const std::string &id, const std::string &instance);
+/// Body of a failure with which an endpoint instance answers.
+std::string soakFailure(const std::string &id, const std::string &instance);
 /// Number of events of the stream.
 std::uint64_t soakEvents(const std::string &id);
 /// One event with its terminator; numbers begin at 1.
--- a/standins/soakchecks.cpp
+++ b/standins/soakchecks.cpp
@@ -246,6 +246,7 @@
     constexpr unsigned Unauthorized = 401;
     constexpr unsigned Forbidden = 403;
     constexpr unsigned NotFound = 404;
+    constexpr unsigned Failure = 500;
     ++m_outcomes[std::to_string(status)];
     recordInForce("DENIED");
     if (attempt.deadlyPart.empty() && body.find("crash engines") != std::string::npos)
@@ -255,11 +256,16 @@
         if (std::get<2>(key) == attempt.entry && isInForce(notice, attempt))
             recordInForce(std::get<0>(key));
     }
+    const std::size_t dot = signature.rfind('.');
+    const std::string instance = dot == std::string::npos ? "" : signature.substr(dot + 1);
+    if (status == Failure && (id != attempt.id || body != soakFailure(id, instance))) {
+        m_journal.violation("MIXED",
+                "failure of " + id + ", signature " + signature + ", body of "
+                        + std::to_string(body.size()) + " bytes: " + text(attempt));
+    }
     if (status == Ok) {
         recordInForce(attempt.isStream() ? "ORDER" : "MIXED");
         ++m_served[attempt.kind];
-        const std::size_t dot = signature.rfind('.');
-        const std::string instance = dot == std::string::npos ? "" : signature.substr(dot + 1);
         std::string expected;
         if (attempt.isStream()) {
             for (std::uint64_t i = 1; i <= soakEvents(attempt.id); ++i)
@@ -375,8 +381,9 @@
 {
     std::string seconds = "seconds in force:";
     std::string unchecked;
-    for (const char *rule : {"BUDGET", "CONFIG", "DENIED", "DRAIN", "EVAC", "LEAVING", "LIMIT",
-                 "LOST", "MIXED", "ORDER", "QUIET", "REFUSED", "TWICE", "UNASKED", "VERSION"}) {
+    for (const char *rule :
+            {"BUDGET", "CONFIG", "DENIED", "DRAIN", "EVAC", "LEAVING", "LIMIT", "LOST", "MIXED",
+                    "ORDER", "QUIET", "REFUSED", "TWICE", "UNASKED", "VERSION", "WHOLE"}) {
         const auto found = m_inForce.find(rule);
         if (found == m_inForce.end())
             unchecked += std::string(" ") + rule;
--- a/standins/soakendpoint.cpp
+++ b/standins/soakendpoint.cpp
@@ -216,7 +216,7 @@
 {
     static const std::map<Fault, std::string> descriptions = {{Fault::Late, "answers late"},
             {Fault::Cut, "resets in the middle of answers"}, {Fault::Extra, "sends answers twice"},
-            {Fault::Endless, "sends bytes without end"}};
+            {Fault::Endless, "sends bytes without end"}, {Fault::Failure, "answers with failures"}};
     m_journal.beginFault(m_options.name, descriptions.at(fault));
     m_fault = fault;
     co_await sleepFor(time);
@@ -224,6 +224,34 @@
     m_journal.endFault(m_options.name);
 }
 
+void SoakEndpoint::corruptAfterNextCheck(std::function<void()> onCorrupted)
+{
+    m_engine.onStagedRead = [this, onCorrupted = std::move(onCorrupted)](std::uint32_t piece) {
+        const std::uint32_t last = platform::StandInWeights().pieces - 1;
+        if (piece != last)
+            return;
+        const auto handler = onCorrupted;
+        m_engine.corruptStagedPiece(static_cast<std::uint32_t>(m_random() % last));
+        m_journal.log("a checked piece at " + m_instance + " is corrupted");
+        m_engine.onStagedRead = nullptr;
+        handler();
+    };
+}
+
+transport::HttpResponse SoakEndpoint::control(const transport::HttpRequest &request)
+{
+    const int staleLoads = m_engine.staleLoads();
+    transport::HttpResponse response = m_engine.handle(request);
+    if (request.target == names::Order)
+        m_checks.recordInForce("WHOLE");
+    if (m_engine.staleLoads() > staleLoads) {
+        m_journal.violation("WHOLE",
+                m_instance + " loads a missing piece, or one corrupted more than 3 s ago: "
+                        + request.body);
+    }
+    return response;
+}
+
 asio::awaitable<void> SoakEndpoint::announceLimit(double perSecond, domain::Duration time)
 {
     const std::string instance = m_instance;
@@ -346,12 +374,13 @@
 {
     const std::string target(request.target().data(), request.target().size());
     if (target.starts_with("/-/") || target == HealthPath) {
-        transport::HttpRequest control;
-        control.target = target;
-        control.body = request.body();
+        transport::HttpRequest call;
+        call.method = std::string(request.method_string());
+        call.target = target;
+        call.body = request.body();
         transport::HttpResponse response;
         if (target != HealthPath)
-            response = m_engine.handle(control);
+            response = control(call);
         else if (m_isDraining)
             response.status = Unavailable;
         std::string text = "HTTP/1.1 " + std::to_string(response.status)
@@ -442,12 +471,17 @@
                 std::uniform_int_distribution<int>(500, 3000)(m_random));
         co_await sleepFor(delay);
     }
-    std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt->id + "\r\nServer-Signature: "
-            + attempt->id + '.' + instance + "\r\nServer-Load: " + std::to_string(m_engine.running)
-            + ',' + std::to_string(m_engine.waiting) + ',' + std::to_string(m_options.slots)
-            + "\r\n" + noticeFields(*attempt);
+    const std::string status = fault == Fault::Failure ? "500 Failure" : "200 OK";
+    std::string head = "HTTP/1.1 " + status + "\r\nAttempt-Id: " + attempt->id
+            + "\r\nServer-Signature: " + attempt->id + '.' + instance + "\r\nServer-Load: "
+            + std::to_string(m_engine.running) + ',' + std::to_string(m_engine.waiting) + ','
+            + std::to_string(m_options.slots) + "\r\n" + noticeFields(*attempt);
     bool isKeptOpen = false;
-    if (attempt->isStream()) {
+    if (fault == Fault::Failure) {
+        const std::string body = soakFailure(attempt->id, instance);
+        head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        isKeptOpen = co_await sendPlain(socket, head, body, fault);
+    } else if (attempt->isStream()) {
         head += "Weight-Versions: " + std::to_string(m_engine.version()) + "\r\n";
         isKeptOpen
                 = co_await stream(socket, request, *attempt, std::move(head), fault == Fault::Cut);
@@ -516,12 +550,18 @@
     const std::uint64_t first = last.empty() ? 1 : std::strtoull(last.c_str(), nullptr, 10) + 1;
     const std::uint64_t incarnation = m_incarnation;
     bool isKeptOpen = co_await send(socket, std::move(head));
+    std::uint64_t cutEvent = 0;
+    if (isCut) {
+        // Half of the cuts are within the first event: nothing of the stream can be passed on.
+        const bool isInFirst = m_random() % 2 == 0;
+        cutEvent = first + (isInFirst ? 0 : m_random() % (soakEvents(attempt.id) - first + 1));
+    }
     for (std::uint64_t i = first; isKeptOpen && i <= soakEvents(attempt.id); ++i) {
         co_await sleepFor(EventInterval);
         if (incarnation != m_incarnation)
             co_return false;
         const std::string event = soakEvent(attempt.id, i);
-        if (isCut && i == soakEvents(attempt.id) / 2) {
+        if (i == cutEvent) {
             // Cut in the middle of an event, as by a crash of the server.
             co_await send(socket, chunkOf(event.substr(0, event.size() / 2)));
             reset(socket);
--- a/standins/soakendpoint.h
+++ b/standins/soakendpoint.h
@@ -32,7 +32,7 @@
 {
 public:
     /// Fault that is injected into a share of the answers.
-    enum class Fault { None, Late, Cut, Extra, Endless };
+    enum class Fault { None, Late, Cut, Extra, Endless, Failure };
 
     SoakEndpoint(boost::asio::io_context &context, SoakJournal &journal, SoakChecks &checks,
             SoakStore &store, SoakEndpointOptions options, std::uint64_t seed);
@@ -53,6 +53,9 @@
             domain::Duration time, domain::Duration pause);
     /// Refuses all requests during the time, with the rest of it in Retry-After.
     boost::asio::awaitable<void> requestBackoff(domain::Duration time);
+    /// The next time that all staged pieces have been read back, corrupts one of them and calls the
+    /// handler.
+    void corruptAfterNextCheck(std::function<void()> onCorrupted);
     /// A fault series acts on this endpoint; other series skip it.
     bool isBusy = false;
 
@@ -84,6 +87,8 @@
     static void reset(Socket &socket);
     SoakEndpointFacts facts() const;
     boost::json::object registration() const;
+    /// Passes a control request to the engine and checks the load that it begins.
+    transport::HttpResponse control(const transport::HttpRequest &request);
     /// Draws the fault of one answer while a fault is active.
     Fault drawFault();
 
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -373,9 +373,35 @@
                                       });
                           }});
     }
+    series.push_back({"agent-freeze-after-check", 2500ms, [this]() -> asio::awaitable<void> {
+                          freezeAfterCheck(
+                                  1 + static_cast<unsigned>(m_random() % m_options.engines));
+                          co_return;
+                      }});
     return series;
 }
 
+void SoakFleet::freezeAfterCheck(unsigned engine)
+{
+    const std::string number = std::to_string(engine);
+    SoakProcess &agent = *processesNamed("agent" + number).front();
+    const auto isEngine = [&number](const SoakEndpoint *endpoint) {
+        return endpoint->name() == "engine" + number;
+    };
+    const std::vector<SoakEndpoint *> all = endpoints();
+    (*std::find_if(all.begin(), all.end(), isEngine))->corruptAfterNextCheck([this, &agent] {
+        if (agent.isBusy)
+            return;
+        agent.isBusy = true;
+        const auto freeze = [this, &agent]() -> asio::awaitable<void> {
+            // Longer than the platform tolerates between the corruption of a piece and its load.
+            co_await agent.freeze(drawTime(3200, 5000));
+            agent.isBusy = false;
+        };
+        asio::co_spawn(m_context, freeze, asio::detached);
+    });
+}
+
 std::vector<SoakFleet::Series> SoakFleet::storeSeries()
 {
     using Fault = SoakStore::Fault;
@@ -403,6 +429,14 @@
     return series;
 }
 
+asio::awaitable<void> SoakFleet::failFor(
+        SoakEndpoint &endpoint, SoakEndpoint::Fault fault, domain::Duration time)
+{
+    endpoint.isBusy = true;
+    co_await endpoint.injectFault(fault, time);
+    endpoint.isBusy = false;
+}
+
 std::vector<SoakFleet::Series> SoakFleet::endpointSeries()
 {
     using Fault = SoakEndpoint::Fault;
@@ -442,6 +476,16 @@
     addFault("cut", Fault::Cut);
     addFault("extra", Fault::Extra);
     addFault("endless", Fault::Endless);
+    series.push_back(
+            {"endpoint-failures", 2500ms, [this]() -> asio::awaitable<void> {
+                 const domain::Duration time = drawTime(2000, 5000);
+                 for (const std::unique_ptr<SoakEndpoint> &endpoint : m_endpoints) {
+                     const Fault fault = m_random() % 2 == 0 ? Fault::Failure : Fault::Cut;
+                     if (!endpoint->isBusy)
+                         asio::co_spawn(m_context, failFor(*endpoint, fault, time), asio::detached);
+                 }
+                 co_await sleepFor(time);
+             }});
     return series;
 }
 
--- a/standins/soakfleet.h
+++ b/standins/soakfleet.h
@@ -78,6 +78,11 @@
     boost::asio::awaitable<void> runAtIdle(std::vector<Part *> parts, Action action);
     std::vector<SoakProcess *> processesNamed(const std::string &prefix);
     std::vector<SoakEndpoint *> endpoints();
+    /// Corrupts a piece at an engine once its agent has checked all, and freezes that agent.
+    void freezeAfterCheck(unsigned engine);
+    /// Injects the fault while no other series acts on the endpoint.
+    static boost::asio::awaitable<void> failFor(
+            SoakEndpoint &endpoint, SoakEndpoint::Fault fault, domain::Duration time);
     domain::Duration drawTime(int fromMs, int toMs);
 
     boost::asio::io_context &m_context;
