Make the value of a begun stream where its head is sent

clang-tidy reports the move of a local value within a loop. beginStream() now makes the value from the attempt's own parser when the first event is ready, so no value of a stream exists before that.

Measured: the linter is clean for the file; the tests of kept failures, interrupted streams, HEAD requests and the log pass.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -633,10 +633,8 @@
         m_detail = "the endpoint continues with another version of the weights";
         co_return AttemptEnd::Lost;
     }
-    EndpointAnswer stream{
-            dispatch.endpoint, head.weightsVersion, platform::callerAnswerHead(parser.get()), {}};
     if (m_isHeadRequest) {
-        const bool isSent = co_await beginStream(std::move(stream));
+        const bool isSent = co_await beginStream(dispatch, parser, head);
         co_return isSent ? AttemptEnd::Delivered : AttemptEnd::CallerDisconnected;
     }
     const std::size_t eventsBefore = m_events.eventCount();
@@ -651,7 +649,7 @@
             std::string events = m_events.feed(received);
             if (!events.empty()) {
                 markAnswerBegun(head);
-                if (!m_stream && !co_await beginStream(std::move(stream)))
+                if (!m_stream && !co_await beginStream(dispatch, parser, head))
                     co_return AttemptEnd::CallerDisconnected;
                 if (!co_await sendEvents(std::move(events)))
                     co_return AttemptEnd::CallerDisconnected;
@@ -683,7 +681,7 @@
     }
     if (!m_stream) {
         // A stream without any event still needs its head.
-        if (!co_await beginStream(std::move(stream)) || !co_await sendEvents(":\n\n"))
+        if (!co_await beginStream(dispatch, parser, head) || !co_await sendEvents(":\n\n"))
             co_return AttemptEnd::CallerDisconnected;
     }
     if (!co_await finishStream())
@@ -771,10 +769,12 @@
     co_return !code;
 }
 
-asio::awaitable<bool> RequestRun::beginStream(EndpointAnswer stream)
+asio::awaitable<bool> RequestRun::beginStream(
+        const routing::Dispatch &dispatch, Parser &parser, const routing::AnswerHead &head)
 {
     m_firstByteAt = TimePoint::clock::now();
-    m_stream = std::move(stream);
+    m_stream = EndpointAnswer{
+            dispatch.endpoint, head.weightsVersion, platform::callerAnswerHead(parser.get()), {}};
     m_buffered.reset();
     http::response<http::empty_body> message(m_stream->head);
     m_isKeptAlive = m_isKeptAlive && !m_context.isStopping && isChunked();
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -90,7 +90,8 @@
     /// Whether streams to the caller are chunked; otherwise the close of the connection ends them.
     bool isChunked() const;
     /// Sends the head of the stream to the caller.
-    boost::asio::awaitable<bool> beginStream(EndpointAnswer stream);
+    boost::asio::awaitable<bool> beginStream(
+            const routing::Dispatch &dispatch, Parser &parser, const routing::AnswerHead &head);
     boost::asio::awaitable<bool> sendEvents(std::string events);
     boost::asio::awaitable<bool> finishStream();
     LocalAnswer failureAnswer(AttemptEnd end) const;
--- a/src/relayagent/internal/engineswitcher.h
+++ b/src/relayagent/internal/engineswitcher.h
@@ -51,8 +51,8 @@
     boost::asio::awaitable<void> switchEngine(Transfer transfer);
     bool isValid(const VerifiedWeights &verified);
     boost::asio::awaitable<OrderEnd> order(const VerifiedWeights &verified);
-    /// Waits until the engine serves the version or is idle again; whether the load was seen to have
-    /// begun while the verification was valid.
+    /// Waits until the engine serves the version or is idle again; whether the load was seen to
+    /// have begun while the verification was valid.
     boost::asio::awaitable<bool> awaitLoad(const VerifiedWeights &verified, OrderEnd end);
     /// Checks the pieces of a version that an unconfirmed order has loaded.
     boost::asio::awaitable<void> checkLoaded();
