Read the engine's state right before the order to load

What callers could see: an engine that restarted between the check of its staged pieces and the order loads pieces that were not checked since its start.

Cause: the order relied on the last report of the engine's state, which may be older than the restart.

Change: the state is read from the engine before the order, which states the number of orders of that answer.

--- a/src/relayagent/internal/engineswitcher.cpp
+++ b/src/relayagent/internal/engineswitcher.cpp
@@ -147,10 +147,10 @@
             m_reporter.setSwitching(true);
             co_await wait(SwitchAnnounceDelay);
         }
-        const bool isSameEngine
-                = m_reporter.state() && m_reporter.state()->startedAtMs == startedAtMs;
-        if (isSameEngine)
-            end = co_await order(*verified);
+        // The last report may be older than a restart of the engine.
+        const auto state = co_await m_engine.readState();
+        if (state && state->startedAtMs == startedAtMs)
+            end = co_await order(*verified, state->orders);
     }
     const auto age = std::chrono::duration_cast<milliseconds>(m_clock.now() - verified->checkedAt);
     logEvent(end == OrderEnd::Accepted ? Severity::Info : Severity::Warning, "engine_ordered",
@@ -179,14 +179,15 @@
     return m_clock.now() + MinOrderTime <= verified.expiresAt;
 }
 
-asio::awaitable<EngineSwitcher::OrderEnd> EngineSwitcher::order(const VerifiedWeights &verified)
+asio::awaitable<EngineSwitcher::OrderEnd> EngineSwitcher::order(
+        const VerifiedWeights &verified, std::uint64_t expectedOrders)
 {
     if (!isValid(verified))
         co_return OrderEnd::Outdated;
     const domain::Duration left = verified.expiresAt - m_clock.now();
     // An order that is accepted late conflicts with any that was accepted before it.
     const auto ordered = co_await m_engine.orderLoad(
-            verified.version, m_reporter.state()->orders, TimePoint::clock::now() + left);
+            verified.version, expectedOrders, TimePoint::clock::now() + left);
     m_nextOrderAt = TimePoint::clock::now() + OrderRetryDelay;
     if (ordered) {
         const bool isBegun = *ordered == EngineClient::OrderAnswer::Begun;
--- a/src/relayagent/internal/engineswitcher.h
+++ b/src/relayagent/internal/engineswitcher.h
@@ -50,7 +50,8 @@
     boost::asio::awaitable<void> stageAndLoad(Transfer transfer, bool isDue);
     boost::asio::awaitable<void> switchEngine(Transfer transfer);
     bool isValid(const VerifiedWeights &verified);
-    boost::asio::awaitable<OrderEnd> order(const VerifiedWeights &verified);
+    boost::asio::awaitable<OrderEnd> order(
+            const VerifiedWeights &verified, std::uint64_t expectedOrders);
     /// Waits until the engine serves the version or is idle again; whether the load was seen to
     /// have begun while the verification was valid.
     boost::asio::awaitable<bool> awaitLoad(const VerifiedWeights &verified, OrderEnd end);
