Keep what a late order may have loaded until it is known

Callers: an engine that had loaded a corrupted piece by an order accepted late still got requests; answers were made with corrupted weights.

Cause: the pieces of an unconfirmed order were read back after the load only. An engine that goes on after a stop may answer its report, on another connection, before it accepts the order. The agent then checked the pieces for its next order and staged the corrupted one again, right after the engine had loaded it; the check after the load found all of them intact. Likewise only the newest unconfirmed order was kept: an older one, accepted after the pieces of the newer version were staged, loaded those and was not checked.

Change: one value for each unconfirmed order: its pieces, and whether a piece other than its intact ones was staged at any time since. Pieces are read back before anything is staged while an order is unconfirmed. The stand-in engine can hold orders and accept them later, which makes the order of events certain.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,4 +15,12 @@
 else
     echo "no test is passed over"
 fi
-ctest --test-dir build --output-on-failure
+status=0
+ctest --test-dir build --output-on-failure || status=$?
+if [ "$status" -ne 0 ]; then
+    # CI keeps the end of its output only.
+    echo "failures:"
+    grep -aE -A 6 ': Failure$|^FAILED|Sanitizer' build/Testing/Temporary/LastTest.log | tail -n 60 || true
+    grep -aE '^\[  FAILED  \] [A-Za-z]' build/Testing/Temporary/LastTest.log | sort -u || true
+fi
+exit "$status"
--- a/src/relayagent/internal/engineswitcher.cpp
+++ b/src/relayagent/internal/engineswitcher.cpp
@@ -74,12 +74,22 @@
     co_await timer.async_wait(UseTuple);
 }
 
-bool EngineSwitcher::isUnconfirmedServed() const
+std::shared_ptr<EngineSwitcher::UnconfirmedOrder> EngineSwitcher::servedUnconfirmed() const
 {
-    if (!m_unconfirmed)
-        return false;
-    const WeightsVersion &version = m_unconfirmed->manifest().version;
-    return served(version.model) == version.number;
+    for (const auto &order : m_unconfirmed) {
+        if (served(order->version().model) == order->version().number)
+            return order;
+    }
+    return nullptr;
+}
+
+void EngineSwitcher::addUnconfirmed(const Transfer &transfer)
+{
+    for (const auto &order : m_unconfirmed) {
+        if (order->version() == transfer->manifest().version)
+            return;
+    }
+    m_unconfirmed.push_back(std::make_shared<UnconfirmedOrder>(UnconfirmedOrder{transfer}));
 }
 
 void EngineSwitcher::onEngineState()
@@ -91,20 +101,16 @@
         // that it had not read.
         m_engineStartedAtMs = state.startedAtMs;
         m_staged.invalidate();
-        m_unconfirmed.reset();
+        m_unconfirmed.clear();
     }
     if (m_suspect && (hasRestarted || served(m_suspect->model) != m_suspect->number))
         m_suspect.reset();
     if (m_isBusy)
         return;
-    m_reporter.setSwitching(isWithheld() || (m_unconfirmed && state.isBusy));
-    if (isUnconfirmedServed()) {
+    m_reporter.setSwitching(isWithheld() || (!m_unconfirmed.empty() && state.isBusy));
+    if (auto order = servedUnconfirmed()) {
         m_isBusy = true;
-        const auto check = [this]() -> asio::awaitable<void> {
-            co_await checkLoaded();
-            m_isBusy = false;
-        };
-        asio::co_spawn(m_context, check, asio::detached);
+        asio::co_spawn(m_context, checkLoaded(std::move(order)), asio::detached);
     }
 }
 
@@ -124,9 +130,10 @@
 {
     const WeightsVersion version = transfer->manifest().version;
     bool isStaged = m_staged.version() == version;
-    if (!isStaged)
+    const bool isChecked = co_await checkBeforeStaging(version);
+    if (isChecked && !isStaged)
         isStaged = co_await m_staged.stage(transfer);
-    if (isStaged && isDue)
+    if (isChecked && isStaged && isDue)
         co_await switchEngine(transfer);
     m_isBusy = false;
 }
@@ -156,9 +163,9 @@
     logEvent(end == OrderEnd::Accepted ? Severity::Info : Severity::Warning, "engine_ordered",
             {{"version", version.number}, {"before", before}, {"end", toString(end)},
                     {"checked_ms", age.count()}});
-    const bool hasEarlierOrder = m_unconfirmed != nullptr;
+    const bool hasEarlierOrder = !m_unconfirmed.empty();
     if (end == OrderEnd::Unconfirmed)
-        m_unconfirmed = transfer;
+        addUnconfirmed(transfer);
     bool isConfirmed = end == OrderEnd::Accepted;
     if (end != OrderEnd::Outdated) {
         const bool hasBegun = co_await awaitLoad(*verified, end);
@@ -166,7 +173,7 @@
         isConfirmed = isConfirmed || (hasBegun && !hasEarlierOrder);
     }
     if (isConfirmed)
-        m_unconfirmed.reset();
+        m_unconfirmed.clear();
     if (served(version.model) == version.number) {
         logEvent(Severity::Info, "engine_switched",
                 {{"version", version.number}, {"before", before}});
@@ -220,17 +227,37 @@
     }
 }
 
-asio::awaitable<void> EngineSwitcher::checkLoaded()
+/// A piece that is corrupted is staged again before the next order. Nothing would then show that an
+/// earlier order, accepted in the meantime, has loaded it.
+asio::awaitable<bool> EngineSwitcher::checkBeforeStaging(const WeightsVersion &version)
 {
-    const Transfer transfer = m_unconfirmed;
-    const WeightsVersion version = transfer->manifest().version;
-    const auto areIntact = co_await m_staged.areIntact(transfer);
+    const UnconfirmedOrders orders = m_unconfirmed;
+    for (const auto &order : orders) {
+        if (order->version() == version) {
+            const auto areIntact = co_await m_staged.areIntact(order->transfer);
+            if (!areIntact)
+                co_return false;
+            order->mayLoadOtherPieces = order->mayLoadOtherPieces || !*areIntact;
+        } else {
+            order->mayLoadOtherPieces = true;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<void> EngineSwitcher::checkLoaded(std::shared_ptr<UnconfirmedOrder> order)
+{
+    std::optional<bool> areIntact = false;
+    if (!order->mayLoadOtherPieces)
+        areIntact = co_await m_staged.areIntact(order->transfer);
+    m_isBusy = false;
     // Checked again while the engine does not answer, unless it has restarted.
-    if (!areIntact || m_unconfirmed != transfer)
-        co_return;
-    m_unconfirmed.reset();
-    if (*areIntact)
+    const bool isPending = std::erase(m_unconfirmed, order) > 0;
+    if (!areIntact && isPending)
+        m_unconfirmed.push_back(order);
+    if (areIntact.value_or(true) || !isPending)
         co_return;
+    const WeightsVersion version = order->version();
     m_suspect = version;
     m_metrics.increment("oriolerill_agent_suspect_loads_total");
     logEvent(Severity::Error, "engine_weights_suspect",
--- a/src/relayagent/internal/engineswitcher.h
+++ b/src/relayagent/internal/engineswitcher.h
@@ -9,7 +9,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <memory>
 #include <optional>
+#include <vector>
 
 namespace oriolerill::relayagent::internal {
 
@@ -17,8 +19,9 @@
 /// and orders the engine to load them before that verification expires.
 ///
 /// An order without an answer in time is unconfirmed: it may be accepted later. If the engine then
-/// serves the version and a piece is corrupted, its weights are suspect: it is reported as
-/// switching, so that entries send it no requests, until it serves another version or restarts.
+/// serves the version, and any piece staged since the order was corrupted or of another version,
+/// its weights are suspect: it is reported as switching, so that entries send it no requests, until
+/// it serves another version or restarts.
 class EngineSwitcher
 {
 public:
@@ -46,6 +49,17 @@
         Unconfirmed,
     };
 
+    /// An order that the engine may accept later, or has accepted at an unknown time.
+    struct UnconfirmedOrder
+    {
+        const distribution::WeightsVersion &version() const { return transfer->manifest().version; }
+
+        Transfer transfer;
+        /// At some time since the order, a staged piece was not the intact one of its version.
+        bool mayLoadOtherPieces = false;
+    };
+    using UnconfirmedOrders = std::vector<std::shared_ptr<UnconfirmedOrder>>;
+
     static const char *toString(OrderEnd end);
     boost::asio::awaitable<void> stageAndLoad(Transfer transfer, bool isDue);
     boost::asio::awaitable<void> switchEngine(Transfer transfer);
@@ -55,10 +69,16 @@
     /// Waits until the engine serves the version or is idle again; whether the load was seen to
     /// have begun while the verification was valid.
     boost::asio::awaitable<bool> awaitLoad(const VerifiedWeights &verified, OrderEnd end);
+    /// To be called before pieces of the version are staged, which may replace those that an
+    /// unconfirmed order loads: notes whether they are intact. False when the engine does not
+    /// answer.
+    boost::asio::awaitable<bool> checkBeforeStaging(const distribution::WeightsVersion &version);
     /// Checks the pieces of a version that an unconfirmed order has loaded.
-    boost::asio::awaitable<void> checkLoaded();
-    bool isUnconfirmedServed() const;
-    bool isWithheld() const { return m_suspect || isUnconfirmedServed(); }
+    boost::asio::awaitable<void> checkLoaded(std::shared_ptr<UnconfirmedOrder> order);
+    void addUnconfirmed(const Transfer &transfer);
+    /// The order whose version the engine serves; null for none.
+    std::shared_ptr<UnconfirmedOrder> servedUnconfirmed() const;
+    bool isWithheld() const { return m_suspect || servedUnconfirmed(); }
     /// Version that the engine serves; zero for none.
     std::uint64_t served(const domain::ModelId &model) const;
     boost::asio::awaitable<void> wait(domain::Duration duration);
@@ -73,8 +93,8 @@
     bool m_isBusy = false;
     std::uint64_t m_engineStartedAtMs = 0;
     domain::TimePoint m_nextOrderAt;
-    /// Pieces of the last unconfirmed order; null without one.
-    Transfer m_unconfirmed;
+    /// One of each version.
+    UnconfirmedOrders m_unconfirmed;
     /// Served version that may have been loaded from corrupted pieces.
     std::optional<distribution::WeightsVersion> m_suspect;
 };
--- a/src/relayagent/tests/verifiedloadtest.cpp
+++ b/src/relayagent/tests/verifiedloadtest.cpp
@@ -2,8 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <thread>
+#include <vector>
 
 namespace oriolerill::relayagent {
 
@@ -31,10 +33,10 @@
     /// Runs the action once, when the agent reads the last staged piece for the first time.
     static void atEndOfFirstCheck(platform::StandInEngine &engine, std::function<void()> action)
     {
-        engine.onStagedRead = [&engine, action = std::move(action), isDone = false](
-                                      std::uint32_t piece) mutable {
-            if (std::exchange(isDone, isDone || piece == LastPiece) || piece != LastPiece)
+        engine.onStagedRead = [&engine, action = std::move(action)](std::uint32_t piece) {
+            if (piece != LastPiece)
                 return;
+            engine.onStagedRead = nullptr;
             EXPECT_TRUE(engine.corruptStagedPiece(CorruptedPiece));
             action();
         };
@@ -108,26 +110,16 @@
     EXPECT_EQ(engine.orders(), 1);
 }
 
-/// The engine stands still when the order arrives, and accepts it when the answer is no longer
-/// awaited.
-class LateOrderFixture : public VerifiedLoadFixture
+/// The engine accepts an order when its answer is no longer awaited.
+class UnconfirmedOrderFixture : public VerifiedLoadFixture
 {
 protected:
     void SetUp() override
     {
-        platform::StandInEngine &engine = *m_fleet.agents.front().engine;
-        engine.onOrder = [this, &engine] {
-            engine.onOrder = nullptr;
-            engine.standStillUntil(TimePoint::clock::now() + Pause);
-            if (m_isCorrupted) {
-                EXPECT_TRUE(engine.corruptStagedPiece(CorruptedPiece));
-            }
-        };
         m_entry.non_blocking(true);
         subscribe();
         m_fleet.sendSubscription();
         m_fleet.nameVersion(2);
-        ASSERT_TRUE(m_fleet.runUntil([&] { return m_fleet.isServedEverywhere(2); }, 15s));
     }
 
     /// Entries subscribe every second.
@@ -140,43 +132,127 @@
                 {boost::asio::ip::make_address_v4(load.host), load.port});
     }
 
-    /// Whether the last report of the next second states that the engine is switching.
-    bool isReportedAsSwitching()
+    /// Reports that have arrived since the last call and in the next second.
+    std::vector<protocol::LoadReport> reports()
     {
         subscribe();
         m_fleet.runUntil([] { return false; }, 1s);
-        bool isSwitching = false;
+        std::vector<protocol::LoadReport> reports;
         std::array<char, 1500> bytes{};
         boost::system::error_code code;
         for (;;) {
             const std::size_t size = m_entry.receive(boost::asio::buffer(bytes), 0, code);
             if (code)
-                return isSwitching;
+                return reports;
             protocol::EntryDatagram datagram;
             datagram.ParseFromArray(bytes.data(), static_cast<int>(size));
             if (datagram.has_report())
-                isSwitching = datagram.report().is_switching();
+                reports.push_back(datagram.report());
         }
     }
+    /// Whether the last report states that the engine is switching.
+    bool isReportedAsSwitching()
+    {
+        const auto received = reports();
+        return !received.empty() && received.back().is_switching();
+    }
+    /// Whether any report offers the version to requests.
+    bool isOffered(std::uint64_t version)
+    {
+        const auto received = reports();
+        EXPECT_FALSE(received.empty());
+        return std::any_of(received.begin(), received.end(), [version](const auto &report) {
+            return report.weights_version() == version && !report.is_switching();
+        });
+    }
+
+    /// After a wrong load of version 2.
+    void expectWithheldUntilNextVersion()
+    {
+        EXPECT_EQ(m_fleet.wrongLoads(), 1);
+        EXPECT_TRUE(isReportedAsSwitching());
+        m_fleet.nameVersion(3);
+        EXPECT_TRUE(m_fleet.runUntil([&] { return m_fleet.isServedEverywhere(3); }, 15s));
+        EXPECT_EQ(m_fleet.wrongLoads(), 1);
+        EXPECT_FALSE(isReportedAsSwitching());
+    }
 
-    bool m_isCorrupted = true;
     AgentFleet m_fleet{options()};
+    platform::StandInEngine &m_engine = *m_fleet.agents.front().engine;
     boost::asio::ip::udp::socket m_entry{
             m_fleet.context, {boost::asio::ip::make_address_v4("127.0.9.7"), 0}};
 };
 
-// Guards against requests at an engine that may have loaded corrupted pieces, because it accepted
-// an order long after the check.
-TEST_F(LateOrderFixture, push_pieceCorruptedBeforeLateAcceptance_withheldUntilNextVersion)
+// Regression: an agent staged a corrupted piece again right after the engine had accepted an
+// earlier order, whose answer was lost, and loaded it. The pieces were intact when they were
+// checked after the load, and the engine made tokens with the corrupted one.
+TEST_F(UnconfirmedOrderFixture, push_acceptedBeforeCorruptedPieceStagedAgain_withheld)
 {
-    EXPECT_EQ(m_fleet.wrongLoads(), 1);
-    EXPECT_TRUE(isReportedAsSwitching());
+    m_engine.areOrdersHeld = true;
+    m_engine.onOrder = [this] {
+        m_engine.onOrder = nullptr;
+        EXPECT_TRUE(m_engine.corruptStagedPiece(CorruptedPiece));
+        m_engine.onStagedRead = [this](std::uint32_t) {
+            m_engine.onStagedRead = nullptr;
+            m_engine.areOrdersHeld = false;
+            m_engine.acceptHeldOrder();
+        };
+    };
+    ASSERT_TRUE(m_fleet.runUntil([&] { return m_fleet.isServedEverywhere(2); }, 15s));
+    expectWithheldUntilNextVersion();
+}
+
+// Guards against an engine that accepts the older of two unconfirmed orders when the pieces of the
+// newer version are staged.
+TEST_F(UnconfirmedOrderFixture, push_olderOfTwoAccepted_withheldUntilNewerServed)
+{
+    m_engine.areOrdersHeld = true;
+    ASSERT_TRUE(m_fleet.runUntil([&] { return m_engine.heldOrderCount() > 0; }, 15s));
     m_fleet.nameVersion(3);
+    bool isNewerOrdered = false;
+    m_engine.onOrder = [this, &isNewerOrdered] {
+        isNewerOrdered = m_engine.stagedPiece(0) == platform::StandInWeights().piece(3, 0);
+    };
+    ASSERT_TRUE(m_fleet.runUntil([&] { return isNewerOrdered; }, 15s));
+    m_engine.acceptHeldOrder();
+    ASSERT_TRUE(m_fleet.runUntil([&] { return m_fleet.isServedEverywhere(2); }, 15s));
+    EXPECT_EQ(m_fleet.wrongLoads(), 1);
+    EXPECT_FALSE(isOffered(2));
+    m_engine.onOrder = nullptr;
+    m_engine.areOrdersHeld = false;
     EXPECT_TRUE(m_fleet.runUntil([&] { return m_fleet.isServedEverywhere(3); }, 15s));
     EXPECT_EQ(m_fleet.wrongLoads(), 1);
     EXPECT_FALSE(isReportedAsSwitching());
 }
 
+/// The engine stands still when the order arrives, and accepts it when the answer is no longer
+/// awaited.
+class LateOrderFixture : public UnconfirmedOrderFixture
+{
+protected:
+    void SetUp() override
+    {
+        m_engine.onOrder = [this] {
+            m_engine.onOrder = nullptr;
+            m_engine.standStillUntil(TimePoint::clock::now() + Pause);
+            if (m_isCorrupted) {
+                EXPECT_TRUE(m_engine.corruptStagedPiece(CorruptedPiece));
+            }
+        };
+        UnconfirmedOrderFixture::SetUp();
+        ASSERT_TRUE(m_fleet.runUntil([&] { return m_fleet.isServedEverywhere(2); }, 15s));
+    }
+
+    bool m_isCorrupted = true;
+};
+
+// Guards against requests at an engine that may have loaded corrupted pieces, because it accepted
+// an order long after the check.
+TEST_F(LateOrderFixture, push_pieceCorruptedBeforeLateAcceptance_withheldUntilNextVersion)
+{
+    expectWithheldUntilNextVersion();
+}
+
 class IntactLateOrderFixture : public LateOrderFixture
 {
 protected:
