Bound the bodies of all requests of an entry

Callers: entries were killed while many callers sent large bodies; each request that they had accepted ended without an answer.

Cause: only the body of one request had a limit. Nothing bounded all of them together, and each was held twice: the request to the endpoint had a copy. Answers had a limit for all, with a counter of their own.

Change: domain::ByteBudget is the limit of a process, ByteShare what one request holds of it; answers use them too. The share of a body of known length is taken before it is read, so what does not fit is refused at once, with 503 and Retry-After; a chunked body grows its share. Bodies of up to 16 KB are always accepted. The request to an endpoint refers to the caller's body.

--- a/src/relay/internal/callersession.cpp
+++ b/src/relay/internal/callersession.cpp
@@ -1,7 +1,8 @@
 #include "relay/internal/callersession.h"
 
 #include "observability/log.h"
-#include "relay/internal/localanswer.h"
+#include "platform/callercodec.h"
+#include "relay/internal/heldrequest.h"
 #include "relay/internal/requestrun.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -21,11 +22,16 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using domain::ErrorKind;
+using observability::logEvent;
+using observability::Severity;
 
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t ReadSize = 8U << 10U;
+/// The rest of a refused request is read for at most this long: the largest body that entries
+/// usually allow, 4 MB, at 20 Mbit/s.
+constexpr auto DiscardTimeout = std::chrono::milliseconds(2000);
 
 LocalAnswer invalid(unsigned status, std::string message, std::string remedy)
 {
@@ -44,6 +50,12 @@
         return invalid(413, "the request body is too large",
                 "send at most " + std::to_string(limits.maxBody.count()) + " bytes of body");
     }
+    if (code == asio::error::no_buffer_space) {
+        return LocalAnswer{503,
+                {ErrorKind::Overloaded, "not run: the bodies of other requests leave no room",
+                        "come back after Retry-After"},
+                DefaultRetryAfter};
+    }
     if (code == beast::error::timeout)
         return invalid(408, "the request did not arrive in time; it has not run", "send it again");
     if (code.category() == http::make_error_code(http::error::bad_method).category()
@@ -138,7 +150,7 @@
         while (isOpen && !m_context.isIntakeClosed)
             isOpen = co_await serveOne();
     } catch (const std::exception &error) {
-        observability::logEvent(observability::Severity::Error, "session_failed",
+        logEvent(Severity::Error, "session_failed",
                 {{"error", error.what()},
                         {"remedy", "report this line; the caller may repeat the request"}});
     }
@@ -166,17 +178,26 @@
     co_return !code;
 }
 
-asio::awaitable<bool> CallerSession::serveOne()
+routing::CallerLimits CallerSession::callerLimits() const
 {
     const auto config = m_context.dispatcher.config();
-    const routing::CallerLimits limits = config ? config->limits() : routing::CallerLimits();
+    routing::CallerLimits limits = config ? config->limits() : routing::CallerLimits();
+    // A larger body would never fit.
+    limits.maxBody = std::min(limits.maxBody, m_context.requestBodies->limit());
+    return limits;
+}
+
+asio::awaitable<bool> CallerSession::serveOne()
+{
+    const routing::CallerLimits limits = callerLimits();
     m_isIdle = m_buffer.size() == 0;
     m_stream.expires_after(limits.idleTimeout);
     if (!co_await awaitFirstByte())
         co_return false;
     m_isIdle = false;
 
-    http::request_parser<http::string_body> parser;
+    const auto request = std::make_shared<HeldRequest>(m_context.requestBodies);
+    transport::RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeader.count()));
     parser.body_limit(limits.maxBody.count());
     beast::error_code code;
@@ -190,27 +211,50 @@
     if (!code)
         refusal = ambiguousRequestAnswer(parser.get());
     if (!code && !refusal && !parser.is_done()) {
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-            constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-            co_await asio::async_write(m_stream, asio::buffer(Continue), UseTuple);
-        }
         const ReadTimeout limit(m_stream, limits.idleTimeout);
-        auto [bodyCode, bodySize] = co_await http::async_read(m_stream, m_buffer, parser, UseTuple);
-        code = limit.result(bodyCode);
+        code = limit.result(
+                co_await transport::readRequestBody(m_stream, m_buffer, parser, request->share));
     }
     if (code)
         refusal = readErrorAnswer(code, limits);
     if (refusal) {
-        observability::logEvent(observability::Severity::Warning, "request_unreadable",
-                {{"status", refusal->status}, {"reason", refusal->error.message}});
-        co_await sendLocalAnswer(m_stream, std::move(*refusal), false);
+        // Nothing is held while the rest of the request is discarded.
+        std::string().swap(parser.get().body());
+        request->share.tryResize(domain::Bytes(0));
+        co_await refuse(parser, std::move(*refusal));
         co_return false;
     }
     if (code)
         co_return false;
-    const RequestRun::Request request = parser.release();
-    RequestRun run(m_context, m_stream, request, request.keep_alive());
+    request->message = parser.release();
+    RequestRun run(m_context, m_stream, request);
     co_return co_await run.run();
 }
 
+asio::awaitable<void> CallerSession::refuse(
+        const transport::RequestParser &parser, LocalAnswer answer)
+{
+    const auto request = platform::readCallerRequest(parser.get(), domain::TimePoint::clock::now());
+    logEvent(Severity::Warning, "request_unreadable",
+            {{"request", request ? request->id.value() : std::string()}, {"status", answer.status},
+                    {"reason", answer.error.message},
+                    {"length", std::string(parser.get()[http::field::content_length])},
+                    {"bodies", m_context.requestBodies->held().count()}});
+    if (answer.error.kind == ErrorKind::Overloaded)
+        m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", "bodies"}});
+    if (!co_await sendLocalAnswer(m_stream, std::move(answer), false))
+        co_return;
+    // Closing a socket with unread input resets the connection, and the caller could lose the
+    // answer. So the rest of the request is read and discarded first.
+    beast::error_code code;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, code);
+    m_buffer.clear();
+    m_stream.expires_after(DiscardTimeout);
+    while (!code) {
+        auto [readCode, size]
+                = co_await m_stream.async_read_some(m_buffer.prepare(ReadSize), UseTuple);
+        code = readCode;
+    }
+}
+
 } // namespace oriolerill::relay::internal
--- a/src/relay/internal/callersession.h
+++ b/src/relay/internal/callersession.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "relay/internal/localanswer.h"
 #include "relay/internal/relaycontext.h"
+#include "transport/requestbody.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -24,8 +26,11 @@
     void cancelWait();
 
 private:
+    routing::CallerLimits callerLimits() const;
     boost::asio::awaitable<bool> awaitFirstByte();
     boost::asio::awaitable<bool> serveOne();
+    /// Sends the answer to a request of which a part may be unread.
+    boost::asio::awaitable<void> refuse(const transport::RequestParser &parser, LocalAnswer answer);
 
     RelayContext &m_context;
     boost::beast::tcp_stream m_stream;
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "domain/bytebudget.h"
 #include "domain/suspensionclock.h"
 #include "domain/timepoint.h"
 #include "observability/metrics.h"
@@ -18,6 +19,16 @@
 
 class RequestRun;
 
+/// A fifth of the memory of the smallest entries.
+constexpr domain::Bytes MaxTotalAnswers(32U << 20U);
+/// Endless answers do not end sound ones of up to this size.
+constexpr domain::Bytes AlwaysBufferedAnswer(64U << 10U);
+/// Three tenths of the memory of the smallest entries.
+constexpr domain::Bytes MaxTotalBodies(48U << 20U);
+/// Large bodies do not keep out those of up to this size; for all connections, a fifth of that
+/// memory.
+constexpr domain::Bytes AlwaysAcceptedBody(16U << 10U);
+
 /// State shared by the sessions of one entry. Not thread-safe.
 struct RelayContext
 {
@@ -25,8 +36,12 @@
     EndpointConnections &connections;
     observability::Metrics &metrics;
     std::set<RequestRun *> requestsInFlight;
-    /// Size of all buffered answers.
-    std::size_t bufferedAnswerBytes = 0;
+    /// Memory for all buffered answers. Shared with the requests, like the next one.
+    std::shared_ptr<domain::ByteBudget> bufferedAnswers
+            = std::make_shared<domain::ByteBudget>(MaxTotalAnswers, AlwaysBufferedAnswer);
+    /// Memory for the bodies of all requests.
+    std::shared_ptr<domain::ByteBudget> requestBodies
+            = std::make_shared<domain::ByteBudget>(MaxTotalBodies, AlwaysAcceptedBody);
     /// Called when an answer states that its endpoint is leaving.
     std::function<void()> onLeaving;
     /// Called when an endpoint has raised its limit, or no longer states one.
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -155,6 +155,8 @@
         } else if (target == "/metrics") {
             m_metrics.set("oriolerill_relay_requests_in_flight",
                     static_cast<double>(m_relay.requestsInFlight.size()));
+            m_metrics.set("oriolerill_relay_body_bytes",
+                    static_cast<double>(m_relay.requestBodies->held().count()));
             m_metrics.set("oriolerill_relay_store_calls", static_cast<double>(m_store.callCount()));
             m_metrics.set("oriolerill_relay_endpoint_connects",
                     static_cast<double>(m_connections.connectCount()));
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -42,18 +42,11 @@
 constexpr auto IdleMargin = milliseconds(700);
 /// Answers other than streams are buffered until they are complete; larger ones count as lost.
 constexpr std::size_t MaxBufferedAnswerBytes = 16U << 20U;
-/// Limit over all requests of this process: a fifth of the memory of the smallest entries.
-constexpr std::size_t MaxTotalBufferedBytes = 32U << 20U;
-/// An answer up to this size is buffered even when others have reached that limit, so that endless
-/// answers do not end sound ones.
-constexpr std::size_t MinBufferedBytes = 64U << 10U;
 /// Limit of one event of a stream; an event is buffered until it is complete.
 constexpr std::size_t MaxEventBytes = 1U << 20U;
 constexpr std::size_t ReadSize = 16U << 10U;
 /// A caller that reads nothing for this long is disconnected.
 constexpr auto CallerWriteTimeout = std::chrono::seconds(10);
-/// Retry-After of refusals for which the dispatcher computes no time.
-constexpr auto DefaultRetryAfter = milliseconds(500);
 /// A process that accepts no connection within this time may still run behind a slow link.
 constexpr auto CrashCheckTimeout = milliseconds(300);
 /// After this long without an answer from the store, an unknown route or key may have been added
@@ -62,30 +55,29 @@
 
 } // namespace
 
-RequestRun::RequestRun(
-        RelayContext &context, beast::tcp_stream &caller, const Request &request, bool isKeptAlive)
+RequestRun::RequestRun(RelayContext &context, beast::tcp_stream &caller,
+        std::shared_ptr<const HeldRequest> request)
     : m_context(context)
     , m_caller(caller)
-    , m_request(request)
-    , m_isKeptAlive(isKeptAlive)
+    , m_held(std::move(request))
+    , m_request(m_held->message)
+    , m_isKeptAlive(m_request.keep_alive())
     , m_arrivedAt(TimePoint::clock::now())
     , m_suspendedBefore(context.suspension.total())
     , m_unstarted(context.unstarted)
-    , m_isHeadRequest(request.method() == http::verb::head)
+    , m_bufferedShare(context.bufferedAnswers)
+    , m_isHeadRequest(m_request.method() == http::verb::head)
 {}
 
 RequestRun::~RequestRun()
 {
     markStarted();
-    m_context.bufferedAnswerBytes -= m_bufferedBytes;
 }
 
 bool RequestRun::setBuffered(std::size_t bytes)
 {
     const std::size_t total = bytes + (m_buffered ? m_buffered->body.size() : 0);
-    m_context.bufferedAnswerBytes -= std::exchange(m_bufferedBytes, total);
-    m_context.bufferedAnswerBytes += total;
-    return total <= MinBufferedBytes || m_context.bufferedAnswerBytes <= MaxTotalBufferedBytes;
+    return m_bufferedShare.tryResize(domain::Bytes(total));
 }
 
 std::optional<LocalAnswer> RequestRun::resolve()
@@ -427,14 +419,14 @@
     head.weightsVersion = dispatch.weightsVersion;
     if (m_stream && !m_events.lastEventId().empty())
         head.lastEventId = m_events.lastEventId();
-    const auto request = std::make_shared<Request>(
+    const auto request = std::make_shared<const http::request<http::span_body<const char>>>(
             platform::endpointRequest(m_request, m_request.body(), head));
     const auto isWritten = std::make_shared<bool>(false);
     m_connection->stream.expires_at(m_policy->lastAnswerAt());
     // The answer is read while the request is written: an endpoint may answer before it has read a
     // long body. The handler owns the buffers of the write.
     http::async_write(m_connection->stream, *request,
-            [request, isWritten, connection = m_connection](
+            [held = m_held, request, isWritten, connection = m_connection](
                     beast::error_code code, std::size_t /*size*/) { *isWritten = !code; });
     m_connection->hasAnswerBegun = false;
     m_connection->recordRequest(m_callerRequest.id);
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -2,6 +2,7 @@
 
 #include "relay/eventsplitter.h"
 #include "relay/internal/endpointanswer.h"
+#include "relay/internal/heldrequest.h"
 #include "relay/internal/localanswer.h"
 #include "relay/internal/relaycontext.h"
 #include "routing/attemptpolicy.h"
@@ -12,7 +13,6 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -25,10 +25,8 @@
 class RequestRun
 {
 public:
-    using Request = boost::beast::http::request<boost::beast::http::string_body>;
-
-    RequestRun(RelayContext &context, boost::beast::tcp_stream &caller, const Request &request,
-            bool isKeptAlive);
+    RequestRun(RelayContext &context, boost::beast::tcp_stream &caller,
+            std::shared_ptr<const HeldRequest> request);
     ~RequestRun();
     RequestRun(const RequestRun &) = delete;
     RequestRun &operator=(const RequestRun &) = delete;
@@ -103,7 +101,8 @@
 
     RelayContext &m_context;
     boost::beast::tcp_stream &m_caller;
-    const Request &m_request;
+    std::shared_ptr<const HeldRequest> m_held;
+    const HeldRequest::Message &m_request;
     bool m_isKeptAlive;
     domain::TimePoint m_arrivedAt;
     domain::Duration m_suspendedBefore;
@@ -154,7 +153,8 @@
 
     /// The latest complete answer: a failure is kept in case no further attempt succeeds.
     std::optional<EndpointAnswer> m_buffered;
-    std::size_t m_bufferedBytes = 0;
+    /// What the request holds of the memory for answers.
+    domain::ByteShare m_bufferedShare;
     bool m_isHeadRequest = false;
 };
 
--- a/src/relay/tests/keptfailuretest.cpp
+++ b/src/relay/tests/keptfailuretest.cpp
@@ -166,7 +166,7 @@
     EXPECT_EQ(*m_calls, 2);
     EXPECT_EQ(statusOf(call(request("GET", "/read/1", Close))), 500U);
     stop();
-    EXPECT_EQ(m_relay.bufferedAnswerBytes, 0U);
+    EXPECT_EQ(m_relay.bufferedAnswers->held(), domain::Bytes(0));
 }
 
 } // namespace oriolerill::relay
