Bound the bodies of all requests of an HTTP server

Callers: none was seen to fail.

Cause: the own interface and the servers for peers and administrators had a limit for each body, 1 MB by default, and none for all of up to 4,096 connections.

Evidence: by reading; the entry of the own interface was not run out of memory. The test needs the new options, so it was not run before.

Change: HttpServerOptions::maxTotalBodies (32 MB), enforced by the same readRequestBody() as in the relay; bodies of up to 4 KB are always accepted. A refusal is 503 with Retry-After.

Measured: HttpFixture 7 of 7 passed, entry_tests passed.

--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -43,6 +43,10 @@
 {
     domain::Bytes maxHeader = domain::Bytes(16U << 10U);
     domain::Bytes maxBody = domain::Bytes(1U << 20U);
+    /// Limit on the bodies of all requests in progress; further ones are refused with 503.
+    domain::Bytes maxTotalBodies = domain::Bytes(32U << 20U);
+    /// Bodies of up to this size are accepted although that limit has been reached.
+    domain::Bytes alwaysAcceptedBody = domain::Bytes(4U << 10U);
     /// A client that sends no complete request within this time is disconnected.
     domain::Duration readTimeout = std::chrono::seconds(30);
     /// A client that has not accepted the data of one send within this time is disconnected.
--- a/src/transport/internal/httpserver.cpp
+++ b/src/transport/internal/httpserver.cpp
@@ -1,6 +1,9 @@
 #include "transport/httpserver.h"
 
+#include "domain/bytebudget.h"
+#include "observability/log.h"
 #include "transport/internal/beastfields.h"
+#include "transport/requestbody.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +18,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <set>
@@ -37,6 +41,8 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned Http11 = 11;
+/// Of refusals for want of memory: most requests end within this time.
+constexpr const char *RetryAfterSeconds = "1";
 // Delay before a stop closes idle connections, so that requests already in transit are received.
 constexpr auto IdleCloseDelay = std::chrono::milliseconds(500);
 
@@ -205,6 +211,10 @@
 
 Error readError(beast::error_code code, const HttpServerOptions &options)
 {
+    if (code == asio::error::no_buffer_space) {
+        return Error{ErrorKind::Overloaded, "the bodies of other requests leave no room",
+                "send the request again after Retry-After; it has not run"};
+    }
     if (code == http::error::body_limit) {
         return Error{ErrorKind::TooLarge, "the request body is too large",
                 "send at most " + std::to_string(options.maxBody.count()) + " bytes"};
@@ -233,6 +243,9 @@
     Implementation(asio::any_io_executor executor, HttpServerOptions options)
         : m_executor(std::move(executor))
         , m_options(options)
+        // A body of the largest size fits while there is no other.
+        , m_bodies(std::make_shared<domain::ByteBudget>(
+                  std::max(options.maxTotalBodies, options.maxBody), options.alwaysAcceptedBody))
         , m_acceptor(asio::make_strand(m_executor))
     {}
 
@@ -328,7 +341,8 @@
 
     asio::awaitable<bool> serveOne(Connection &connection)
     {
-        http::request_parser<http::string_body> parser;
+        domain::ByteShare share(m_bodies);
+        RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(m_options.maxHeader.count()));
         parser.body_limit(m_options.maxBody.count());
         connection.stream.expires_after(m_options.readTimeout);
@@ -336,12 +350,12 @@
                 connection.stream, connection.buffer, parser, UseTuple);
         connection.isIdle = false;
         beast::error_code code = headCode;
-        if (!code && !parser.is_done()) {
-            auto [bodyCode, bodySize] = co_await http::async_read(
-                    connection.stream, connection.buffer, parser, UseTuple);
-            code = bodyCode;
-        }
+        if (!code && !parser.is_done())
+            code = co_await readRequestBody(connection.stream, connection.buffer, parser, share);
         if (code) {
+            // Nothing is held while the rest of the request is discarded.
+            std::string().swap(parser.get().body());
+            share.tryResize(domain::Bytes(0));
             if (!isConnectionLoss(code))
                 co_await refuse(connection, readError(code, m_options));
             co_return false;
@@ -377,8 +391,13 @@
 
     asio::awaitable<void> refuse(Connection &connection, Error error)
     {
+        observability::logEvent(observability::Severity::Warning, "request_unreadable",
+                {{"reason", error.message}, {"bodies", m_bodies->held().count()}});
+        HttpResponse response = errorResponse(error);
+        if (error.kind == ErrorKind::Overloaded)
+            response.fields.add("Retry-After", RetryAfterSeconds);
         Exchange exchange(connection, HttpRequest(), m_options, false);
-        co_await exchange.respond(errorResponse(error));
+        co_await exchange.respond(std::move(response));
         // Closing a socket with unread input resets the connection, and the client could lose the
         // answer. So the rest of the request is read and discarded first.
         beast::error_code code;
@@ -424,6 +443,7 @@
 
     asio::any_io_executor m_executor;
     HttpServerOptions m_options;
+    std::shared_ptr<domain::ByteBudget> m_bodies;
     tcp::acceptor m_acceptor;
     Handler m_handler;
     std::atomic<bool> m_isStopping = false;
--- a/src/transport/tests/httptest.cpp
+++ b/src/transport/tests/httptest.cpp
@@ -4,13 +4,16 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <chrono>
+#include <thread>
 
 namespace oriolerill::transport {
 
@@ -24,8 +27,11 @@
     {
         HttpServerOptions options;
         options.maxBody = domain::Bytes(1000);
+        options.maxTotalBodies = domain::Bytes(1000);
+        options.alwaysAcceptedBody = domain::Bytes(10);
         m_server = std::make_unique<HttpServer>(m_pool.get_executor(), options);
-        const auto address = m_server->start({"127.0.0.1", 0}, &HttpFixture::handle);
+        const auto address = m_server->start({"127.0.0.1", 0},
+                [this](HttpServerExchange &exchange) { return handle(exchange); });
         ASSERT_TRUE(address);
         m_address = *address;
         m_client = std::make_unique<HttpClient>(m_pool.get_executor(), HttpClientOptions());
@@ -38,8 +44,16 @@
         m_pool.join();
     }
 
-    static asio::awaitable<void> handle(HttpServerExchange &exchange)
+    asio::awaitable<void> handle(HttpServerExchange &exchange)
     {
+        if (exchange.request().target == "/hold") {
+            m_isHolding = true;
+            asio::steady_timer timer(m_pool);
+            while (m_isHolding) {
+                timer.expires_after(1ms);
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+        }
         if (exchange.request().target == "/cut") {
             co_await exchange.start({});
             co_await exchange.write("half");
@@ -71,6 +85,7 @@
     }
 
     asio::thread_pool m_pool{2};
+    std::atomic<bool> m_isHolding = false;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<HttpClient> m_client;
     domain::SocketAddress m_address;
@@ -139,4 +154,31 @@
     EXPECT_NE(response->body.find("remedy"), std::string::npos);
 }
 
+// Guards against bodies of all requests that together exhaust memory, and against large ones that
+// keep out small ones.
+TEST_F(HttpFixture, send_bodiesBeyondTotal_refusedUntilOthersEnd)
+{
+    HttpRequest held;
+    held.method = "POST";
+    held.target = "/hold";
+    held.body = std::string(800, 'x');
+    const auto deadline = domain::TimePoint::clock::now() + 5s;
+    auto first
+            = asio::co_spawn(m_pool, m_client->send(m_address, held, deadline), asio::use_future);
+    while (!m_isHolding && domain::TimePoint::clock::now() < deadline)
+        std::this_thread::sleep_for(1ms);
+    const auto refused = send("/echo", std::string(300, 'x'));
+    const auto small = send("/echo", "small");
+    m_isHolding = false;
+    ASSERT_TRUE(first.get());
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->status, 503U);
+    EXPECT_EQ(refused->fields.value("Retry-After"), "1");
+    ASSERT_TRUE(small);
+    EXPECT_EQ(small->body, "small");
+    const auto later = send("/echo", std::string(300, 'x'));
+    ASSERT_TRUE(later);
+    EXPECT_EQ(later->status, 200U);
+}
+
 } // namespace oriolerill::transport
