Log the steps of a stop of the own interface

Operators: an entry that does not stop in time logs stopping and nothing else, as seen once in integration_sigtermtest; the log cannot tell what it waits for.

Change: draining (with the requests in progress), drained and services_stopped stand between stopping and stopped. No change of behaviour. By reading: the wait for requests may take the drain time, 60 s by default, while the test waits 20 s; whether a request was still counted there is what the next such log shows.

--- a/src/entry/internal/entryprocess.cpp
+++ b/src/entry/internal/entryprocess.cpp
@@ -233,15 +233,21 @@
         std::this_thread::sleep_for(LeavingDelay);
         m_callerServer.stopAccepting();
         m_peerServer.stopAccepting();
+        // A stop that does not end shows by its last line what it waits for.
+        observability::logEvent(observability::Severity::Info, "draining",
+                {{"active", m_front.active()}, {"callers", m_callerServer.activeExchanges()},
+                        {"peers", m_peerServer.activeExchanges()}});
         asio::co_spawn(m_pool, m_front.drain(deadline), asio::use_future).get();
         if (m_front.active() > 0) {
             observability::logEvent(observability::Severity::Warning, "drain_time_exceeded",
                     {{"active", m_front.active()}});
         }
+        observability::logEvent(observability::Severity::Info, "drained");
         m_admin.stopAccepting();
         m_tracker.stop();
         m_config.stop();
         m_membership.stop();
+        observability::logEvent(observability::Severity::Info, "services_stopped");
         m_controlServer.stop();
         m_callerServer.closeAll();
         m_peerServer.closeAll();
