Count the read delay of a missed change from when it was heard of

Cause: an entry hears from peers that a change exists, waits 400 ms for its own watch, and then counts the change as missed. The delay until its own read of the store, 1.8 s for the last ranks, began only then. So the check and the act that follows it did not share a deadline.

Ruled out: a lost or slow read (it took 30 ms); an entry that does not know that it is behind (store_change_missed 1.6 s before the request).

Change: the delay begins when the change was first heard of. store_change_missed states that time as heard_ms.

--- a/src/objectstore/internal/storesubscriber.cpp
+++ b/src/objectstore/internal/storesubscriber.cpp
@@ -377,16 +377,16 @@
     return newer;
 }
 
-void StoreSubscriber::recordMissing(std::uint64_t revision, TimePoint now)
+void StoreSubscriber::recordMissing(std::uint64_t revision, TimePoint heardAt)
 {
     if (!m_missingSince) {
-        m_missingSince = now;
-        // The publisher of the change reaches the store, so the read delay starts now.
+        m_missingSince = heardAt;
+        // The publisher of the change reaches the store, so the read delay starts then.
         if (m_readStagger != nullptr)
-            m_freshness.onUnanswered(now);
+            m_freshness.onUnanswered(heardAt);
     }
     m_missingRevision = std::max(m_missingRevision, revision);
-    m_freshness.onPossiblyStale(now);
+    m_freshness.onPossiblyStale(heardAt);
     scheduleConfirmation();
     m_isRetryDelayCancelled = m_isRetryDelayCancelled || m_failures > 0;
 }
@@ -527,16 +527,21 @@
     }
     if (!m_behindSince)
         m_behindSince = now;
-    if (now - *m_behindSince < m_options.peerRevisionTimeout)
+    const TimePoint heardAt = *m_behindSince;
+    if (now - heardAt < m_options.peerRevisionTimeout)
         return;
     logEvent(Severity::Info, "store_change_missed",
-            {{"collection", m_collection}, {"known", m_version.revision}, {"changed", revision}});
+            {{"collection", m_collection}, {"known", m_version.revision}, {"changed", revision},
+                    {"heard_ms",
+                            std::chrono::duration_cast<std::chrono::milliseconds>(now - heardAt)
+                                    .count()}});
     m_behindSince.reset();
     if (m_readStagger == nullptr) {
         refresh();
         return;
     }
-    recordMissing(revision, now);
+    // The time in which it did not count as missed is part of the delay until the own read.
+    recordMissing(revision, heardAt);
     m_hasGap = true;
 }
 
--- a/src/objectstore/storesubscriber.h
+++ b/src/objectstore/storesubscriber.h
@@ -164,7 +164,7 @@
     domain::Duration watchTimeout() const;
     bool isUpdateRecent(domain::TimePoint now) const;
     /// The copy lacks a change at or before this revision.
-    void recordMissing(std::uint64_t revision, domain::TimePoint now);
+    void recordMissing(std::uint64_t revision, domain::TimePoint heardAt);
     /// The changes without those of objects whose later state is already applied.
     ObjectList withoutSuperseded(const ObjectList &changes);
     boost::asio::awaitable<bool> listFromPeer();
--- a/src/objectstore/tests/storeupdatestest.cpp
+++ b/src/objectstore/tests/storeupdatestest.cpp
@@ -89,17 +89,19 @@
 class PeerRevisionFixture : public testing::Test
 {
 protected:
+    PeerRevisionFixture()
+    {
+        m_options.peerRevisionTimeout = 20ms;
+        m_options.minRefreshInterval = 10ms;
+        m_options.gapTimeout = 40ms;
+    }
     void SetUp() override
     {
         m_store.setObject("a", 5);
-        StoreSubscriberOptions options;
-        options.peerRevisionTimeout = 20ms;
-        options.minRefreshInterval = 10ms;
-        options.gapTimeout = 40ms;
         m_subscriber = std::make_unique<StoreSubscriber>(m_context, m_store, "withdrawals",
                 CollectionSink{[this](const ObjectList &) { ++m_listsApplied; },
                         [this](const ObjectList &) { ++m_changesApplied; }, {}, {}},
-                options);
+                m_options);
     }
     void start() { asio::co_spawn(m_context, m_subscriber->run(), asio::detached); }
     void runFor(domain::Duration time) { m_context.run_for(time); }
@@ -115,6 +117,7 @@
     asio::io_context m_context;
     UnresponsiveStore m_store{m_context};
     std::unique_ptr<StoreSubscriber> m_subscriber;
+    StoreSubscriberOptions m_options;
     int m_listsApplied = 0;
     int m_changesApplied = 0;
 };
@@ -395,6 +398,41 @@
     EXPECT_EQ(m_subscriber->lastChangeRevision(), 20U);
 }
 
+/// The same, with the times of an entry.
+class LateChangeFixture : public PublishedChangesFixture
+{
+protected:
+    LateChangeFixture()
+    {
+        m_options = {};
+        m_options.freshnessBudget = 1500ms;
+    }
+};
+
+// Regression: the delay until the own read of the store began when a change counted as missed, not
+// when it was first heard of. Where no publisher had it, an entry read a revoked key 3.3 s after
+// the store had acknowledged it (scale-2 of txsatchel-orders-grown, CONFIG).
+TEST_F(LateChangeFixture, onPeerRevision_noPublisherHasChange_readWithinDelaySinceFirstHeard)
+{
+    constexpr auto CheckTime = 250ms;
+    makeLarge();
+    m_subscriber->setPeerFetch([](TimePoint) -> asio::awaitable<Expected<ObjectList>> {
+        co_return Error{ErrorKind::Unavailable, "no publisher", "wait"};
+    });
+    receiveUpdate(AppliedRevision, changesTo(AppliedRevision));
+    runFor(250ms);
+    m_store.setObject("a", 20);
+    m_store.watchAnswerDelay = 1h;
+    const TimePoint heardAt = TimePoint::clock::now();
+    while (m_subscriber->lastChangeRevision() < 20 && TimePoint::clock::now() < heardAt + 5s) {
+        m_subscriber->onPeerRevision(20, TimePoint::clock::now());
+        runFor(20ms);
+    }
+    const domain::Duration time = TimePoint::clock::now() - heardAt;
+    EXPECT_LT(time, m_readStagger.delay() + CheckTime);
+    EXPECT_GE(time, m_readStagger.delay());
+}
+
 // Guards against a call of each entry for each lost datagram: a second publisher sends the same
 // changes a moment later.
 TEST_F(PublishedChangesFixture, onPublishedChanges_missingChangesFromOtherPublisher_storeNotCalled)
