--- a/src/entry/internal/entryprocess.cpp
+++ b/src/entry/internal/entryprocess.cpp
@@ -233,7 +233,7 @@
         std::this_thread::sleep_for(LeavingDelay);
         m_callerServer.stopAccepting();
         m_peerServer.stopAccepting();
-        // A stop that does not end shows by its last line what it waits for.
+        // Each step is logged, so that the log of a hanging stop names the step.
         observability::logEvent(observability::Severity::Info, "draining",
                 {{"active", m_front.active()}, {"callers", m_callerServer.activeExchanges()},
                         {"peers", m_peerServer.activeExchanges()}});
--- a/src/objectstore/tests/storeupdatestest.cpp
+++ b/src/objectstore/tests/storeupdatestest.cpp
@@ -410,8 +410,9 @@
 };
 
 // Regression: the delay until the own read of the store began when a change counted as missed, not
-// when it was first heard of. Where no publisher had it, an entry read a revoked key 3.3 s after
-// the store had acknowledged it (scale-2 of txsatchel-orders-grown, CONFIG).
+// when a peer first reported it. If no publisher had the change, an entry applied it 3.3 s after
+// the store had acknowledged it, and accepted a revoked key until then (scale-2 of
+// txsatchel-orders-grown, CONFIG).
 TEST_F(LateChangeFixture, onPeerRevision_noPublisherHasChange_readWithinDelaySinceFirstHeard)
 {
     constexpr auto CheckTime = 250ms;
--- a/src/relayagent/internal/engineswitcher.h
+++ b/src/relayagent/internal/engineswitcher.h
@@ -69,9 +69,8 @@
     /// Waits until the engine serves the version or is idle again; whether the load was seen to
     /// have begun while the verification was valid.
     boost::asio::awaitable<bool> awaitLoad(const VerifiedWeights &verified, OrderEnd end);
-    /// To be called before pieces of the version are staged, which may replace those that an
-    /// unconfirmed order loads: notes whether they are intact. False when the engine does not
-    /// answer.
+    /// Must be called before pieces of the version are staged: records whether the pieces that an
+    /// unconfirmed order may load are intact. False when the engine does not answer.
     boost::asio::awaitable<bool> checkBeforeStaging(const distribution::WeightsVersion &version);
     /// Checks the pieces of a version that an unconfirmed order has loaded.
     boost::asio::awaitable<void> checkLoaded(std::shared_ptr<UnconfirmedOrder> order);
