--- a/src/objectstore/tests/storeupdatestest.cpp
+++ b/src/objectstore/tests/storeupdatestest.cpp
@@ -471,4 +471,45 @@
     EXPECT_EQ(m_subscriber->lastChangeRevision(), 9U);
 }
 
+// Regression: while changes followed each other faster than a publisher's list could be fetched,
+// each list was rejected because a newer change had been announced in the meantime, and the copy
+// kept its revision.
+TEST_F(PublishedChangesFixture,
+        onPublishedChanges_newerChangeAnnouncedDuringFetch_fetchedListApplied)
+{
+    makeLarge();
+    std::uint64_t announced = 20;
+    m_subscriber->setPeerFetch([&](TimePoint) -> asio::awaitable<Expected<ObjectList>> {
+        const std::uint64_t revision = announced;
+        asio::steady_timer timer(m_context, 100ms);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_return changesTo(revision, "large", revision);
+    });
+    receiveUpdate(AppliedRevision, changesTo(AppliedRevision));
+    runFor(250ms);
+    m_store.isDown = true;
+    // Shorter than the delay of this entry's rank: only publishers are asked.
+    for (int i = 0; i < 14; ++i) {
+        announced += 10;
+        m_subscriber->onPublishedChanges(
+                announced, changesTo(announced), TimePoint::clock::now(), true);
+        runFor(50ms);
+    }
+    EXPECT_GE(m_subscriber->lastChangeRevision(), announced - 50);
+    EXPECT_TRUE(m_subscriber->isBehind());
+}
+
+// Regression: the answer of a watch that was sent before a change was announced, without the
+// change, counted as its arrival, and the delay until the own read of the store began again.
+TEST_F(LateChangeFixture, run_olderAnswerAfterAnnouncement_changeStillMissing)
+{
+    makeLarge();
+    runFor(10ms);
+    m_subscriber->onPublishedChanges(20, changesTo(20), TimePoint::clock::now(), true);
+    EXPECT_TRUE(m_subscriber->isBehind());
+    // The answer of the watch that is waiting, at the applied revision.
+    runFor(25ms);
+    EXPECT_TRUE(m_subscriber->isBehind());
+}
+
 } // namespace oriolerill::objectstore
--- a/src/relay/tests/collectionslinktest.cpp
+++ b/src/relay/tests/collectionslinktest.cpp
@@ -1,3 +1,4 @@
+#include "objectstore/tests/entrystore.h"
 #include "objectstore/tests/fifolinkstore.h"
 #include "relay/internal/fleetsubscriber.h"
 #include "relay/tests/relayfixture.h"
@@ -12,6 +13,7 @@
 using namespace std::chrono_literals;
 using domain::TimePoint;
 using internal::PublishedChanges;
+using objectstore::EntryStore;
 using objectstore::ObjectList;
 
 /// The entries of a data centre whose store is in another region, behind one shared link.
@@ -36,11 +38,13 @@
     struct Entry
     {
         explicit Entry(CollectionsLinkFixture &fixture)
-            : connections(fixture.m_context)
+            : store(fixture.m_store)
+            , connections(fixture.m_context)
             , relay{dispatcher, connections, metrics}
-            , subscriber(fixture.m_context, fixture.m_store, relay, {Bound, Bound})
+            , subscriber(fixture.m_context, store, relay, {Bound, Bound})
         {}
 
+        EntryStore store;
         routing::Dispatcher dispatcher{routing::DispatcherOptions()};
         internal::EndpointConnections connections;
         observability::Metrics metrics;
@@ -247,4 +251,40 @@
     EXPECT_LE(m_store.transferredBytes, ChangeCount * ConfigurationSize * 5 / 2);
 }
 
+// Regression: entries that the store had turned away for nine seconds, the publishers among them,
+// served with configurations that were five seconds old after its return. Each caught up by a
+// watch, which returns every superseded version, while large versions followed each other
+// (probador-rill-large, CONFIG).
+TEST_F(CollectionsLinkFixture, run_storeServesRefusedEntriesAgain_largeChangeWithinBound)
+{
+    constexpr std::size_t ConfigurationSize = 90000;
+    constexpr std::size_t LargeSize = 530000;
+    constexpr std::size_t ChangeCount = 6;
+    start();
+    // The publishers and a third of the others.
+    for (std::size_t i = 0; i < Entries; i += i < Publishers ? 1 : 3)
+        m_entries[i]->store.state = EntryStore::State::Reset;
+    m_store.reset();
+    for (std::size_t change = 0; change < ChangeCount; ++change) {
+        putConfiguration(ConfigurationSize);
+        runFor(700ms);
+    }
+    putConfiguration(LargeSize);
+    const std::uint64_t firstLarge = m_configuration;
+    for (const auto &entry : m_entries)
+        entry->store.state = EntryStore::State::Served;
+    const TimePoint returnedAt = TimePoint::clock::now();
+    runFor(1600ms);
+    putConfiguration(LargeSize);
+    const auto lacksFirst = [firstLarge](const auto &entry) {
+        return entry->subscriber.knowledge().configuration_changed_at() < firstLarge;
+    };
+    while (std::any_of(m_entries.begin(), m_entries.end(), lacksFirst)
+            && TimePoint::clock::now() < returnedAt + 2 * Bound)
+        runFor(20ms);
+    print("refused", TimePoint::clock::now() - returnedAt);
+    EXPECT_EQ(std::count_if(m_entries.begin(), m_entries.end(), lacksFirst), 0);
+    EXPECT_LE(TimePoint::clock::now() - returnedAt, Bound);
+}
+
 } // namespace oriolerill::relay
