Count every wait for a change from the last proof of the copy

Cause, the same for both: the waits on the way of a change each began at a moment of their own. A publisher whose watch waited at a store that no longer answered went on confirming the other entries' copies until the watch ended, 6 s, and the delays by rank began when it reported the loss. After the return each entry read every superseded version of the configuration through one link, so the reads ran into their deadlines; lists from publishers were refused while further changes followed; an older answer cleared the knowledge of a change.

Change: the copy has the time of its last proof, the sending of an answered call that does not wait, or the end of a watch. Publishers prove their copies each 0.2 of the bound (one answer proves all collections unchanged since) and send the age of the proof. All other waits end by it: updates with an old proof confirm nothing, ranks read after 0.3 to 0.6 of the bound, the first ones publish. A list that is older than the last announcement is applied, and the deadline moves to the proof of what it contains; only an answer to a call sent after an announcement settles it.

--- a/src/objectstore/internal/readstagger.cpp
+++ b/src/objectstore/internal/readstagger.cpp
@@ -34,6 +34,11 @@
     return m_entries > 0 && m_rank < m_publishers;
 }
 
+domain::Duration ReadStagger::firstDelay() const
+{
+    return std::chrono::duration_cast<domain::Duration>(m_budget * FirstDelay);
+}
+
 domain::Duration ReadStagger::delay() const
 {
     const std::uint32_t group = groupOf(m_rank, m_publishers);
--- a/src/objectstore/internal/storesubscriber.cpp
+++ b/src/objectstore/internal/storesubscriber.cpp
@@ -118,10 +118,25 @@
             m_freshness.readDeadline(), m_freshness.possiblyStaleSince() + m_readStagger->delay());
 }
 
+bool StoreSubscriber::isSubscriber() const
+{
+    return m_readStagger != nullptr && !m_readStagger->isPublisher();
+}
+
+TimePoint StoreSubscriber::proofEnd() const
+{
+    if (m_readStagger == nullptr)
+        return m_provenAt + m_options.maxProofAge;
+    // A publisher that has lost the store accepts the updates of those that replace it.
+    return m_provenAt + std::max(m_readStagger->delay(), m_readStagger->firstDelay());
+}
+
 bool StoreSubscriber::isTakeoverAwaited(TimePoint now) const
 {
-    const TimePoint since = std::max(m_updateReceivedAt, m_publisherLossSince);
-    return m_readStagger != nullptr && since != TimePoint() && now < since + m_readStagger->delay();
+    // Publishers that cannot reach the store detect it late; the age of the last proof does not
+    // depend on their detecting it.
+    return isSubscriber() && m_readStagger->delay() > domain::Duration::zero()
+            && now < m_provenAt + m_readStagger->delay();
 }
 
 bool StoreSubscriber::isAwaitingAnswer(TimePoint now) const
@@ -138,6 +153,7 @@
 asio::awaitable<bool> StoreSubscriber::step()
 {
     constexpr auto CheckInterval = std::chrono::milliseconds(200);
+    constexpr domain::Duration MinCheckInterval = std::chrono::milliseconds(20);
     if (m_isRefreshing) {
         co_await wait(CheckInterval);
         co_return true;
@@ -161,7 +177,6 @@
     if (maySuspend && isSuspended(TimePoint::clock::now())) {
         m_hasCalled = false;
         // The answer to a pending probe is awaited beyond the deadline.
-        constexpr domain::Duration MinCheckInterval = std::chrono::milliseconds(20);
         const domain::Duration left = m_freshness.limitWait(CheckInterval, TimePoint::clock::now());
         co_await wait(std::max(left, MinCheckInterval));
         co_return true;
@@ -170,7 +185,8 @@
         co_return co_await listOnce();
     if (isUpdateRecent(TimePoint::clock::now()) && !m_hasGap) {
         m_hasCalled = false;
-        co_await wait(CheckInterval);
+        co_await wait(std::clamp<domain::Duration>(
+                proofEnd() - TimePoint::clock::now(), MinCheckInterval, CheckInterval));
         co_return true;
     }
     if (m_isWatchNeeded && !m_isWatchNeeded()) {
@@ -181,7 +197,8 @@
     }
     if (!m_hasGap && isTakeoverAwaited(TimePoint::clock::now())) {
         m_hasCalled = false;
-        co_await wait(CheckInterval);
+        co_await wait(std::clamp<domain::Duration>(
+                proofEnd() - TimePoint::clock::now(), MinCheckInterval, CheckInterval));
         co_return true;
     }
     // A watch would transfer each superseded state of a large object.
@@ -200,9 +217,10 @@
         onFailure(list.error(), sentAt);
         co_return false;
     }
-    onStoreSuccess();
+    onAnswered();
     logRead(m_collection, "store_list", *list, sentAt);
     applyList(*list);
+    onStoreSuccess(list->storeVersion.revision, sentAt);
     co_return true;
 }
 
@@ -211,13 +229,12 @@
     ++m_generation;
     m_version = list.storeVersion;
     m_hasList = true;
-    m_hasGap = false;
-    m_missingSince.reset();
-    m_missingRevision = 0;
     m_objectRevisions.clear();
     recordRevisions(list);
     if (m_keepsCopy)
         m_copy = list;
+    updateMissing();
+    m_hasGap = m_missingSince.has_value();
     m_sink.onList(list);
 }
 
@@ -229,20 +246,27 @@
     // Another list or an update may have been applied in the meantime.
     if (generation != m_generation)
         co_return true;
-    if (!list || list->storeVersion.revision < std::max(m_version.revision, m_missingRevision)) {
+    // A list without the newest announced change still brings the copy forward: while changes
+    // follow each other faster than a list is fetched, each list is older than the last
+    // announcement.
+    const bool isUseful = list
+            && (list->storeVersion.revision > m_version.revision
+                    || (list->storeVersion.revision == m_version.revision
+                            && list->storeVersion.revision >= m_missingRevision));
+    if (!isUseful) {
         logEvent(Severity::Info, "peer_list_missing",
                 {{"collection", m_collection}, {"missing", m_missingRevision},
                         {"reason",
-                                list ? "it is older than the local copy or the published changes"
+                                list ? "it is not newer than the local copy"
                                      : list.error().message},
                         {"remedy", "another peer or the store is read instead"}});
         co_return false;
     }
     if (m_readStagger != nullptr)
         m_updateReceivedAt = TimePoint::clock::now();
-    onSuccess();
     logRead(m_collection, "entry", *list, now);
     applyList(*list);
+    onSuccess();
     co_return true;
 }
 
@@ -262,12 +286,22 @@
 asio::awaitable<bool> StoreSubscriber::watchOnce()
 {
     const std::uint64_t generation = m_generation;
-    // The missing changes are already in the store: do not wait for further ones.
-    const domain::Duration time = m_hasGap ? domain::Duration::zero() : watchTimeout();
+    // The missing changes are already in the store: do not wait for further ones. A waiting watch
+    // proves the copy only when it ends, later than the delays of the other ranks.
+    const bool isPolled = isSubscriber() && m_readStagger->delay() > domain::Duration::zero();
+    const domain::Duration time = m_hasGap || isPolled ? domain::Duration::zero() : watchTimeout();
     const TimePoint sentAt = TimePoint::clock::now();
     m_isWatchWaiting = time > domain::Duration::zero();
     if (!m_isWatchWaiting)
         m_sentAt = sentAt;
+    if (isPolled) {
+        logEvent(Severity::Info, "publishers_proof_expired",
+                {{"collection", m_collection}, {"revision", m_version.revision},
+                        {"proof_age_ms",
+                                std::chrono::duration_cast<std::chrono::milliseconds>(
+                                        sentAt - m_provenAt)
+                                        .count()}});
+    }
     auto changes = co_await m_store.watch(
             m_collection, m_version, sentAt + time + m_options.answerTimeout);
     m_isWatchWaiting = false;
@@ -288,10 +322,14 @@
         onFailure(changes.error(), hasWaited ? TimePoint::clock::now() : sentAt);
         co_return false;
     }
-    onStoreSuccess();
+    onAnswered();
     if (!changes->objects.empty())
         logRead(m_collection, "store_watch", *changes, sentAt);
+    // A watch that ended without a change after its whole wait proves the copy until then.
+    const bool hasWaited = changes->objects.empty() && TimePoint::clock::now() >= sentAt + time;
+    const TimePoint provenAt = hasWaited ? sentAt + time : sentAt;
     applyWatchedChanges(*changes);
+    onStoreSuccess(changes->storeVersion.revision, provenAt);
     co_return true;
 }
 
@@ -299,13 +337,12 @@
 {
     const std::uint64_t lastChange = m_lastChangeRevision;
     const std::uint64_t before = m_version.revision;
-    m_hasGap = false;
-    m_missingSince.reset();
-    m_missingRevision = 0;
     const ObjectList newer = withoutSuperseded(changes);
     m_version = std::max(m_version, changes.storeVersion);
     recordRevisions(newer);
     updateCopy(newer);
+    updateMissing();
+    m_hasGap = m_missingSince.has_value();
     if (m_sink.onWatchedChanges && changes.storeVersion.revision > before)
         m_sink.onWatchedChanges(lastChange, changes);
     if (!newer.objects.empty())
@@ -326,16 +363,18 @@
         onFailure(changes.error(), sentAt);
         co_return false;
     }
-    onStoreSuccess();
-    logRead(m_collection, "store_catch_up", *changes, sentAt);
+    onAnswered();
+    if (!changes->objects.empty())
+        logRead(m_collection, "store_catch_up", *changes, sentAt);
     applyWatchedChanges(*changes);
+    onStoreSuccess(changes->storeVersion.revision, sentAt);
     co_return true;
 }
 
 bool StoreSubscriber::isUpdateRecent(TimePoint now) const
 {
-    return m_updateReceivedAt != TimePoint()
-            && now - m_updateReceivedAt <= m_options.updateLifetime;
+    return m_updateReceivedAt != TimePoint() && now - m_updateReceivedAt <= m_options.updateLifetime
+            && now < proofEnd();
 }
 
 bool StoreSubscriber::isPublisherActive(TimePoint now) const
@@ -346,21 +385,20 @@
 
 bool StoreSubscriber::isUnconfirmed(TimePoint now) const
 {
-    const bool isSubscriber = m_readStagger != nullptr && !m_readStagger->isPublisher();
-    const domain::Duration maxAge
-            = m_options.updateLifetime + m_options.subscriberWatchTimeout + m_options.answerTimeout;
-    return isSubscriber && m_hasList && now - m_answeredAt > maxAge;
+    const domain::Duration maxAge = std::min<domain::Duration>(m_options.freshnessBudget,
+            m_options.updateLifetime + m_options.subscriberWatchTimeout + m_options.answerTimeout);
+    return isSubscriber() && m_hasList && now - m_provenAt > maxAge;
 }
 
-std::optional<std::uint64_t> StoreSubscriber::confirmedRevision(TimePoint now) const
+std::optional<ProvenRevision> StoreSubscriber::confirmedRevision(TimePoint now) const
 {
     // A possibly stale copy must not confirm the copies of other processes.
-    const bool isAnswered = m_hasList && m_failures == 0 && !m_freshness.isPossiblyStale()
-            && !isUpdateRecent(now)
-            && now - m_storeAnsweredAt <= watchTimeout() + m_options.answerTimeout;
-    if (!isAnswered)
+    const bool isProvenHere = m_hasList && m_failures == 0 && !m_freshness.isPossiblyStale()
+            && m_storeProvenAt >= m_provenAt
+            && now - m_storeProvenAt <= watchTimeout() + m_options.answerTimeout;
+    if (!isProvenHere)
         return std::nullopt;
-    return m_version.revision;
+    return ProvenRevision{m_version.revision, m_storeProvenAt};
 }
 
 ObjectList StoreSubscriber::withoutSuperseded(const ObjectList &changes)
@@ -377,49 +415,126 @@
     return newer;
 }
 
-void StoreSubscriber::recordMissing(std::uint64_t revision, TimePoint heardAt)
+void StoreSubscriber::recordProof(TimePoint provenAt)
+{
+    m_provenAt = std::max(m_provenAt, provenAt);
+}
+
+void StoreSubscriber::recordStoreProof(std::uint64_t revision, TimePoint provenAt)
 {
+    m_storeProvenAt = std::max(m_storeProvenAt, provenAt);
+    // The store's own answer settles an announcement received before the call, whatever its
+    // revision.
+    if (provenAt >= m_missingReceivedAt || revision >= m_missingRevision) {
+        clearMissing();
+        m_hasGap = false;
+    }
+    recordProof(provenAt);
+}
+
+void StoreSubscriber::onStoreRevision(std::uint64_t revision, TimePoint provenAt)
+{
+    if (!m_hasList || revision > m_version.revision)
+        return;
+    recordStoreProof(revision, provenAt);
+}
+
+void StoreSubscriber::clearMissing()
+{
+    m_missingSince.reset();
+    m_missingRevision = 0;
+    m_missingReceivedAt = {};
+    m_overdueAt = TimePoint::max();
+    m_announcedProofs.clear();
+}
+
+void StoreSubscriber::updateMissing()
+{
+    const auto next = m_announcedProofs.upper_bound(m_version.revision);
+    if (next != m_announcedProofs.begin()) {
+        recordProof(std::prev(next)->second);
+        m_announcedProofs.erase(m_announcedProofs.begin(), next);
+    }
+    if (m_version.revision >= m_missingRevision) {
+        clearMissing();
+        return;
+    }
+    // The changes that are still missing were made after the last proof.
+    if (m_readStagger != nullptr && m_missingSince && m_provenAt > *m_missingSince) {
+        m_missingSince = m_provenAt;
+        m_freshness.onUnanswered(m_provenAt);
+        if (m_overdueAt != TimePoint::max())
+            m_overdueAt = m_provenAt + m_options.maxBehindTime;
+    }
+}
+
+TimePoint StoreSubscriber::missingSince(TimePoint receivedAt) const
+{
+    // After an outage the last proof is old, and the publisher has just read the change.
+    const bool isProofRecent
+            = m_readStagger != nullptr && receivedAt - m_provenAt <= m_readStagger->firstDelay();
+    return isProofRecent ? std::min(m_provenAt, receivedAt) : receivedAt;
+}
+
+void StoreSubscriber::recordMissing(std::uint64_t revision, TimePoint receivedAt)
+{
+    const TimePoint since = missingSince(receivedAt);
     if (!m_missingSince) {
-        m_missingSince = heardAt;
+        m_missingSince = receivedAt;
         // The publisher of the change reaches the store, so the read delay starts then.
         if (m_readStagger != nullptr)
-            m_freshness.onUnanswered(heardAt);
+            m_freshness.onUnanswered(since);
     }
+    if (revision > m_missingRevision)
+        m_missingReceivedAt = receivedAt;
     m_missingRevision = std::max(m_missingRevision, revision);
-    m_freshness.onPossiblyStale(heardAt);
+    m_freshness.onPossiblyStale(since);
     scheduleConfirmation();
     m_isRetryDelayCancelled = m_isRetryDelayCancelled || m_failures > 0;
 }
 
 void StoreSubscriber::onPublisherStoreLoss(TimePoint now)
 {
-    if (now - m_publisherLossAt > m_options.updateLifetime)
-        m_publisherLossSince = now;
     m_publisherLossAt = now;
     m_updateReceivedAt = {};
 }
 
-void StoreSubscriber::onPublishedChanges(
-        std::uint64_t after, const ObjectList &changes, TimePoint now, bool isOmitted)
+void StoreSubscriber::onPublishedChanges(std::uint64_t after, const ObjectList &changes,
+        TimePoint now, bool isOmitted, std::optional<TimePoint> provenAt)
 {
+    /// Announcements of one series; with more, the oldest proofs are evicted, which errs towards
+    /// reading the store earlier.
+    constexpr std::size_t MaxAnnouncedProofs = 32;
+    const TimePoint proof = provenAt.value_or(now);
     // A publisher without the last change may be disconnected from the store.
     if (!m_hasList || changes.storeVersion.revision < m_lastChangeRevision)
         return;
     if (after > m_version.revision) {
         recordMissing(after, now);
+        if (m_options.maxBehindTime != domain::Duration::max() && m_overdueAt == TimePoint::max())
+            m_overdueAt = missingSince(now) + m_options.maxBehindTime;
+        m_announcedProofs[changes.storeVersion.revision] = proof;
+        if (m_announcedProofs.size() > MaxAnnouncedProofs)
+            m_announcedProofs.erase(m_announcedProofs.begin());
         // A publisher is active, so this process must not replace it.
         if (m_readStagger != nullptr)
             m_updateReceivedAt = now;
         m_hasGap = m_hasGap || isOmitted || now - *m_missingSince >= m_options.gapTimeout;
         return;
     }
-    m_updateReceivedAt = now;
-    m_isRetryDelayCancelled = m_isRetryDelayCancelled || m_failures > 0;
     // The other publisher may have sent a later revision.
     const bool isBehind = m_missingSince && changes.storeVersion.revision < m_missingRevision;
-    if (!isBehind) {
-        m_hasGap = false;
-        onSuccess();
+    if (!isBehind)
+        recordProof(proof);
+    // A publisher whose store connection is unresponsive sends updates until it detects the loss;
+    // their changes are valid, but they confirm nothing.
+    if (now < proofEnd()) {
+        m_updateReceivedAt = now;
+        m_isRetryDelayCancelled = m_isRetryDelayCancelled || m_failures > 0;
+        if (!isBehind) {
+            m_hasGap = false;
+            onSuccess();
+        }
     }
     if (changes.storeVersion.revision <= m_version.revision)
         return;
@@ -427,10 +542,9 @@
     // The answer of a pending watch may be older.
     ++m_generation;
     m_version = changes.storeVersion;
-    if (m_version.revision >= m_missingRevision)
-        m_missingSince.reset();
     recordRevisions(newer);
     updateCopy(newer);
+    updateMissing();
     if (!newer.objects.empty())
         m_sink.onChanges(newer);
 }
@@ -441,8 +555,7 @@
             && TimePoint::clock::now() - m_peerRevisionReceivedAt <= m_options.peerRevisionLifetime;
     const domain::Duration time
             = isPeerBacked ? m_options.peerBackedWatchTimeout : m_options.watchTimeout;
-    const bool isSubscriber = m_readStagger != nullptr && !m_readStagger->isPublisher();
-    return isSubscriber ? std::min(time, m_options.subscriberWatchTimeout) : time;
+    return isSubscriber() ? std::min(time, m_options.subscriberWatchTimeout) : time;
 }
 
 void StoreSubscriber::recordRevisions(const ObjectList &objects)
@@ -510,6 +623,25 @@
     m_isRefreshing = false;
 }
 
+void StoreSubscriber::proveIfOlderThan(domain::Duration age, TimePoint now)
+{
+    // While the probe is unanswered, its answer shows that the store is reachable again.
+    const bool isProbed = m_probe != nullptr && m_probe->isFailing();
+    const domain::Duration interval = m_failures > 0 ? m_options.maxRetryDelay : age;
+    const bool isDue = now - std::max(m_provenAt, m_proofRequestedAt) >= interval;
+    if (!m_hasList || m_isProving || m_isRefreshing || !m_isWatchWaiting || isProbed || !isDue)
+        return;
+    m_isProving = true;
+    m_proofRequestedAt = now;
+    asio::co_spawn(m_context, proveOnce(), asio::detached);
+}
+
+asio::awaitable<void> StoreSubscriber::proveOnce()
+{
+    co_await catchUpOnce();
+    m_isProving = false;
+}
+
 asio::awaitable<bool> StoreSubscriber::refreshOnce()
 {
     // The unchanged part of a large collection is not transferred again.
@@ -569,14 +701,18 @@
 
 void StoreSubscriber::onSuccess()
 {
-    m_freshness.onConfirmed();
+    // A copy that still lacks a change keeps its deadline.
+    if (!m_missingSince)
+        m_freshness.onConfirmed();
     onAnswered();
 }
 
-void StoreSubscriber::onStoreSuccess()
+void StoreSubscriber::onStoreSuccess(std::uint64_t revision, TimePoint provenAt)
 {
-    m_storeAnsweredAt = TimePoint::clock::now();
+    recordStoreProof(revision, provenAt);
     onSuccess();
+    if (m_sink.onStoreRevision)
+        m_sink.onStoreRevision(revision, provenAt);
 }
 
 void StoreSubscriber::onAnswered()
--- a/src/objectstore/storesubscriber.h
+++ b/src/objectstore/storesubscriber.h
@@ -30,6 +30,16 @@
     /// Changes received by a watch of this process, in addition to onChanges; after is the revision
     /// of the last change before them.
     std::function<void(std::uint64_t after, const ObjectList &changes)> onWatchedChanges;
+    /// The store had this revision at the time: an answer to a call of this process proves it.
+    std::function<void(std::uint64_t revision, domain::TimePoint provenAt)> onStoreRevision;
+};
+
+/// A revision of the store that a copy reflects, and the time at which the store last had no newer
+/// change of the collection.
+struct ProvenRevision
+{
+    std::uint64_t revision = 0;
+    domain::TimePoint provenAt;
 };
 
 struct StoreSubscriberOptions
@@ -70,6 +80,12 @@
     /// Maximum time from the moment at which a change may have been missed to the own read of the
     /// store; all waits share it. Unlimited where nothing depends on the age of the copy.
     domain::Duration freshnessBudget = domain::Duration::max();
+    /// Maximum age of the proof that a publisher's update carries; a copy whose last proof is older
+    /// is read from the store. With a read stagger, the delay of the own rank applies instead.
+    domain::Duration maxProofAge = std::chrono::milliseconds(2400);
+    /// Time from the last proof of the copy to when it is overdue, if a publisher has sent a change
+    /// that the copy lacks. Unlimited where nothing depends on it.
+    domain::Duration maxBehindTime = domain::Duration::max();
 };
 
 /// Keeps a copy of one collection of the store up to date.
@@ -105,9 +121,18 @@
     void onPeerRevision(std::uint64_t revision, domain::TimePoint now);
     /// A publisher has sent an update: the changes up to the store version of the list; after is
     /// the revision of the last change before them. Changes too large to be sent are omitted; they
-    /// can be fetched from the publisher.
+    /// can be fetched from the publisher. provenAt is when the store last proved the publisher's
+    /// copy; now if empty.
     void onPublishedChanges(std::uint64_t after, const ObjectList &changes, domain::TimePoint now,
-            bool isOmitted = false);
+            bool isOmitted = false, std::optional<domain::TimePoint> provenAt = std::nullopt);
+    /// Another subscriber of this process received proof that the store had this revision.
+    void onStoreRevision(std::uint64_t revision, domain::TimePoint provenAt);
+    /// Reads the changes beside the waiting watch, which proves nothing until it ends, if the last
+    /// proof of the copy is older than this age and no call is pending.
+    void proveIfOlderThan(domain::Duration age, domain::TimePoint now);
+    /// When the store last proved the copy: no change of the collection before this time is
+    /// missing.
+    domain::TimePoint provenAt() const { return m_provenAt; }
     /// A publisher reports that it cannot reach the store. It may have sent its last updates after
     /// the connection was lost, so they no longer confirm the copy.
     void onPublisherStoreLoss(domain::TimePoint now);
@@ -120,10 +145,13 @@
     bool isUnconfirmed(domain::TimePoint now) const;
     /// Revision of the store that the copy reflects, if a watch or list of this process confirmed
     /// it recently; revisions received from publishers are not published again.
-    std::optional<std::uint64_t> confirmedRevision(domain::TimePoint now) const;
+    std::optional<ProvenRevision> confirmedRevision(domain::TimePoint now) const;
     bool isFailing() const { return m_failures > 0; }
     /// A change was published that the copy does not contain yet.
     bool isBehind() const { return m_missingSince.has_value() || m_behindSince.has_value(); }
+    /// A publisher of the data centre has a change that the copy still lacks at the end of the
+    /// bound.
+    bool isOverdue(domain::TimePoint now) const { return now >= m_overdueAt; }
     /// Calls to the store are suspended after a failure while the function returns true, at most
     /// for the remaining freshness budget.
     void setSuspendCondition(std::function<bool()> isSuspended)
@@ -150,21 +178,34 @@
     boost::asio::awaitable<bool> listOnce();
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> listUntilAnswered();
+    boost::asio::awaitable<void> proveOnce();
     boost::asio::awaitable<void> confirmAtDeadline();
     void beginRefresh(domain::TimePoint now);
     bool isSuspended(domain::TimePoint now) const;
     /// Earliest time of a store read for a possibly stale copy.
     domain::TimePoint readAllowedAt() const;
-    /// Updates have stopped, and processes of lower rank may still replace the publishers.
+    /// No read of the store is due: the last proof of the copy is recent enough for this rank.
     bool isTakeoverAwaited(domain::TimePoint now) const;
+    /// An entry that receives the changes of a large collection from publishers.
+    bool isSubscriber() const;
+    /// When the last proof of the copy no longer suffices.
+    domain::TimePoint proofEnd() const;
+    void recordProof(domain::TimePoint provenAt);
+    /// The copy has every change before this time; earlier announcements of changes are settled.
+    void recordStoreProof(std::uint64_t revision, domain::TimePoint provenAt);
+    /// Ends or shortens the time in which the copy counts as behind, after it has advanced.
+    void updateMissing();
+    void clearMissing();
     /// A call that does not wait for changes is pending within its answer timeout.
     bool isAwaitingAnswer(domain::TimePoint now) const;
     boost::asio::awaitable<void> wait(domain::Duration duration);
     domain::Duration retryDelay();
     domain::Duration watchTimeout() const;
     bool isUpdateRecent(domain::TimePoint now) const;
-    /// The copy lacks a change at or before this revision.
-    void recordMissing(std::uint64_t revision, domain::TimePoint heardAt);
+    /// The copy lacks a change at or before this revision, received from a peer at this time.
+    void recordMissing(std::uint64_t revision, domain::TimePoint receivedAt);
+    /// Since when a change that was received at this time may have been missing.
+    domain::TimePoint missingSince(domain::TimePoint receivedAt) const;
     /// The changes without those of objects whose later state is already applied.
     ObjectList withoutSuperseded(const ObjectList &changes);
     boost::asio::awaitable<bool> listFromPeer();
@@ -180,8 +221,8 @@
     void onFailure(const domain::Error &error, domain::TimePoint sentAt);
     /// A publisher or the store confirmed the copy.
     void onSuccess();
-    /// An answer of the store confirmed the copy.
-    void onStoreSuccess();
+    /// An answer of the store confirmed the copy up to this revision and time.
+    void onStoreSuccess(std::uint64_t revision, domain::TimePoint provenAt);
     void onAnswered();
 
     boost::asio::io_context &m_context;
@@ -199,6 +240,9 @@
     /// discarded, because it may be older.
     std::uint64_t m_generation = 0;
     bool m_isRefreshing = false;
+    /// A read that proves the copy is pending beside the waiting watch, and when it was last sent.
+    bool m_isProving = false;
+    domain::TimePoint m_proofRequestedAt;
     /// A watch that waits for changes is pending.
     bool m_isWatchWaiting = false;
     bool m_isConfirmationScheduled = false;
@@ -216,9 +260,17 @@
     /// Since when published changes are missing, and the revision of the last one.
     std::optional<domain::TimePoint> m_missingSince;
     std::uint64_t m_missingRevision = 0;
+    /// When a publisher last sent a change that raised the missing revision.
+    domain::TimePoint m_missingReceivedAt;
+    /// When the copy becomes overdue; TimePoint::max() while it is not known to lack a change.
+    domain::TimePoint m_overdueAt = domain::TimePoint::max();
+    /// Revisions that publishers have announced, with the time of their proof.
+    std::map<std::uint64_t, domain::TimePoint> m_announcedProofs;
+    /// When the store last proved the copy, by an own call or through a publisher, and by an own
+    /// call.
+    domain::TimePoint m_provenAt;
+    domain::TimePoint m_storeProvenAt;
     domain::TimePoint m_publisherLossAt;
-    /// When the current series of loss reports began.
-    domain::TimePoint m_publisherLossSince;
     const ReadStagger *m_readStagger = nullptr;
     std::function<bool()> m_isSuspended;
     StoreSubscriber *m_probe = nullptr;
@@ -233,8 +285,6 @@
     std::mt19937 m_random{std::random_device{}()};
     /// Last answer of the store, or last update or list accepted from a peer.
     domain::TimePoint m_answeredAt;
-    /// Last answer of the store to a call of this process.
-    domain::TimePoint m_storeAnsweredAt;
     /// The last step called the store.
     bool m_hasCalled = true;
 };
--- a/src/objectstore/tests/storeupdatestest.cpp
+++ b/src/objectstore/tests/storeupdatestest.cpp
@@ -420,6 +420,7 @@
     m_subscriber->setPeerFetch([](TimePoint) -> asio::awaitable<Expected<ObjectList>> {
         co_return Error{ErrorKind::Unavailable, "no publisher", "wait"};
     });
+    const TimePoint provenAt = TimePoint::clock::now();
     receiveUpdate(AppliedRevision, changesTo(AppliedRevision));
     runFor(250ms);
     m_store.setObject("a", 20);
@@ -429,9 +430,11 @@
         m_subscriber->onPeerRevision(20, TimePoint::clock::now());
         runFor(20ms);
     }
-    const domain::Duration time = TimePoint::clock::now() - heardAt;
-    EXPECT_LT(time, m_readStagger.delay() + CheckTime);
-    EXPECT_GE(time, m_readStagger.delay());
+    const TimePoint readAt = TimePoint::clock::now();
+    EXPECT_LT(readAt - heardAt, m_readStagger.delay() + CheckTime);
+    // The change may be as old as the last proof of the copy, so the delay begins there.
+    EXPECT_LT(readAt - provenAt, m_readStagger.delay() + CheckTime);
+    EXPECT_GE(readAt - provenAt, m_readStagger.delay());
 }
 
 // Guards against a call of each entry for each lost datagram: a second publisher sends the same
--- a/src/relay/internal/fleetsubscriber.cpp
+++ b/src/relay/internal/fleetsubscriber.cpp
@@ -4,6 +4,10 @@
 #include "observability/persistentloop.h"
 #include "platform/fleetcodec.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace oriolerill::relay::internal {
@@ -31,6 +35,12 @@
 /// Part of the bound over which the reads of all entries are staggered; the remainder is for
 /// detecting that the copy is possibly stale and for the read.
 constexpr double StaggerShareOfBound = 0.6;
+/// Part of the bound between two proofs of a publisher's copy; the first ranks that are no
+/// publishers read the store after 0.3 of it.
+constexpr double ProofShareOfBound = 0.2;
+/// Part of the bound after which a copy that is known to lack a change is overdue; the remainder is
+/// for a request that was sent before.
+constexpr double OverdueShareOfBound = 0.9;
 /// Publishers of a data centre: two, so that updates continue when one is killed, frozen or cut off
 /// from the store.
 constexpr std::uint32_t Publishers = 2;
@@ -40,11 +50,14 @@
     return std::min(bounds.configuration, bounds.drain);
 }
 
+domain::Duration shareOf(domain::Duration bound, double share)
+{
+    return std::chrono::duration_cast<domain::Duration>(bound * share);
+}
+
 objectstore::ReadStagger staggerFor(const StoreBounds &bounds)
 {
-    return {Publishers,
-            std::chrono::duration_cast<domain::Duration>(
-                    smallerBound(bounds) * StaggerShareOfBound)};
+    return {Publishers, shareOf(smallerBound(bounds), StaggerShareOfBound)};
 }
 
 std::string nameOf(const StoredObject &object)
@@ -91,19 +104,64 @@
 {
     sink.onWatchedChanges = [this, collection](std::uint64_t after, const ObjectList &changes) {
         if (m_onWatchedChanges)
-            m_onWatchedChanges({collection, after, changes});
+            m_onWatchedChanges({collection, after, changes, false, provenAtOf(collection)});
+    };
+    sink.onStoreRevision = [this](std::uint64_t revision, TimePoint provenAt) {
+        onStoreRevision(revision, provenAt);
     };
     m_published.push_back(&subscribe(collection, std::move(sink), options));
     return *m_published.back();
 }
 
+void FleetSubscriber::onStoreRevision(std::uint64_t revision, TimePoint provenAt)
+{
+    for (objectstore::StoreSubscriber *subscriber : m_published)
+        subscriber->onStoreRevision(revision, provenAt);
+    if (m_onProven)
+        m_onProven();
+}
+
+std::optional<TimePoint> FleetSubscriber::provenAtOf(const std::string &collection) const
+{
+    for (const objectstore::StoreSubscriber *subscriber : m_published) {
+        if (subscriber->collection() == collection)
+            return subscriber->provenAt();
+    }
+    return std::nullopt;
+}
+
+asio::awaitable<void> FleetSubscriber::proveCopies()
+{
+    constexpr auto PublisherCheckInterval = std::chrono::milliseconds(50);
+    constexpr auto CheckInterval = std::chrono::milliseconds(400);
+    const domain::Duration publisherAge = shareOf(smallerBound(m_bounds), ProofShareOfBound);
+    asio::steady_timer timer(m_context);
+    for (;;) {
+        const TimePoint now = TimePoint::clock::now();
+        // A subscriber's watch can still be waiting from the time before its rank was known.
+        const domain::Duration age
+                = m_readStagger.isPublisher() ? publisherAge : m_readStagger.delay();
+        for (objectstore::StoreSubscriber *subscriber : m_published) {
+            if (age > domain::Duration::zero())
+                subscriber->proveIfOlderThan(age, now);
+        }
+        timer.expires_after(m_readStagger.isPublisher() ? PublisherCheckInterval : CheckInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+bool FleetSubscriber::isOverdue(TimePoint now) const
+{
+    return m_configuration->isOverdue(now) || m_endpoints->isOverdue(now);
+}
+
 std::vector<PublishedChanges> FleetSubscriber::confirmedRevisions(TimePoint now) const
 {
     std::vector<PublishedChanges> confirmed;
     for (const objectstore::StoreSubscriber *subscriber : m_published) {
-        if (const auto revision = subscriber->confirmedRevision(now))
+        if (const auto proven = subscriber->confirmedRevision(now))
             confirmed.push_back({subscriber->collection(), subscriber->lastChangeRevision(),
-                    {{}, {0, *revision}}});
+                    {{}, {0, proven->revision}}, false, proven->provenAt});
     }
     return confirmed;
 }
@@ -136,7 +194,8 @@
 {
     for (objectstore::StoreSubscriber *subscriber : m_published) {
         if (subscriber->collection() == changes.collection)
-            subscriber->onPublishedChanges(changes.after, changes.changes, now, changes.isOmitted);
+            subscriber->onPublishedChanges(
+                    changes.after, changes.changes, now, changes.isOmitted, changes.provenAt);
     }
 }
 
@@ -234,6 +293,7 @@
 {
     objectstore::StoreSubscriberOptions configurationOptions;
     configurationOptions.freshnessBudget = smallerBound(m_bounds) - ReadAllowance;
+    configurationOptions.maxBehindTime = shareOf(m_bounds.configuration, OverdueShareOfBound);
     const auto onConfigObjects = [this](const ObjectList &objects) { onConfig(objects); };
     m_configuration = &subscribePublished("configuration",
             {onConfigObjects, onConfigObjects, [this] { onStoreLost(); },
@@ -242,6 +302,7 @@
     objectstore::StoreSubscriberOptions endpointOptions;
     endpointOptions.coalescingDelay = m_bounds.drain / CoalescingDelaysPerDrainBound;
     endpointOptions.freshnessBudget = smallerBound(m_bounds) - ReadAllowance;
+    endpointOptions.maxBehindTime = shareOf(m_bounds.drain, OverdueShareOfBound);
     m_endpoints = &subscribePublished("endpoints",
             {[this](const ObjectList &objects) { onEndpoints(objects, true); },
                     [this](const ObjectList &objects) { onEndpoints(objects, false); },
@@ -275,6 +336,9 @@
         return m_configuration->isBehind()
                 || m_configuration->isUnconfirmed(TimePoint::clock::now());
     };
+    m_relay.isCopyOverdue = [this] { return isOverdue(TimePoint::clock::now()); };
+    observability::startPersistentLoop(
+            m_context.get_executor(), "proofs", [this] { return proveCopies(); });
     // Only the smallest collection probes whether the store answers again: simultaneous probes of
     // all entries must not fill the links between regions.
     for (objectstore::StoreSubscriber *subscriber : {m_configuration, m_withdrawals, m_endpoints})
--- a/src/relay/internal/fleetsubscriber.h
+++ b/src/relay/internal/fleetsubscriber.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace oriolerill::relay::internal {
@@ -38,6 +39,11 @@
     /// Revisions up to which the store has recently confirmed this process's copies of published
     /// collections; without objects.
     std::vector<PublishedChanges> confirmedRevisions(domain::TimePoint now) const;
+    /// Called when the store has proved the copies of this process again.
+    void onProven(std::function<void()> handler) { m_onProven = std::move(handler); }
+    /// A publisher has had a change of the configuration or of the endpoints for so long that
+    /// requests must not be served without it.
+    bool isOverdue(domain::TimePoint now) const;
     void onPublisherStoreLoss(domain::TimePoint now);
     using PeerFetch
             = std::function<boost::asio::awaitable<domain::Expected<objectstore::ObjectList>>(
@@ -77,6 +83,13 @@
     /// that its watches receive are passed to the handler of onWatchedChanges().
     objectstore::StoreSubscriber &subscribePublished(const char *collection,
             objectstore::CollectionSink sink, objectstore::StoreSubscriberOptions options);
+    /// Reads the store whenever the last proof of a copy is too old for this entry's rank. Runs
+    /// until the context stops.
+    boost::asio::awaitable<void> proveCopies();
+    /// An answer of the store for one collection proves the copies of the others, if the store has
+    /// not changed since.
+    void onStoreRevision(std::uint64_t revision, domain::TimePoint provenAt);
+    std::optional<domain::TimePoint> provenAtOf(const std::string &collection) const;
 
     boost::asio::io_context &m_context;
     objectstore::IObjectStore &m_store;
@@ -90,6 +103,7 @@
     objectstore::StoreSubscriber *m_weights = nullptr;
     std::function<void()> m_onNamed;
     ChangesHandler m_onWatchedChanges;
+    std::function<void()> m_onProven;
     /// Collections whose changes publishers send to the other entries.
     std::vector<objectstore::StoreSubscriber *> m_published;
     /// Calls for a collection have failed since the store last recovered.
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -44,7 +44,8 @@
     , m_listen(listen)
     , m_socket(context)
     , m_startupEnd(TimePoint::clock::now() + StartupTime)
-    , m_updatedAt(TimePoint::clock::now())
+    , m_provenAt(TimePoint::clock::now())
+    , m_updateTimer(context)
 {}
 
 domain::Expected<domain::Done> LoadListener::open()
@@ -250,7 +251,6 @@
 
 asio::awaitable<void> LoadListener::publishUpdates()
 {
-    asio::steady_timer timer(m_context);
     for (;;) {
         countEntries(TimePoint::clock::now());
         if (isPublishing(TimePoint::clock::now())) {
@@ -263,11 +263,19 @@
             update.set_is_store_lost(m_fleet.isStoreLost());
             sendUpdate(update);
         }
-        timer.expires_after(UpdateInterval);
-        co_await timer.async_wait(UseTuple);
+        m_updateTimer.expires_after(UpdateInterval);
+        co_await m_updateTimer.async_wait(UseTuple);
     }
 }
 
+void LoadListener::publishProof()
+{
+    // Ends the wait of publishUpdates(), which then sends one update for all collections proved by
+    // the same answer.
+    if (isPublishing(TimePoint::clock::now()))
+        m_updateTimer.cancel();
+}
+
 void LoadListener::publishUpdates(const PublishedChanges &changes)
 {
     if (!isPublishing(TimePoint::clock::now()))
@@ -277,7 +285,7 @@
         // Too large for datagrams: subscribers get the revision and fetch the collection from this
         // entry.
         const std::uint64_t upTo = changes.changes.storeVersion.revision;
-        parts = splitChanges({changes.collection, upTo, {{}, {0, upTo}}, true});
+        parts = splitChanges({changes.collection, upTo, {{}, {0, upTo}}, true, changes.provenAt});
     }
     for (protocol::StoreChanges &part : parts) {
         protocol::StoreUpdate update;
@@ -315,7 +323,7 @@
     if (readStagger.isPublisher())
         return true;
     return m_localRank.entries > 0 && !m_fleet.isStoreLost()
-            && now - m_updatedAt > PublisherLifetime + readStagger.delay();
+            && now - m_provenAt > readStagger.delay();
 }
 
 std::optional<domain::SocketAddress> LoadListener::nextPublisher()
@@ -340,8 +348,11 @@
         return;
     // A publisher that has lost the store may still receive its small collections: it sends their
     // changes, but does not count as reachable.
-    if (update.changes_size() > 0 && !update.is_store_lost())
-        m_updatedAt = now;
+    for (const protocol::StoreChanges &part : update.changes()) {
+        const TimePoint provenAt = now - std::chrono::milliseconds(part.proof_age_ms());
+        if (!update.is_store_lost())
+            m_provenAt = std::max(m_provenAt, provenAt);
+    }
     if (const auto source = domain::SocketAddress::parse(update.source()))
         recordPublisher(*source, update.is_store_lost(), now);
     for (const protocol::StoreChanges &part : update.changes()) {
--- a/src/relay/internal/loadlistener.h
+++ b/src/relay/internal/loadlistener.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -48,6 +49,9 @@
     void publishUpdates(const PublishedChanges &changes);
     /// Sends this entry's confirmed revisions at a fixed interval, if it is a publisher.
     boost::asio::awaitable<void> publishUpdates();
+    /// Sends the confirmed revisions at once, if this entry is a publisher: the store has proved
+    /// them.
+    void publishProof();
     /// A publisher that has sent a recent update, in round-robin order; empty without one.
     std::optional<domain::SocketAddress> nextPublisher();
 
@@ -100,8 +104,9 @@
     /// Until then the agents may not have received the subscriptions of all entries.
     domain::TimePoint m_startupEnd;
     StoreUpdateAssembler m_assembler;
-    /// Time of the last update from a publisher that reaches the store.
-    domain::TimePoint m_updatedAt;
+    /// Time of the last proof that a publisher's update carried.
+    domain::TimePoint m_provenAt;
+    boost::asio::steady_timer m_updateTimer;
     /// Time of the last update of each publisher that reaches the store.
     std::map<domain::SocketAddress, domain::TimePoint> m_publishers;
     std::optional<domain::SocketAddress> m_lastPublisher;
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -61,6 +61,8 @@
     std::optional<domain::TimePoint> storeLostAt;
     /// The configuration in force is older than the one in the store, or possibly stale.
     std::function<bool()> isConfigurationBehind = [] { return false; };
+    /// This entry knows that its copy lacks a change whose bound is about to end.
+    std::function<bool()> isCopyOverdue = [] { return false; };
     domain::SuspensionClock suspension;
     /// Shared with the requests, whose destructors may run after this object's at process exit.
     std::shared_ptr<UnstartedAttempts> unstarted = std::make_shared<UnstartedAttempts>();
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -104,6 +104,7 @@
         if (auto started = m_metricsServer.start(m_settings.listenMetrics, handler); !started)
             return started.error();
         m_fleet.onNamed([this] { m_loadListener.publishKnowledge(); });
+        m_fleet.onProven([this] { m_loadListener.publishProof(); });
         m_fleet.onWatchedChanges([this](const internal::PublishedChanges &changes) {
             m_loadListener.publishUpdates(changes);
         });
--- a/src/relay/internal/storeupdates.cpp
+++ b/src/relay/internal/storeupdates.cpp
@@ -1,9 +1,12 @@
 #include "relay/internal/storeupdates.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace oriolerill::relay::internal {
 
+using domain::TimePoint;
+
 namespace {
 
 /// The links' MTU of 1500 bytes less the headers and the message around the part.
@@ -15,6 +18,8 @@
 /// time.
 constexpr auto PartialLifetime = std::chrono::milliseconds(2000);
 constexpr std::size_t MaxPartials = 32;
+/// Of a copy that was never proved, or not for longer.
+constexpr auto MaxProofAge = std::chrono::milliseconds(3600 * 1000);
 
 } // namespace
 
@@ -41,6 +46,10 @@
     }
     if (parts.size() > MaxParts)
         return {};
+    const TimePoint now = TimePoint::clock::now();
+    // Rounded up: a copy must not appear newer than it is.
+    const auto proofAge = std::chrono::ceil<std::chrono::milliseconds>(
+            now - std::min(published.provenAt.value_or(now), now));
     for (std::size_t i = 0; i < parts.size(); ++i) {
         parts[i].set_collection(published.collection);
         parts[i].set_after(published.after);
@@ -48,6 +57,8 @@
         parts[i].set_part(static_cast<std::uint32_t>(i));
         parts[i].set_parts(static_cast<std::uint32_t>(parts.size()));
         parts[i].set_is_omitted(published.isOmitted);
+        parts[i].set_proof_age_ms(static_cast<std::uint32_t>(
+                std::min<std::int64_t>(proofAge.count(), MaxProofAge.count())));
     }
     return parts;
 }
@@ -67,7 +78,8 @@
     partial.parts[part.part()] = part;
     if (partial.parts.size() < part.parts())
         return std::nullopt;
-    PublishedChanges published{part.collection(), part.after(), {}, part.is_omitted()};
+    PublishedChanges published{part.collection(), part.after(), {}, part.is_omitted(),
+            now - std::chrono::milliseconds(part.proof_age_ms())};
     published.changes.storeVersion = {0, part.up_to()};
     for (const auto &[number, one] : partial.parts) {
         for (const protocol::ChangedObject &object : one.objects()) {
--- a/src/relay/internal/storeupdates.h
+++ b/src/relay/internal/storeupdates.h
@@ -22,6 +22,8 @@
     objectstore::ObjectList changes;
     /// The changes are too large for datagrams; only their revision is sent.
     bool isOmitted = false;
+    /// When the store last proved the publisher's copy; now if empty.
+    std::optional<domain::TimePoint> provenAt = std::nullopt;
 };
 
 /// Splits changes into messages that each fit a datagram; empty when an object is too large or too
