Refuse requests of an entry whose copy is overdue

What callers saw: an entry that knew of a newer configuration went on serving with the older one when the bound ended (CONFIG).

Cause: nothing decided what it does then; only unknown routes and keys were refused.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -183,6 +183,14 @@
             logEnd("caller_gone", 0);
             co_return false;
         }
+        if (m_context.isCopyOverdue()) {
+            const bool isUnsent = m_policy->runs() == 0 && callerAnswer() == nullptr;
+            if (!isUnsent)
+                break;
+            const bool isOpen = co_await answer(overdueAnswer());
+            logEnd("refused", 503);
+            co_return isOpen;
+        }
         useCurrentConfiguration();
         m_query.pinnedWeights = m_stream ? m_stream->weights : std::nullopt;
         const routing::DispatchDecision decision = m_context.dispatcher.choose(m_query, now);
@@ -829,6 +837,16 @@
             refusal.retryAfter};
 }
 
+/// An entry of the same data centre has the change, and callers come back on a new connection,
+/// which leads to another entry; this one would break the bound of the change.
+LocalAnswer RequestRun::overdueAnswer()
+{
+    m_detail = "a change of the configuration or the endpoints is missing at this entry";
+    m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", "overdue"}});
+    return {503, {ErrorKind::Unavailable, "not run: " + m_detail, "come back after Retry-After"},
+            DefaultRetryAfter};
+}
+
 LocalAnswer RequestRun::partsRefusalAnswer(const routing::Refusal &refusal)
 {
     const routing::RefusedParts &refused = refusal.parts->refused;
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -94,6 +94,7 @@
     boost::asio::awaitable<bool> finishStream();
     LocalAnswer failureAnswer(AttemptEnd end) const;
     LocalAnswer refusalAnswer(const routing::Refusal &refusal);
+    LocalAnswer overdueAnswer();
     LocalAnswer partsRefusalAnswer(const routing::Refusal &refusal);
     /// Milliseconds from the arrival of the request; -1 without a time.
     std::int64_t msSinceArrival(std::optional<domain::TimePoint> time) const;
