Let the soak silence publishers, grow the configuration, accept orders late and send large bodies

Series store-silent-to-publishers (the store leaves the publishers of both data centres without answers and serves the others), config-growth, engine-late-order; a twentieth of the orders has a body of up to 1 MB.

--- a/standins/soakclient.cpp
+++ b/standins/soakclient.cpp
@@ -99,8 +99,12 @@
         attempt.method = "POST";
         attempt.target = "/order/" + attempt.id;
         constexpr std::uint64_t MaxBodySize = 60000;
+        // Just below max_body_bytes of the configuration.
+        constexpr std::uint64_t MaxLargeBodySize = 1000000;
+        constexpr std::uint64_t OneLargeIn = 20;
+        const bool isLarge = m_random() % OneLargeIn == 0;
         attempt.body = "GET /read/inner HTTP/1.1\r\nAttempt-Id: inner\r\n\r\n" + attempt.id;
-        attempt.body.append(m_random() % MaxBodySize, 'b');
+        attempt.body.append(m_random() % (isLarge ? MaxLargeBodySize : MaxBodySize), 'b');
     } else {
         const bool isResumable = draw < 8;
         attempt.kind = isResumable ? SoakKind::ResumableStream : SoakKind::Stream;
--- a/standins/soakendpoint.cpp
+++ b/standins/soakendpoint.cpp
@@ -172,6 +172,7 @@
     for (const auto &attempt : m_attempts)
         attempt->hasEndpointFailed = true;
     m_attempts.clear();
+    m_hasCorruptWeights = false;
     m_engine.restart(wallMs());
 }
 
@@ -238,12 +239,28 @@
     };
 }
 
+asio::awaitable<void> SoakEndpoint::acceptLate(
+        transport::HttpRequest order, domain::Duration delay, std::uint64_t incarnation)
+{
+    co_await sleepFor(delay);
+    if (incarnation != m_incarnation)
+        co_return;
+    // The agent cannot recall the order; it must keep requests from the engine after the load.
+    const int staleLoads = m_engine.staleLoads();
+    m_journal.log("engine " + m_instance
+            + " accepts an order late: " + std::to_string(m_engine.handle(order).status));
+    m_hasCorruptWeights = m_hasCorruptWeights || m_engine.staleLoads() > staleLoads;
+}
+
 transport::HttpResponse SoakEndpoint::control(const transport::HttpRequest &request)
 {
     const int staleLoads = m_engine.staleLoads();
+    const int orders = m_engine.orders();
     transport::HttpResponse response = m_engine.handle(request);
     if (request.target == names::Order)
         m_checks.recordInForce("WHOLE");
+    if (m_engine.orders() > orders)
+        m_hasCorruptWeights = false;
     if (m_engine.staleLoads() > staleLoads) {
         m_journal.violation("WHOLE",
                 m_instance + " loads a missing piece, or one corrupted more than 3 s ago: "
@@ -378,6 +395,14 @@
         call.method = std::string(request.method_string());
         call.target = target;
         call.body = request.body();
+        if (target == names::Order && m_lateOrderDelay) {
+            m_engine.corruptStagedPiece(
+                    static_cast<std::uint32_t>(m_random() % platform::StandInWeights().pieces));
+            asio::co_spawn(m_context, acceptLate(std::move(call), *m_lateOrderDelay, incarnation),
+                    asio::detached);
+            m_lateOrderDelay.reset();
+            co_return false;
+        }
         transport::HttpResponse response;
         if (target != HealthPath)
             response = control(call);
@@ -456,6 +481,10 @@
     const std::uint64_t incarnation = m_incarnation;
     const std::string instance = m_instance;
     m_checks.onRun(*attempt, facts());
+    if (m_hasCorruptWeights) {
+        m_journal.violation(
+                "WHOLE", attempt->id + " runs on weights with a corrupted piece at " + m_instance);
+    }
     if (isDeadly) {
         attempt->hasEndpointFailed = true;
         co_await sleepFor(EventInterval);
--- a/standins/soakendpoint.h
+++ b/standins/soakendpoint.h
@@ -56,6 +56,9 @@
     /// The next time that all staged pieces have been read back, corrupts one of them and calls the
     /// handler.
     void corruptAfterNextCheck(std::function<void()> onCorrupted);
+    /// Leaves the next order without an answer, corrupts a staged piece then, and accepts the order
+    /// after the delay.
+    void acceptNextOrderLate(domain::Duration delay) { m_lateOrderDelay = delay; }
     /// A fault series acts on this endpoint; other series skip it.
     bool isBusy = false;
 
@@ -87,6 +90,8 @@
     static void reset(Socket &socket);
     SoakEndpointFacts facts() const;
     boost::json::object registration() const;
+    boost::asio::awaitable<void> acceptLate(
+            transport::HttpRequest order, domain::Duration delay, std::uint64_t incarnation);
     /// Passes a control request to the engine and checks the load that it begins.
     transport::HttpResponse control(const transport::HttpRequest &request);
     /// Draws the fault of one answer while a fault is active.
@@ -119,6 +124,9 @@
     /// otherwise when they expire for lack of heartbeats.
     std::map<std::string, domain::TimePoint> m_expiring;
     std::string m_lastAnswer;
+    std::optional<domain::Duration> m_lateOrderDelay;
+    /// An order accepted late has loaded a piece that was corrupted long before.
+    bool m_hasCorruptWeights = false;
 };
 
 } // namespace oriolerill::standins
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -88,8 +88,10 @@
                             {"ready", SocketAddress{address, StatusPort}.toString()}}},
             {"limits", json::object{{"link_mbps", 100}}},
             {"platform",
-                    json::object{
-                            {"address", SocketAddress{host(StoreGroup, 1), StorePort}.toString()}}},
+                    json::object{{"address",
+                            SocketAddress{host(StoreGroup, usesSecondStoreAddress(name) ? 3U : 1U),
+                                    StorePort}
+                                    .toString()}}},
             {"bounds",
                     json::object{{"retry_budget_ratio", "0.2"}, {"retry_budget_extra", 104},
                             {"budget_window_s", 10}, {"cold_overage", "1.5"}, {"cold_slack", 5},
@@ -141,6 +143,8 @@
             route("/talk/", "streaming", true, false), route("/resume/", "streaming", true, true)};
     for (const std::uint64_t version : m_configVersions)
         routes.push_back(route("/c" + std::to_string(version) + '/', "idempotent", false, false));
+    for (unsigned i = 0; i < m_unusedRoutes; ++i)
+        routes.push_back(route("/unused" + std::to_string(i) + '/', "idempotent", false, false));
     const json::object engine = {{"slots", 8}, {"step_ms", 20}, {"per_seq_ms", 0.02},
             {"read_per_s", 30600}, {"usual", json::object{{"prompt", 100}, {"answer", 40}}},
             {"layers", 16},
@@ -174,7 +178,9 @@
 
 void SoakFleet::start()
 {
-    if (const auto started = m_store.start({host(StoreGroup, 1), StorePort}); !started)
+    if (const auto started
+            = m_store.start({host(StoreGroup, 1), StorePort}, {host(StoreGroup, 3), StorePort});
+            !started)
         throw std::runtime_error(started.error().message);
     writeConfig();
     m_store.put("versions", platform::StandInWeights().model,
@@ -350,6 +356,12 @@
     return all;
 }
 
+SoakEndpoint &SoakFleet::endpointNamed(const std::string &name)
+{
+    return **std::find_if(m_endpoints.begin(), m_endpoints.end(),
+            [&name](const auto &endpoint) { return endpoint->name() == name; });
+}
+
 std::vector<SoakFleet::Series> SoakFleet::processSeries()
 {
     std::vector<Series> series;
@@ -373,6 +385,13 @@
                                       });
                           }});
     }
+    series.push_back({"engine-late-order", 3s, [this]() -> asio::awaitable<void> {
+                          const unsigned engine
+                                  = 1 + static_cast<unsigned>(m_random() % m_options.engines);
+                          endpointNamed("engine" + std::to_string(engine))
+                                  .acceptNextOrderLate(drawTime(500, 4500));
+                          co_return;
+                      }});
     series.push_back({"agent-freeze-after-check", 2500ms, [this]() -> asio::awaitable<void> {
                           freezeAfterCheck(
                                   1 + static_cast<unsigned>(m_random() % m_options.engines));
@@ -385,11 +404,7 @@
 {
     const std::string number = std::to_string(engine);
     SoakProcess &agent = *processesNamed("agent" + number).front();
-    const auto isEngine = [&number](const SoakEndpoint *endpoint) {
-        return endpoint->name() == "engine" + number;
-    };
-    const std::vector<SoakEndpoint *> all = endpoints();
-    (*std::find_if(all.begin(), all.end(), isEngine))->corruptAfterNextCheck([this, &agent] {
+    endpointNamed("engine" + number).corruptAfterNextCheck([this, &agent] {
         if (agent.isBusy)
             return;
         agent.isBusy = true;
@@ -418,6 +433,8 @@
     add("silent", Fault::Unresponsive);
     add("slow", Fault::Slow);
     add("lost", Fault::AnswersLost);
+    series.push_back(
+            {"store-silent-to-publishers", 4s, [this] { return silenceStoreForPublishers(); }});
     series.push_back({"store-forget", 3s, [this]() -> asio::awaitable<void> {
                           m_store.discardHistory();
                           co_return;
@@ -489,6 +506,37 @@
     return series;
 }
 
+bool SoakFleet::usesSecondStoreAddress(const std::string &entry)
+{
+    return entry == "entry1" || entry == "entry2" || entry == "entry3" || entry == "entry4";
+}
+
+asio::awaitable<void> SoakFleet::silenceStoreForPublishers()
+{
+    std::vector<SoakProcess *> silenced = processesNamed("entry");
+    std::erase_if(silenced,
+            [](const SoakProcess *process) { return !usesSecondStoreAddress(process->name()); });
+    for (const SoakProcess *process : silenced)
+        m_journal.beginFault(process->name(), "gets no answer from the store");
+    co_await m_store.silenceSecondAddress(drawTime(2000, 6000));
+    for (const SoakProcess *process : silenced)
+        m_journal.endFault(process->name());
+}
+
+asio::awaitable<void> SoakFleet::growConfig()
+{
+    constexpr unsigned MinRoutes = 800;
+    constexpr unsigned MaxRoutes = 1600;
+    m_unusedRoutes = MinRoutes + static_cast<unsigned>(m_random()) % (MaxRoutes - MinRoutes);
+    constexpr int Changes = 3;
+    for (int i = 0; i < Changes; ++i) {
+        co_await waitForStore();
+        writeConfig();
+        co_await sleepFor(drawTime(100, 1600));
+    }
+    m_unusedRoutes = 0;
+}
+
 asio::awaitable<void> SoakFleet::waitForStore()
 {
     while (!m_store.isAccepting())
@@ -506,6 +554,7 @@
                               co_await sleepFor(drawTime(10, 400));
                           }
                       }});
+    series.push_back({"config-growth", 4s, [this] { return growConfig(); }});
     series.push_back(
             {"weights", 2500ms, [this]() -> asio::awaitable<void> {
                  co_await waitForStore();
--- a/standins/soakfleet.h
+++ b/standins/soakfleet.h
@@ -59,6 +59,11 @@
     void addEndpoint(const std::string &service, unsigned group, unsigned number, bool isEngine);
     void addProcess(const std::string &name, std::vector<std::string> command);
     void writeConfig();
+    /// Entries whose calls go to the second address of the store: the publishers of both zones.
+    static bool usesSecondStoreAddress(const std::string &entry);
+    boost::asio::awaitable<void> silenceStoreForPublishers();
+    /// Adds many routes at once, followed by small changes.
+    boost::asio::awaitable<void> growConfig();
     boost::json::object config() const;
     SoakEntry *chooseEntry();
     std::vector<Series> allSeries();
@@ -78,6 +83,8 @@
     boost::asio::awaitable<void> runAtIdle(std::vector<Part *> parts, Action action);
     std::vector<SoakProcess *> processesNamed(const std::string &prefix);
     std::vector<SoakEndpoint *> endpoints();
+    /// The endpoint must exist.
+    SoakEndpoint &endpointNamed(const std::string &name);
     /// Corrupts a piece at an engine once its agent has checked all, and freezes that agent.
     void freezeAfterCheck(unsigned engine);
     /// Injects the fault while no other series acts on the endpoint.
@@ -98,6 +105,8 @@
     std::vector<std::unique_ptr<SoakEntry>> m_entries;
     std::vector<std::unique_ptr<SoakClient>> m_clients;
     std::vector<std::uint64_t> m_configVersions;
+    /// Routes beside those of the versions, which nobody calls.
+    unsigned m_unusedRoutes = 0;
     std::uint64_t m_weights = 1;
     domain::TimePoint m_until;
     std::size_t m_stalls = 0;
--- a/standins/soakstore.cpp
+++ b/standins/soakstore.cpp
@@ -40,12 +40,22 @@
     : m_journal(journal)
     , m_random(seed)
     , m_server(context.get_executor(), {})
+    , m_secondServer(context.get_executor(), {})
 {}
 
-domain::Expected<domain::SocketAddress> SoakStore::start(const domain::SocketAddress &address)
+domain::Expected<domain::Done> SoakStore::start(
+        const domain::SocketAddress &address, const domain::SocketAddress &secondAddress)
 {
-    return m_server.start(
-            address, [this](transport::HttpServerExchange &exchange) { return answer(exchange); });
+    const auto handlerFor = [this](bool isSecond) {
+        return [this, isSecond](transport::HttpServerExchange &exchange) {
+            return answer(exchange, isSecond);
+        };
+    };
+    if (const auto started = m_server.start(address, handlerFor(false)); !started)
+        return started.error();
+    if (const auto started = m_secondServer.start(secondAddress, handlerFor(true)); !started)
+        return started.error();
+    return domain::Done{};
 }
 
 json::object SoakStore::objectOf(const std::string &name, std::uint64_t revision, json::object spec)
@@ -89,6 +99,7 @@
 {
     m_journal.instantFault("store", "connections reset");
     m_server.closeAll();
+    m_secondServer.closeAll();
 }
 
 asio::awaitable<void> SoakStore::fail(Fault fault, domain::Duration time)
@@ -98,14 +109,23 @@
             {Fault::Slow, "slow"}, {Fault::AnswersLost, "loses answers"}};
     m_journal.beginFault("store-answers", descriptions.at(fault));
     m_fault = fault;
-    if (fault == Fault::Resetting)
+    if (fault == Fault::Resetting) {
         m_server.closeAll();
+        m_secondServer.closeAll();
+    }
     co_await sleepFor(time);
     m_fault = Fault::None;
     m_journal.endFault("store-answers");
 }
 
-asio::awaitable<void> SoakStore::answer(transport::HttpServerExchange &exchange)
+asio::awaitable<void> SoakStore::silenceSecondAddress(domain::Duration time)
+{
+    m_isSecondSilent = true;
+    co_await sleepFor(time);
+    m_isSecondSilent = false;
+}
+
+asio::awaitable<void> SoakStore::answer(transport::HttpServerExchange &exchange, bool isSecond)
 {
     const std::string target = exchange.request().target;
     HttpResponse response;
@@ -123,7 +143,7 @@
     else
         response = co_await handle(target);
     constexpr unsigned OneIn = 3;
-    const bool isLost = m_fault == Fault::Unresponsive
+    const bool isLost = m_fault == Fault::Unresponsive || (isSecond && m_isSecondSilent)
             || (m_fault == Fault::AnswersLost && m_random() % OneIn == 0);
     if (isLost) {
         co_await sleepFor(LostAnswerDelay);
--- a/standins/soakstore.h
+++ b/standins/soakstore.h
@@ -21,7 +21,10 @@
 
     SoakStore(boost::asio::io_context &context, SoakJournal &journal, std::uint64_t seed);
 
-    domain::Expected<domain::SocketAddress> start(const domain::SocketAddress &address);
+    /// Listens on two addresses; processes that use the second one can be left without answers
+    /// while the others are served.
+    domain::Expected<domain::Done> start(
+            const domain::SocketAddress &address, const domain::SocketAddress &secondAddress);
 
     /// False while the store is down and accepts no writes.
     bool isAccepting() const
@@ -34,6 +37,10 @@
     void remove(const std::string &kind, const std::string &name);
 
     boost::asio::awaitable<void> fail(Fault fault, domain::Duration time);
+    /// Calls at the second address get no answer during the time, waiting watches neither. This is
+    /// no fault of the store but of the processes that use the address.
+    boost::asio::awaitable<void> silenceSecondAddress(domain::Duration time);
+    bool isSecondAddressSilent() const { return m_isSecondSilent; }
     /// Discards the history, so that watches from an earlier revision get 410.
     void discardHistory();
     void resetConnections();
@@ -48,7 +55,7 @@
         bool isDeleted = false;
     };
 
-    boost::asio::awaitable<void> answer(transport::HttpServerExchange &exchange);
+    boost::asio::awaitable<void> answer(transport::HttpServerExchange &exchange, bool isSecond);
     boost::asio::awaitable<transport::HttpResponse> handle(std::string target);
     boost::asio::awaitable<transport::HttpResponse> watch(std::string kind, std::string target);
     transport::HttpResponse list(const std::string &kind, const std::string &target) const;
@@ -63,7 +70,9 @@
     std::deque<Change> m_history;
     std::uint64_t m_revision = 7;
     std::uint64_t m_discardedRevision = 0;
+    bool m_isSecondSilent = false;
     transport::HttpServer m_server;
+    transport::HttpServer m_secondServer;
 };
 
 } // namespace oriolerill::standins
--- a/tests/soakseeds.sh
+++ b/tests/soakseeds.sh
@@ -24,10 +24,16 @@
 
 # Failures beside streams that are cut before their first event, and agents that stand still between
 # the check of the staged pieces and the order to load them.
-run --seed 310 --seconds 15 --clients 60 --faults endpoint-failures,agent-freeze-after-check,weights
+run --seed 310 --seconds 15 --clients 60 \
+    --faults endpoint-failures,agent-freeze-after-check,engine-late-order,weights
+
+# Publishers that get no answer from the store, while endpoints leave and the configuration grows;
+# the entries behind the first four are bound by every change.
+run --seed 313 --seconds 20 --entries 8 \
+    --faults store-silent-to-publishers,endpoint-drain,configs,config-growth
 
 never=$(awk -F'not checked:' 'NF == 2 { n = split($2, rules, " "); for (i = 1; i <= n; ++i) ++count[rules[i]] }
-    END { for (rule in count) if (count[rule] == 5) print rule }' <<<"$lines")
+    END { for (rule in count) if (count[rule] == 6) print rule }' <<<"$lines")
 if [ -n "$never" ]; then
     echo "soak: checked in none of the runs:" $never
     exit 1
