Prove copies only where entries depend on the proof, and half as often

What callers saw: nothing; the operators paid for 53 calls a second at eight entries, 8.9 of each publisher.

Cause: all collections were proved each 0.2 of the bound, also in data centres whose two entries are both publishers. One answer rarely proves the other collections, since the store's revision goes on with every server's heartbeat.

Change: no proofs without subscribers; each 0.4 of the bound for configuration and endpoints, each 2 s for withdrawals and weights. The first ranks that are no publishers read after 0.45 of the bound instead of 0.3.

--- a/src/objectstore/internal/readstagger.cpp
+++ b/src/objectstore/internal/readstagger.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Part of the budget before the first group of entries that are no publishers reads.
-constexpr double FirstDelay = 0.5;
+/// Part of the budget before the first group of entries that are no publishers reads: longer than
+/// the time between two proofs of one publisher.
+constexpr double FirstDelay = 0.75;
 
 /// 0 for the publishers, 1 for as many ranks again, 2 for the next twice as many, and so on.
 std::uint32_t groupOf(std::uint32_t rank, std::uint32_t publishers)
@@ -34,6 +35,11 @@
     return m_entries > 0 && m_rank < m_publishers;
 }
 
+bool ReadStagger::hasSubscribers() const
+{
+    return m_entries > m_publishers;
+}
+
 domain::Duration ReadStagger::firstDelay() const
 {
     return std::chrono::duration_cast<domain::Duration>(m_budget * FirstDelay);
--- a/src/objectstore/readstagger.h
+++ b/src/objectstore/readstagger.h
@@ -25,6 +25,8 @@
     /// Time from the moment at which the copy is possibly stale to the own read; zero for
     /// publishers and while the rank is unknown.
     domain::Duration delay() const;
+    /// There are entries that are no publishers.
+    bool hasSubscribers() const;
     /// Delay of the first group that is no group of publishers.
     domain::Duration firstDelay() const;
 
--- a/src/objectstore/storesubscriber.h
+++ b/src/objectstore/storesubscriber.h
@@ -82,7 +82,7 @@
     domain::Duration freshnessBudget = domain::Duration::max();
     /// Maximum age of the proof that a publisher's update carries; a copy whose last proof is older
     /// is read from the store. With a read stagger, the delay of the own rank applies instead.
-    domain::Duration maxProofAge = std::chrono::milliseconds(2400);
+    domain::Duration maxProofAge = std::chrono::milliseconds(3500);
     /// Time from the last proof of the copy to when it is overdue, if a publisher has sent a change
     /// that the copy lacks. Unlimited where nothing depends on it.
     domain::Duration maxBehindTime = domain::Duration::max();
--- a/src/relay/internal/fleetsubscriber.cpp
+++ b/src/relay/internal/fleetsubscriber.cpp
@@ -35,9 +35,11 @@
 /// Part of the bound over which the reads of all entries are staggered; the remainder is for
 /// detecting that the copy is possibly stale and for the read.
 constexpr double StaggerShareOfBound = 0.6;
-/// Part of the bound between two proofs of a publisher's copy; the first ranks that are no
-/// publishers read the store after 0.3 of it.
-constexpr double ProofShareOfBound = 0.2;
+/// Part of the bound between two proofs of a publisher's copy of a large collection; the first
+/// ranks that are no publishers read the store after 0.45 of it.
+constexpr double ProofShareOfBound = 0.4;
+/// Between two proofs of a small collection, whose changes have bounds of 5 s and more.
+constexpr auto SmallCollectionProofInterval = std::chrono::milliseconds(2000);
 /// Part of the bound after which a copy that is known to lack a change is overdue; the remainder is
 /// for a request that was sent before.
 constexpr double OverdueShareOfBound = 0.9;
@@ -141,10 +143,14 @@
         // A subscriber's watch can still be waiting from the time before its rank was known.
         const domain::Duration age
                 = m_readStagger.isPublisher() ? publisherAge : m_readStagger.delay();
-        for (objectstore::StoreSubscriber *subscriber : m_published) {
-            if (age > domain::Duration::zero())
+        if (m_readStagger.hasSubscribers()) {
+            for (objectstore::StoreSubscriber *subscriber : {m_configuration, m_endpoints})
                 subscriber->proveIfOlderThan(age, now);
         }
+        if (m_readStagger.hasSubscribers() && m_readStagger.isPublisher()) {
+            for (objectstore::StoreSubscriber *subscriber : {m_withdrawals, m_weights})
+                subscriber->proveIfOlderThan(SmallCollectionProofInterval, now);
+        }
         timer.expires_after(m_readStagger.isPublisher() ? PublisherCheckInterval : CheckInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
