Let entries that the store turns away fetch announced changes, and refuse only beside a publisher that reaches it

Cause: publishers have no delay by rank, so a publisher that the store turned away went on asking the store alone, although other entries of its data centre had announced the change (edge-salto-a-2: from 25.5 to 32.5 s). And an entry counted as overdue by an announcement however old, also when the publishers had lost the store with it.

Change: while its calls fail, an entry asks its peers whatever its rank. It is overdue only while a publisher's proof is younger than half the time after which it is overdue. The refusal of a request stands in one function.

--- a/src/objectstore/internal/storesubscriber.cpp
+++ b/src/objectstore/internal/storesubscriber.cpp
@@ -102,7 +102,7 @@
 
 bool StoreSubscriber::isSuspended(TimePoint now) const
 {
-    const bool isProbed = m_probe != nullptr && m_probe->isFailing();
+    const bool isProbed = isProbeFailing();
     if (isProbed && m_probe->isAwaitingAnswer(now))
         return true;
     if (isProbed || (m_isSuspended && m_isSuspended()))
@@ -123,6 +123,23 @@
     return m_readStagger != nullptr && !m_readStagger->isPublisher();
 }
 
+bool StoreSubscriber::isProbeFailing() const
+{
+    return m_probe != nullptr && m_probe->isFailing();
+}
+
+bool StoreSubscriber::isStoreFailing() const
+{
+    return m_failures > 0 || isProbeFailing();
+}
+
+bool StoreSubscriber::isOverdue(TimePoint now) const
+{
+    // Without a recent proof the publishers have lost the store too: the data centre may be cut
+    // off, and nobody in it would serve.
+    return now >= m_overdueAt && now < m_announcedProofAt + m_options.maxBehindTime / 2;
+}
+
 TimePoint StoreSubscriber::proofEnd() const
 {
     if (m_readStagger == nullptr)
@@ -161,8 +178,10 @@
     if (m_hasList && m_missingSince
             && TimePoint::clock::now() - *m_missingSince >= m_options.gapTimeout)
         m_hasGap = true;
-    const bool isPeerTimeLeft = TimePoint::clock::now() < readAllowedAt();
-    if (m_hasList && m_missingSince && m_hasGap && m_peerFetch && isPeerTimeLeft) {
+    // A publisher that the store turns away has no delay by rank, but the others may have the
+    // change.
+    const bool isPeerAsked = TimePoint::clock::now() < readAllowedAt() || isStoreFailing();
+    if (m_hasList && m_missingSince && m_hasGap && m_peerFetch && isPeerAsked) {
         constexpr auto PeerRetryDelay = std::chrono::milliseconds(100);
         const bool isListed = co_await listFromPeer();
         if (isListed)
@@ -242,7 +261,9 @@
 {
     const std::uint64_t generation = m_generation;
     const TimePoint now = TimePoint::clock::now();
-    auto list = co_await m_peerFetch(std::min(now + m_options.listTimeout, readAllowedAt()));
+    const TimePoint deadline = now + m_options.listTimeout;
+    auto list = co_await m_peerFetch(
+            isStoreFailing() ? deadline : std::min(deadline, readAllowedAt()));
     // Another list or an update may have been applied in the meantime.
     if (generation != m_generation)
         co_return true;
@@ -513,6 +534,7 @@
         recordMissing(after, now);
         if (m_options.maxBehindTime != domain::Duration::max() && m_overdueAt == TimePoint::max())
             m_overdueAt = missingSince(now) + m_options.maxBehindTime;
+        m_announcedProofAt = std::max(m_announcedProofAt, proof);
         m_announcedProofs[changes.storeVersion.revision] = proof;
         if (m_announcedProofs.size() > MaxAnnouncedProofs)
             m_announcedProofs.erase(m_announcedProofs.begin());
@@ -626,10 +648,10 @@
 void StoreSubscriber::proveIfOlderThan(domain::Duration age, TimePoint now)
 {
     // While the probe is unanswered, its answer shows that the store is reachable again.
-    const bool isProbed = m_probe != nullptr && m_probe->isFailing();
     const domain::Duration interval = m_failures > 0 ? m_options.maxRetryDelay : age;
     const bool isDue = now - std::max(m_provenAt, m_proofRequestedAt) >= interval;
-    if (!m_hasList || m_isProving || m_isRefreshing || !m_isWatchWaiting || isProbed || !isDue)
+    if (!m_hasList || m_isProving || m_isRefreshing || !m_isWatchWaiting || isProbeFailing()
+            || !isDue)
         return;
     m_isProving = true;
     m_proofRequestedAt = now;
--- a/src/objectstore/storesubscriber.h
+++ b/src/objectstore/storesubscriber.h
@@ -151,7 +151,7 @@
     bool isBehind() const { return m_missingSince.has_value() || m_behindSince.has_value(); }
     /// A publisher of the data centre has a change that the copy still lacks at the end of the
     /// bound.
-    bool isOverdue(domain::TimePoint now) const { return now >= m_overdueAt; }
+    bool isOverdue(domain::TimePoint now) const;
     /// Calls to the store are suspended after a failure while the function returns true, at most
     /// for the remaining freshness budget.
     void setSuspendCondition(std::function<bool()> isSuspended)
@@ -188,6 +188,9 @@
     bool isTakeoverAwaited(domain::TimePoint now) const;
     /// An entry that receives the changes of a large collection from publishers.
     bool isSubscriber() const;
+    bool isProbeFailing() const;
+    /// The last calls of this process were not answered.
+    bool isStoreFailing() const;
     /// When the last proof of the copy no longer suffices.
     domain::TimePoint proofEnd() const;
     void recordProof(domain::TimePoint provenAt);
@@ -264,6 +267,8 @@
     domain::TimePoint m_missingReceivedAt;
     /// When the copy becomes overdue; TimePoint::max() while it is not known to lack a change.
     domain::TimePoint m_overdueAt = domain::TimePoint::max();
+    /// Newest proof of a publisher that has sent a change which the copy lacked.
+    domain::TimePoint m_announcedProofAt;
     /// Revisions that publishers have announced, with the time of their proof.
     std::map<std::uint64_t, domain::TimePoint> m_announcedProofs;
     /// When the store last proved the copy, by an own call or through a publisher, and by an own
--- a/src/objectstore/tests/storeupdatestest.cpp
+++ b/src/objectstore/tests/storeupdatestest.cpp
@@ -406,6 +406,7 @@
     {
         m_options = {};
         m_options.freshnessBudget = 1500ms;
+        m_options.maxBehindTime = 1800ms;
     }
 };
 
@@ -515,4 +516,46 @@
     EXPECT_TRUE(m_subscriber->isBehind());
 }
 
+// Regression: a publisher that the store turned away knew of a change for seven seconds and did not
+// fetch it from the entries of its data centre that had it (scale-2 of probador-rill-grown).
+TEST_F(LateChangeFixture, onPublishedChanges_publisherTurnedAwayByStore_listFetchedFromPeer)
+{
+    m_readStagger.setRank(0, 10);
+    m_subscriber->setReadStagger(m_readStagger);
+    m_subscriber->keepCollectionCopy();
+    m_subscriber->setPeerFetch([](TimePoint) -> asio::awaitable<Expected<ObjectList>> {
+        co_return changesTo(20, "large", 20);
+    });
+    m_store.isDown = true;
+    m_store.watchAnswerDelay = 1ms;
+    runFor(200ms);
+    ASSERT_TRUE(m_subscriber->isFailing());
+    const TimePoint announcedAt = TimePoint::clock::now();
+    while (m_subscriber->lastChangeRevision() < 20 && TimePoint::clock::now() < announcedAt + 3s) {
+        m_subscriber->onPublishedChanges(20, changesTo(20), TimePoint::clock::now(), true);
+        runFor(50ms);
+    }
+    EXPECT_LT(TimePoint::clock::now() - announcedAt, 1500ms);
+}
+
+// Guards against a data centre that is cut off from the store and refuses everything, because its
+// publishers had announced a change before.
+TEST_F(LateChangeFixture, isOverdue_publisherLosesStore_onlyWhileItsProofIsRecent)
+{
+    makeLarge();
+    receiveUpdate(AppliedRevision, changesTo(AppliedRevision));
+    m_store.isDown = true;
+    const TimePoint announcedAt = TimePoint::clock::now();
+    const auto announce = [this](TimePoint at, TimePoint provenAt) {
+        m_subscriber->onPublishedChanges(20, changesTo(20), at, true, provenAt);
+    };
+    announce(announcedAt, announcedAt);
+    const TimePoint boundEnd = announcedAt + m_options.maxBehindTime;
+    EXPECT_FALSE(m_subscriber->isOverdue(boundEnd - 1ms));
+    EXPECT_FALSE(m_subscriber->isOverdue(boundEnd + 1ms));
+    announce(boundEnd, boundEnd - 100ms);
+    EXPECT_TRUE(m_subscriber->isOverdue(boundEnd + 1ms));
+    EXPECT_FALSE(m_subscriber->isOverdue(boundEnd + m_options.maxBehindTime));
+}
+
 } // namespace oriolerill::objectstore
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -184,24 +184,19 @@
             co_return false;
         }
         if (m_context.isCopyOverdue()) {
-            const bool isUnsent = m_policy->runs() == 0 && callerAnswer() == nullptr;
-            if (!isUnsent)
+            if (!isUnsent())
                 break;
-            const bool isOpen = co_await answer(overdueAnswer());
-            logEnd("refused", 503);
-            co_return isOpen;
+            LocalAnswer refusal = overdueAnswer();
+            co_return co_await refuse(std::move(refusal));
         }
         useCurrentConfiguration();
         m_query.pinnedWeights = m_stream ? m_stream->weights : std::nullopt;
         const routing::DispatchDecision decision = m_context.dispatcher.choose(m_query, now);
         if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
-            const bool isUnsent = m_policy->runs() == 0 && callerAnswer() == nullptr;
-            if (!isUnsent)
+            if (!isUnsent())
                 break;
             LocalAnswer localAnswer = refusalAnswer(*refusal);
-            const bool isOpen = co_await answer(std::move(localAnswer));
-            logEnd("refused", 503);
-            co_return isOpen;
+            co_return co_await refuse(std::move(localAnswer));
         }
         const auto &dispatch = std::get<routing::Dispatch>(decision);
         last = co_await attempt(dispatch);
@@ -816,6 +811,18 @@
     co_return !code;
 }
 
+bool RequestRun::isUnsent() const
+{
+    return m_policy->runs() == 0 && callerAnswer() == nullptr;
+}
+
+asio::awaitable<bool> RequestRun::refuse(LocalAnswer refusal)
+{
+    const bool isOpen = co_await answer(std::move(refusal));
+    logEnd("refused", 503);
+    co_return isOpen;
+}
+
 LocalAnswer RequestRun::refusalAnswer(const routing::Refusal &refusal)
 {
     const char *reason = "no_endpoint";
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -85,6 +85,10 @@
     /// Status of that answer.
     unsigned callerStatus() const;
     boost::asio::awaitable<bool> answer(LocalAnswer answer);
+    /// Nothing of the request has been sent that may run, and there is no answer for the caller.
+    bool isUnsent() const;
+    /// Answers a request that was not run; false when the caller has disconnected.
+    boost::asio::awaitable<bool> refuse(LocalAnswer refusal);
     /// Whether streams to the caller are chunked; otherwise the close of the connection ends them.
     bool isChunked() const;
     /// Sends the head of the stream to the caller.
