--- a/src/relay/tests/storeupdatestest.cpp
+++ b/src/relay/tests/storeupdatestest.cpp
@@ -87,4 +87,23 @@
     EXPECT_EQ(splitChanges({"weights", 7, {{}, {0, 7}}}).size(), 1U);
 }
 
+// Guards against a confirmation that appears newer to the subscriber than the proof it rests on.
+TEST_F(StoreUpdateFixture, splitAndAdd_proofInThePast_notNewerThanProof)
+{
+    const auto provenAt = domain::TimePoint::clock::now() - 700ms;
+    PublishedChanges confirmed{"endpoints", 40, {{}, {0, 41}}, false, provenAt};
+    StoreUpdateAssembler assembler;
+    const auto parts = splitChanges(confirmed);
+    ASSERT_EQ(parts.size(), 1U);
+    const auto got = assembler.add(parts.front(), domain::TimePoint::clock::now());
+    ASSERT_TRUE(got && got->provenAt);
+    EXPECT_LE(*got->provenAt, provenAt + 50ms);
+    EXPECT_GE(*got->provenAt, provenAt - 50ms);
+    // A copy that was never proved.
+    confirmed.provenAt = domain::TimePoint();
+    const auto unproved = assembler.add(splitChanges(confirmed).front(), m_now);
+    ASSERT_TRUE(unproved && unproved->provenAt);
+    EXPECT_LE(*unproved->provenAt, m_now - 60s);
+}
+
 } // namespace oriolerill::relay::internal
