--- a/tests/soakseeds.sh
+++ b/tests/soakseeds.sh
@@ -23,9 +23,9 @@
 run --seed 309 --seconds 25 --entries 3 --faults endpoint-poison,entry-kill,store-down
 
 # Failures beside streams that are cut before their first event, and agents that stand still between
-# the check of the staged pieces and the order to load them.
+# the check of the staged pieces and the order to load them; orders accepted late; planned stops.
 run --seed 310 --seconds 15 --clients 60 \
-    --faults endpoint-failures,agent-freeze-after-check,engine-late-order,weights
+    --faults endpoint-failures,agent-freeze-after-check,engine-late-order,weights,entry-stop
 
 # Publishers that get no answer from the store, while endpoints leave and the configuration grows;
 # the entries behind the first four are bound by every change.
