--- a/src/objectstore/internal/storesubscriber.cpp
+++ b/src/objectstore/internal/storesubscriber.cpp
@@ -144,7 +144,7 @@
 {
     if (m_readStagger == nullptr)
         return m_provenAt + m_options.maxProofAge;
-    // A publisher that has lost the store accepts the updates of those that replace it.
+    // A publisher without the store accepts updates of the entries that took over.
     return m_provenAt + std::max(m_readStagger->delay(), m_readStagger->firstDelay());
 }
 
