Decide without I/O when and from whom a collection is read

StoreSubscriber decided between its calls, so its waits could only be tested in real time. ReadSchedule makes the same decisions from the time, the copy and the failures so far, and StoreSubscriber carries them out; the retry delay takes its jitter as an argument. The probe and the subscribers that depend on it are linked there.

--- /dev/null
+++ b/src/objectstore/internal/readschedule.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "objectstore/internal/copystate.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace oriolerill::objectstore::internal {
+
+/// Fetch the collection from a publisher.
+struct FetchFromPeer
+{
+    /// Latest end of the fetch.
+    domain::TimePoint deadline;
+};
+
+/// Read the complete collection from the store.
+struct ListStore
+{};
+
+/// Read the changes since the copy from the store.
+struct WatchStore
+{
+    /// Time to wait for further changes; zero for those that the store has.
+    domain::Duration wait = {};
+    /// The publishers' proof of the copy has expired.
+    bool isProofExpired = false;
+};
+
+/// The changes arrive by another path; list the collection when that ends.
+struct AwaitOtherPath
+{
+    domain::Duration checkInterval = {};
+};
+
+/// Call nobody for this time.
+struct Pause
+{
+    domain::Duration time = {};
+};
+
+using ReadStep = std::variant<FetchFromPeer, ListStore, WatchStore, AwaitOtherPath, Pause>;
+
+/// Decides when and from whom a subscriber reads its collection: the store, a publisher, or nobody
+/// yet. Without I/O, clock and random numbers.
+class ReadSchedule
+{
+public:
+    /// The copy must outlive this object.
+    ReadSchedule(const StoreSubscriberOptions &options, CopyState &copy);
+
+    /// The schedule of the subscriber that probes the store for this one; it must outlive this.
+    void setProbe(ReadSchedule &probe);
+    void setHasPeers() { m_hasPeers = true; }
+
+    /// The next step at this time. isOtherPathUsed: changes arrive by another path; isSuspended:
+    /// the process makes no calls to the store after a failure.
+    ReadStep next(domain::TimePoint now, bool isOtherPathUsed, bool isSuspended);
+    /// A fetch from a publisher brought nothing.
+    void onPeerMissed(domain::TimePoint now);
+    /// Delay after a failed call; the jitter is between 0 and 1.
+    domain::Duration retryDelay(domain::TimePoint now, double jitter) const;
+    domain::Duration watchTimeout(domain::TimePoint now) const;
+
+    /// A call that does not wait for changes was sent, and has ended.
+    void onCallSent(domain::TimePoint now) { m_sentAt = now; }
+    void onCallEnded() { m_sentAt.reset(); }
+    /// A call failed. sentAt is the start of the new freshness budget: when a call that does not
+    /// wait was sent, or when a waiting watch failed.
+    void onFailure(domain::TimePoint sentAt);
+    /// A call was answered. Yields the number of failed calls before it.
+    std::uint32_t onAnswered(domain::TimePoint now);
+    std::uint32_t failures() const { return m_failures; }
+    bool isFailing() const { return m_failures > 0; }
+    bool isProbeFailing() const { return m_probe != nullptr && m_probe->isFailing(); }
+    /// The last calls of this process were not answered.
+    bool isStoreFailing() const { return isFailing() || isProbeFailing(); }
+    /// A read beside a waiting watch is due: only the watch, which may have been lost, could
+    /// confirm the copy.
+    bool isRefreshDue(domain::TimePoint now) const;
+
+private:
+    bool isLarge() const { return m_copy.readStagger() != nullptr; }
+    bool isSuspended(domain::TimePoint now, bool isProcessSuspended) const;
+    /// A call that does not wait for changes is pending within its answer timeout.
+    bool isAwaitingAnswer(domain::TimePoint now) const;
+
+    StoreSubscriberOptions m_options;
+    CopyState &m_copy;
+    ReadSchedule *m_probe = nullptr;
+    /// Schedules that use this one as their probe.
+    std::vector<ReadSchedule *> m_dependants;
+    bool m_hasPeers = false;
+    std::uint32_t m_failures = 0;
+    /// When the pending call that does not wait was sent.
+    std::optional<domain::TimePoint> m_sentAt;
+    /// When publishers are asked again after a fetch that brought nothing.
+    domain::TimePoint m_peerRetryAt;
+};
+
+} // namespace oriolerill::objectstore::internal
--- a/src/objectstore/internal/storesubscriber.cpp
+++ b/src/objectstore/internal/storesubscriber.cpp
@@ -1,6 +1,6 @@
 #include "objectstore/storesubscriber.h"
 
-#include "objectstore/internal/copystate.h"
+#include "objectstore/internal/readschedule.h"
 #include "observability/log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -47,6 +47,7 @@
     , m_sink(std::move(sink))
     , m_options(options)
     , m_state(std::make_unique<internal::CopyState>(options))
+    , m_schedule(std::make_unique<internal::ReadSchedule>(options, *m_state))
 {}
 
 StoreSubscriber::~StoreSubscriber() = default;
@@ -111,57 +112,29 @@
 
 domain::Duration StoreSubscriber::retryDelay()
 {
-    constexpr std::uint32_t MaxDoublings = 4;
-    const auto doubled = m_options.minRetryDelay
-            * (1U << std::min(std::max(m_failures, 1U) - 1, MaxDoublings));
-    // A large collection uses the delay of its rank instead.
-    const bool isStoreLossPublished
-            = !isLarge() && m_state->isPublisherLossRecent(TimePoint::clock::now());
-    const domain::Duration delay = isStoreLossPublished
-            ? m_options.publisherLossRetryDelay
-            : std::min<domain::Duration>(doubled, m_options.maxRetryDelay);
-    // Jitter: processes that lost the store at the same moment must not retry at the same moment.
-    std::uniform_real_distribution<double> jitter(0.75, 1.25);
-    const auto wanted = std::chrono::duration_cast<domain::Duration>(delay * jitter(m_random));
-    const domain::Duration left = m_state->limitWait(wanted, TimePoint::clock::now());
-    if (left == wanted)
-        return wanted;
-    // The shortened delay ends before the deadline, at a different time in each process.
-    std::uniform_real_distribution<double> shortenedJitter(0.6, 0.95);
-    const auto shortened
-            = std::chrono::duration_cast<domain::Duration>(left * shortenedJitter(m_random));
-    return std::max(shortened, std::min(wanted, m_options.minRetryDelay));
+    std::uniform_real_distribution<double> jitter(0, 1);
+    return m_schedule->retryDelay(TimePoint::clock::now(), jitter(m_random));
 }
 
-void StoreSubscriber::setProbe(StoreSubscriber &probe)
+void StoreSubscriber::setPeerFetch(PeerFetch fetch)
 {
-    m_probe = &probe;
-    probe.m_dependants.push_back(this);
+    m_peerFetch = std::move(fetch);
+    m_schedule->setHasPeers();
 }
 
-bool StoreSubscriber::isSuspended(TimePoint now) const
-{
-    const bool isProbed = isProbeFailing();
-    if (isProbed && m_probe->isAwaitingAnswer(now))
-        return true;
-    if (isProbed || (m_isSuspended && m_isSuspended()))
-        return now < m_state->readDeadline();
-    return isLarge() && m_state->isPossiblyStale() && now < m_state->readAllowedAt();
-}
-
-bool StoreSubscriber::isLarge() const
+void StoreSubscriber::setProbe(StoreSubscriber &probe)
 {
-    return m_state->readStagger() != nullptr;
+    m_schedule->setProbe(*probe.m_schedule);
 }
 
-bool StoreSubscriber::isProbeFailing() const
+bool StoreSubscriber::isFailing() const
 {
-    return m_probe != nullptr && m_probe->isFailing();
+    return m_schedule->isFailing();
 }
 
-bool StoreSubscriber::isStoreFailing() const
+bool StoreSubscriber::isLarge() const
 {
-    return m_failures > 0 || isProbeFailing();
+    return m_state->readStagger() != nullptr;
 }
 
 bool StoreSubscriber::isOverdue(TimePoint now) const
@@ -169,82 +142,69 @@
     return m_state->isOverdue(now);
 }
 
-bool StoreSubscriber::isAwaitingAnswer(TimePoint now) const
-{
-    return m_sentAt && now - *m_sentAt < m_options.answerTimeout;
-}
-
 asio::awaitable<void> StoreSubscriber::wait(domain::Duration duration)
 {
     asio::steady_timer timer(m_context, duration);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<bool> StoreSubscriber::step()
+/// Takes one step of the schedule. False if a call has failed.
+struct StoreSubscriber::StepRunner
 {
-    constexpr auto CheckInterval = std::chrono::milliseconds(200);
-    constexpr domain::Duration MinCheckInterval = std::chrono::milliseconds(20);
-    if (m_isRefreshing) {
-        co_await wait(CheckInterval);
+    StoreSubscriber &subscriber;
+
+    asio::awaitable<bool> operator()(internal::FetchFromPeer step) const
+    {
+        const bool isListed = co_await subscriber.listFromPeer(step.deadline);
+        if (!isListed) {
+            subscriber.m_hasCalled = false;
+            subscriber.m_schedule->onPeerMissed(TimePoint::clock::now());
+        }
         co_return true;
     }
-    m_state->checkGap(TimePoint::clock::now());
-    // A publisher that the store turns away has no delay by rank, but the others may have the
-    // change.
-    const bool isPeerAsked = TimePoint::clock::now() < m_state->readAllowedAt() || isStoreFailing();
-    if (m_state->isReadDue() && m_peerFetch && isPeerAsked) {
-        constexpr auto PeerRetryDelay = std::chrono::milliseconds(100);
-        const bool isListed = co_await listFromPeer();
-        if (isListed)
-            co_return true;
-        if (isLarge() && TimePoint::clock::now() < m_state->readAllowedAt()) {
-            m_hasCalled = false;
-            co_await wait(PeerRetryDelay);
-            co_return true;
-        }
+    asio::awaitable<bool> operator()(internal::ListStore /*step*/) const
+    {
+        co_return co_await subscriber.listOnce();
     }
-    const bool maySuspend = m_failures > 0 || (isLarge() && m_state->hasList());
-    if (maySuspend && isSuspended(TimePoint::clock::now())) {
-        m_hasCalled = false;
-        // The answer to a pending probe is awaited beyond the deadline.
-        const domain::Duration left = m_state->limitWait(CheckInterval, TimePoint::clock::now());
-        co_await wait(std::max(left, MinCheckInterval));
-        co_return true;
+    asio::awaitable<bool> operator()(internal::WatchStore step) const
+    {
+        co_return co_await subscriber.watchOnce(step.wait, step.isProofExpired);
     }
-    if (!m_state->hasList())
-        co_return co_await listOnce();
-    if (m_state->isUpdateRecent(TimePoint::clock::now()) && !m_state->hasGap()) {
-        m_hasCalled = false;
-        co_await wait(std::clamp<domain::Duration>(
-                m_state->proofEnd() - TimePoint::clock::now(), MinCheckInterval, CheckInterval));
+    asio::awaitable<bool> operator()(internal::AwaitOtherPath step) const
+    {
+        co_await subscriber.wait(step.checkInterval);
+        // Changes from the time without a watch are missing: list again.
+        if (subscriber.m_isWatchNeeded())
+            subscriber.m_state->requireList();
         co_return true;
     }
-    if (m_isWatchNeeded && !m_isWatchNeeded()) {
-        co_await wait(CheckInterval);
-        // Changes from the time without a watch are missing: list again.
-        if (m_isWatchNeeded())
-            m_state->requireList();
+    asio::awaitable<bool> operator()(internal::Pause step) const
+    {
+        subscriber.m_hasCalled = false;
+        co_await subscriber.wait(step.time);
         co_return true;
     }
-    if (!m_state->hasGap() && m_state->isTakeoverAwaited(TimePoint::clock::now())) {
-        m_hasCalled = false;
-        co_await wait(std::clamp<domain::Duration>(
-                m_state->proofEnd() - TimePoint::clock::now(), MinCheckInterval, CheckInterval));
+};
+
+asio::awaitable<bool> StoreSubscriber::step()
+{
+    if (m_isRefreshing) {
+        constexpr auto CheckInterval = std::chrono::milliseconds(200);
+        co_await wait(CheckInterval);
         co_return true;
     }
-    // A watch would transfer each superseded state of a large object, and cannot start in an older
-    // era.
-    if ((isLarge() && m_state->isReadDue()) || m_state->isEraOutdated())
-        co_return co_await listOnce();
-    co_return co_await watchOnce();
+    const bool isOtherPathUsed = m_isWatchNeeded && !m_isWatchNeeded();
+    const internal::ReadStep step = m_schedule->next(
+            TimePoint::clock::now(), isOtherPathUsed, m_isSuspended && m_isSuspended());
+    co_return co_await std::visit(StepRunner{*this}, step);
 }
 
 asio::awaitable<bool> StoreSubscriber::listOnce()
 {
     const TimePoint sentAt = TimePoint::clock::now();
-    m_sentAt = sentAt;
+    m_schedule->onCallSent(sentAt);
     auto list = co_await m_store.list(m_collection, sentAt + m_options.listTimeout);
-    m_sentAt.reset();
+    m_schedule->onCallEnded();
     if (!list) {
         onFailure(list.error(), sentAt);
         co_return false;
@@ -275,13 +235,11 @@
     m_sink.onList(list);
 }
 
-asio::awaitable<bool> StoreSubscriber::listFromPeer()
+asio::awaitable<bool> StoreSubscriber::listFromPeer(TimePoint deadline)
 {
     const std::uint64_t generation = m_state->generation();
     const TimePoint now = TimePoint::clock::now();
-    const TimePoint deadline = now + m_options.listTimeout;
-    auto list = co_await m_peerFetch(
-            isStoreFailing() ? deadline : std::min(deadline, m_state->readAllowedAt()));
+    auto list = co_await m_peerFetch(deadline);
     // Another list or an update may have been applied in the meantime.
     if (generation != m_state->generation())
         co_return true;
@@ -304,20 +262,14 @@
     co_return true;
 }
 
-asio::awaitable<bool> StoreSubscriber::watchOnce()
+asio::awaitable<bool> StoreSubscriber::watchOnce(domain::Duration time, bool isProofExpired)
 {
     const std::uint64_t generation = m_state->generation();
-    // The missing changes are already in the store: do not wait for further ones. A waiting watch
-    // proves the copy only when it ends, later than the delays of the other ranks.
-    const bool isPolled
-            = m_state->isSubscriber() && m_state->readStagger()->delay() > domain::Duration::zero();
-    const domain::Duration time
-            = m_state->hasGap() || isPolled ? domain::Duration::zero() : watchTimeout();
     const TimePoint sentAt = TimePoint::clock::now();
     m_isWatchWaiting = time > domain::Duration::zero();
     if (!m_isWatchWaiting)
-        m_sentAt = sentAt;
-    if (isPolled) {
+        m_schedule->onCallSent(sentAt);
+    if (isProofExpired) {
         logEvent(Severity::Info, "publishers_proof_expired",
                 {{"collection", m_collection}, {"era", m_state->version().epoch},
                         {"revision", m_state->version().revision},
@@ -329,7 +281,7 @@
     auto changes = co_await m_store.watch(
             m_collection, m_state->version(), sentAt + time + m_options.answerTimeout);
     m_isWatchWaiting = false;
-    m_sentAt.reset();
+    m_schedule->onCallEnded();
     if (generation != m_state->generation())
         co_return true;
     if (!changes && changes.error().kind == ErrorKind::NotFound) {
@@ -429,9 +381,10 @@
 
 std::optional<ProvenVersion> StoreSubscriber::confirmedVersion(TimePoint now) const
 {
-    if (m_failures > 0)
+    if (isFailing())
         return std::nullopt;
-    return m_state->confirmedVersion(now, watchTimeout() + m_options.answerTimeout);
+    return m_state->confirmedVersion(
+            now, m_schedule->watchTimeout(now) + m_options.answerTimeout);
 }
 
 void StoreSubscriber::onStoreVersion(ConfigVersion version, TimePoint provenAt)
@@ -443,7 +396,7 @@
 void StoreSubscriber::onMissing()
 {
     scheduleConfirmation();
-    m_isRetryDelayCancelled = m_isRetryDelayCancelled || m_failures > 0;
+    m_isRetryDelayCancelled = m_isRetryDelayCancelled || isFailing();
 }
 
 void StoreSubscriber::onPublisherStoreLoss(TimePoint now)
@@ -459,7 +412,7 @@
     if (effect.isMissing)
         onMissing();
     if (effect.isAccepted)
-        m_isRetryDelayCancelled = m_isRetryDelayCancelled || m_failures > 0;
+        m_isRetryDelayCancelled = m_isRetryDelayCancelled || isFailing();
     if (effect.isConfirmed)
         onAnswered();
     if (!effect.isNewer)
@@ -469,14 +422,6 @@
         m_sink.onChanges(newer);
 }
 
-domain::Duration StoreSubscriber::watchTimeout() const
-{
-    const bool isPeerBacked = m_state->isPeerBacked(TimePoint::clock::now());
-    const domain::Duration time
-            = isPeerBacked ? m_options.peerBackedWatchTimeout : m_options.watchTimeout;
-    return m_state->isSubscriber() ? std::min(time, m_options.subscriberWatchTimeout) : time;
-}
-
 void StoreSubscriber::refresh()
 {
     const TimePoint now = TimePoint::clock::now();
@@ -516,7 +461,7 @@
     }
     m_isConfirmationScheduled = false;
     // Without a waiting watch, run() calls the store itself.
-    if (m_state->isPossiblyStale() && m_isWatchWaiting && !m_isRefreshing && m_state->hasList())
+    if (m_schedule->isRefreshDue(now) && m_isWatchWaiting && !m_isRefreshing)
         beginRefresh(now);
 }
 
@@ -535,10 +480,10 @@
 void StoreSubscriber::proveIfOlderThan(domain::Duration age, TimePoint now)
 {
     // While the probe is unanswered, its answer shows that the store is reachable again.
-    const domain::Duration interval = m_failures > 0 ? m_options.maxRetryDelay : age;
+    const domain::Duration interval = isFailing() ? m_options.maxRetryDelay : age;
     const bool isDue = now - std::max(m_state->provenAt(), m_proofRequestedAt) >= interval;
     if (!m_state->hasList() || m_isProving || m_isRefreshing || !m_isWatchWaiting
-            || isProbeFailing() || !isDue)
+            || m_schedule->isProbeFailing() || !isDue)
         return;
     m_isProving = true;
     m_proofRequestedAt = now;
@@ -584,18 +529,11 @@
 
 void StoreSubscriber::onFailure(const domain::Error &error, TimePoint sentAt)
 {
-    ++m_failures;
-    m_state->onUnanswered(sentAt);
-    for (StoreSubscriber *dependant : m_dependants)
-        dependant->m_state->onUnanswered(sentAt);
-    // A waiting watch that was sent in an outage may never be answered, even after the outage. A
-    // watch that does not wait has a short deadline, so the return of the store is detected early.
-    // Complete lists for all processes at that moment would fill the links between regions.
-    m_state->setGap();
-    if (m_failures > 1) {
+    m_schedule->onFailure(sentAt);
+    if (m_schedule->failures() > 1) {
         logEvent(Severity::Info, "store_call_failed",
-                {{"collection", m_collection}, {"failures", m_failures}, {"error", error.message},
-                        {"remedy", error.remedy}});
+                {{"collection", m_collection}, {"failures", m_schedule->failures()},
+                        {"error", error.message}, {"remedy", error.remedy}});
         return;
     }
     logEvent(Severity::Warning, "store_lost",
@@ -615,17 +553,10 @@
 
 void StoreSubscriber::onAnswered()
 {
-    if (m_failures == 0)
+    const std::uint32_t failures = m_schedule->onAnswered(TimePoint::clock::now());
+    if (failures == 0)
         return;
-    const TimePoint answeredAt = TimePoint::clock::now();
-    logEvent(
-            Severity::Info, "store_back", {{"collection", m_collection}, {"failures", m_failures}});
-    m_failures = 0;
-    // Their read delays start with the return, not with the last failed call.
-    for (StoreSubscriber *dependant : m_dependants) {
-        if (dependant->m_state->isPossiblyStale())
-            dependant->m_state->onUnanswered(answeredAt);
-    }
+    logEvent(Severity::Info, "store_back", {{"collection", m_collection}, {"failures", failures}});
     if (m_sink.onStoreBack)
         m_sink.onStoreBack();
 }
--- a/src/objectstore/storesubscriber.h
+++ b/src/objectstore/storesubscriber.h
@@ -20,6 +20,7 @@
 
 namespace internal {
 class CopyState;
+class ReadSchedule;
 }
 
 /// Callbacks of one subscriber; they run on the thread of its context.
@@ -157,7 +158,7 @@
     /// Version of the store that the copy reflects, if a watch or list of this process confirmed
     /// it recently; versions received from publishers are not published again.
     std::optional<ProvenVersion> confirmedVersion(domain::TimePoint now) const;
-    bool isFailing() const { return m_failures > 0; }
+    bool isFailing() const;
     /// A change was published that the copy does not contain yet.
     bool isBehind() const;
     /// A publisher of the data centre has a change that the copy still lacks at the end of the
@@ -179,32 +180,27 @@
     using PeerFetch = std::function<boost::asio::awaitable<domain::Expected<ObjectList>>(
             domain::TimePoint deadline)>;
     /// Fetches the collection from a publisher; tried before the store when updates leave a gap.
-    void setPeerFetch(PeerFetch fetch) { m_peerFetch = std::move(fetch); }
+    void setPeerFetch(PeerFetch fetch);
     /// The complete collection, for peers that fetch it; empty without keepCollectionCopy().
     const ObjectList &collectionCopy() const;
     void keepCollectionCopy();
 
 private:
+    struct StepRunner;
+
     boost::asio::awaitable<bool> step();
     boost::asio::awaitable<bool> listOnce();
-    boost::asio::awaitable<bool> watchOnce();
+    boost::asio::awaitable<bool> watchOnce(domain::Duration time, bool isProofExpired);
     boost::asio::awaitable<void> listUntilAnswered();
     boost::asio::awaitable<void> proveOnce();
     boost::asio::awaitable<void> confirmAtDeadline();
     void beginRefresh(domain::TimePoint now);
-    bool isSuspended(domain::TimePoint now) const;
     bool isLarge() const;
-    bool isProbeFailing() const;
-    /// The last calls of this process were not answered.
-    bool isStoreFailing() const;
-    /// A call that does not wait for changes is pending within its answer timeout.
-    bool isAwaitingAnswer(domain::TimePoint now) const;
     boost::asio::awaitable<void> wait(domain::Duration duration);
     domain::Duration retryDelay();
-    domain::Duration watchTimeout() const;
     /// An announced change is missing.
     void onMissing();
-    boost::asio::awaitable<bool> listFromPeer();
+    boost::asio::awaitable<bool> listFromPeer(domain::TimePoint deadline);
     /// Reads the changes since the applied version without waiting for further ones.
     boost::asio::awaitable<bool> catchUpOnce();
     boost::asio::awaitable<bool> refreshOnce();
@@ -227,7 +223,7 @@
     CollectionSink m_sink;
     StoreSubscriberOptions m_options;
     std::unique_ptr<internal::CopyState> m_state;
-    std::uint32_t m_failures = 0;
+    std::unique_ptr<internal::ReadSchedule> m_schedule;
     std::function<bool()> m_isWatchNeeded;
     bool m_isRefreshing = false;
     /// A read that proves the copy is pending beside the waiting watch, and when it was last sent.
@@ -240,11 +236,6 @@
     /// An update or a newer version cancelled the delay after a failure.
     bool m_isRetryDelayCancelled = false;
     std::function<bool()> m_isSuspended;
-    StoreSubscriber *m_probe = nullptr;
-    /// Subscribers that use this one as their probe.
-    std::vector<StoreSubscriber *> m_dependants;
-    /// When the pending call that does not wait was sent.
-    std::optional<domain::TimePoint> m_sentAt;
     PeerFetch m_peerFetch;
     std::mt19937 m_random{std::random_device{}()};
     /// The last step called the store.
