Add red tests of late and discarded reads of the store

Two tests with a real StoreSubscriber receive an answer while an update of another publisher moves the copy's revision on.

Test sources other than *test.cpp and *bench.cpp are compiled now.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,5 +1,5 @@
 # oriolerill_module(NAME LINK ...): the library of src/NAME with its tests and benchmarks.
-# internal/main.cpp belongs to the module's binary; tests/*test.cpp and tests/*bench.cpp are found.
+# internal/main.cpp belongs to the module's binary; the files of tests/ are found.
 function(oriolerill_module name)
   cmake_parse_arguments(MODULE "" "" "LINK" ${ARGN})
   set(dir ${CMAKE_SOURCE_DIR}/src/${name})
@@ -23,7 +23,8 @@
   if(NOT ORIOLERILL_TESTS)
     return()
   endif()
-  file(GLOB tests CONFIGURE_DEPENDS ${dir}/tests/*test.cpp)
+  file(GLOB tests CONFIGURE_DEPENDS ${dir}/tests/*.cpp)
+  list(FILTER tests EXCLUDE REGEX "bench\\.cpp$")
   if(tests)
     add_executable(${name}_tests ${tests})
     target_link_libraries(${name}_tests PRIVATE oriolerill_${name} GTest::gtest_main)
--- a/src/objectstore/tests/storeupdatestest.cpp
+++ b/src/objectstore/tests/storeupdatestest.cpp
@@ -542,6 +542,52 @@
     EXPECT_LT(TimePoint::clock::now() - announcedAt, 1500ms);
 }
 
+// Regression: a fetched list was discarded when a publisher without the change, whose revision moved
+// on with those of other collections, sent an update during the fetch (probador-rill-large, CONFIG).
+TEST_F(LateChangeFixture, onPublishedChanges_otherPublisherMovesOnDuringFetch_fetchedListApplied)
+{
+    makeLarge();
+    m_subscriber->setPeerFetch([this](TimePoint) -> asio::awaitable<Expected<ObjectList>> {
+        asio::steady_timer timer(m_context, 300ms);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_return changesTo(100, "large", 100);
+    });
+    receiveUpdate(AppliedRevision, changesTo(AppliedRevision));
+    runFor(50ms);
+    m_store.isDown = true;
+    const TimePoint announcedAt = TimePoint::clock::now();
+    m_subscriber->onPublishedChanges(versionOf(100), changesTo(100), announcedAt, true);
+    for (std::uint64_t revision = AppliedRevision + 1;
+            m_subscriber->lastChangeVersion().revision < 100
+            && TimePoint::clock::now() < announcedAt + 1000ms;
+            ++revision) {
+        receiveUpdate(AppliedRevision, changesTo(revision));
+        runFor(50ms);
+    }
+    EXPECT_EQ(m_subscriber->lastChangeVersion().revision, 100U);
+}
+
+// Regression: the store's answer was discarded for the same reason, and the read was repeated after
+// the next proof had expired.
+TEST_F(LateChangeFixture, run_publisherWithoutProofMovesOnDuringRead_answerApplied)
+{
+    makeLarge();
+    runFor(100ms);
+    const TimePoint provenAt = TimePoint::clock::now();
+    receiveUpdate(AppliedRevision, changesTo(AppliedRevision));
+    m_store.watchAnswerDelay = 300ms;
+    m_store.watchAnswer = changesTo(100, "a", 100);
+    const TimePoint end = provenAt + m_readStagger.delay() + 600ms;
+    for (std::uint64_t revision = AppliedRevision + 1;
+            m_subscriber->lastChangeVersion().revision < 100 && TimePoint::clock::now() < end;
+            ++revision) {
+        m_subscriber->onPublishedChanges(versionOf(AppliedRevision), changesTo(revision),
+                TimePoint::clock::now(), false, provenAt - 1h);
+        runFor(50ms);
+    }
+    EXPECT_EQ(m_subscriber->lastChangeVersion().revision, 100U);
+}
+
 // Guards against a data centre that is cut off from the store and refuses everything, because its
 // publishers had announced a change before.
 TEST_F(LateChangeFixture, isOverdue_publisherLosesStore_onlyWhileItsProofIsRecent)
