Apply answers that arrive after an update without their changes

Cause: a list fetched from a publisher, and the changes read by a watch, were discarded whenever the generation of the copy had changed during the call. Any update that raises the copy's revision changes it, also that of a publisher which lacks the change itself and whose revision moves on with other collections. Such updates come each 0.4 s, and a list of 280 kB to 40 entries takes longer, so it was fetched again and discarded again.

Evidence: in the incident edge-salto-a-43 received 440 kB at 11 to 12 s and 424 kB at 13 to 14 s, which only the new configuration is large enough for, and used the old one until 16.4 s; it made no call to the store in between.

Change: an answer is discarded only if the copy is at its version or beyond. Changes of objects whose later state is already applied are left out as before.

--- a/src/objectstore/internal/storesubscriber.cpp
+++ b/src/objectstore/internal/storesubscriber.cpp
@@ -240,10 +240,10 @@
     const std::uint64_t generation = m_state->generation();
     const TimePoint now = TimePoint::clock::now();
     auto list = co_await m_peerFetch(deadline);
-    // Another list or an update may have been applied in the meantime.
-    if (generation != m_state->generation())
-        co_return true;
     const bool isUseful = list && m_state->isPeerListUseful(*list);
+    // Another list or an update has been applied in the meantime.
+    if (!isUseful && generation != m_state->generation())
+        co_return true;
     if (!isUseful) {
         logEvent(Severity::Info, "peer_list_missing",
                 {{"collection", m_collection}, {"missing_era", m_state->missingVersion().epoch},
@@ -278,11 +278,15 @@
                                         sentAt - m_state->provenAt())
                                         .count()}});
     }
+    const ConfigVersion after = m_state->version();
     auto changes = co_await m_store.watch(
-            m_collection, m_state->version(), sentAt + time + m_options.answerTimeout);
+            m_collection, after, sentAt + time + m_options.answerTimeout);
     m_isWatchWaiting = false;
     m_schedule->onCallEnded();
-    if (generation != m_state->generation())
+    // A list or an update has brought the copy at least as far in the meantime.
+    const bool isNewer = changes && m_state->isOfCopyEra(after)
+            && changes->storeVersion > m_state->version();
+    if (generation != m_state->generation() && !isNewer)
         co_return true;
     if (!changes && changes.error().kind == ErrorKind::NotFound) {
         onHistoryGone();
