--- a/src/relay/internal/crashnotices.cpp
+++ b/src/relay/internal/crashnotices.cpp
@@ -13,8 +13,8 @@
 using domain::TimePoint;
 using observability::logEvent;
 using observability::Severity;
-using routing::PartsAllowed;
-using routing::PartsRefused;
+using routing::TraitsAllowed;
+using routing::TraitsRefused;
 
 namespace {
 
@@ -22,14 +22,14 @@
 constexpr auto ExpiryInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t MaxLogged = 8;
 
-const char *reasonText(PartsAllowed::Reason reason)
+const char *reasonText(TraitsAllowed::Reason reason)
 {
     switch (reason) {
-    case PartsAllowed::Reason::Answered:
+    case TraitsAllowed::Reason::Answered:
         return "answered";
-    case PartsAllowed::Reason::OthersToBlame:
+    case TraitsAllowed::Reason::OthersToBlame:
         return "others_to_blame";
-    case PartsAllowed::Reason::Expired:
+    case TraitsAllowed::Reason::Expired:
         return "expired";
     }
     return "expired";
@@ -40,19 +40,21 @@
 {
     TimePoint now;
 
-    void operator()(const PartsRefused &change) const
+    void operator()(const TraitsRefused &change) const
     {
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
                 change.refused.trialAt - now);
-        logEvent(Severity::Warning, "prompt_parts_refused",
-                {{"parts", toText(change.refused.parts)},
+        logEvent(Severity::Warning, "crashing_traits_refused",
+                {{"traits", toText(change.refused.traits)},
                         {"crashes", toText(change.refused.crashes)}, {"trial_in_ms", wait.count()},
-                        {"remedy", "change the prompts that contain these parts, or the weights"}});
+                        {"remedy",
+                                "change the requests that have all of these in common, or the "
+                                "weights"}});
     }
-    void operator()(const PartsAllowed &change) const
+    void operator()(const TraitsAllowed &change) const
     {
-        logEvent(Severity::Info, "prompt_parts_allowed",
-                {{"parts", toText(change.refused.parts)}, {"reason", reasonText(change.reason)},
+        logEvent(Severity::Info, "crashing_traits_allowed",
+                {{"traits", toText(change.refused.traits)}, {"reason", reasonText(change.reason)},
                         {"crashes", toText(change.refused.crashes)}});
     }
 };
@@ -61,11 +63,12 @@
 {
     for (const routing::AttributionChange &change : update.changes) {
         std::visit(ChangeLogger{now}, change);
-        context.metrics.increment("oriolerill_relay_prompt_parts_changes_total",
-                {{"change", std::holds_alternative<PartsRefused>(change) ? "refused" : "allowed"}});
+        context.metrics.increment("oriolerill_relay_crashing_traits_changes_total",
+                {{"change",
+                        std::holds_alternative<TraitsRefused>(change) ? "refused" : "allowed"}});
     }
     if (!update.changes.empty()) {
-        context.metrics.set("oriolerill_relay_prompt_parts_refused",
+        context.metrics.set("oriolerill_relay_crashing_traits_refused",
                 static_cast<double>(context.dispatcher.crashes().refused().size()));
     }
     if (update.isNews && context.onCrashNews)
@@ -74,11 +77,16 @@
 
 } // namespace
 
-std::string toText(const std::vector<routing::PromptPartId> &parts)
+std::string toText(const routing::RequestTrait &trait)
+{
+    return (trait.isWholeRequest() ? "request:" : "") + trait.value();
+}
+
+std::string toText(const std::vector<routing::RequestTrait> &traits)
 {
     std::string text;
-    for (std::size_t i = 0; i < std::min(parts.size(), MaxLogged); ++i)
-        text += (i == 0 ? "" : ",") + parts[i].value();
+    for (std::size_t i = 0; i < std::min(traits.size(), MaxLogged); ++i)
+        text += (i == 0 ? "" : ",") + toText(traits[i]);
     return text;
 }
 
@@ -97,18 +105,18 @@
     logEvent(Severity::Warning, "engine_crashed",
             {{"endpoint", crash.engine.id.value()}, {"started_at_ms", crash.engine.startedAtMs},
                     {"request", crash.request.value()}, {"weights", crash.weightsVersion},
-                    {"parts", toText(crash.parts)},
-                    {"remedy", "the parts are refused when further crashes have them in common"}});
+                    {"traits", toText(crash.traits)},
+                    {"remedy", "requests are refused when further crashes have these in common"}});
     context.metrics.increment("oriolerill_relay_engine_crashes_total");
     const TimePoint now = TimePoint::clock::now();
     report(context, context.dispatcher.crashes().onCrash(std::move(crash), now), now);
 }
 
-void applyAnswerBegun(RelayContext &context, const std::vector<routing::PromptPartId> &parts,
+void applyAnswerBegun(RelayContext &context, const std::vector<routing::RequestTrait> &traits,
         std::uint64_t weightsVersion)
 {
     const TimePoint now = TimePoint::clock::now();
-    report(context, context.dispatcher.crashes().onAnswerBegun(parts, weightsVersion, now), now);
+    report(context, context.dispatcher.crashes().onAnswerBegun(traits, weightsVersion, now), now);
 }
 
 void applyEvidence(RelayContext &context, const protocol::CrashEvidence &evidence)
--- a/src/relay/internal/crashtrials.cpp
+++ b/src/relay/internal/crashtrials.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/json/parse.hpp>
 
 #include <exception>
 
@@ -20,16 +21,26 @@
 namespace {
 
 constexpr auto StoreTimeout = std::chrono::milliseconds(1000);
-/// Above it, claims of parts that are no longer refused are removed.
+/// Above it, claims of traits that are no longer refused are removed.
 constexpr std::size_t MaxClaims = 64;
 
-/// Ids of parts are any text that a caller sends, so the key has their hash.
-std::string keyOf(const routing::RefusedParts &refused)
+/// Ids of traits are any text that a caller sends, so the key has their hash.
+std::string keyOf(const routing::RefusedTraits &refused)
 {
-    std::string parts;
-    for (const routing::PromptPartId &part : refused.parts)
-        parts += part.value() + ',';
-    return "crashtrials/" + std::to_string(domain::rendezvousWeight("crashtrials", parts));
+    std::string traits;
+    for (const routing::RequestTrait &trait : refused.traits)
+        traits += toText(trait) + ',';
+    return "crashtrials/" + std::to_string(domain::rendezvousWeight("crashtrials", traits));
+}
+
+/// The number of trials that a claim counts; one if it cannot be read.
+int trialsOf(const std::string &claim)
+{
+    boost::system::error_code code;
+    const boost::json::value value = boost::json::parse(claim, code);
+    const auto *members = code ? nullptr : value.if_object();
+    const auto *trials = members == nullptr ? nullptr : members->if_contains("trials");
+    return trials == nullptr || !trials->is_int64() ? 1 : static_cast<int>(trials->as_int64());
 }
 
 } // namespace
@@ -43,7 +54,7 @@
     , m_options(options)
 {}
 
-void CrashTrials::request(const routing::RefusedParts &refused)
+void CrashTrials::request(const routing::RefusedTraits &refused)
 {
     const TimePoint now = TimePoint::clock::now();
     if (m_claims.size() >= MaxClaims)
@@ -62,40 +73,49 @@
     });
 }
 
-asio::awaitable<void> CrashTrials::tryToClaim(routing::RefusedParts refused)
+asio::awaitable<void> CrashTrials::tryToClaim(routing::RefusedTraits refused)
 {
     // Counted from before the call: a late answer must not extend the claim.
     const TimePoint begunAt = TimePoint::clock::now();
-    if (!co_await write(keyOf(refused)))
+    if (!co_await write(keyOf(refused), refused.isWholeRequest()))
         co_return;
-    m_crashes.grantTrial(refused.parts, begunAt);
+    m_crashes.grantTrial(refused.traits, begunAt);
     logEvent(Severity::Info, "trial_granted",
-            {{"parts", toText(refused.parts)}, {"crashes", toText(refused.crashes)}});
+            {{"traits", toText(refused.traits)}, {"crashes", toText(refused.crashes)}});
 }
 
 /// False when another entry holds the claim, or the store's answer is lost.
-asio::awaitable<bool> CrashTrials::write(const std::string &key)
+asio::awaitable<bool> CrashTrials::write(const std::string &key, bool isWholeRequest)
 {
-    const auto created = co_await m_store.create(
-            key, "{\"entry\":\"" + m_entry.value() + "\"}", TimePoint::clock::now() + StoreTimeout);
+    const auto created
+            = co_await m_store.create(key, "{\"entry\":\"" + m_entry.value() + "\",\"trials\":1}",
+                    TimePoint::clock::now() + StoreTimeout);
     if (created) {
         m_claims[key].seen.reset();
         co_return true;
     }
     if (created.error().kind == domain::ErrorKind::Conflict)
-        co_return co_await replace(key);
+        co_return co_await replace(key, isWholeRequest);
     logEvent(Severity::Warning, "trial_not_claimed",
             {{"key", key}, {"error", created.error().message}, {"remedy", "it is tried again"}});
     co_return false;
 }
 
-asio::awaitable<bool> CrashTrials::replace(const std::string &key)
+asio::awaitable<bool> CrashTrials::replace(const std::string &key, bool isWholeRequest)
 {
     const auto current = co_await m_store.read(key, TimePoint::clock::now() + StoreTimeout);
     if (!current)
         co_return false;
     const TimePoint now = TimePoint::clock::now();
     Claim &claim = m_claims[key];
+    const int trials = trialsOf(current->value);
+    if (isWholeRequest && trials >= m_options.maxRequestTrials) {
+        claim.nextTryAt = TimePoint::max();
+        logEvent(Severity::Info, "trial_not_claimed",
+                {{"key", key}, {"error", "the last trial of this request has been made"},
+                        {"remedy", "change the request"}});
+        co_return false;
+    }
     if (claim.seen != current->version) {
         claim.seen = current->version;
         claim.seenAt = now;
@@ -104,7 +124,8 @@
     if (now - claim.seenAt < m_options.claimLifetime)
         co_return false;
     // A write that changes nothing would not change the version.
-    const std::string value = "{\"entry\":\"" + m_entry.value() + "\",\"replaces\":\""
+    const std::string value = "{\"entry\":\"" + m_entry.value()
+            + "\",\"trials\":" + std::to_string(trials + 1) + ",\"replaces\":\""
             + config::toText(current->version) + "\"}";
     const auto updated = co_await m_store.update(
             key, value, current->version, TimePoint::clock::now() + StoreTimeout);
--- a/src/relay/internal/crashtrials.h
+++ b/src/relay/internal/crashtrials.h
@@ -13,17 +13,20 @@
 
 struct CrashTrialsOptions
 {
-    /// Interval at which one entry tries to claim a trial of the same parts.
+    /// Interval at which one entry tries to claim a trial of the same traits.
     domain::Duration claimInterval = std::chrono::seconds(10);
     /// Longer than a grant and the trial's request may take together.
     domain::Duration claimLifetime = std::chrono::seconds(60);
+    /// Trials of the same whole request, by all entries for good: each may crash an engine.
+    int maxRequestTrials = 2;
 };
 
-/// Claims trials of refused prompt parts in the store, so that all entries together make at most
-/// one at a time.
+/// Claims trials of refused traits in the store, so that all entries together make at most one at a
+/// time.
 ///
-/// A claim is an object in the store. It ends when it has not changed for longer than a trial can
-/// take, as measured by the entry that wants the next one: clocks of VMs are not compared.
+/// A claim is an object in the store that also counts the trials. It ends when it has not changed
+/// for longer than a trial can take, as measured by the entry that wants the next one: clocks of
+/// VMs are not compared.
 ///
 /// A store that returns from an older copy may have lost a claim, or hold a claim that had been
 /// replaced. A lost claim leaves room for one more trial while the first is in progress; a claim
@@ -36,8 +39,8 @@
             CrashTrialsOptions options = {});
 
     /// Claims a trial unless that was tried a short time ago; grants it to this entry's next
-    /// request with the parts.
-    void request(const routing::RefusedParts &refused);
+    /// request with the traits.
+    void request(const routing::RefusedTraits &refused);
 
 private:
     struct Claim
@@ -48,9 +51,9 @@
         domain::TimePoint seenAt;
     };
 
-    boost::asio::awaitable<void> tryToClaim(routing::RefusedParts refused);
-    boost::asio::awaitable<bool> write(const std::string &key);
-    boost::asio::awaitable<bool> replace(const std::string &key);
+    boost::asio::awaitable<void> tryToClaim(routing::RefusedTraits refused);
+    boost::asio::awaitable<bool> write(const std::string &key, bool isWholeRequest);
+    boost::asio::awaitable<bool> replace(const std::string &key, bool isWholeRequest);
 
     boost::asio::io_context &m_context;
     objectstore::IObjectStore &m_store;
--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -208,10 +208,9 @@
 
 void EndpointAttempt::markBegun(const routing::AnswerHead &head)
 {
-    if (std::exchange(m_hasBegun, true) || m_request->caller.sharedParts.empty()
-            || !head.isSuccess())
+    if (std::exchange(m_hasBegun, true) || !head.isSuccess())
         return;
-    applyAnswerBegun(m_context, m_request->caller.sharedParts,
+    applyAnswerBegun(m_context, m_request->caller.traits,
             head.weightsVersion.value_or(dispatch().servedWeights));
 }
 
@@ -219,16 +218,16 @@
 /// two ends. After a crash the endpoint's address refuses connections.
 asio::awaitable<void> EndpointAttempt::checkForCrash()
 {
-    const auto &parts = m_request->caller.sharedParts;
+    const auto &traits = m_request->caller.traits;
     const TimePoint lostAt = TimePoint::clock::now();
-    if (!m_context.dispatcher.crashes().hasUnanswered(parts, dispatch().servedWeights, lostAt))
+    if (!m_context.dispatcher.crashes().hasUnanswered(traits, dispatch().servedWeights, lostAt))
         co_return;
     const bool isDown = co_await m_context.connections.isRefusing(
             dispatch().address, lostAt + CrashCheckTimeout);
     if (!isDown)
         co_return;
     applyCrash(m_context,
-            {{dispatch().endpoint, dispatch().startedAtMs}, m_request->caller.id, parts,
+            {{dispatch().endpoint, dispatch().startedAtMs}, m_request->caller.id, traits,
                     dispatch().servedWeights, lostAt});
 }
 
@@ -500,9 +499,9 @@
     logEvent(Severity::Info, "attempt_ended",
             {{"request", m_request->caller.id.value()}, {"endpoint", dispatch().endpoint.value()},
                     {"end", toString(end)}, {"status", m_status}, {"begun", m_hasBegun ? 1 : 0},
-                    {"silent", m_isSilent ? 1 : 0},
-                    {"parts", toText(m_request->caller.sharedParts)}, {"detail", m_detail},
-                    {"busy", load.occupancy(now)}, {"report_age_ms", m_reportAgeMs},
+                    {"silent", m_isSilent ? 1 : 0}, {"traits", toText(m_request->caller.traits)},
+                    {"detail", m_detail}, {"busy", load.occupancy(now)},
+                    {"report_age_ms", m_reportAgeMs},
                     {"sent_ms", m_request->msSinceArrival(m_sentAt)},
                     {"weights", dispatch().servedWeights},
                     {"newest_weights", dispatch().newestWeights},
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -49,8 +49,8 @@
             onLimitRaised;
     /// Called when this entry has evidence of crashes that other entries may not have.
     std::function<void()> onCrashNews;
-    /// Called when a trial of refused parts of prompts is due.
-    std::function<void(const routing::RefusedParts &)> onTrialDue;
+    /// Called when a trial of refused traits is due.
+    std::function<void(const routing::RefusedTraits &)> onTrialDue;
     /// The process is stopping: each answer closes its connection.
     bool isStopping = false;
     /// No further request is read from any connection.
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -116,7 +116,7 @@
         };
         m_relay.onCrashNews = [this] { m_loadListener.publishCrashEvidence(); };
         m_relay.onTrialDue
-                = [this](const routing::RefusedParts &refused) { m_trials.request(refused); };
+                = [this](const routing::RefusedTraits &refused) { m_trials.request(refused); };
         m_loadListener.setEvidenceHandler([this](const protocol::CrashEvidence &evidence) {
             internal::applyEvidence(m_relay, evidence);
         });
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -109,6 +109,12 @@
     m_state->policy.emplace(*m_route, deadline);
     if (m_account != nullptr)
         m_state->account = m_account->id;
+    std::vector<routing::RequestTrait> &traits = m_state->caller.traits;
+    traits.insert(traits.begin(),
+            routing::wholeRequest(
+                    {m_request.method_string().data(), m_request.method_string().size()},
+                    m_callerRequest.host, {m_request.target().data(), m_request.target().size()},
+                    m_state->account.value(), m_request.body()));
     m_chosenConfig = m_config;
     m_query.route = m_route;
     m_query.account = m_account;
@@ -279,7 +285,7 @@
         return RetryRefusal::Deadline;
     // A further attempt would crash another engine.
     if (end == AttemptEnd::Lost && isSuspected())
-        return RetryRefusal::SuspectedParts;
+        return RetryRefusal::SuspectedTraits;
     switch (m_state->policy->next(end)) {
     case routing::NextAttempt::None:
         return RetryRefusal::Attempts;
@@ -302,7 +308,7 @@
 bool RequestRun::isSuspected() const
 {
     return !m_current->hasBegun()
-            && m_context.dispatcher.crashes().isSuspected(m_callerRequest.sharedParts);
+            && m_context.dispatcher.crashes().isSuspected(m_callerRequest.traits);
 }
 
 void RequestRun::logNoFurtherAttempt(std::string_view after, RetryRefusal reason)
@@ -446,7 +452,7 @@
     if (m_state->isPastDeadline())
         return RetryRefusal::Deadline;
     if (isSuspected())
-        return RetryRefusal::SuspectedParts;
+        return RetryRefusal::SuspectedTraits;
     if (m_state->policy->beside(m_stream.has_value()) == routing::NextAttempt::None)
         return RetryRefusal::Attempts;
     if (m_context.isCopyOverdue())
@@ -674,8 +680,8 @@
         reason = "limited";
         m_detail = "the endpoints are at the limits that they name";
     }
-    if (refusal.parts)
-        return partsRefusalAnswer(refusal);
+    if (refusal.traits)
+        return traitsRefusalAnswer(refusal);
     m_detail += ", listed " + std::to_string(refusal.listed) + " usable "
             + std::to_string(refusal.usable) + " outdated " + std::to_string(refusal.outdated);
     m_requiredWeights = refusal.requiredWeights;
@@ -694,17 +700,20 @@
             DefaultRetryAfter};
 }
 
-LocalAnswer RequestRun::partsRefusalAnswer(const routing::Refusal &refusal)
+LocalAnswer RequestRun::traitsRefusalAnswer(const routing::Refusal &refusal)
 {
-    const routing::RefusedParts &refused = refusal.parts->refused;
-    const std::string parts = toText(refused.parts);
-    m_detail = "prompt parts " + parts + " crash engines: " + toText(refused.crashes);
-    m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", "crashing_parts"}});
-    if (refusal.parts->isTrialDue && m_context.onTrialDue)
+    const routing::RefusedTraits &refused = refusal.traits->refused;
+    const std::string traits = toText(refused.traits);
+    m_detail = traits + " crashes engines: " + toText(refused.crashes);
+    m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", "crashing_traits"}});
+    if (refusal.traits->isTrialDue && m_context.onTrialDue)
         m_context.onTrialDue(refused);
     return {503,
-            {ErrorKind::Unavailable, "not run: the prompt parts " + parts + " crash engines",
-                    "send the prompt without them, or come back after Retry-After"},
+            {ErrorKind::Unavailable,
+                    refused.isWholeRequest()
+                            ? "not run: this request and its repeats crash engines"
+                            : "not run: the prompt parts " + traits + " crash engines",
+                    "change the request, or come back after Retry-After"},
             refusal.retryAfter};
 }
 
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -90,7 +90,7 @@
     LocalAnswer failureAnswer(AttemptEnd end) const;
     LocalAnswer refusalAnswer(const routing::Refusal &refusal);
     LocalAnswer overdueAnswer();
-    LocalAnswer partsRefusalAnswer(const routing::Refusal &refusal);
+    LocalAnswer traitsRefusalAnswer(const routing::Refusal &refusal);
     void logEnd(std::string_view outcome, unsigned status);
 
     RelayContext &m_context;
--- a/src/relay/tests/crashingpartstest.cpp
+++ b/src/relay/tests/crashingpartstest.cpp
@@ -6,7 +6,7 @@
 using Socket = ScriptedEndpoint::Socket;
 
 /// Engines that end when they begin an answer to a prompt with the part "bad".
-class CrashingPartsFixture : public RelayFixture
+class CrashingTraitsFixture : public RelayFixture
 {
 protected:
     static constexpr const char *Head
@@ -39,7 +39,7 @@
 
 // Guards against requests of one kind that crash one engine after the other: after three crashes
 // with a part in common, requests with it are refused as not run, and all others are served.
-TEST_F(CrashingPartsFixture, serve_promptPartCrashesEngines_refusedAfterThirdCrash)
+TEST_F(CrashingTraitsFixture, serve_promptPartCrashesEngines_refusedAfterThirdCrash)
 {
     addEngines(8);
     start();
@@ -56,13 +56,13 @@
     EXPECT_GT(std::stod(fieldOf(last, "Retry-After")), 30);
     for (int i = 7; i <= 12; ++i)
         EXPECT_EQ(statusOf(callStream("account:10,good:20,own" + std::to_string(i) + ":5")), 200U);
-    EXPECT_GE(m_metrics.counter("oriolerill_relay_refusals_total", {{"reason", "crashing_parts"}}),
+    EXPECT_GE(m_metrics.counter("oriolerill_relay_refusals_total", {{"reason", "crashing_traits"}}),
             1U);
 }
 
 // Guards against a further attempt that crashes a second engine for the same request once another
 // request has crashed one.
-TEST_F(CrashingPartsFixture, serve_partSuspected_requestNotSentAgain)
+TEST_F(CrashingTraitsFixture, serve_partSuspected_requestNotSentAgain)
 {
     addEngines(8);
     start();
@@ -73,7 +73,7 @@
 }
 
 // Guards against parts that are refused because connections are lost: the engines still run.
-TEST_F(CrashingPartsFixture, serve_connectionsLostWithoutCrash_nothingRefused)
+TEST_F(CrashingTraitsFixture, serve_connectionsLostWithoutCrash_nothingRefused)
 {
     const auto arrivals = std::make_shared<std::atomic<int>>(0);
     for (int i = 0; i < 4; ++i) {
@@ -90,7 +90,7 @@
 
 // Guards against parts that are refused because their requests are in progress at engines that are
 // ended by others: a request whose answer has begun has not caused the crash.
-TEST_F(CrashingPartsFixture, serve_enginesEndAfterAnswersBegan_nothingRefused)
+TEST_F(CrashingTraitsFixture, serve_enginesEndAfterAnswersBegan_nothingRefused)
 {
     for (std::size_t i = 0; i < 4; ++i) {
         addEndpoint([this, i](Socket &socket, const std::string &) {
@@ -119,7 +119,7 @@
     return stream << value.name;
 }
 
-class UnframedStreamFixture : public CrashingPartsFixture,
+class UnframedStreamFixture : public CrashingTraitsFixture,
                               public testing::WithParamInterface<UnframedCase>
 {};
 
--- a/src/relay/tests/crashtrialstest.cpp
+++ b/src/relay/tests/crashtrialstest.cpp
@@ -22,7 +22,7 @@
     int creates = 0;
 };
 
-/// Two entries that refuse the same part and share a store.
+/// Two entries that refuse the same trait and share a store.
 class CrashTrialsFixture : public testing::Test
 {
 protected:
@@ -32,7 +32,7 @@
         for (std::uint64_t i = 1; i <= 3; ++i) {
             for (routing::CrashAttribution &crashes : m_crashes) {
                 crashes.onCrash({{domain::EndpointId("e" + std::to_string(i)), i},
-                                        domain::RequestId("r"), m_parts, 1, now - 1s + i * 200ms},
+                                        domain::RequestId("r"), m_traits, 1, now - 1s + i * 200ms},
                         now);
             }
         }
@@ -44,13 +44,13 @@
         m_trials[entry].request(m_crashes[entry].refused().front());
         m_context.restart();
         m_context.run();
-        const auto decision = m_crashes[entry].decide(m_parts, 1, TimePoint::clock::now());
-        return std::holds_alternative<routing::PartsUsable>(decision);
+        const auto decision = m_crashes[entry].decide(m_traits, 1, TimePoint::clock::now());
+        return std::holds_alternative<routing::TraitsUsable>(decision);
     }
 
     static constexpr internal::CrashTrialsOptions Options{0ms, 100ms};
 
-    const std::vector<routing::PromptPartId> m_parts{routing::PromptPartId("bad/?\xff")};
+    const std::vector<routing::RequestTrait> m_traits{routing::RequestTrait("bad/?\xff")};
     boost::asio::io_context m_context{1};
     CountingStore m_store;
     routing::CrashAttribution m_crashes[2];
@@ -71,7 +71,7 @@
     EXPECT_FALSE(requestTrial(0));
 }
 
-// Guards against parts that stay refused because the store has lost a claim, and against a new
+// Guards against traits that stay refused because the store has lost a claim, and against a new
 // claim that is taken for the lost one, whose lifetime has passed, because it has the same
 // revision.
 TEST_F(CrashTrialsFixture, request_storeReturnsWithoutClaim_newClaimHasItsOwnLifetime)
--- a/src/relay/tests/loadlistenertest.cpp
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -207,11 +207,11 @@
     endpoint.address = {"127.0.0.7", 9};
     m_dispatcher.endpoints().replaceAll({endpoint}, domain::TimePoint::clock::now());
     const auto now = domain::TimePoint::clock::now();
-    const std::vector<routing::PromptPartId> parts{routing::PromptPartId("bad\xff")};
+    const std::vector<routing::RequestTrait> traits{routing::RequestTrait("bad\xff")};
     for (std::uint64_t i = 1; i <= 3; ++i) {
         m_dispatcher.crashes().onCrash(
                 {{domain::EndpointId("e" + std::to_string(i)), i}, domain::RequestId("r\xfe"),
-                        parts, 1, now - 1s + i * 200ms},
+                        traits, 1, now - 1s + i * 200ms},
                 now);
     }
     m_listener.publishCrashEvidence();
@@ -228,7 +228,7 @@
     *forwarded.mutable_crash_evidence() = datagram.crash_evidence();
     send(forwarded.SerializeAsString());
     ASSERT_EQ(other.refused().size(), 1U);
-    EXPECT_EQ(other.refused().front().parts, parts);
+    EXPECT_EQ(other.refused().front().traits, traits);
 }
 
 // Regression: an entry sent requests to engines with an older version after the version bound. It
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -133,6 +133,9 @@
             logEvent(Severity::Info, "entry_subscribed",
                     {{"entry", message.entry()}, {"data_centre", message.data_centre()},
                             {"entries", m_subscribers.size()}});
+            // An entry that has just started must not try again what has crashed engines before.
+            if (subscriber.isLocal && !m_crashes.isEmpty())
+                sendCrashEvidenceTo(sender);
         }
     }
 }
@@ -275,23 +278,27 @@
 void LoadReporter::onCrashEvidence(
         const protocol::CrashEvidence &evidence, const udp::endpoint &sender)
 {
-    if (m_crashes.merge(evidence, TimePoint::clock::now()))
+    if (m_crashes.merge(evidence, TimePoint::clock::now()).isNews)
         sendCrashEvidence(&sender);
 }
 
 void LoadReporter::sendCrashEvidence(const udp::endpoint *sender)
 {
-    protocol::EntryDatagram datagram;
-    *datagram.mutable_crash_evidence() = m_crashes.encode(TimePoint::clock::now());
-    const std::string bytes = datagram.SerializeAsString();
     for (const auto &[entry, subscriber] : m_subscribers) {
-        boost::system::error_code code;
         // Entries of other data centres receive it from the agents there.
         if (subscriber.isLocal && (sender == nullptr || entry != *sender))
-            m_socket.send_to(asio::buffer(bytes), entry, 0, code);
+            sendCrashEvidenceTo(entry);
     }
 }
 
+void LoadReporter::sendCrashEvidenceTo(const udp::endpoint &entry)
+{
+    protocol::EntryDatagram datagram;
+    *datagram.mutable_crash_evidence() = m_crashes.encode(TimePoint::clock::now());
+    boost::system::error_code code;
+    m_socket.send_to(asio::buffer(datagram.SerializeAsString()), entry, 0, code);
+}
+
 void LoadReporter::repeatCrashEvidence(TimePoint now)
 {
     if (now < m_evidenceRepeatAt)
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -76,6 +76,7 @@
             const protocol::CrashEvidence &evidence, const boost::asio::ip::udp::endpoint &sender);
     /// Sends the evidence to the entries of the data centre, except for the given one.
     void sendCrashEvidence(const boost::asio::ip::udp::endpoint *sender);
+    void sendCrashEvidenceTo(const boost::asio::ip::udp::endpoint &entry);
     void repeatCrashEvidence(domain::TimePoint now);
     /// An urgent report goes to all subscribers.
     void send(bool isUrgent);
--- a/src/relayagent/tests/agentpushtest.cpp
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -339,7 +339,7 @@
     protocol::AgentDatagram datagram;
     protocol::EngineCrash &crash = *datagram.mutable_crash_evidence()->add_crashes();
     crash.set_engine("e7");
-    crash.add_parts("bad");
+    crash.add_traits()->set_prompt_part("bad");
     for (int i = 0; i < 5; ++i)
         sender.send_to(boost::asio::buffer(datagram.SerializeAsString()), agent);
     m_fleet.runUntil([] { return false; }, 40ms);
--- a/src/routing/attemptpolicy.h
+++ b/src/routing/attemptpolicy.h
@@ -81,8 +81,8 @@
     Patience,
     /// It was sent to as many endpoints as allowed, or must not run twice.
     Attempts,
-    /// Its prompt parts are suspected of crashing engines.
-    SuspectedParts,
+    /// Its traits are suspected of crashing engines.
+    SuspectedTraits,
     /// The retry budget of its service is used up.
     Budget,
     /// No endpoint may take it at present.
--- a/src/routing/callerrequest.h
+++ b/src/routing/callerrequest.h
@@ -2,7 +2,7 @@
 
 #include "domain/strongid.h"
 #include "domain/timepoint.h"
-#include "routing/promptpart.h"
+#include "routing/requesttrait.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,8 +26,9 @@
     domain::ModelId model;
     std::uint32_t promptTokens = 0;
     std::uint32_t maxAnswerTokens = 0;
-    /// Parts of the prompt in order, without the last one, which belongs to this request alone.
-    std::vector<PromptPartId> sharedParts;
+    /// The whole request, once the account is known, and the parts of the prompt in order without
+    /// the last one, which belongs to this request alone.
+    std::vector<RequestTrait> traits;
     /// Id of the last event that the caller received of an earlier answer.
     std::optional<std::string> lastEventId;
 };
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -100,7 +100,7 @@
     bool isCold = false;
     /// The endpoint has stated a rate limit, and the request uses one of this entry's time slots.
     bool isLimited = false;
-    /// The request tries whether parts that have crashed engines are answered by now.
+    /// The request tries whether traits that have crashed engines are answered by now.
     bool isTrial = false;
 };
 
@@ -112,7 +112,7 @@
     /// Only a rate limit that an endpoint has stated prevents it from taking the request.
     Limited,
     /// Parts of the request's prompt have crashed engines.
-    CrashingParts,
+    CrashingTraits,
 };
 
 struct Refusal
@@ -125,8 +125,8 @@
     /// Engines excluded because of the version of their weights, and the required version.
     std::size_t outdated = 0;
     std::uint64_t requiredWeights = 0;
-    /// Why the request is refused for its parts.
-    std::optional<PartsUnusable> parts = std::nullopt;
+    /// Why the request is refused for its traits.
+    std::optional<TraitsUnusable> traits = std::nullopt;
 };
 
 using DispatchDecision = std::variant<Dispatch, Refusal>;
@@ -237,7 +237,7 @@
             const CallerRequest &request, domain::TimePoint now);
     double maxWaitMs(const domain::ServiceId &service) const;
     Refusal refuse(RefusalReason reason, double waitMs);
-    Refusal refuseParts(const PartsUnusable &unusable, domain::TimePoint now);
+    Refusal refuseTraits(const TraitsUnusable &unusable, domain::TimePoint now);
     Refusal refuseWithoutCandidate(
             const Candidates &candidates, const DispatchQuery &query, domain::TimePoint now);
     RetryBudget &retries(const domain::ServiceId &service, domain::TimePoint now);
--- a/src/routing/enginecrash.h
+++ b/src/routing/enginecrash.h
@@ -3,7 +3,7 @@
 #include "domain/strongid.h"
 #include "domain/timepoint.h"
 #include "routing/endpointinstance.h"
-#include "routing/promptpart.h"
+#include "routing/requesttrait.h"
 
 #include <cstdint>
 #include <vector>
@@ -15,17 +15,17 @@
 {
     EndpointInstance engine;
     domain::RequestId request;
-    /// Shared parts of the request's prompt of which the observer knows no answer.
-    std::vector<PromptPartId> parts;
+    /// Traits of the request of which the observer knows no answer.
+    std::vector<RequestTrait> traits;
     /// Version of the weights that the engine served; zero when not known.
     std::uint64_t weightsVersion = 0;
     domain::TimePoint at;
 };
 
-/// An engine has begun an answer to a prompt with this part.
-struct AnsweredPart
+/// An engine has begun an answer to a request with this trait.
+struct AnsweredTrait
 {
-    PromptPartId part;
+    RequestTrait trait;
     std::uint64_t weightsVersion = 0;
     domain::TimePoint at;
 };
--- a/src/routing/internal/attemptpolicy.cpp
+++ b/src/routing/internal/attemptpolicy.cpp
@@ -39,8 +39,8 @@
         return "patience";
     case RetryRefusal::Attempts:
         return "attempts";
-    case RetryRefusal::SuspectedParts:
-        return "suspected_parts";
+    case RetryRefusal::SuspectedTraits:
+        return "suspected_traits";
     case RetryRefusal::Budget:
         return "budget";
     case RetryRefusal::NoEndpoint:
--- a/src/routing/internal/crashattribution.cpp
+++ b/src/routing/internal/crashattribution.cpp
@@ -19,37 +19,43 @@
     return rest;
 }
 
-bool containsAll(const std::vector<PromptPartId> &parts, const std::vector<PromptPartId> &wanted)
+bool containsAll(const std::vector<RequestTrait> &traits, const std::vector<RequestTrait> &wanted)
 {
-    return std::all_of(wanted.begin(), wanted.end(), [&](const PromptPartId &part) {
-        return std::find(parts.begin(), parts.end(), part) != parts.end();
+    return std::all_of(wanted.begin(), wanted.end(), [&](const RequestTrait &trait) {
+        return std::find(traits.begin(), traits.end(), trait) != traits.end();
     });
 }
 
-const RefusedParts *find(
-        const std::vector<RefusedParts> &refused, const std::vector<PromptPartId> &parts)
+const RefusedTraits *find(
+        const std::vector<RefusedTraits> &refused, const std::vector<RequestTrait> &traits)
 {
     const auto found = std::find_if(refused.begin(), refused.end(),
-            [&](const RefusedParts &other) { return other.parts == parts; });
+            [&](const RefusedTraits &other) { return other.traits == traits; });
     return found == refused.end() ? nullptr : &*found;
 }
 
 } // namespace
 
+bool RefusedTraits::isWholeRequest() const
+{
+    return std::any_of(traits.begin(), traits.end(),
+            [](const RequestTrait &trait) { return trait.isWholeRequest(); });
+}
+
 CrashAttribution::CrashAttribution(CrashAttributionOptions options)
     : m_options(options)
     , m_evidence(options.evidence)
 {}
 
 void CrashAttribution::remember(
-        const PromptPartId &part, std::uint64_t weightsVersion, TimePoint now)
+        const RequestTrait &trait, std::uint64_t weightsVersion, TimePoint now)
 {
-    const auto [known, isNew] = m_answered.try_emplace(part);
+    const auto [known, isNew] = m_answered.try_emplace(trait);
     Answered &answered = known->second;
     answered.weightsVersion = std::max(answered.weightsVersion, weightsVersion);
     answered.at = now;
     if (isNew) {
-        m_byAnswer.push_front(part);
+        m_byAnswer.push_front(trait);
         answered.position = m_byAnswer.begin();
     } else {
         m_byAnswer.splice(m_byAnswer.begin(), m_byAnswer, answered.position);
@@ -61,12 +67,12 @@
 }
 
 CrashAttribution::Update CrashAttribution::onAnswerBegun(
-        const std::vector<PromptPartId> &parts, std::uint64_t weightsVersion, TimePoint now)
+        const std::vector<RequestTrait> &traits, std::uint64_t weightsVersion, TimePoint now)
 {
     Update update;
-    for (const PromptPartId &part : parts) {
-        remember(part, weightsVersion, now);
-        update.isNews = m_evidence.add(AnsweredPart{part, weightsVersion, now}) || update.isNews;
+    for (const RequestTrait &trait : traits) {
+        remember(trait, weightsVersion, now);
+        update.isNews = m_evidence.add(AnsweredTrait{trait, weightsVersion, now}) || update.isNews;
     }
     if (update.isNews)
         update.changes = reassess();
@@ -75,8 +81,8 @@
 
 CrashAttribution::Update CrashAttribution::onCrash(EngineCrash crash, TimePoint now)
 {
-    std::erase_if(crash.parts, [&](const PromptPartId &part) {
-        return !hasUnanswered({part}, crash.weightsVersion, now);
+    std::erase_if(crash.traits, [&](const RequestTrait &trait) {
+        return !hasUnanswered({trait}, crash.weightsVersion, now);
     });
     Update update;
     update.isNews = m_evidence.add(crash, now);
@@ -90,7 +96,9 @@
 CrashAttribution::Update CrashAttribution::onEvidence(
         const protocol::CrashEvidence &message, TimePoint now)
 {
-    m_evidence.merge(message, now);
+    // Most messages repeat what is known.
+    if (!m_evidence.merge(message, now).isChanged)
+        return {};
     const bool hasCleared = addKnownAnswers();
     return {reassess(), hasCleared};
 }
@@ -104,45 +112,46 @@
 
 bool CrashAttribution::addKnownAnswers()
 {
-    std::set<PromptPartId> parts;
+    std::set<RequestTrait> traits;
     for (const EngineCrash &crash : m_evidence.crashes())
-        parts.insert(crash.parts.begin(), crash.parts.end());
+        traits.insert(crash.traits.begin(), crash.traits.end());
     bool hasCleared = false;
-    for (const PromptPartId &part : parts) {
-        const auto known = m_answered.find(part);
+    for (const RequestTrait &trait : traits) {
+        const auto known = m_answered.find(trait);
         if (known == m_answered.end())
             continue;
-        const bool wasSuspected = isSuspected({part});
+        const bool wasSuspected = isSuspected({trait});
         const bool isCleared = m_evidence.add(
-                AnsweredPart{part, known->second.weightsVersion, known->second.at});
+                AnsweredTrait{trait, known->second.weightsVersion, known->second.at});
         hasCleared = hasCleared || (wasSuspected && isCleared);
     }
     return hasCleared;
 }
 
 bool CrashAttribution::hasUnanswered(
-        const std::vector<PromptPartId> &parts, std::uint64_t weightsVersion, TimePoint now) const
+        const std::vector<RequestTrait> &traits, std::uint64_t weightsVersion, TimePoint now) const
 {
-    return std::any_of(parts.begin(), parts.end(), [&](const PromptPartId &part) {
-        const auto known = m_answered.find(part);
+    return std::any_of(traits.begin(), traits.end(), [&](const RequestTrait &trait) {
+        const auto known = m_answered.find(trait);
         return known == m_answered.end() || known->second.weightsVersion < weightsVersion
-                || now - known->second.at > m_options.evidence.answerLifetime;
+                || now - known->second.at > m_options.evidence.answerLifetimeOf(trait);
     });
 }
 
-bool CrashAttribution::isSuspected(const std::vector<PromptPartId> &parts) const
+bool CrashAttribution::isSuspected(const std::vector<RequestTrait> &traits) const
 {
-    return std::any_of(parts.begin(), parts.end(), [&](const PromptPartId &part) {
-        return m_evidence.enginesCrashedWith(part).size() >= m_options.crashesToSuspect;
+    return std::any_of(traits.begin(), traits.end(), [&](const RequestTrait &trait) {
+        return m_evidence.enginesCrashedWith(trait).size() >= m_options.crashesToSuspect;
     });
 }
 
-bool CrashAttribution::isEnough(const std::set<EndpointInstance> &engines,
+bool CrashAttribution::isEnough(const RequestTrait &trait,
+        const std::set<EndpointInstance> &engines,
         const std::map<EndpointInstance, TimePoint> &unexplained) const
 {
     if (engines.size() < m_options.crashesToRefuse)
         return false;
-    if (engines.size() >= m_options.crashesToRefuseAnyway)
+    if (!trait.isWholeRequest() && engines.size() >= m_options.crashesToRefuseAnyway)
         return true;
     TimePoint first = TimePoint::max();
     TimePoint last = TimePoint::min();
@@ -155,67 +164,81 @@
                 = at >= m_options.startedAt && at - m_options.warmUpTime < m_options.startedAt;
         counted += isInWarmUp ? 0 : 1;
     }
-    if (counted < m_options.crashesToRefuse || last - first < m_options.minSpread)
+    if (trait.isWholeRequest() && engines.size() >= m_options.requestCrashesToRefuseAnyway
+            && last - first >= m_options.minRequestSpreadAnyway)
+        return true;
+    const domain::Duration minSpread
+            = trait.isWholeRequest() ? m_options.minRequestSpread : m_options.minSpread;
+    if (counted < m_options.crashesToRefuse || last - first < minSpread)
         return false;
+    // Engines that end for another reason may end one after the other, so that the first of them
+    // are few when the third one ends.
+    const TimePoint until = trait.isWholeRequest() ? last + m_options.shareWindow : last;
     const auto others
             = std::count_if(unexplained.begin(), unexplained.end(), [&](const auto &crash) {
-                  return crash.second >= first - m_options.shareWindow && crash.second <= last;
+                  return crash.second >= first - m_options.shareWindow && crash.second <= until;
               });
     return static_cast<double>(engines.size()) >= static_cast<double>(others) * m_options.minShare;
 }
 
-/// A greedy set cover: with several bad parts at once, each is blamed for its own crashes, and a
-/// sound part that is only ever in progress beside a bad one is blamed for none.
-std::vector<RefusedParts> CrashAttribution::blame() const
+/// A greedy set cover: with several bad traits at once, each is blamed for its own crashes, and a
+/// sound trait that is only ever in progress beside a bad one is blamed for none.
+std::vector<RefusedTraits> CrashAttribution::blame() const
 {
-    std::map<PromptPartId, std::set<EndpointInstance>> suspects;
+    std::map<RequestTrait, std::set<EndpointInstance>> suspects;
     std::map<EndpointInstance, TimePoint> unexplained;
     for (const EngineCrash &crash : m_evidence.crashes()) {
         unexplained.try_emplace(crash.engine, crash.at);
-        for (const PromptPartId &part : crash.parts) {
-            if (m_evidence.isUnanswered(part, crash))
-                suspects[part].insert(crash.engine);
+        for (const RequestTrait &trait : crash.traits) {
+            if (m_evidence.isUnanswered(trait, crash))
+                suspects[trait].insert(crash.engine);
         }
     }
-    std::vector<RefusedParts> refused;
+    std::vector<RefusedTraits> refused;
     for (;;) {
         std::set<EndpointInstance> engines;
-        for (const auto &[part, others] : suspects) {
-            if (others.size() > engines.size() && isEnough(others, unexplained))
+        for (const auto &[trait, others] : suspects) {
+            if (others.size() > engines.size() && isEnough(trait, others, unexplained))
                 engines = others;
         }
         if (engines.empty())
             return refused;
-        std::vector<PromptPartId> parts;
-        for (const auto &[part, others] : suspects) {
+        std::vector<RequestTrait> traits;
+        for (const auto &[trait, others] : suspects) {
             if (others == engines)
-                parts.push_back(part);
+                traits.push_back(trait);
         }
-        refused.push_back(refusedParts(std::move(parts)));
-        for (auto &[part, others] : suspects)
+        refused.push_back(refusedTraits(std::move(traits)));
+        for (auto &[trait, others] : suspects)
             others = without(others, engines);
         for (const EndpointInstance &engine : engines)
             unexplained.erase(engine);
     }
 }
 
-RefusedParts CrashAttribution::refusedParts(std::vector<PromptPartId> parts) const
+RefusedTraits CrashAttribution::refusedTraits(std::vector<RequestTrait> traits) const
 {
-    RefusedParts refused{std::move(parts), {}, {}};
+    RefusedTraits refused{std::move(traits), {}, {}};
     std::vector<EngineCrash> crashes = m_evidence.crashes();
     std::sort(crashes.begin(), crashes.end(),
             [](const EngineCrash &a, const EngineCrash &b) { return a.at > b.at; });
     std::set<EndpointInstance> engines;
     for (EngineCrash &crash : crashes) {
-        if (m_evidence.isUnanswered(refused.parts.front(), crash)
+        if (m_evidence.isUnanswered(refused.traits.front(), crash)
                 && engines.insert(crash.engine).second)
             refused.crashes.push_back(std::move(crash));
     }
-    refused.trialAt = trialAfter(refused, m_options.trialDelay);
+    refused.trialAt = trialAfter(
+            refused, mayHaveTrial(refused) ? m_options.trialDelay : m_options.maxTrialDelay);
     return refused;
 }
 
-TimePoint CrashAttribution::trialAfter(const RefusedParts &refused, domain::Duration delay) const
+bool CrashAttribution::mayHaveTrial(const RefusedTraits &refused) const
+{
+    return !refused.isWholeRequest() || refused.crashes.size() < m_options.maxRequestCrashes;
+}
+
+TimePoint CrashAttribution::trialAfter(const RefusedTraits &refused, domain::Duration delay) const
 {
     const std::size_t further = refused.crashes.size() - m_options.crashesToRefuse;
     for (std::size_t i = 0; i < further && delay < m_options.maxTrialDelay; ++i)
@@ -224,8 +247,10 @@
 }
 
 bool CrashAttribution::isTrialDue(
-        const RefusedParts &refused, std::uint64_t requiredWeights, TimePoint now) const
+        const RefusedTraits &refused, std::uint64_t requiredWeights, TimePoint now) const
 {
+    if (!mayHaveTrial(refused))
+        return false;
     const bool isNewer = std::all_of(refused.crashes.begin(), refused.crashes.end(),
             [&](const EngineCrash &crash) { return crash.weightsVersion < requiredWeights; });
     return now >= refused.trialAt
@@ -234,56 +259,56 @@
 
 AttributionChanges CrashAttribution::reassess()
 {
-    const std::vector<RefusedParts> before = std::exchange(m_refused, blame());
+    const std::vector<RefusedTraits> before = std::exchange(m_refused, blame());
     AttributionChanges changes;
-    for (const RefusedParts &refused : m_refused) {
-        if (find(before, refused.parts) == nullptr)
-            changes.push_back(PartsRefused{refused});
+    for (const RefusedTraits &refused : m_refused) {
+        if (find(before, refused.traits) == nullptr)
+            changes.push_back(TraitsRefused{refused});
     }
-    for (const RefusedParts &refused : before) {
-        if (find(m_refused, refused.parts) == nullptr)
-            changes.push_back(PartsAllowed{refused, reasonToAllow(refused)});
+    for (const RefusedTraits &refused : before) {
+        if (find(m_refused, refused.traits) == nullptr)
+            changes.push_back(TraitsAllowed{refused, reasonToAllow(refused)});
     }
     return changes;
 }
 
-PartsAllowed::Reason CrashAttribution::reasonToAllow(const RefusedParts &refused) const
+TraitsAllowed::Reason CrashAttribution::reasonToAllow(const RefusedTraits &refused) const
 {
     const bool isAnswered = std::any_of(
-            refused.parts.begin(), refused.parts.end(), [&](const PromptPartId &part) {
+            refused.traits.begin(), refused.traits.end(), [&](const RequestTrait &trait) {
                 return std::any_of(m_evidence.crashes().begin(), m_evidence.crashes().end(),
                         [&](const EngineCrash &crash) {
-                            return containsAll(crash.parts, {part})
-                                    && !m_evidence.isUnanswered(part, crash);
+                            return containsAll(crash.traits, {trait})
+                                    && !m_evidence.isUnanswered(trait, crash);
                         });
             });
     if (isAnswered)
-        return PartsAllowed::Reason::Answered;
-    const std::size_t crashes = m_evidence.enginesCrashedWith(refused.parts.front()).size();
-    return crashes >= m_options.crashesToRefuse ? PartsAllowed::Reason::OthersToBlame
-                                                : PartsAllowed::Reason::Expired;
+        return TraitsAllowed::Reason::Answered;
+    const std::size_t crashes = m_evidence.enginesCrashedWith(refused.traits.front()).size();
+    return crashes >= m_options.crashesToRefuse ? TraitsAllowed::Reason::OthersToBlame
+                                                : TraitsAllowed::Reason::Expired;
 }
 
-PartsDecision CrashAttribution::decide(
-        const std::vector<PromptPartId> &parts, std::uint64_t requiredWeights, TimePoint now)
+TraitsDecision CrashAttribution::decide(
+        const std::vector<RequestTrait> &traits, std::uint64_t requiredWeights, TimePoint now)
 {
-    for (const RefusedParts &refused : m_refused) {
-        if (!containsAll(parts, refused.parts))
+    for (const RefusedTraits &refused : m_refused) {
+        if (!containsAll(traits, refused.traits))
             continue;
-        const auto grant = m_grants.find(refused.parts);
+        const auto grant = m_grants.find(refused.traits);
         if (grant == m_grants.end() || now > grant->second)
-            return PartsUnusable{refused, isTrialDue(refused, requiredWeights, now)};
+            return TraitsUnusable{refused, isTrialDue(refused, requiredWeights, now)};
         // A grant is for one request, even if that one is never sent.
         m_grants.erase(grant);
-        return PartsUsable{true};
+        return TraitsUsable{true};
     }
-    return PartsUsable{};
+    return TraitsUsable{};
 }
 
-void CrashAttribution::grantTrial(const std::vector<PromptPartId> &parts, TimePoint now)
+void CrashAttribution::grantTrial(const std::vector<RequestTrait> &traits, TimePoint now)
 {
-    if (find(m_refused, parts) != nullptr)
-        m_grants[parts] = now + m_options.grantLifetime;
+    if (find(m_refused, traits) != nullptr)
+        m_grants[traits] = now + m_options.grantLifetime;
 }
 
 } // namespace oriolerill::routing
--- a/src/routing/internal/crashevidence.cpp
+++ b/src/routing/internal/crashevidence.cpp
@@ -15,6 +15,8 @@
 /// Clocks differ between VMs, so a message carries ages instead of times. A larger age in a
 /// datagram would overflow the clock.
 constexpr auto MaxAge = std::chrono::hours(48);
+/// Time after which other crashes are sent, about that between two messages of a process.
+constexpr auto TurnTime = std::chrono::seconds(1);
 
 std::uint64_t ageMs(TimePoint at, TimePoint now)
 {
@@ -28,6 +30,23 @@
     return now - milliseconds(std::min(ageMs, MaxAgeMs));
 }
 
+protocol::RequestTrait encodeTrait(const RequestTrait &trait)
+{
+    protocol::RequestTrait message;
+    if (trait.isWholeRequest())
+        message.set_whole_request(trait.value());
+    else
+        message.set_prompt_part(trait.value());
+    return message;
+}
+
+RequestTrait decodeTrait(const protocol::RequestTrait &message)
+{
+    if (message.has_whole_request())
+        return RequestTrait(message.whole_request(), RequestTrait::Kind::WholeRequest);
+    return RequestTrait(message.prompt_part());
+}
+
 bool isSameObservation(const EngineCrash &one, const EngineCrash &other)
 {
     return one.request == other.request && one.engine == other.engine;
@@ -43,19 +62,21 @@
 {
     const bool isKnown = std::any_of(m_crashes.begin(), m_crashes.end(),
             [&](const EngineCrash &known) { return isSameObservation(known, crash); });
-    if (isKnown || crash.parts.empty() || now - crash.at > m_options.lifetime)
+    if (isKnown || crash.traits.empty() || now - crash.at > m_options.lifetime)
         return false;
     m_crashes.push_back(crash);
-    std::vector<PromptPartId> &parts = m_crashes.back().parts;
-    if (parts.size() > m_options.maxPartsPerCrash) {
-        // A part that other requests had in common with crashes must not be cut off by a caller
-        // that adds more parts.
-        std::stable_sort(parts.begin(), parts.end(), [this](const auto &a, const auto &b) {
-            return m_parts.count(a) > m_parts.count(b);
+    std::vector<RequestTrait> &traits = m_crashes.back().traits;
+    if (traits.size() > m_options.maxTraitsPerCrash) {
+        // The whole request, and a trait that other requests had in common with crashes, must not
+        // be cut off by a caller that adds more traits.
+        std::stable_sort(traits.begin(), traits.end(), [this](const auto &a, const auto &b) {
+            return std::tuple(a.isWholeRequest(), m_traits.count(a))
+                    > std::tuple(b.isWholeRequest(), m_traits.count(b));
         });
-        parts.resize(m_options.maxPartsPerCrash);
+        traits.erase(traits.begin() + static_cast<std::ptrdiff_t>(m_options.maxTraitsPerCrash),
+                traits.end());
     }
-    indexParts();
+    indexTraits();
     expire(now);
     while (m_crashes.size() > m_options.maxCrashes)
         evictOne();
@@ -63,12 +84,12 @@
             [&](const EngineCrash &known) { return isSameObservation(known, crash); });
 }
 
-bool CrashEvidence::add(const AnsweredPart &answered)
+bool CrashEvidence::add(const AnsweredTrait &answered)
 {
-    if (!contains(answered.part))
+    if (!contains(answered.trait))
         return false;
-    const auto [entry, isNew] = m_answered.try_emplace(answered.part, answered);
-    AnsweredPart &known = entry->second;
+    const auto [entry, isNew] = m_answered.try_emplace(answered.trait, answered);
+    AnsweredTrait &known = entry->second;
     // Ages in messages are rounded, so the same answer may appear slightly later.
     constexpr auto MinDifference = std::chrono::seconds(1);
     const bool isLater = answered.weightsVersion > known.weightsVersion
@@ -77,48 +98,57 @@
         return false;
     known.weightsVersion = std::max(known.weightsVersion, answered.weightsVersion);
     known.at = std::max(known.at, answered.at);
-    std::set<EndpointInstance> &unanswered = m_parts[answered.part].unanswered;
+    std::set<EndpointInstance> &unanswered = m_traits[answered.trait].unanswered;
     const std::size_t before = unanswered.size();
     for (const EngineCrash &crash : m_crashes) {
-        if (!isUnanswered(answered.part, crash))
+        if (!isUnanswered(answered.trait, crash))
             unanswered.erase(crash.engine);
     }
     return unanswered.size() < before;
 }
 
-bool CrashEvidence::isUnanswered(const PromptPartId &part, const EngineCrash &crash) const
+bool CrashEvidence::isUnanswered(const RequestTrait &trait, const EngineCrash &crash) const
 {
-    if (std::find(crash.parts.begin(), crash.parts.end(), part) == crash.parts.end())
+    if (std::find(crash.traits.begin(), crash.traits.end(), trait) == crash.traits.end())
         return false;
-    const auto answered = m_answered.find(part);
-    // An answer shortly before a crash, or after it, shows that the part does not crash engines
+    const auto answered = m_answered.find(trait);
+    // An answer shortly before a crash, or after it, shows that the trait does not crash engines
     // with these weights. An older one does not: the engines' program may have changed since.
     const bool isCleared = answered != m_answered.end()
             && answered->second.weightsVersion >= crash.weightsVersion
-            && crash.at - answered->second.at <= m_options.answerLifetime;
+            && crash.at - answered->second.at <= m_options.answerLifetimeOf(trait);
     return !isCleared;
 }
 
-bool CrashEvidence::merge(const protocol::CrashEvidence &message, TimePoint now)
+CrashEvidence::MergeResult CrashEvidence::merge(
+        const protocol::CrashEvidence &message, TimePoint now)
 {
-    bool hasNews = false;
+    MergeResult result;
     for (const protocol::EngineCrash &received : message.crashes()) {
         EngineCrash crash;
         crash.engine = {domain::EndpointId(received.engine()), received.started_at_ms()};
         crash.request = domain::RequestId(received.request());
-        for (const std::string &part : received.parts())
-            crash.parts.emplace_back(part);
+        for (const protocol::RequestTrait &trait : received.traits()) {
+            // A message without a kind would have an empty trait in common with all others.
+            if (trait.kind_case() != protocol::RequestTrait::KIND_NOT_SET)
+                crash.traits.push_back(decodeTrait(trait));
+        }
         crash.weightsVersion = received.weights_version();
         crash.at = timeOf(received.age_ms(), now);
-        const bool isRecent = now - crash.at <= m_options.newsLifetime;
-        hasNews = (add(crash, now) && isRecent) || hasNews;
+        if (!add(crash, now))
+            continue;
+        result.isChanged = true;
+        result.isNews = result.isNews || now - crash.at <= m_options.newsLifetime;
     }
-    for (const protocol::AnsweredPart &received : message.answered()) {
-        const AnsweredPart answered{PromptPartId(received.part()), received.weights_version(),
+    for (const protocol::AnsweredTrait &received : message.answered()) {
+        const AnsweredTrait answered{decodeTrait(received.trait()), received.weights_version(),
                 timeOf(received.age_ms(), now)};
-        hasNews = add(answered) || hasNews;
+        if (!add(answered))
+            continue;
+        result.isChanged = true;
+        result.isNews = true;
     }
-    return hasNews;
+    return result;
 }
 
 void CrashEvidence::expire(TimePoint now)
@@ -129,20 +159,20 @@
         return now - crash.at > lifetime;
     });
     if (m_crashes.size() != before)
-        indexParts();
+        indexTraits();
 }
 
-std::set<EndpointInstance> CrashEvidence::enginesCrashedWith(const PromptPartId &part) const
+std::set<EndpointInstance> CrashEvidence::enginesCrashedWith(const RequestTrait &trait) const
 {
-    const auto found = m_parts.find(part);
-    return found == m_parts.end() ? std::set<EndpointInstance>() : found->second.unanswered;
+    const auto found = m_traits.find(trait);
+    return found == m_traits.end() ? std::set<EndpointInstance>() : found->second.unanswered;
 }
 
 std::size_t CrashEvidence::support(const EngineCrash &crash) const
 {
     std::size_t most = 0;
-    for (const PromptPartId &part : crash.parts)
-        most = std::max(most, m_parts.at(part).unanswered.size());
+    for (const RequestTrait &trait : crash.traits)
+        most = std::max(most, m_traits.at(trait).unanswered.size());
     return most;
 }
 
@@ -154,17 +184,17 @@
             });
     m_crashes.erase(least);
     ++m_evicted;
-    indexParts();
+    indexTraits();
 }
 
-void CrashEvidence::indexParts()
+void CrashEvidence::indexTraits()
 {
-    m_parts.clear();
+    m_traits.clear();
     for (const EngineCrash &crash : m_crashes) {
-        for (const PromptPartId &part : crash.parts) {
-            PartEngines &engines = m_parts[part];
+        for (const RequestTrait &trait : crash.traits) {
+            TraitEngines &engines = m_traits[trait];
             engines.all.insert(crash.engine);
-            if (isUnanswered(part, crash))
+            if (isUnanswered(trait, crash))
                 engines.unanswered.insert(crash.engine);
         }
     }
@@ -174,49 +204,71 @@
 protocol::CrashEvidence CrashEvidence::encode(TimePoint now) const
 {
     protocol::CrashEvidence message;
-    const auto fits = [&](const auto &added) {
+    const auto fits = [&](const auto &added, std::size_t size) {
         // Tag and length of the added message take at most four bytes.
         constexpr std::size_t MaxFraming = 4;
-        return message.ByteSizeLong() + added.ByteSizeLong() + MaxFraming
-                <= m_options.maxMessageSize;
+        return message.ByteSizeLong() + added.ByteSizeLong() + MaxFraming <= size;
     };
-    // Answers first: without them, a receiver could blame a part that is known to be sound. Those
-    // of the parts with the most crashes matter most.
-    std::vector<const AnsweredPart *> answers;
-    for (const auto &[part, known] : m_answered)
+    // Answers first: without them, a receiver could blame a trait that is known to be sound. Those
+    // of the traits with the most crashes matter most.
+    std::vector<const AnsweredTrait *> answers;
+    for (const auto &[trait, known] : m_answered)
         answers.push_back(&known);
     std::sort(answers.begin(), answers.end(), [this](const auto *a, const auto *b) {
-        return m_parts.at(a->part).all.size() > m_parts.at(b->part).all.size();
+        return m_traits.at(a->trait).all.size() > m_traits.at(b->trait).all.size();
     });
     answers.resize(std::min(answers.size(), m_options.maxAnsweredPerMessage));
-    for (const AnsweredPart *known : answers) {
-        protocol::AnsweredPart answered;
-        answered.set_part(known->part.value());
+    for (const AnsweredTrait *known : answers) {
+        protocol::AnsweredTrait answered;
+        *answered.mutable_trait() = encodeTrait(known->trait);
         answered.set_weights_version(known->weightsVersion);
         answered.set_age_ms(ageMs(known->at, now));
-        if (fits(answered))
+        if (fits(answered, m_options.maxMessageSize / 2))
             *message.add_answered() = std::move(answered);
     }
-    std::vector<const EngineCrash *> byWeight;
-    for (const EngineCrash &crash : m_crashes)
-        byWeight.push_back(&crash);
-    std::map<const EngineCrash *, std::size_t> supports;
-    for (const EngineCrash *crash : byWeight)
-        supports[crash] = support(*crash);
-    std::sort(byWeight.begin(), byWeight.end(), [&](const auto *a, const auto *b) {
-        return std::tuple(supports[a], a->at) > std::tuple(supports[b], b->at);
-    });
-    for (const EngineCrash *crash : byWeight) {
+    const auto addCrash = [&](const EngineCrash &crash, std::size_t size) {
         protocol::EngineCrash added;
-        added.set_engine(crash->engine.id.value());
-        added.set_started_at_ms(crash->engine.startedAtMs);
-        added.set_request(crash->request.value());
-        for (const PromptPartId &part : crash->parts)
-            added.add_parts(part.value());
-        added.set_weights_version(crash->weightsVersion);
-        added.set_age_ms(ageMs(crash->at, now));
-        if (fits(added))
+        added.set_engine(crash.engine.id.value());
+        added.set_started_at_ms(crash.engine.startedAtMs);
+        added.set_request(crash.request.value());
+        for (const RequestTrait &trait : crash.traits)
+            *added.add_traits() = encodeTrait(trait);
+        added.set_weights_version(crash.weightsVersion);
+        added.set_age_ms(ageMs(crash.at, now));
+        if (fits(added, size))
             *message.add_crashes() = std::move(added);
+    };
+    std::vector<const EngineCrash *> common;
+    std::vector<const EngineCrash *> others;
+    for (const EngineCrash &crash : m_crashes)
+        (support(crash) > 1 ? common : others).push_back(&crash);
+    const auto isNewer = [](const auto *a, const auto *b) { return a->at > b->at; };
+    std::sort(common.begin(), common.end(), isNewer);
+    std::sort(others.begin(), others.end(), isNewer);
+    // The crashes of many traits do not fit into one message, so they take turns; the newest ones
+    // are in each.
+    constexpr std::size_t NewestInEach = 3;
+    constexpr std::size_t PerTurn = 4;
+    if (common.size() > NewestInEach) {
+        const auto turn = static_cast<std::size_t>(now.time_since_epoch() / TurnTime);
+        const std::size_t rest = common.size() - NewestInEach;
+        std::rotate(common.begin() + NewestInEach,
+                common.begin() + NewestInEach + static_cast<std::ptrdiff_t>(turn * PerTurn % rest),
+                common.end());
+    }
+    // A part of the message is left to crashes that are not known to have anything in common yet.
+    for (const EngineCrash *crash : common)
+        addCrash(*crash, m_options.maxMessageSize * 3 / 4);
+    for (const EngineCrash *crash : others)
+        addCrash(*crash, m_options.maxMessageSize);
+    for (const EngineCrash *crash : common) {
+        const bool isAdded = std::any_of(message.crashes().begin(), message.crashes().end(),
+                [&](const protocol::EngineCrash &added) {
+                    return added.engine() == crash->engine.id.value()
+                            && added.request() == crash->request.value();
+                });
+        if (!isAdded)
+            addCrash(*crash, m_options.maxMessageSize);
     }
     return message;
 }
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -266,11 +266,11 @@
 }
 
 /// A caller that returns before the next trial is refused again.
-Refusal Dispatcher::refuseParts(const PartsUnusable &unusable, domain::TimePoint now)
+Refusal Dispatcher::refuseTraits(const TraitsUnusable &unusable, domain::TimePoint now)
 {
-    Refusal refusal = refuse(RefusalReason::CrashingParts, 0);
+    Refusal refusal = refuse(RefusalReason::CrashingTraits, 0);
     refusal.retryAfter = std::max(refusal.retryAfter, unusable.refused.trialAt - now);
-    refusal.parts = unusable;
+    refusal.traits = unusable;
     return refusal;
 }
 
@@ -376,9 +376,9 @@
 {
     m_endpoints.expire(now);
     const std::uint64_t required = m_weights.requiredVersion(query.request->model, now);
-    const PartsDecision parts = m_crashes.decide(query.request->sharedParts, required, now);
-    if (const auto *unusable = std::get_if<PartsUnusable>(&parts))
-        return refuseParts(*unusable, now);
+    const TraitsDecision traits = m_crashes.decide(query.request->traits, required, now);
+    if (const auto *unusable = std::get_if<TraitsUnusable>(&traits))
+        return refuseTraits(*unusable, now);
     const ServiceSpec *service = m_config ? m_config->service(query.service) : nullptr;
     Candidates candidates;
     if (service != nullptr)
@@ -404,7 +404,7 @@
     }
     const ListedEndpoint *endpoint = m_endpoints.find(best.endpoint);
     Dispatch dispatch;
-    dispatch.isTrial = std::get<PartsUsable>(parts).isTrial;
+    dispatch.isTrial = std::get<TraitsUsable>(traits).isTrial;
     dispatch.endpoint = best.endpoint;
     dispatch.address = endpoint->address;
     dispatch.startedAtMs = endpoint->startedAtMs;
--- a/standins/soakattempt.h
+++ b/standins/soakattempt.h
@@ -42,8 +42,9 @@
     std::optional<unsigned> refusal;
     /// Parts of the prompt of a stream, as sent.
     std::string parts;
-    /// The part of its prompt that crashes engines; empty without one.
-    std::string deadlyPart;
+    /// The part of its prompt that crashes engines, or the deadly request that it repeats; empty
+    /// without one.
+    std::string deadlyCause;
 
     bool isIdempotent() const { return kind != SoakKind::Order && kind != SoakKind::Stream; }
     bool isStream() const { return kind == SoakKind::Stream || kind == SoakKind::ResumableStream; }
--- a/standins/soakchecks.cpp
+++ b/standins/soakchecks.cpp
@@ -192,7 +192,7 @@
     recordInForce("UNASKED");
     SoakAttempt &attempt = *found->second;
     attempt.endpoint = endpoint.instance;
-    if (!attempt.deadlyPart.empty())
+    if (!attempt.deadlyCause.empty())
         m_poison.onArrival(attempt);
     if (method != attempt.method || target != attempt.target || body != attempt.body)
         m_journal.violation("UNASKED", "changed on the way: " + text(attempt));
@@ -273,8 +273,8 @@
     constexpr unsigned Failure = 500;
     ++m_outcomes[std::to_string(status)];
     recordInForce("DENIED");
-    if (attempt.deadlyPart.empty() && body.find("crash engines") != std::string::npos)
-        m_journal.violation("DENIED", "refused for a part that is sound: " + text(attempt));
+    if (attempt.deadlyCause.empty() && body.find("crash engines") != std::string::npos)
+        m_journal.violation("DENIED", "refused for a trait that is sound: " + text(attempt));
     // A notice that the entry must obey puts its rule in force, whichever endpoint got the request.
     for (const auto &[key, notice] : m_notices) {
         if (std::get<2>(key) == attempt.entry && isInForce(notice, attempt))
--- a/standins/soakclient.cpp
+++ b/standins/soakclient.cpp
@@ -133,6 +133,8 @@
             attempt.body.append(m_random() % MaxChunkedSize, 'b');
         attempt.parts = m_checks.poison().drawParts(attempt, m_random);
     }
+    if (!m_isConfigProbe)
+        m_checks.poison().drawRequest(attempt, m_random);
     return attempt;
 }
 
--- a/standins/soakendpoint.cpp
+++ b/standins/soakendpoint.cpp
@@ -514,7 +514,7 @@
 asio::awaitable<bool> SoakEndpoint::run(
         Socket &socket, const Request &request, std::shared_ptr<SoakAttempt> attempt)
 {
-    const bool isDeadly = m_options.isEngine && !attempt->deadlyPart.empty();
+    const bool isDeadly = !attempt->deadlyCause.empty();
     // A crash would interfere with another fault series.
     if (isDeadly && isBusy)
         co_return co_await refuse(socket, request, Unavailable);
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -548,7 +549,16 @@
     series.push_back({"endpoint-poison", 3s, [this]() -> asio::awaitable<void> {
                           constexpr std::uint64_t MaxOneIn = 40;
                           const TimePoint until = TimePoint::clock::now() + drawTime(8000, 12000);
-                          m_checks.poison().begin(3 + m_random() % MaxOneIn, until);
+                          m_checks.poison().beginPart(3 + m_random() % MaxOneIn, until);
+                          co_await sleepUntil(until);
+                      }});
+    series.push_back({"endpoint-fatal-request", 3s, [this]() -> asio::awaitable<void> {
+                          constexpr std::uint64_t MaxOneIn = 60;
+                          constexpr std::array Kinds{
+                                  SoakKind::Read, SoakKind::Order, SoakKind::ResumableStream};
+                          const TimePoint until = TimePoint::clock::now() + drawTime(8000, 12000);
+                          const SoakKind kind = Kinds.at(m_random() % Kinds.size());
+                          m_checks.poison().beginRequest(kind, 5 + m_random() % MaxOneIn, until);
                           co_await sleepUntil(until);
                       }});
     const auto addFault = [&](const std::string &name, Fault fault) {
--- a/tests/soakseeds.sh
+++ b/tests/soakseeds.sh
@@ -23,6 +23,9 @@
 
 # Parts of prompts that crash engines, while entries are killed and the store is away.
 run --seed 309 --seconds 25 --entries 3 --faults endpoint-poison,entry-kill,store-down
+# Whole requests of all kinds that crash endpoints, two at a time beside a part.
+run --seed 315 --seconds 20 --entries 4 --clients 60 \
+    --faults endpoint-fatal-request,endpoint-poison,entry-kill
 
 # Failures beside streams that are cut before their first event, and agents that stand still between
 # the check of the staged pieces and the order to load them; orders accepted late; planned stops.
