--- a/src/objectstore/tests/simulatedentry.cpp
+++ b/src/objectstore/tests/simulatedentry.cpp
@@ -61,15 +61,15 @@
 
 std::ostream &operator<<(std::ostream &stream, const ReturnCase &value)
 {
-    static constexpr std::array<const char *, 2> refusals{"silent", "reset"};
-    static constexpr std::array<const char *, 4> publishers{
+    static constexpr std::array<const char *, 2> Refusals{"silent", "reset"};
+    static constexpr std::array<const char *, 4> States{
             "in touch", "out of touch", "killed after its announcement", "absent"};
-    static constexpr std::array<const char *, 3> changes{
+    static constexpr std::array<const char *, 3> Changes{
             "during the outage", "just before the return", "just after the return"};
-    return stream << refusals.at(static_cast<std::size_t>(value.refusal)) << " store for "
+    return stream << Refusals.at(static_cast<std::size_t>(value.refusal)) << " store for "
                   << ms(value.outage) << " ms, rank " << value.rank << ", publisher "
-                  << publishers.at(static_cast<std::size_t>(value.publisher)) << ", change "
-                  << changes.at(static_cast<std::size_t>(value.change)) << ", " << value.lostCalls
+                  << States.at(static_cast<std::size_t>(value.publisher)) << ", change "
+                  << Changes.at(static_cast<std::size_t>(value.change)) << ", " << value.lostCalls
                   << " lost calls" << (value.isInterrupted ? ", one answer within" : "") << ", "
                   << (value.isLarge ? "large" : "small") << " collection answered in "
                   << ms(value.answerTime) << " ms";
