--- a/src/objectstore/internal/readschedule.h
+++ b/src/objectstore/internal/readschedule.h
@@ -23,7 +23,7 @@
 /// Read the changes since the copy from the store.
 struct WatchStore
 {
-    /// Time to wait for further changes; zero for those that the store has.
+    /// Time to wait for further changes; zero reads the changes that exist.
     domain::Duration wait = {};
     /// The publishers' proof of the copy has expired.
     bool isProofExpired = false;
--- a/src/relay/internal/fleetsubscriber.cpp
+++ b/src/relay/internal/fleetsubscriber.cpp
@@ -38,8 +38,8 @@
 constexpr auto SmallCollectionBudget = std::chrono::milliseconds(1500);
 /// Between probes while the store does not answer; a probe is a few hundred bytes.
 constexpr auto MaxProbeDelay = std::chrono::milliseconds(300);
-/// For answers about small collections, several times what a store takes that is fifty times slower
-/// than its stated 4 ms. They leave time for a second call within the contact time of the
+/// Answer timeouts of small collections: several times the answer time of a store fifty times
+/// slower than its stated 4 ms. They leave time for a second call within the contact time of the
 /// operators' smaller sites, if an answer is lost.
 constexpr auto SmallAnswerTimeout = std::chrono::milliseconds(700);
 constexpr auto SmallListTimeout = std::chrono::milliseconds(1000);
--- a/src/routing/internal/crashattribution.cpp
+++ b/src/routing/internal/crashattribution.cpp
@@ -96,7 +96,7 @@
 CrashAttribution::Update CrashAttribution::onEvidence(
         const protocol::CrashEvidence &message, TimePoint now)
 {
-    // Most messages repeat what is known.
+    // Most messages contain only known evidence.
     if (!m_evidence.merge(message, now).isChanged)
         return {};
     const bool hasCleared = addKnownAnswers();
