--- a/src/routing/crashattribution.h
+++ b/src/routing/crashattribution.h
@@ -162,8 +162,8 @@
     };
 
     void remember(const RequestTrait &trait, std::uint64_t weightsVersion, domain::TimePoint now);
-    /// Adds the answers that this entry has relayed to the traits of kept crashes; true if that clears a
-    /// suspected trait, so that other entries should know.
+    /// Adds the answers that this entry has relayed to the traits of kept crashes; true if that
+    /// clears a suspected trait, so that other entries should know.
     bool addKnownAnswers();
     /// Blames anew and returns what differs from before.
     AttributionChanges reassess();
