Log how late withdrawals at a version bound are, and what they change

Callers saw requests that began on older weights after the bound.

attempt_withdrawn has the delay from the deadline to the cancellation, also in the histogram oriolerill_relay_withdrawal_delay_seconds; queue_after_withdrawal has the requests waiting at the engine before the cancellations and 0.4 s later; attempt_ended and request_ended have begin_by_ms, the begin deadline at the choice. The events and fields are new, and no decision changes.

--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -186,7 +186,18 @@
 void EndpointAttempt::withdraw()
 {
     m_unstartedId.reset();
+    const TimePoint now = TimePoint::clock::now();
+    const auto beginDeadline = m_context.dispatcher.weights().beginDeadline(
+            m_request->caller.model, dispatch().servedWeights);
+    const domain::Duration delay = beginDeadline ? now - *beginDeadline : domain::Duration::zero();
     m_context.metrics.increment("oriolerill_relay_withdrawn_total");
+    m_context.metrics.observe("oriolerill_relay_withdrawal_delay_seconds",
+            std::chrono::duration<double>(delay).count());
+    logEvent(Severity::Info, "attempt_withdrawn",
+            {{"request", m_request->caller.id.value()}, {"endpoint", dispatch().endpoint.value()},
+                    {"weights", dispatch().servedWeights},
+                    {"delay_ms", std::chrono::duration_cast<milliseconds>(delay).count()}});
+    m_context.withdrawnQueues.onWithdrawn(dispatch().endpoint, m_context.dispatcher, now);
     // The bound of the version allows no wait for another endpoint to begin.
     cancel(AttemptEnd::Withdrawn);
 }
@@ -503,6 +514,7 @@
                     {"detail", m_detail}, {"busy", load.occupancy(now)},
                     {"report_age_ms", m_reportAgeMs},
                     {"sent_ms", m_request->msSinceArrival(m_sentAt)},
+                    {"begin_by_ms", m_request->msSinceArrival(dispatch().beginDeadline)},
                     {"weights", dispatch().servedWeights},
                     {"newest_weights", dispatch().newestWeights},
                     {"required_weights", dispatch().requiredWeights}});
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -61,6 +61,7 @@
         const domain::TimePoint now = domain::TimePoint::clock::now();
         applySuspension(now);
         unstarted->withdrawOverdue(dispatcher.weights(), now);
+        withdrawnQueues.logDue(dispatcher, now);
     }
 }
 
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -6,6 +6,7 @@
 #include "observability/metrics.h"
 #include "relay/internal/endpointconnections.h"
 #include "relay/internal/unstartedattempts.h"
+#include "relay/internal/withdrawnqueues.h"
 #include "routing/dispatcher.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -66,6 +67,7 @@
     domain::SuspensionClock suspension;
     /// Shared with the requests, whose destructors may run after this object's at process exit.
     std::shared_ptr<UnstartedAttempts> unstarted = std::make_shared<UnstartedAttempts>();
+    WithdrawnQueues withdrawnQueues;
 
     /// If the VM was suspended since the last call, adds the suspension to the age of received data
     /// and closes idle connections. Called before decisions that depend on ages.
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -767,6 +767,9 @@
                     {"busy", m_current ? std::llround(m_current->occupancy()) : 0},
                     {"report_age_ms", m_current ? m_current->reportAgeMs() : -1},
                     {"sent_ms", m_current ? m_state->msSinceArrival(m_current->sentAt()) : -1},
+                    {"begin_by_ms",
+                            m_current ? m_state->msSinceArrival(m_current->dispatch().beginDeadline)
+                                      : -1},
                     {"weights", m_current ? m_current->dispatch().servedWeights : 0},
                     {"newest_weights", m_current ? m_current->dispatch().newestWeights : 0},
                     {"required_weights", m_requiredWeights},
--- a/src/relay/tests/requestlogtest.cpp
+++ b/src/relay/tests/requestlogtest.cpp
@@ -36,7 +36,12 @@
 protected:
     static void SetUpTestSuite()
     {
-        observability::startLogging(observability::Severity::Info, "request-log-test");
+        // Derived fixtures call this as well; a second start would write each line twice.
+        static const bool isStarted = [] {
+            observability::startLogging(observability::Severity::Info, "request-log-test");
+            return true;
+        }();
+        ASSERT_TRUE(isStarted);
     }
 
     /// Log lines of the request, in order.
@@ -87,6 +92,52 @@
     EXPECT_EQ(lines[2].at("runs"), "1");
 }
 
+/// An engine that holds requests in its queue, shortly before a newer version is required.
+class WithdrawalLogFixture : public RequestLogFixture
+{
+protected:
+    routing::ServiceSpec service() const override
+    {
+        routing::ServiceSpec service = RequestLogFixture::service();
+        service.models = {domain::ModelId("m")};
+        service.engine = routing::EngineSpeed{4, 6.73, 0.0219, 30.6, 964, 119};
+        return service;
+    }
+};
+
+// Guards against withdrawals whose log lines do not tell how late they were executed, nor what they
+// changed at the engine: late withdrawals and engines that ignore them could not be distinguished.
+TEST_F(WithdrawalLogFixture, log_attemptWithdrawnAtVersionBound_delayAndQueueOfEngine)
+{
+    m_routeTimeout = std::chrono::seconds(6);
+    addEndpoint([](Socket &socket, const std::string &) {
+        char byte = 0;
+        boost::system::error_code code;
+        socket.read_some(boost::asio::buffer(&byte, 1), code);
+        return false;
+    });
+    m_listed.back().weights[domain::ModelId("m")] = 1;
+    const routing::WeightsRequirementOptions bounds;
+    // Requests are sent to the engine for 300 ms more.
+    const auto namedAt = domain::TimePoint::clock::now() + std::chrono::milliseconds(300)
+            + bounds.margin - bounds.bound;
+    m_dispatcher.weights().onNamed(domain::ModelId("m"), 2, false, namedAt);
+    start();
+    testing::internal::CaptureStdout();
+    const std::string answer
+            = call(request("POST", "/order/1", std::string("Model: m\r\n") + Close, "o"));
+    EXPECT_EQ(statusOf(answer), 502U);
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    const std::string log = testing::internal::GetCapturedStdout();
+    const auto lines = linesOf(log, "a1");
+    ASSERT_GE(lines.size(), 2U) << log;
+    EXPECT_EQ(lines[0].at("event"), "attempt_withdrawn");
+    EXPECT_GE(std::stoi(lines[0].at("delay_ms")), 0);
+    EXPECT_EQ(lines[1].at("event"), "attempt_ended");
+    EXPECT_GT(std::stoi(lines[1].at("begin_by_ms")), 0);
+    EXPECT_NE(log.find("event=queue_after_withdrawal"), std::string::npos) << log;
+}
+
 // Guards against an answer whose log lines do not tell which endpoint's answer the caller received:
 // after a failure that no further attempt replaced, the last endpoint is another one.
 TEST_F(RequestLogFixture, log_failureDeliveredAfterLostAttempt_endpointOfEachAnswerAndStatus)
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -97,6 +97,9 @@
     /// Oldest version that was allowed at the choice; zero when any version is allowed.
     std::uint64_t requiredWeights = 0;
     double expectedStartMs = 0;
+    /// Latest time at which the request may begin, because a newer version than the served one is
+    /// named; none while no newer version is.
+    std::optional<domain::TimePoint> beginDeadline;
     bool isCold = false;
     /// The endpoint has stated a rate limit, and the request uses one of this entry's time slots.
     bool isLimited = false;
@@ -168,6 +171,8 @@
     void onReport(const domain::SocketAddress &address, std::uint64_t startedAtMs,
             EngineReport report, domain::TimePoint now);
     EndpointLoad &load(const domain::EndpointId &endpoint);
+    /// Null without any information about the endpoint.
+    const EndpointLoad *findLoad(const domain::EndpointId &endpoint) const;
     /// This VM was suspended for a time that the steady clock does not include: required versions
     /// apply and retained endpoints are removed that much earlier, and reports are that much older.
     void onSuspended(domain::Duration time);
--- a/src/routing/endpointload.h
+++ b/src/routing/endpointload.h
@@ -93,6 +93,8 @@
     bool isUnresponsive(domain::TimePoint now) const;
     bool hasFreshReport(domain::TimePoint now) const;
     std::optional<std::uint64_t> reportedWeights(domain::TimePoint now) const;
+    /// Requests that wait in the engine's queue; none without a fresh report.
+    std::optional<std::uint32_t> reportedWaiting(domain::TimePoint now) const;
     std::uint32_t inFlight() const { return m_inFlight; }
     /// Requests sent since the last call.
     std::uint64_t takeSentCount() { return std::exchange(m_sentCount, 0); }
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -134,6 +134,12 @@
     return m_loads.try_emplace(endpoint, m_options.load).first->second;
 }
 
+const EndpointLoad *Dispatcher::findLoad(const domain::EndpointId &endpoint) const
+{
+    const auto known = m_loads.find(endpoint);
+    return known == m_loads.end() ? nullptr : &known->second;
+}
+
 domain::ServiceId Dispatcher::drawService(const Route &route)
 {
     std::uint32_t total = 0;
@@ -188,9 +194,8 @@
 std::optional<std::uint64_t> Dispatcher::weightsOf(
         const ListedEndpoint &endpoint, const domain::ModelId &model, domain::TimePoint now) const
 {
-    const auto known = m_loads.find(endpoint.id);
-    if (known != m_loads.end()) {
-        if (const auto reported = known->second.reportedWeights(now))
+    if (const EndpointLoad *known = findLoad(endpoint.id)) {
+        if (const auto reported = known->reportedWeights(now))
             return *reported == 0 ? std::nullopt : reported;
     }
     const auto listed = endpoint.weights.find(model);
@@ -417,6 +422,10 @@
     dispatch.servedWeights = candidates.versions[best.endpoint].value_or(0);
     dispatch.newestWeights = m_weights.newestVersion(query.request->model);
     dispatch.requiredWeights = candidates.requiredWeights;
+    if (service->engine) {
+        dispatch.beginDeadline
+                = m_weights.beginDeadline(query.request->model, dispatch.servedWeights);
+    }
     if (dispatch.requiredWeights > 0 || query.pinnedWeights)
         dispatch.weightsVersion = candidates.versions[best.endpoint];
     return dispatch;
--- a/src/routing/internal/endpointload.cpp
+++ b/src/routing/internal/endpointload.cpp
@@ -113,6 +113,13 @@
     return m_report.weightsVersion;
 }
 
+std::optional<std::uint32_t> EndpointLoad::reportedWaiting(domain::TimePoint now) const
+{
+    if (!hasFreshReport(now))
+        return std::nullopt;
+    return m_report.waiting;
+}
+
 double EndpointLoad::occupancy(domain::TimePoint now) const
 {
     if (!hasFreshReport(now))
