Send no request that may begin after the bound of a newer version

What callers saw: requests began on older weights after the operators' bound (VERSION).

Cause: the margin is a constant. Neither the queue of the chosen engine nor what the answers to earlier requests tell about the way there was compared with the time left.

Change: BoundedStarts decides whether a request that is sent now begins by the begin deadline of the engine's version: the expected start, twice the time for which requests to this engine are overdue, and for engines of other data centres 3.5 s unless a request of the last second was answered and no later one is overdue. A cancelled request whose answer was late remains evidence. Engines that are left out are counted as too_late in the refusal. beginDeadline() returns at once where all engines serve the newest version.

Evidence: on serve_linkDelays* and serve_startExpectedAfter* fail (the request is withdrawn 2.5 s after its arrival and answered 502); with the change both pass, the second with 503 at once. The prompt of serve_longPromptWithdrawn_* is 65000 tokens instead of 80000: the longer one is expected to begin only after the withdrawal and is now refused at once, which a test of its own checks; the shorter one is still sent, withdrawn and answered by the engine with the new version.

--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -292,7 +292,7 @@
         // attempt cannot be withdrawn any more.
         if (!m_isStream)
             markStarted();
-        m_context.dispatcher.load(dispatch().endpoint).onAnswerBegun(TimePoint::clock::now());
+        m_context.dispatcher.onAnswerBegun(dispatch(), *m_sentAt, TimePoint::clock::now());
         if (m_isStream)
             co_return co_await beginStream(head);
         co_return co_await readPlain(head);
@@ -475,7 +475,7 @@
     // An attempt that was cancelled, or whose choice was outdated, is no failure of the endpoint.
     const bool isEndpointFault = !m_cancelledAs && !m_isChoiceOutdated;
     if (m_sentAt)
-        load.onEnded();
+        m_context.dispatcher.onEnded(dispatch(), *m_sentAt, now);
     else
         m_context.dispatcher.onNotSent(dispatch());
     switch (end) {
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -683,7 +683,8 @@
     if (refusal.traits)
         return traitsRefusalAnswer(refusal);
     m_detail += ", listed " + std::to_string(refusal.listed) + " usable "
-            + std::to_string(refusal.usable) + " outdated " + std::to_string(refusal.outdated);
+            + std::to_string(refusal.usable) + " outdated " + std::to_string(refusal.outdated)
+            + " too_late " + std::to_string(refusal.tooLate);
     m_requiredWeights = refusal.requiredWeights;
     m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", reason}});
     return {503, {ErrorKind::Overloaded, "not run: " + m_detail, "come back after Retry-After"},
--- a/src/relay/tests/weightsboundtest.cpp
+++ b/src/relay/tests/weightsboundtest.cpp
@@ -139,9 +139,9 @@
     EXPECT_LT(closedAt(), m_boundAt);
 }
 
-// Guards against a withdrawn request that is not sent to another engine. Its prompt is long, so
-// that the first-event timeout of a stream that may be repeated does not end the attempt before the
-// withdrawal.
+// Guards against a withdrawn request that is not sent to another engine. Its prompt is so long that
+// the first-event timeout of a stream that may be repeated does not end the attempt before the
+// withdrawal, and short enough for the request to be expected to begin before it.
 TEST_F(WeightsBoundFixture, serve_longPromptWithdrawn_answeredByEngineWithRequiredVersion)
 {
     addBusyEngine();
@@ -149,7 +149,7 @@
     start();
     auto answer = std::async(std::launch::async, [this] {
         return call(request("POST", "/stream/1",
-                std::string("Model: m\r\nToken-Usage: 80000,10\r\n") + Close, "o"));
+                std::string("Model: m\r\nToken-Usage: 65000,10\r\n") + Close, "o"));
     });
     std::this_thread::sleep_for(500ms);
     boost::asio::post(m_context, [this] {
@@ -162,6 +162,22 @@
     EXPECT_LT(closed, m_boundAt);
 }
 
+// Regression: a request was sent to an engine at which it could only begin after the version bound,
+// and waited there until the withdrawal.
+TEST_F(WeightsBoundFixture, serve_startExpectedAfterVersionBound_refusedAtOnce)
+{
+    ScriptedEndpoint &engine = addBusyEngine();
+    nameVersionWithBoundIn(BoundIn);
+    start();
+    const auto sentAt = TimePoint::clock::now();
+    // Processing this prompt takes 2.6 s; the withdrawal is due in 2.5 s.
+    const std::string answer = call(request("POST", "/stream/1",
+            std::string("Model: m\r\nToken-Usage: 80000,10\r\n") + Close, "o"));
+    EXPECT_EQ(statusOf(answer), 503U) << answer;
+    EXPECT_LT(TimePoint::clock::now() - sentAt, 500ms);
+    EXPECT_TRUE(engine.requests().empty());
+}
+
 // Regression: a request began on the older version 0.4 s after the version bound. A congested
 // inter-region link delayed it by 2.05 s, more than the margin of the bound. The entry had closed
 // the connection a second earlier, which does not recall bytes already on the link (scale-1 on
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/boundedstarts.h"
 #include "routing/callerrequest.h"
 #include "routing/coldallowance.h"
 #include "routing/crashattribution.h"
@@ -40,6 +41,8 @@
     double coldOverage = 1.5;
     double coldSlack = 5;
     WeightsRequirementOptions weights;
+    /// Its data centre is that of the dispatcher.
+    BoundedStartsOptions starts;
     ColdAllowanceOptions cold;
     EndpointLimitsOptions limits;
     CrashAttributionOptions crashes;
@@ -97,6 +100,8 @@
     /// Oldest version that was allowed at the choice; zero when any version is allowed.
     std::uint64_t requiredWeights = 0;
     double expectedStartMs = 0;
+    /// Data centre of an engine; empty for other endpoints.
+    domain::DataCentreId dataCentre;
     /// Latest time at which the request may begin, because a newer version than the served one is
     /// named; none while no newer version is.
     std::optional<domain::TimePoint> beginDeadline;
@@ -128,6 +133,8 @@
     /// Engines excluded because of the version of their weights, and the required version.
     std::size_t outdated = 0;
     std::uint64_t requiredWeights = 0;
+    /// Engines at which the request is not expected to begin before the bound of a newer version.
+    std::size_t tooLate = 0;
     /// Why the request is refused for its traits.
     std::optional<TraitsUnusable> traits = std::nullopt;
 };
@@ -194,6 +201,11 @@
     std::size_t maxIdleConnections(const domain::ServiceId &service) const;
     /// The request was handed to the chosen endpoint.
     void onSent(const Dispatch &dispatch, domain::TimePoint now);
+    /// The answer to the request that was sent at this time has begun.
+    void onAnswerBegun(const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now);
+    /// The request that was sent at this time has ended; onAnswerBegun() was called if its answer
+    /// had begun.
+    void onEnded(const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now);
     /// The request was not sent to the chosen endpoint.
     void onNotSent(const Dispatch &dispatch);
 
@@ -211,6 +223,8 @@
         /// Engines without the required version, or with another one than that of the stream's
         /// first part.
         std::size_t outdated = 0;
+        /// Engines at which the request may begin after the bound of a newer version.
+        std::size_t tooLate = 0;
         std::optional<domain::TimePoint> backoffUntil;
         /// Earliest unreserved time slot of this entry at an endpoint that is at its rate limit.
         std::optional<domain::TimePoint> limitedUntil;
@@ -258,6 +272,7 @@
     EndpointList m_endpoints;
     EndpointNotices m_notices;
     WeightsRequirement m_weights;
+    BoundedStarts m_starts;
     ColdAllowance m_cold;
     EndpointLimits m_limits;
     CrashAttribution m_crashes;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -6,10 +6,28 @@
 
 namespace oriolerill::routing {
 
+namespace {
+
+domain::Duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<domain::Duration>(
+            std::chrono::duration<double, std::milli>(ms));
+}
+
+BoundedStartsOptions startsOptions(const DispatcherOptions &options)
+{
+    BoundedStartsOptions starts = options.starts;
+    starts.dataCentre = options.dataCentre;
+    return starts;
+}
+
+} // namespace
+
 Dispatcher::Dispatcher(DispatcherOptions options)
     : m_options(std::move(options))
     , m_endpoints(m_options.list)
     , m_weights(m_options.weights)
+    , m_starts(startsOptions(m_options))
     , m_cold(m_options.cold)
     , m_limits(m_options.limits)
     , m_crashes(m_options.crashes)
@@ -257,8 +275,7 @@
     using std::chrono::milliseconds;
     const auto minTime = reason == RefusalReason::NoEndpoint ? m_options.minRetryAfterNoEndpoint
                                                              : m_options.minRetryAfter;
-    const auto wait = std::chrono::duration_cast<domain::Duration>(
-            std::chrono::duration<double, std::milli>(waitMs));
+    const domain::Duration wait = fromMs(waitMs);
     // Spread over the same time again, so that refused callers do not return at the same moment.
     std::uniform_real_distribution<double> spread(1.0, 2.0);
     const auto spreadTime
@@ -286,6 +303,7 @@
     Refusal refusal = refuse(limited ? RefusalReason::Limited : RefusalReason::NoEndpoint, 0);
     refusal.listed = listedCount(query.service);
     refusal.outdated = candidates.outdated;
+    refusal.tooLate = candidates.tooLate;
     refusal.requiredWeights = candidates.requiredWeights;
     // A caller that returns before an endpoint may take its request is refused again.
     const auto freeAt
@@ -335,6 +353,16 @@
     const PlacementCandidate candidate{endpoint.id,
             expectedStartMs(endpoint, service, *query.request, now),
             endpoint.dataCentre == m_options.dataCentre};
+    if (version) {
+        const auto beginDeadline = m_weights.beginDeadline(query.request->model, *version);
+        const bool isInTime = !beginDeadline
+                || m_starts.isInTime({endpoint.id, endpoint.dataCentre},
+                        fromMs(candidate.expectedStartMs), *beginDeadline, now);
+        if (!isInTime) {
+            ++candidates.tooLate;
+            return;
+        }
+    }
     candidates.versions[endpoint.id] = version;
     // One request at a time probes whether an unresponsive endpoint answers. A repeated request has
     // no time left for a probe, nor for an endpoint that has just failed to answer another request.
@@ -402,6 +430,7 @@
             refusal.listed = listedCount(query.service);
             refusal.usable = candidates.usable.size();
             refusal.outdated = candidates.outdated;
+            refusal.tooLate = candidates.tooLate;
             refusal.requiredWeights = candidates.requiredWeights;
             return refusal;
         }
@@ -422,12 +451,13 @@
     dispatch.servedWeights = candidates.versions[best.endpoint].value_or(0);
     dispatch.newestWeights = m_weights.newestVersion(query.request->model);
     dispatch.requiredWeights = candidates.requiredWeights;
+    if (dispatch.requiredWeights > 0 || query.pinnedWeights)
+        dispatch.weightsVersion = candidates.versions[best.endpoint];
     if (service->engine) {
+        dispatch.dataCentre = endpoint->dataCentre;
         dispatch.beginDeadline
                 = m_weights.beginDeadline(query.request->model, dispatch.servedWeights);
     }
-    if (dispatch.requiredWeights > 0 || query.pinnedWeights)
-        dispatch.weightsVersion = candidates.versions[best.endpoint];
     return dispatch;
 }
 
@@ -446,6 +476,23 @@
     load(dispatch.endpoint).onSent(now);
     if (dispatch.isCold)
         m_cold.onSent(dispatch.endpoint, now);
+    if (dispatch.servedWeights > 0) {
+        m_starts.onSent({dispatch.endpoint, dispatch.dataCentre}, now,
+                now + fromMs(dispatch.expectedStartMs));
+    }
+}
+
+void Dispatcher::onAnswerBegun(
+        const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now)
+{
+    load(dispatch.endpoint).onAnswerBegun(now);
+    m_starts.onAnswered({dispatch.endpoint, dispatch.dataCentre}, sentAt);
+}
+
+void Dispatcher::onEnded(const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now)
+{
+    load(dispatch.endpoint).onEnded();
+    m_starts.onEnded({dispatch.endpoint, dispatch.dataCentre}, sentAt, now);
 }
 
 void Dispatcher::onNotSent(const Dispatch &dispatch)
--- /dev/null
+++ b/src/routing/internal/requestpath.cpp
@@ -0,0 +1,51 @@
+#include "routing/requestpath.h"
+
+#include <algorithm>
+
+namespace oriolerill::routing {
+
+using domain::Duration;
+using domain::TimePoint;
+
+RequestPath::RequestPath(RequestPathOptions options)
+    : m_options(options)
+{}
+
+void RequestPath::onSent(TimePoint sentAt, TimePoint expectedAt)
+{
+    m_unanswered.erase(
+            m_unanswered.begin(), m_unanswered.lower_bound(sentAt - m_options.evidenceLifetime));
+    m_unanswered.emplace(sentAt, expectedAt);
+    m_lastSentAt = std::max(m_lastSentAt, sentAt);
+}
+
+void RequestPath::onAnswered(TimePoint sentAt)
+{
+    m_answeredSentAt = std::max(m_answeredSentAt, sentAt);
+    m_unanswered.erase(m_unanswered.begin(), m_unanswered.upper_bound(sentAt));
+}
+
+void RequestPath::onEnded(TimePoint sentAt, TimePoint now)
+{
+    const auto found = m_unanswered.find(sentAt);
+    // A request that ended before its answer was late shows nothing. A later end keeps the
+    // evidence: requests are cancelled because their answers are late.
+    if (found != m_unanswered.end() && now <= found->second + m_options.lateAfter)
+        m_unanswered.erase(found);
+}
+
+Duration RequestPath::overdue(TimePoint now) const
+{
+    const auto oldest = m_unanswered.lower_bound(now - m_options.evidenceLifetime);
+    if (oldest == m_unanswered.end())
+        return Duration::zero();
+    return std::max(now - oldest->second, Duration::zero());
+}
+
+bool RequestPath::isProven(TimePoint now) const
+{
+    return m_answeredSentAt != TimePoint::min() && now - m_answeredSentAt <= m_options.proofLifetime
+            && overdue(now) <= m_options.lateAfter;
+}
+
+} // namespace oriolerill::routing
--- a/src/routing/internal/weightsrequirement.cpp
+++ b/src/routing/internal/weightsrequirement.cpp
@@ -206,6 +206,9 @@
 std::optional<domain::TimePoint> WeightsRequirement::beginDeadline(
         const domain::ModelId &model, std::uint64_t served) const
 {
+    // Evaluated for each engine of each request; most of the time all serve the newest version.
+    if (newestVersion(model) <= served)
+        return std::nullopt;
     const domain::Duration left = m_options.margin - m_options.withdrawalMargin;
     std::optional<domain::TimePoint> deadline;
     for (const auto &[version, at] : deadlines(model)) {
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -511,4 +511,49 @@
     EXPECT_EQ(dispatcher.weights().requiredVersion(ModelId("m"), m_now), 2U);
 }
 
+// Regression: requests were sent to queues in which they could only begin after the version bound,
+// and had to be withdrawn there.
+TEST_F(DispatcherFixture, choose_queueLongerThanTimeBeforeVersionBound_notSent)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 1);
+    m_request.promptTokens = 60000;
+    dispatcher.weights().onNamed(ModelId("m"), 2, false, m_now);
+    m_now += 5s;
+    report(dispatcher, 0, 0);
+    // The prompt takes 1.96 s; 2.5 s are left until the withdrawal.
+    EXPECT_EQ(chosen(dispatcher), "e0");
+    m_now += 600ms;
+    report(dispatcher, 0, 0);
+    const DispatchDecision decision = dispatcher.choose(m_query, m_now);
+    const auto *refusal = std::get_if<Refusal>(&decision);
+    ASSERT_NE(refusal, nullptr);
+    EXPECT_EQ(refusal->tooLate, 1U);
+    EXPECT_EQ(refusal->outdated, 0U);
+    // An engine with the new version gets the request.
+    report(dispatcher, 0, 0, 2);
+    EXPECT_EQ(chosen(dispatcher), "e0");
+}
+
+// Regression: a request was sent to another data centre over a link that had held the requests
+// before it for a second, and began there after the version bound.
+TEST_F(DispatcherFixture, choose_requestsToOtherDataCentreUnanswered_notSentBeforeVersionBound)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 0);
+    dispatcher.endpoints().replaceAll({endpoint(0, "b"), endpoint(1, "b")}, m_now);
+    dispatcher.weights().onNamed(ModelId("m"), 2, false, m_now);
+    m_now += 3400ms;
+    const DispatchDecision first = dispatcher.choose(m_query, m_now);
+    ASSERT_TRUE(std::holds_alternative<Dispatch>(first));
+    const auto &dispatch = std::get<Dispatch>(first);
+    dispatcher.onSent(dispatch, m_now);
+    const TimePoint sentAt = m_now;
+    m_now += 1s;
+    EXPECT_EQ(chosen(dispatcher), "");
+    dispatcher.onAnswerBegun(dispatch, sentAt, m_now);
+    dispatcher.onEnded(dispatch, sentAt, m_now);
+    EXPECT_NE(chosen(dispatcher), "");
+}
+
 } // namespace oriolerill::routing
