Let engines refuse what they have not begun before the version bound

An engine that goes on with a request whose connection was closed begins it on older weights after the bound (VERSION), and the caller of a request that may not be repeated gets 502 although the request has run, or will.

Cause: a withdrawal is a closed connection, which some engines ignore. The one thing that each of them keeps to is the time budget of a request: it refuses with Not-Executed what has waited longer than that.

Change: a request is given no time beyond 0.1 s before its begin deadline, where it is expected to end within 0.6 of the time until then, even on a full engine at its reported pace. A request that may be in progress at the bound keeps its whole time and relies on the withdrawal, since engines also stop what they run when its time is over.

--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -145,8 +145,11 @@
     m_context.dispatcher.onSent(dispatch(), *m_sentAt);
     routing::DispatchHead head;
     head.endpoint = dispatch().endpoint;
-    head.timeLeft = std::chrono::duration_cast<milliseconds>(
-            m_request->policy->deadline() - m_request->nowWithSuspension());
+    const TimePoint now = m_request->nowWithSuspension();
+    const TimePoint stopAt
+            = std::min(m_request->policy->deadline(), dispatch().stopAt.value_or(TimePoint::max()));
+    head.timeLeft
+            = std::max(std::chrono::duration_cast<milliseconds>(stopAt - now), milliseconds(1));
     head.account = m_request->account;
     head.weightsVersion = dispatch().weightsVersion;
     if (m_delivered && !m_events.lastEventId().empty())
--- a/src/relay/tests/weightsboundtest.cpp
+++ b/src/relay/tests/weightsboundtest.cpp
@@ -178,6 +178,53 @@
     EXPECT_TRUE(engine.requests().empty());
 }
 
+// Regression: an engine that runs requests whose connection is closed began one after the version
+// bound. Engines refuse a request whose time passes in their queue.
+TEST_F(WeightsBoundFixture, serve_engineIgnoresClosedConnection_notBegunAfterVersionBound)
+{
+    static constexpr auto QueueTime = BoundIn + 200ms;
+    std::atomic<bool> hasBegun = false;
+    addEngine(1, [&hasBegun](Socket &socket, const std::string &request) {
+        const auto left = std::chrono::milliseconds(std::stoll(fieldOf(request, "Deadline-Ms")));
+        if (left >= QueueTime) {
+            std::this_thread::sleep_for(QueueTime);
+            hasBegun = true;
+            return false;
+        }
+        std::this_thread::sleep_for(left);
+        write(socket, answer("a1", "", "503 Service Unavailable", "Not-Executed: 1\r\n"));
+        return false;
+    });
+    nameVersionWithBoundIn(BoundIn);
+    start();
+    const std::string answer = callModel("/order/1");
+    // The engine states that it has not run the request.
+    EXPECT_EQ(statusOf(answer), 503U) << answer;
+    std::this_thread::sleep_until(m_boundAt + 400ms);
+    EXPECT_FALSE(hasBegun);
+}
+
+// Guards against an engine that stops a request at the version bound although it may have begun:
+// the time until the bound must not limit a request that may last longer.
+TEST_F(WeightsBoundFixture, serve_answerMayLastBeyondVersionBound_engineGetsWholeTime)
+{
+    std::promise<std::string> timeGiven;
+    addEngine(1, [&timeGiven](Socket &socket, const std::string &request) {
+        timeGiven.set_value(fieldOf(request, "Deadline-Ms"));
+        write(socket,
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+                "id: 1\ndata: x\n\n");
+        return false;
+    });
+    nameVersionWithBoundIn(BoundIn);
+    start();
+    const std::string answer = call(request(
+            "POST", "/stream/1", std::string("Model: m\r\nToken-Usage: 100,400\r\n") + Close, "o"));
+    EXPECT_EQ(statusOf(answer), 200U) << answer;
+    EXPECT_GT(std::stoll(timeGiven.get_future().get()), 5500);
+}
+
 // Regression: a request began on the older version 0.4 s after the version bound. A congested
 // inter-region link delayed it by 2.05 s, more than the margin of the bound. The entry had closed
 // the connection a second earlier, which does not recall bytes already on the link (scale-1 on
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -43,6 +43,9 @@
     WeightsRequirementOptions weights;
     /// Its data centre is that of the dispatcher.
     BoundedStartsOptions starts;
+    /// A request is given no time beyond the bound of a newer version if it is expected to end
+    /// within this share of the time until then; an engine may be slower than its reports state.
+    double stopAtShare = 0.6;
     ColdAllowanceOptions cold;
     EndpointLimitsOptions limits;
     CrashAttributionOptions crashes;
@@ -105,6 +108,9 @@
     /// Latest time at which the request may begin, because a newer version than the served one is
     /// named; none while no newer version is.
     std::optional<domain::TimePoint> beginDeadline;
+    /// End of the time that the engine is given for the request, so that it refuses what it has not
+    /// begun by then; none when the request may be in progress at that time.
+    std::optional<domain::TimePoint> stopAt;
     bool isCold = false;
     /// The endpoint has stated a rate limit, and the request uses one of this entry's time slots.
     bool isLimited = false;
@@ -254,6 +260,9 @@
             const domain::ModelId &model, domain::TimePoint now) const;
     double expectedStartMs(const ListedEndpoint &endpoint, const ServiceSpec &service,
             const CallerRequest &request, domain::TimePoint now);
+    /// Sets the deadlines that the bound of a newer version imposes on the request.
+    void setVersionDeadlines(Dispatch &dispatch, const ServiceSpec &service,
+            const CallerRequest &request, domain::TimePoint now);
     double maxWaitMs(const domain::ServiceId &service) const;
     Refusal refuse(RefusalReason reason, double waitMs);
     Refusal refuseTraits(const TraitsUnusable &unusable, domain::TimePoint now);
--- a/src/routing/endpointload.h
+++ b/src/routing/endpointload.h
@@ -107,6 +107,10 @@
     /// Milliseconds until the first event of a request with a prompt of this length.
     double expectedStartMs(
             const EngineSpeed &speed, std::uint32_t promptTokens, domain::TimePoint now) const;
+    /// Milliseconds that an answer with this many tokens takes at most once it has begun: those on
+    /// a full engine, at its reported pace. Without a number, the usual answer counts.
+    double maxRunMs(
+            const EngineSpeed &speed, std::uint32_t answerTokens, domain::TimePoint now) const;
     /// Duration of work at the endpoint relative to the usual one; 1 when the endpoint has not
     /// stated it recently.
     double slowness(domain::TimePoint now) const;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Transit of an engine's refusal to the entry, which withdraws the request at the begin deadline.
+constexpr auto RefusalTransit = std::chrono::milliseconds(100);
+
 domain::Duration fromMs(double ms)
 {
     return std::chrono::duration_cast<domain::Duration>(
@@ -455,12 +458,28 @@
         dispatch.weightsVersion = candidates.versions[best.endpoint];
     if (service->engine) {
         dispatch.dataCentre = endpoint->dataCentre;
-        dispatch.beginDeadline
-                = m_weights.beginDeadline(query.request->model, dispatch.servedWeights);
+        setVersionDeadlines(dispatch, *service, *query.request, now);
     }
     return dispatch;
 }
 
+/// Most engines drop a request whose connection is closed before it begins, but some run it all the
+/// same. Each of them refuses a request whose time has passed in its queue, so a request that is
+/// expected to end before the bound is given no more time than that. A request that may be in
+/// progress at the bound must not be cut: it relies on the withdrawal.
+void Dispatcher::setVersionDeadlines(Dispatch &dispatch, const ServiceSpec &service,
+        const CallerRequest &request, domain::TimePoint now)
+{
+    dispatch.beginDeadline = m_weights.beginDeadline(request.model, dispatch.servedWeights);
+    if (!dispatch.beginDeadline)
+        return;
+    const domain::TimePoint stopAt = *dispatch.beginDeadline - RefusalTransit;
+    const double runMs
+            = load(dispatch.endpoint).maxRunMs(*service.engine, request.maxAnswerTokens, now);
+    if (fromMs(dispatch.expectedStartMs + runMs) <= (stopAt - now) * m_options.stopAtShare)
+        dispatch.stopAt = stopAt;
+}
+
 std::size_t Dispatcher::maxIdleConnections(const domain::ServiceId &service) const
 {
     /// About the number of an engine's slots; more connections are never in use at a time.
--- a/src/routing/internal/endpointload.cpp
+++ b/src/routing/internal/endpointload.cpp
@@ -168,4 +168,14 @@
     return expectedWaitMs(speed, now) + (stepMs + promptMs) * pace;
 }
 
+double EndpointLoad::maxRunMs(
+        const EngineSpeed &speed, std::uint32_t answerTokens, domain::TimePoint now) const
+{
+    const double slots = std::max<double>(speed.slots, 1);
+    const double usualTokens = std::max(speed.usualAnswerTokens, 1.0);
+    const double tokens = answerTokens > 0 ? answerTokens : usualTokens;
+    const double pace = hasFreshReport(now) ? std::max(m_report.pace, 1.0) : 1.0;
+    return speed.completionIntervalMs() * slots * tokens / usualTokens * pace;
+}
+
 } // namespace oriolerill::routing
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -556,4 +556,29 @@
     EXPECT_NE(chosen(dispatcher), "");
 }
 
+// Regression: engines that run requests whose connection is closed began them after the version
+// bound.
+TEST_F(DispatcherFixture, choose_newerVersionNamed_timeGivenToEngineEndsBeforeBound)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 1);
+    report(dispatcher, 0, 0);
+    m_request.maxAnswerTokens = 119;
+    const auto stopAt = [&] {
+        const DispatchDecision decision = dispatcher.choose(m_query, m_now);
+        return std::get<Dispatch>(decision).stopAt;
+    };
+    EXPECT_EQ(stopAt(), std::nullopt);
+    const TimePoint boundAt = m_now + WeightsRequirementOptions().bound;
+    dispatcher.weights().onNamed(ModelId("m"), 2, false, m_now);
+    ASSERT_TRUE(stopAt());
+    EXPECT_LT(*stopAt(), boundAt);
+    // An answer takes 1.4 s at most. One that may last until the bound must not be cut.
+    m_now = boundAt - 2500ms;
+    report(dispatcher, 0, 0);
+    EXPECT_EQ(stopAt(), std::nullopt);
+    report(dispatcher, 0, 0, 2);
+    EXPECT_EQ(stopAt(), std::nullopt);
+}
+
 } // namespace oriolerill::routing
