--- a/src/relay/tests/versionwalktest.cpp
+++ b/src/relay/tests/versionwalktest.cpp
@@ -3,8 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <initializer_list>
+#include <optional>
 #include <sstream>
+#include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace oriolerill::relay {
@@ -130,9 +134,16 @@
 }
 
 /// The naming arrives while the machine is suspended.
-const std::vector<Duration> AtNaming{-500ms, -100ms, 0ms};
+std::vector<Duration> atNaming()
+{
+    return {-500ms, -100ms, 0ms};
+}
+
 /// The longest suspension ends before the requests are withdrawn.
-const std::vector<Duration> BeforeWithdrawal{100ms, 1500ms, 3000ms, 5000ms};
+std::vector<Duration> beforeWithdrawal()
+{
+    return {100ms, 1500ms, 3000ms, 5000ms};
+}
 
 std::vector<Duration> moments(Duration first, Duration last, Duration step = 100ms)
 {
@@ -221,7 +232,7 @@
 Dimension holdsBesideOthers()
 {
     const Dimension others = oneOf({both(queues(), phases()), both(closeIgnored(), queues()),
-            growths({1700ms, 600ms}), receivedInTime(), severalVersions(),
+            growths({1700ms, 600ms}), receivedInTime(), severalVersions(), restarts(),
             suspensions({3000ms, 6300ms}, Clock::Stopped)});
     return both(holds(moments(300ms, 4000ms, 300ms)), others);
 }
@@ -429,7 +440,7 @@
 TEST_P(VersionWalkFixture, run_vmSuspendedAtNaming_notBegunOnOlderVersionAfterBound)
 {
     expectKept(begunLate(),
-            both(both(both(suspensions(AtNaming, Clock::Stopped), receivedInTime()), anyAgents()),
+            both(both(both(suspensions(atNaming(), Clock::Stopped), receivedInTime()), anyAgents()),
                     queues()));
 }
 
@@ -437,7 +448,7 @@
 TEST_P(VersionWalkFixture, run_vmSuspendedBeforeWithdrawal_notBegunOnOlderVersionAfterBound)
 {
     expectKept(begunLate(),
-            both(both(suspensions(BeforeWithdrawal, Clock::Stopped), queues()), anyAgents()));
+            both(both(suspensions(beforeWithdrawal(), Clock::Stopped), queues()), anyAgents()));
 }
 
 // Guards against a request sent before a suspension that begins late because nobody withdraws it.
@@ -453,7 +464,7 @@
 TEST_P(VersionWalkFixture, run_processFrozenAtNaming_notBegunOnOlderVersionAfterBound)
 {
     expectKept(begunLate(),
-            both(both(both(suspensions(AtNaming, Clock::Running), receivedInTime()), anyAgents()),
+            both(both(both(suspensions(atNaming(), Clock::Running), receivedInTime()), anyAgents()),
                     queues()));
 }
 
@@ -461,7 +472,7 @@
 TEST_P(VersionWalkFixture, run_processFrozenBeforeWithdrawal_notBegunOnOlderVersionAfterBound)
 {
     expectKept(begunLate(),
-            both(both(suspensions(BeforeWithdrawal, Clock::Running), queues()), anyAgents()));
+            both(both(suspensions(beforeWithdrawal(), Clock::Running), queues()), anyAgents()));
 }
 
 // Guards against a request sent before a freeze that begins late because nobody withdraws it.
@@ -551,9 +562,10 @@
 TEST_P(VersionWalkFixture,
         run_idleEngineNearByAfterSuspension_requestsServedUntilShortlyBeforeBound)
 {
-    const Dimension suspended = oneOf({suspensions(AtNaming, Clock::Stopped),
-            suspensions(AtNaming, Clock::Running), suspensions(BeforeWithdrawal, Clock::Stopped),
-            suspensions(BeforeWithdrawal, Clock::Running)});
+    const Dimension suspended = oneOf(
+            {suspensions(atNaming(), Clock::Stopped), suspensions(atNaming(), Clock::Running),
+                    suspensions(beforeWithdrawal(), Clock::Stopped),
+                    suspensions(beforeWithdrawal(), Clock::Running)});
     expectKept(refusedBesideIdle,
             both(idleNearBy(), both(both(suspended, receivedInTime()), anyAgents())));
 }
@@ -582,7 +594,7 @@
             both(lateReads({Cut::None}), anyAgents())});
     const Dimension trouble = oneOf({unchanged(), restarts(), queues(),
             both(queues(), growths({4000ms, 1700ms})), holds({4000ms, 2000ms, 700ms}),
-            closeIgnored(), severalVersions(), suspensions(BeforeWithdrawal, Clock::Stopped),
+            closeIgnored(), severalVersions(), suspensions(beforeWithdrawal(), Clock::Stopped),
             suspensions({5600ms, 6300ms, 7200ms}, Clock::Running)});
     expectKept(refusedBesideNewest, both(newestNearBy(), both(trouble, sources)));
 }
