Require versions that agents publish without a naming time

Cause: nobody has the time of such a naming, so agents publish the version without an age. FleetSubscriber::onPeerKnowledge and WeightsRequirement::onPublished ignored namings without one.

Change: minAgents agents bring a version into force with or without a time. Without one, the bound counts from the earliest possible time: the last proof of the local copy, which lacks the naming, or, without an own read, so that the version is required when a version found at the start is. A time that minAgents agents state applies instead; the time of a single process applies too, but not before that proof, and not without an own read. A time later than the publication here belongs to a process that received the naming late and is ignored, as is the time of a late own read, which otherwise would withdraw the requirement. The bound of a version that the store replaces before this process reads it is kept. weights_published is logged with age_ms=unknown.

Tests: the known-red test moves to a fixture whose store is down from the start. In the old one the entry had read the store 20 ms before, which proves that the version was named later and not found at the start: requiring it at once would refuse all requests up to 8 s too early. The assertions are the same, and each agent now reports twice before the second one counts. A second test covers the entry with an own read. onPublished takes the time of receipt, so existing calls have a further argument.

--- a/src/relay/internal/fleetsubscriber.cpp
+++ b/src/relay/internal/fleetsubscriber.cpp
@@ -138,10 +138,18 @@
     m_storeEra = std::max(m_storeEra, version.epoch);
     for (objectstore::StoreSubscriber *subscriber : m_published)
         subscriber->onStoreVersion(version, provenAt);
+    recordWeightsProof();
     if (m_onProven)
         m_onProven();
 }
 
+/// At each proof, so that a later suspension of the VM moves it earlier.
+void FleetSubscriber::recordWeightsProof()
+{
+    if (m_hasWeights && m_weights->provenAt() != TimePoint())
+        m_relay.dispatcher.weights().onCopyProven(m_weights->provenAt());
+}
+
 std::optional<TimePoint> FleetSubscriber::provenAtOf(const std::string &collection) const
 {
     for (const objectstore::StoreSubscriber *subscriber : m_published) {
@@ -231,6 +239,7 @@
             subscriber->onPublishedChanges(
                     changes.after, changes.changes, now, changes.isOmitted, changes.provenAt);
     }
+    recordWeightsProof();
 }
 
 void FleetSubscriber::onStoreLost()
@@ -297,15 +306,17 @@
     m_weights->onPeerVersion(weightsChangedAt, now);
     for (const protocol::NamedWeights &named : knowledge.named()) {
         const routing::NamedVersion version = routing::decodeNamedVersion(named, now);
-        if (!version.namedAt)
-            continue;
-        weights.onNamingTime(version.model, version.version, *version.namedAt);
-        const bool isInForceNow = isNewer && weights.onPublished(version, weightsChangedAt, agent);
+        if (version.namedAt)
+            weights.onNamingTime(version.model, version.version, *version.namedAt);
+        const bool isInForceNow
+                = isNewer && weights.onPublished(version, weightsChangedAt, agent, now);
         if (isInForceNow) {
+            // After a restart of all processes nobody has the time of the naming.
+            const std::string age = named.has_age_ms() ? std::to_string(named.age_ms()) : "unknown";
             logEvent(Severity::Info, "weights_published",
                     {{"model", version.model.value()}, {"version", version.version},
                             {"era", weightsChangedAt.epoch},
-                            {"revision", weightsChangedAt.revision}, {"age_ms", named.age_ms()}});
+                            {"revision", weightsChangedAt.revision}, {"age_ms", age}});
         }
     }
 }
--- a/src/relay/internal/fleetsubscriber.h
+++ b/src/relay/internal/fleetsubscriber.h
@@ -101,6 +101,8 @@
     /// not changed since.
     void onStoreVersion(domain::ConfigVersion version, domain::TimePoint provenAt);
     std::optional<domain::TimePoint> provenAtOf(const std::string &collection) const;
+    /// Passes the last proof of the named weights to the dispatcher.
+    void recordWeightsProof();
 
     boost::asio::io_context &m_context;
     objectstore::IObjectStore &m_store;
--- a/src/relay/tests/loadlistenertest.cpp
+++ b/src/relay/tests/loadlistenertest.cpp
@@ -90,6 +90,18 @@
         return dispatch == nullptr ? "" : dispatch->endpoint.value();
     }
 
+    /// The agent publishes version 2 of the weights without the time of the naming.
+    void publishUntimed(int agent)
+    {
+        protocol::LoadReport message = report(agent);
+        config::toProtocol(
+                {StoreEra, 99}, message.mutable_knowledge()->mutable_weights_changed_at());
+        protocol::NamedWeights &named = *message.mutable_knowledge()->add_named();
+        named.set_model("m");
+        named.set_version(2);
+        send(message);
+    }
+
     boost::asio::io_context m_context{1};
     udp::socket m_agent{m_context, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
     objectstore::FakeObjectStore m_store;
@@ -103,6 +115,17 @@
     std::uint64_t m_sequence = 0;
 };
 
+/// An entry that has not read the store since its start.
+class LoadListenerWithoutStoreFixture : public LoadListenerFixture
+{
+protected:
+    void SetUp() override
+    {
+        m_store.isDown = true;
+        LoadListenerFixture::SetUp();
+    }
+};
+
 // Guards against a malformed datagram that crashes the process or stops dispatching. With a pace
 // that was not a number, the comparison of all candidates failed.
 TEST_F(LoadListenerFixture, receive_invalidPace_requestsStillDispatched)
@@ -311,24 +334,43 @@
 // store, 5.3 s after its start. After a restart of all processes none has the time of the naming,
 // so agents publish the version without an age, which had no effect (trouble-3 on
 // probador-rill-large).
-TEST_F(LoadListenerFixture,
+TEST_F(LoadListenerWithoutStoreFixture,
         receive_agentsPublishVersionFoundAtStartWhileStoreIsUnreachable_olderEnginesLeftOut)
 {
-    m_store.isDown = true;
     for (const int agent : {1, 2}) {
         ASSERT_NE(chosen(), "");
-        protocol::LoadReport message = report(agent);
-        config::toProtocol(
-                {StoreEra, 99}, message.mutable_knowledge()->mutable_weights_changed_at());
-        protocol::NamedWeights &named = *message.mutable_knowledge()->add_named();
-        named.set_model("m");
-        named.set_version(2);
-        send(message);
+        publishUntimed(agent);
+        publishUntimed(agent);
     }
     // The dispatcher's options state no start time, so the grace period after the start is over.
     EXPECT_EQ(chosen(), "");
 }
 
+// Guards against an entry that has read the store and refuses all requests as soon as restarted
+// agents publish a naming without its time, and against one that sends requests to older engines
+// after the bound from the last proof of its copy, also if the VM was suspended since.
+TEST_F(LoadListenerFixture,
+        receive_agentsPublishVersionWithoutTimeAfterOwnRead_olderEnginesLeftOutAtBoundFromProof)
+{
+    const domain::ModelId model("m");
+    m_context.run_for(50ms);
+    m_store.isDown = true;
+    m_dispatcher.onSuspended(1s);
+    const auto provenBy = domain::TimePoint::clock::now() - 1s;
+    m_context.run_for(50ms);
+    publishUntimed(1);
+    EXPECT_EQ(m_dispatcher.weights().newestVersion(model), 0U);
+    publishUntimed(2);
+    EXPECT_EQ(m_dispatcher.weights().newestVersion(model), 2U);
+    EXPECT_NE(chosen(), "");
+    // Up to 1.3 s pass between the proof and the call of onSuspended() on a busy machine.
+    EXPECT_EQ(m_dispatcher.weights().requiredVersion(model, provenBy + 5s), 0U);
+    EXPECT_EQ(m_dispatcher.weights().requiredVersion(model, provenBy + 6300ms), 2U);
+    m_dispatcher.onSuspended(6300ms);
+    EXPECT_EQ(m_dispatcher.weights().requiredVersion(model, domain::TimePoint::clock::now()), 2U);
+    EXPECT_EQ(chosen(), "");
+}
+
 // Guards against a version that stays required although the store never had it. The entry reaches
 // the revision stated by the agents through a watch, not through a complete list.
 TEST_F(LoadListenerFixture, receive_watchPassesPublishedRevision_versionNoLongerRequired)
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -51,7 +51,8 @@
 /// The store holds the named versions. Other processes publish when each one was named: a process
 /// that receives a naming late counts the operator's bound from the earliest of these times. The
 /// bound also applies to a process that cannot reach the store, so namings that several agents
-/// publish apply until the process has read the store itself.
+/// publish apply until the process has read the store itself. After a restart of all processes
+/// agents publish a naming without its time; the bound then counts from the earliest possible time.
 class WeightsRequirement
 {
 public:
@@ -66,11 +67,13 @@
     /// apply.
     void onNamingTime(
             const domain::ModelId &model, std::uint64_t version, domain::TimePoint namedAt);
+    /// The store had no naming at this time that this process has not read.
+    void onCopyProven(domain::TimePoint provenAt);
     /// A naming published by an agent, from a later version of the store than this process has
     /// read. Ignored after reads of the store have refuted it. True when it brings the version into
     /// force.
     bool onPublished(const NamedVersion &version, domain::ConfigVersion storeVersion,
-            const domain::SocketAddress &agent);
+            const domain::SocketAddress &agent, domain::TimePoint now);
     /// The local copy covers the store up to this version: drops the namings published up to it.
     void onCovered(domain::ConfigVersion storeVersion);
     /// This process has read all named versions from the store.
@@ -88,6 +91,13 @@
     std::vector<NamedVersion> newestVersions() const;
 
 private:
+    /// When a version was named whose naming no process is known to have observed.
+    struct NamingInterval
+    {
+        domain::TimePoint earliestAt;
+        /// Agents had published the naming by then.
+        domain::TimePoint latestAt;
+    };
     struct Naming
     {
         /// This process has read it from the store.
@@ -95,16 +105,23 @@
         bool isFoundAtStart = false;
         /// Earliest known time at which a process observed the naming.
         std::optional<domain::TimePoint> namedAt;
+        /// Agents published it without a time before this process read it.
+        std::optional<NamingInterval> interval;
     };
     using Versions = std::map<std::uint64_t, Naming>;
 
+    struct Statement
+    {
+        /// Naming time that the agent states; none when it has no time.
+        std::optional<domain::TimePoint> namedAt;
+        NamingInterval interval;
+    };
     /// A naming that agents publish and that this process's reads of the store do not cover.
     struct Published
     {
         /// Version of the store at which it was published.
         domain::ConfigVersion storeVersion;
-        /// Naming time that each agent states.
-        std::map<domain::SocketAddress, domain::TimePoint> agents;
+        std::map<domain::SocketAddress, Statement> agents;
         std::uint32_t readsSince = 0;
         /// Reads of the store have refuted it at this version.
         bool isRefuted = false;
@@ -112,10 +129,38 @@
     using PublishedVersions = std::map<std::uint64_t, Published>;
     using Deadlines = std::map<std::uint64_t, domain::TimePoint>;
 
+    /// The last proof of the local copy.
+    struct CopyProof
+    {
+        /// As the copy states it.
+        domain::TimePoint statedAt;
+        /// Moved earlier by the suspensions since.
+        domain::TimePoint at;
+    };
+
+    domain::TimePoint deadlineFor(domain::TimePoint namedAt) const;
     domain::TimePoint requiredAt(const Naming &naming) const;
     static std::uint64_t newestNamed(const Versions &versions);
-    /// Naming time that minAgents agents state; none when fewer publish the version.
+    /// Newest version that this process has read from the store.
+    std::uint64_t newestRead(const domain::ModelId &model) const;
+    bool isInForce(const Published &published) const;
+    /// The minAgents-th earliest of the agents' times.
+    domain::TimePoint decisive(std::vector<domain::TimePoint> times) const;
+    /// Interval in which a naming was made that is received now.
+    NamingInterval intervalUntil(domain::TimePoint now) const;
+    /// Interval that minAgents agents support.
+    NamingInterval intervalOf(const Published &published) const;
+    /// Naming time that minAgents agents state; none when fewer do.
     std::optional<domain::TimePoint> namedAt(const Published &published) const;
+    /// Interval of a version that agents alone have named; none when minAgents agents state a time.
+    std::optional<NamingInterval> intervalWithoutTime(
+            const domain::ModelId &model, std::uint64_t version) const;
+    /// Naming time to be assumed, with the time that a single process states.
+    domain::TimePoint assumedAt(
+            const NamingInterval &interval, const std::optional<domain::TimePoint> &stated) const;
+    /// Keeps the bounds of older versions that agents have published without a time: the store has
+    /// replaced them by this one.
+    void keepReplaced(const domain::ModelId &model, std::uint64_t version);
     /// When each version becomes required: the versions that the store or enough agents have named,
     /// and those that they replaced.
     Deadlines deadlines(const domain::ModelId &model) const;
@@ -124,6 +169,8 @@
     Published *publishedOf(const domain::ModelId &model, std::uint64_t version);
 
     WeightsRequirementOptions m_options;
+    /// None until this process has read the named versions.
+    std::optional<CopyProof> m_copyProof;
     std::map<domain::ModelId, Versions> m_versions;
     std::map<domain::ModelId, PublishedVersions> m_published;
 };
