Do not choose an engine that lists a model without its version

Callers: none seen; found by reading.

Cause: a model that is listed without its version is read as version 0, and Dispatcher::weightsOf returned that as a known version. Until a newer version was required or the engine reported, such an engine was chosen, and EndpointAttempt::trackUnstarted does not register an attempt without a version, so it would not be withdrawn before the bound of a version.

Change: version 0 in the list is an unknown version, as it is in a report. A comment at trackUnstarted says why zero needs no registration there.

Measured: choose_engineOfUnknownVersion_notChosen fails without the change and passes with it; routing_tests pass (141).

--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -170,6 +170,7 @@
 
 void EndpointAttempt::trackUnstarted()
 {
+    // Zero only for services without engines: an engine of unknown version is never chosen.
     if (dispatch().servedWeights > 0) {
         m_unstartedId = m_unstarted->add(
                 {m_request->caller.model, dispatch().servedWeights, [this] { withdraw(); }});
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -194,7 +194,8 @@
             return *reported == 0 ? std::nullopt : reported;
     }
     const auto listed = endpoint.weights.find(model);
-    if (listed == endpoint.weights.end())
+    // Zero is a model that is listed without its version.
+    if (listed == endpoint.weights.end() || listed->second == 0)
         return std::nullopt;
     return listed->second;
 }
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -319,6 +319,24 @@
     EXPECT_EQ(dispatch->weightsVersion, 2U);
 }
 
+// Guards against a request at an engine of unknown version: it is not withdrawn before the bound of
+// a version, because nothing shows that the engine is older. The engines list no weights, a model
+// without its version, and report none.
+TEST_F(DispatcherFixture, choose_engineOfUnknownVersion_notChosen)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 3);
+    std::vector<ListedEndpoint> listed{endpoint(0), endpoint(1), endpoint(2)};
+    listed[0].weights.clear();
+    listed[1].weights[ModelId("m")] = 0;
+    dispatcher.endpoints().replaceAll(listed, m_now);
+    report(dispatcher, 2, 0, 0);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(chosen(dispatcher), "");
+    report(dispatcher, 1, 0, 1);
+    EXPECT_EQ(chosen(dispatcher), "e1");
+}
+
 // Guards against entries that start at the same time and each send a cold endpoint their first
 // request in the same second, before agents have counted them (hunt-392a-7 on
 // txsatchel-orders-grown: the bound there is 30.5, and 42 entries start again).
