Do not carry delays of an outage past the return of the store

Callers saw an entry serve without an acknowledged change after the bound of the small sites (apply 2 s, contact 3 s), when two calls in a row are lost after the store's return.

A call that was sent before the first answer after an outage now counts as a failure of the outage: it lengthens neither the retry delay nor the delay by rank. A small collection's call that gets no answer after calls that were reset is repeated after the shortest delay, twice at most. The rate of probes in a silent outage is unchanged.

--- a/src/objectstore/internal/readschedule.cpp
+++ b/src/objectstore/internal/readschedule.cpp
@@ -13,6 +13,8 @@
 constexpr Duration CheckInterval = std::chrono::milliseconds(200);
 constexpr Duration MinCheckInterval = std::chrono::milliseconds(20);
 constexpr Duration PeerRetryDelay = std::chrono::milliseconds(100);
+/// Calls in a row that get no answer after an outage before the store counts as silent.
+constexpr std::uint32_t MaxLostCalls = 2;
 
 Duration interpolate(Duration time, double from, double to, double part)
 {
@@ -95,9 +97,11 @@
     // although it does not answer the publishers.
     const bool isStoreLossPublished = !isLarge() && m_copy.isPublisherLossRecent(now)
             && !m_copy.isReturned() && now < m_copy.readDeadline();
-    const Duration delay = isStoreLossPublished
-            ? m_options.publisherLossRetryDelay
-            : std::min<Duration>(doubled, m_options.maxRetryDelay);
+    Duration delay = std::min<Duration>(doubled, m_options.maxRetryDelay);
+    if (isStoreLossPublished)
+        delay = m_options.publisherLossRetryDelay;
+    if (isProbablyReturned(now))
+        delay = shortest;
     // Jitter: processes that lost the store at the same moment must not retry at the same moment.
     const Duration wanted = interpolate(delay, 0.75, 1.25, jitter);
     const Duration left = m_copy.limitWait(wanted, now);
@@ -115,9 +119,28 @@
     probe.m_dependants.push_back(this);
 }
 
+bool ReadSchedule::isProbablyReturned(TimePoint now) const
+{
+    // Calls of a large collection are lost in full links too.
+    const bool isLost = !isLarge() && m_lostCallsLeft > 0
+            && now - m_failedCallSentAt >= m_options.answerTimeout;
+    return hasFailedBeforeReturn() || isLost;
+}
+
 void ReadSchedule::onFailure(TimePoint sentAt)
 {
-    ++m_failures;
+    // A store that turned calls away and then leaves one unanswered has changed its state: it may
+    // have returned, and the answer was lost.
+    const bool hasPreviousTimedOut = sentAt - m_failedCallSentAt >= m_options.answerTimeout;
+    if (!isFailing())
+        m_lostCallsLeft = 0;
+    else if (!hasPreviousTimedOut)
+        m_lostCallsLeft = MaxLostCalls;
+    else if (m_lostCallsLeft > 0)
+        --m_lostCallsLeft;
+    // Failures in the outage do not lengthen the delays after it.
+    if (!isFailing() || sentAt >= m_returnedAt)
+        ++m_failures;
     ++m_unansweredCalls;
     m_failedCallSentAt = sentAt;
     // While the probe is answered, the store is reachable: the calls of this collection fail for
@@ -167,9 +190,10 @@
     for (ReadSchedule *dependant : m_dependants) {
         const bool wasReturned = dependant->m_copy.isReturned();
         dependant->m_copy.onReturned();
-        // Failures in the outage do not lengthen the delays after it.
-        if (!wasReturned && dependant->m_copy.isReturned())
-            dependant->m_failures = std::min(dependant->m_failures, 1U);
+        if (wasReturned || !dependant->m_copy.isReturned())
+            continue;
+        dependant->m_failures = std::min(dependant->m_failures, 1U);
+        dependant->m_returnedAt = now;
     }
 }
 
@@ -195,8 +219,9 @@
         allowedAt = std::max(allowedAt, m_copy.missingReceivedAt() + m_options.listTimeout / 2);
     allowedAt = std::min(allowedAt, m_copy.readDeadline());
     // A read that failed while the store is reachable was probably lost in a full link, which the
-    // reads of other ranks share. At the bound the copy is overdue.
-    if (isFailing()) {
+    // reads of other ranks share. At the bound the copy is overdue. One that was sent before the
+    // first sign of the return was lost in the outage.
+    if (isFailing() && !hasFailedBeforeReturn()) {
         constexpr std::uint32_t MaxDoublings = 2;
         const auto factor = 1U << std::min(m_failures - 1, MaxDoublings);
         allowedAt
--- a/src/objectstore/internal/readschedule.h
+++ b/src/objectstore/internal/readschedule.h
@@ -102,6 +102,11 @@
     bool isSuspended(domain::TimePoint now, bool isProcessSuspended) const;
     /// A call that does not wait for changes is pending within its answer timeout.
     bool isAwaitingAnswer(domain::TimePoint now) const;
+    /// The last failed call was sent before the first sign of the store's return.
+    bool hasFailedBeforeReturn() const { return m_failedCallSentAt < m_returnedAt; }
+    /// The last call has failed, but the store has probably returned: it has answered the probe, or
+    /// no longer turns calls away.
+    bool isProbablyReturned(domain::TimePoint now) const;
 
     StoreSubscriberOptions m_options;
     CopyState &m_copy;
@@ -118,6 +123,11 @@
     domain::TimePoint m_answeredAt;
     /// When the last failed call was sent.
     domain::TimePoint m_failedCallSentAt;
+    /// When the probe was first answered after an outage.
+    domain::TimePoint m_returnedAt;
+    /// Unanswered calls that are repeated without the full delay, after calls that failed earlier
+    /// than at their timeout.
+    std::uint32_t m_lostCallsLeft = 0;
     /// When publishers are asked again after a fetch that brought nothing.
     domain::TimePoint m_peerRetryAt;
 };
