Add a walk of two calls lost after silent outages

Two lost probes in silence look like the outage, and the first answer comes up to 3.24 s after the return; the bound is 3 s.

--- a/src/objectstore/tests/returnwalktest.cpp
+++ b/src/objectstore/tests/returnwalktest.cpp
@@ -127,6 +127,27 @@
     walk.expectAllKept();
 }
 
+// Guards against the same after an outage of any length in which calls get no answer, so that lost
+// calls look like the outage.
+TEST_P(ReturnWalkFixture, run_twoCallsLostAfterSilence_changeAppliedOrRequestsRefusedWithinBound)
+{
+    constexpr auto Margin = 6000ms;
+    /// Longer than all delays, so that the delays between calls are the longest ones.
+    constexpr auto LongOutage = 9000ms;
+    Walk walk(GetParam(), GetParam().contact + Margin);
+    forEachKind({2}, [&](ReturnCase test) {
+        if (test.refusal != Refusal::Silent)
+            return;
+        for (Duration added = MinOutage; added <= MaxOutage; added += OutageStep) {
+            for (const Duration outage : {added, LongOutage + added}) {
+                test.outage = outage;
+                walk(test);
+            }
+        }
+    });
+    walk.expectAllKept();
+}
+
 // Regression: entries in touch sent requests to an endpoint 4.2 s after its leaving, as nothing
 // came from the publishers, which had been cut off (probador-rill-large, DRAIN).
 TEST_P(ReturnWalkFixture, run_publishersLoseStore_changeAppliedOrRequestsRefusedWithinBound)
