Let the soak run version bounds out on older engines

VERSION counted as in force whenever 8 s had passed since a version was named, also when all engines served it already, so that no violation was possible. Engines that load in 0.3 s rarely serve an older version that long. All stand-ins ran queued requests whose connections were closed, and no link was slow.

Half of the endpoints drop queued requests whose connection was closed; queues are first in, first out. VERSION is in force only while an engine serves weights on which nothing may begin. What breaks it is as before, except that a disrupted link restarts the bound.

--- a/standins/soakchecks.cpp
+++ b/standins/soakchecks.cpp
@@ -181,6 +181,12 @@
     return result;
 }
 
+std::shared_ptr<SoakAttempt> SoakChecks::find(const std::string &id) const
+{
+    const auto found = m_attempts.find(id);
+    return found == m_attempts.end() ? nullptr : found->second;
+}
+
 std::shared_ptr<SoakAttempt> SoakChecks::onArrival(const std::string &id, const std::string &method,
         const std::string &target, const std::string &body, const SoakEndpointFacts &endpoint)
 {
@@ -196,9 +202,12 @@
         m_poison.onArrival(attempt);
     if (method != attempt.method || target != attempt.target || body != attempt.body)
         m_journal.violation("UNASKED", "changed on the way: " + text(attempt));
-    checkDrainAndEvacuation(attempt, endpoint);
-    checkLimit(attempt, endpoint);
-    checkNotice(attempt, endpoint);
+    // A request is not late at an endpoint when its link was disrupted.
+    if (!endpoint.isLinkDisrupted) {
+        checkDrainAndEvacuation(attempt, endpoint);
+        checkLimit(attempt, endpoint);
+        checkNotice(attempt, endpoint);
+    }
     return found->second;
 }
 
@@ -241,26 +250,29 @@
         checkWeights(attempt, endpoint);
 }
 
-/// Rule VERSION. The bound counts only while the store is stable, that is, without faults for the
-/// contact time.
-void SoakChecks::checkWeights(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint)
+/// The bound counts in one stretch in which the store was stable, that is, without faults for the
+/// contact time, and no link was disrupted.
+std::uint64_t SoakChecks::requiredWeights() const
 {
-    const TimePoint now = TimePoint::clock::now();
-    if (!isSettled(attempt, now))
-        return;
-    const TimePoint stable = m_journal.lastFault("store") + SoakJournal::ContactTime;
+    const TimePoint stable = std::max(
+            m_journal.lastFault("store") + SoakJournal::ContactTime, m_journal.lastFault("links"));
+    std::uint64_t required = 0;
     for (const auto &[version, namedAt] : m_weights) {
-        if (!namedAt || now <= std::max(*namedAt, stable) + WeightsBound)
-            continue;
-        if (version > 1)
-            recordInForce("VERSION");
-        if (version <= endpoint.weights)
-            continue;
-        m_journal.violation("VERSION",
-                "begins on " + std::to_string(endpoint.weights) + ", " + std::to_string(version)
-                        + " named " + secondsSince(*namedAt) + " ago: " + text(attempt));
-        return;
+        if (namedAt && TimePoint::clock::now() > std::max(*namedAt, stable) + WeightsBound)
+            required = version;
     }
+    return required;
+}
+
+/// Rule VERSION.
+void SoakChecks::checkWeights(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint)
+{
+    const std::uint64_t required = requiredWeights();
+    if (endpoint.weights >= required || !isSettled(attempt, TimePoint::clock::now()))
+        return;
+    m_journal.violation("VERSION",
+            "begins on " + std::to_string(endpoint.weights) + ", " + std::to_string(required)
+                    + " named " + secondsSince(*m_weights.at(required)) + " ago: " + text(attempt));
 }
 
 void SoakChecks::onAnswer(SoakAttempt &attempt, unsigned status, const std::string &id,
@@ -280,6 +292,14 @@
         if (std::get<2>(key) == attempt.entry && isInForce(notice, attempt))
             recordInForce(std::get<0>(key));
     }
+    // VERSION is in force while some engine serves weights on which no request may begin.
+    const std::uint64_t required = requiredWeights();
+    const bool isOlderServed = std::any_of(
+            m_servedWeights.begin(), m_servedWeights.end(), [required](const auto &served) {
+                return served.second > 0 && served.second < required;
+            });
+    if (attempt.isStream() && isOlderServed && isSettled(attempt, TimePoint::clock::now()))
+        recordInForce("VERSION");
     const std::size_t dot = signature.rfind('.');
     const std::string instance = dot == std::string::npos ? "" : signature.substr(dot + 1);
     if (status == Failure && (id != attempt.id || body != soakFailure(id, instance))) {
--- a/standins/soakchecks.h
+++ b/standins/soakchecks.h
@@ -22,6 +22,8 @@
     std::string zone;
     std::uint64_t weights = 0;
     bool isEngine = false;
+    /// The link on which requests arrive was disrupted in the last contact time.
+    bool isLinkDisrupted = false;
     /// Time at which a store without faults acknowledged the draining state.
     std::optional<domain::TimePoint> drainingSince;
 };
@@ -57,6 +59,11 @@
     // Changes that the store has acknowledged.
     void onConfig(std::uint64_t version);
     void onWeights(std::uint64_t version);
+    /// Version that an engine serves now; zero when it serves none.
+    void onServedWeights(const std::string &engine, std::uint64_t version)
+    {
+        m_servedWeights[engine] = version;
+    }
     void onEvacuation(const std::string &zone, bool isWithdrawn);
     /// The store has returned from an older copy, in which these are the newest versions and all
     /// withdrawals. No bound counts for what it has lost until it is written again.
@@ -79,6 +86,8 @@
 
     /// Called before a client sends a request.
     std::shared_ptr<SoakAttempt> begin(SoakAttempt attempt);
+    /// The request with this id, before it reaches an endpoint; nullptr when no client sent it.
+    std::shared_ptr<SoakAttempt> find(const std::string &id) const;
     /// A request reached an endpoint; nullptr when no client sent a request with this id.
     std::shared_ptr<SoakAttempt> onArrival(const std::string &id, const std::string &method,
             const std::string &target, const std::string &body, const SoakEndpointFacts &endpoint);
@@ -118,6 +127,8 @@
     void checkLimit(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
     bool isInForce(const Notice &notice, const SoakAttempt &attempt) const;
     void checkNotice(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
+    /// Newest version whose bound has passed; zero without one.
+    std::uint64_t requiredWeights() const;
     void checkWeights(const SoakAttempt &attempt, const SoakEndpointFacts &endpoint);
     bool isSettled(const SoakAttempt &attempt, domain::TimePoint now) const;
     /// True when the bound of configuration or withdrawals, counted from `since`, has passed.
@@ -150,6 +161,7 @@
     std::unordered_map<std::string, std::shared_ptr<SoakAttempt>> m_attempts;
     Acknowledgements m_configs;
     Acknowledgements m_weights;
+    std::map<std::string, std::uint64_t> m_servedWeights;
     std::map<std::string, std::optional<domain::TimePoint>> m_evacuations;
     std::map<std::string, ConfigState> m_configStates;
     std::map<SoakKind, std::size_t> m_served;
--- a/standins/soakendpoint.cpp
+++ b/standins/soakendpoint.cpp
@@ -98,6 +98,9 @@
     , m_engine(context, platform::StandInWeights(), 1)
 {
     m_engine.loadTime = 300ms;
+    m_ignoresCloses = m_random() % 2 == 0;
+    if (m_ignoresCloses)
+        m_journal.log(m_options.name + " runs queued requests whose connections were closed");
 }
 
 void SoakEndpoint::start()
@@ -108,6 +111,7 @@
     m_engine.startedAtMs = m_startedAtMs;
     m_engine.running = 0;
     m_engine.waiting = 0;
+    m_queue.clear();
     m_isDraining = false;
     m_drainAckedAt.reset();
     m_fault = Fault::None;
@@ -175,8 +179,10 @@
             m_store.remove("servers", expiring->first);
             expiring = m_expiring.erase(expiring);
         }
+        if (m_options.isEngine)
+            m_checks.onServedWeights(m_options.name, m_isUp ? m_engine.version() : 0);
         const bool isDrainInForce = m_isUp && m_wasStoreStable && m_drainAckedAt
-                && now > *m_drainAckedAt + SoakChecks::DrainBound;
+                && !facts().isLinkDisrupted && now > *m_drainAckedAt + SoakChecks::DrainBound;
         if (isDrainInForce)
             m_checks.recordInForce("DRAIN");
         json::object current = registration();
@@ -304,6 +310,54 @@
     return response;
 }
 
+asio::awaitable<void> SoakEndpoint::delayArrivals(
+        domain::Duration delay, domain::Duration time, bool isDisrupted)
+{
+    const std::string what = "delays requests to " + m_options.name + " by "
+            + std::to_string(std::chrono::duration<double>(delay).count()) + " s";
+    if (isDisrupted) {
+        m_journal.beginFault("links", what);
+        m_linkDisruptedUntil = TimePoint::clock::now() + time;
+    } else {
+        m_journal.log("a full link " + what);
+    }
+    m_arrivalDelay = delay;
+    co_await sleepFor(time);
+    m_arrivalDelay = domain::Duration::zero();
+    if (isDisrupted)
+        m_journal.endFault("links");
+}
+
+TimePoint SoakEndpoint::arrivalTime()
+{
+    m_lastArrival = std::max(m_lastArrival, TimePoint::clock::now() + m_arrivalDelay);
+    return m_lastArrival;
+}
+
+bool SoakEndpoint::hasCloseArrived(Socket &socket)
+{
+    char byte = 0;
+    boost::system::error_code code;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, code);
+    if (code && code != asio::error::would_block && !socket.closeArrivesAt)
+        socket.closeArrivesAt = arrivalTime();
+    return socket.closeArrivesAt && TimePoint::clock::now() >= *socket.closeArrivesAt;
+}
+
+asio::awaitable<void> SoakEndpoint::waitForArrival(Socket &socket, const std::string &id)
+{
+    const TimePoint arrival = arrivalTime();
+    const auto attempt = m_checks.find(id);
+    if (attempt == nullptr || arrival <= TimePoint::clock::now())
+        co_return;
+    m_attempts.insert(attempt);
+    while (TimePoint::clock::now() < arrival) {
+        hasCloseArrived(socket);
+        co_await sleepFor(PollInterval);
+    }
+    m_attempts.erase(attempt);
+}
+
 asio::awaitable<void> SoakEndpoint::announceLimit(double perSecond, domain::Duration time)
 {
     const std::string instance = m_instance;
@@ -366,6 +420,8 @@
     facts.zone = m_options.zone;
     facts.isEngine = m_options.isEngine;
     facts.weights = m_engine.version();
+    facts.isLinkDisrupted
+            = TimePoint::clock::now() < m_linkDisruptedUntil + SoakJournal::ContactTime;
     if (m_wasStoreStable)
         facts.drainingSince = m_drainAckedAt;
     return facts;
@@ -382,6 +438,7 @@
             continue;
         boost::system::error_code option;
         socket->set_option(asio::ip::tcp::no_delay(true), option);
+        socket->non_blocking(true, option);
         m_sockets.insert(socket);
         asio::co_spawn(m_context, serve(socket, incarnation), asio::detached);
     }
@@ -454,6 +511,9 @@
                 + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
         co_return co_await send(socket, std::move(text));
     }
+    co_await waitForArrival(socket, fieldOf(request, names::AttemptId));
+    if (incarnation != m_incarnation)
+        co_return false;
     const std::string expected = fieldOf(request, names::ExpectedEndpoint);
     if (!expected.empty() && expected != m_instance)
         co_return co_await refuse(socket, request, Misdirected);
@@ -492,17 +552,27 @@
     const TimePoint last = TimePoint::clock::now()
             + std::chrono::milliseconds(
                     std::strtoull(fieldOf(request, names::DeadlineMs).c_str(), nullptr, 10));
+    const std::uint64_t ticket = ++m_lastTicket;
+    m_queue.insert(ticket);
     ++m_engine.waiting;
     bool hasSlot = false;
-    while (incarnation == m_incarnation && !hasSlot && TimePoint::clock::now() < last) {
-        hasSlot = m_engine.running < m_options.slots && !m_engine.isLoading()
-                && (!m_options.isEngine || m_engine.version() > 0);
+    bool isClosed = hasCloseArrived(socket);
+    while (incarnation == m_incarnation && !hasSlot && (!isClosed || m_ignoresCloses)
+            && TimePoint::clock::now() < last) {
+        hasSlot = ticket == *m_queue.begin() && m_engine.running < m_options.slots
+                && !m_engine.isLoading() && (!m_options.isEngine || m_engine.version() > 0);
         if (!hasSlot)
             co_await sleepFor(PollInterval);
+        isClosed = hasCloseArrived(socket);
     }
     if (incarnation != m_incarnation)
         co_return false;
     --m_engine.waiting;
+    m_queue.erase(ticket);
+    if (isClosed && !m_ignoresCloses)
+        co_return false;
+    if (isClosed && hasSlot)
+        m_journal.log(attempt->id + " begins after its connection was closed at " + m_instance);
     if (!hasSlot)
         co_return co_await refuse(socket, request, Unavailable, noticeFields(*attempt));
     // Checked again at the start: the weights may have changed while the request waited.
--- a/standins/soakendpoint.h
+++ b/standins/soakendpoint.h
@@ -61,17 +61,31 @@
     void acceptNextOrderLate(domain::Duration delay) { m_lateOrderDelay = delay; }
     /// Sends nothing of any stream until the time, then goes on. This is no fault of the endpoint.
     void silenceStreamsUntil(domain::TimePoint time) { m_silentUntil = time; }
+    /// During the time, requests of entries and closes of their connections arrive with the delay,
+    /// in order. A disrupted link excuses late requests, a full one does not.
+    boost::asio::awaitable<void> delayArrivals(
+            domain::Duration delay, domain::Duration time, bool isDisrupted);
     /// A fault series acts on this endpoint; other series skip it.
     bool isBusy = false;
 
 private:
-    using Socket = boost::asio::ip::tcp::socket;
+    struct Socket : boost::asio::ip::tcp::socket
+    {
+        using boost::asio::ip::tcp::socket::socket;
+        /// Time at which the close by the entry arrives, once the entry has closed.
+        std::optional<domain::TimePoint> closeArrivesAt;
+    };
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
     class Slot;
 
     boost::asio::awaitable<void> acceptAll(std::uint64_t incarnation);
     boost::asio::awaitable<void> serve(std::shared_ptr<Socket> socket, std::uint64_t incarnation);
     boost::asio::awaitable<bool> answer(Socket &socket, Request request, std::uint64_t incarnation);
+    /// Time at which what an entry sends now arrives.
+    domain::TimePoint arrivalTime();
+    bool hasCloseArrived(Socket &socket);
+    /// Waits until a request that was sent now arrives.
+    boost::asio::awaitable<void> waitForArrival(Socket &socket, const std::string &id);
     boost::asio::awaitable<bool> admit(Socket &socket, const Request &request,
             std::shared_ptr<SoakAttempt> attempt, std::uint64_t incarnation);
     boost::asio::awaitable<bool> run(
@@ -125,6 +139,14 @@
     bool m_isAnnouncingLeaving = false;
     std::optional<domain::TimePoint> m_backoffUntil;
     domain::TimePoint m_silentUntil;
+    /// Goes on with queued requests whose connections were closed.
+    bool m_ignoresCloses = false;
+    /// Requests that wait for a slot, in the order of their arrival.
+    std::set<std::uint64_t> m_queue;
+    std::uint64_t m_lastTicket = 0;
+    domain::Duration m_arrivalDelay = domain::Duration::zero();
+    domain::TimePoint m_lastArrival;
+    domain::TimePoint m_linkDisruptedUntil;
     bool m_wasStoreStable = false;
     Fault m_fault = Fault::None;
     /// Times at which the registrations of earlier instances are removed: at once after a drain,
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -466,6 +466,18 @@
     co_await sleepUntil(until);
 }
 
+asio::awaitable<void> SoakFleet::delayLinks(bool areDisrupted)
+{
+    const domain::Duration time = drawTime(2000, 5000);
+    for (const std::unique_ptr<SoakEndpoint> &endpoint : m_endpoints) {
+        if (endpoint->options().isEngine && m_random() % 2 == 0)
+            asio::co_spawn(m_context,
+                    endpoint->delayArrivals(drawTime(300, 2500), time, areDisrupted),
+                    asio::detached);
+    }
+    co_await sleepFor(time);
+}
+
 void SoakFleet::freezeAfterCheck(unsigned engine)
 {
     const std::string number = std::to_string(engine);
@@ -546,6 +558,8 @@
         return endpoint.crashAndRestart(drawTime(200, 4000));
     });
     series.push_back({"engine-silence", 5s, [this] { return silenceEngines(); }});
+    series.push_back({"link-disrupted", 8s, [this] { return delayLinks(true); }});
+    series.push_back({"link-full", 3s, [this] { return delayLinks(false); }});
     series.push_back({"endpoint-poison", 3s, [this]() -> asio::awaitable<void> {
                           constexpr std::uint64_t MaxOneIn = 40;
                           const TimePoint until = TimePoint::clock::now() + drawTime(8000, 12000);
@@ -671,6 +685,42 @@
     m_unusedRoutes = 0;
 }
 
+asio::awaitable<void> SoakFleet::stopOrKill(SoakProcess &process, domain::Duration pause)
+{
+    if (m_random() % 2 == 0)
+        co_await process.stopAndRestart(pause);
+    else
+        co_await process.killAndRestart(pause);
+    process.isBusy = false;
+}
+
+asio::awaitable<void> SoakFleet::nameWeightsTwice()
+{
+    // The bound of a version that is named earlier counts from when the store is stable.
+    co_await sleepUntil(m_until - m_options.time + SoakJournal::ContactTime);
+    co_await waitForOperator();
+    std::vector<SoakProcess *> agents = processesNamed("agent");
+    std::erase_if(agents, [](const SoakProcess *process) { return process->isBusy; });
+    std::shuffle(agents.begin(), agents.end(), m_random);
+    agents.resize((agents.size() + 1) / 2);
+    for (SoakProcess *agent : agents) {
+        agent->isBusy = true;
+        asio::co_spawn(m_context, stopOrKill(*agent, drawTime(9000, 14000)), asio::detached);
+    }
+    m_origin.isDown = m_random() % 2 == 0;
+    m_journal.log(m_origin.isDown ? "the origin is down" : "the origin stays up");
+    ++m_weights;
+    writeWeights();
+    co_await sleepFor(2s);
+    co_await waitForOperator();
+    ++m_weights;
+    writeWeights();
+    // Ends between 0.5 s before and 2.5 s after the second bound.
+    co_await sleepFor(drawTime(7500, 10500));
+    m_origin.isDown = false;
+    co_await sleepFor(4s);
+}
+
 asio::awaitable<void> SoakFleet::waitForStore()
 {
     while (!m_store.isAccepting())
@@ -701,6 +751,7 @@
                           writeWeights();
                           co_await sleepFor(drawTime(500, 12000));
                       }});
+    series.push_back({"weights-pair", 1s, [this] { return nameWeightsTwice(); }});
     series.push_back({"withdrawal", 3s, [this]() -> asio::awaitable<void> {
                           const std::string zone = zoneOf(static_cast<unsigned>(m_random() % 2));
                           co_await waitForOperator();
@@ -723,6 +774,9 @@
 std::vector<SoakFleet::Series> SoakFleet::chosenSeries()
 {
     std::vector<Series> all = allSeries();
+    // Other bounds are shorter than the delays of a full link and not excused by it.
+    if (m_options.faults == "all" || m_options.faults == "seed")
+        std::erase_if(all, [](const Series &series) { return series.name == "link-full"; });
     if (m_options.faults == "all" || m_options.faults == "none") {
         if (m_options.faults == "none")
             all.clear();
--- a/standins/soakfleet.h
+++ b/standins/soakfleet.h
@@ -70,6 +70,12 @@
     boost::asio::awaitable<void> rewriteLost();
     void writeWeights();
     void writeEvacuation(const std::string &zone, bool isWithdrawn);
+    /// Names two versions shortly after each other and keeps some engines on older weights beyond
+    /// the bounds: their agents are away, in half of the rounds the origin is down too.
+    boost::asio::awaitable<void> nameWeightsTwice();
+    boost::asio::awaitable<void> stopOrKill(SoakProcess &process, domain::Duration pause);
+    /// Delays what entries send to half of the engines.
+    boost::asio::awaitable<void> delayLinks(bool areDisrupted);
     /// Adds many routes at once, followed by small changes.
     boost::asio::awaitable<void> growConfig();
     boost::asio::awaitable<void> stopAfter(SoakProcess &process, domain::Duration delay);
