--- a/tests/soakseeds.sh
+++ b/tests/soakseeds.sh
@@ -45,6 +45,14 @@
 run --seed 353 --seconds 15 --entries 8 \
     --faults store-restore,store-silent-to-publishers,endpoint-drain,configs,withdrawal
 
+# Versions of the weights whose bounds run out while engines serve older ones, beside stops and
+# kills, so that VERSION is in force.
+run --seed 316 --seconds 16 --entries 3 --clients 50 --faults weights-pair,entry-stop,agent-stop,agent-kill
+
+# Requests and closes that a disrupted link delays, beside planned stops and endpoints that leave.
+run --seed 317 --seconds 15 --entries 3 --clients 40 \
+    --faults link-disrupted,entry-stop,endpoint-drain,weights-pair
+
 never=$(awk -v runs="$runs" -F'not checked:' 'NF == 2 { n = split($2, rules, " "); for (i = 1; i <= n; ++i) ++count[rules[i]] }
     END { for (rule in count) if (count[rule] == runs) print rule }' <<<"$lines")
 if [ -n "$never" ]; then
