Count namings from the begin of a pause in which they may have been made

What callers saw: nothing on record; the walk of named versions shows it. An entry that is suspended or frozen while a version is named, and handles a request before the naming, counted the bound from its own resumption: up to 2 s late, more than its margin of 1.7 s (VERSION).

Cause: onSuspended() moves the namings that are known by then. A freeze of the process alone was not noticed at all.

Change: a process that has not run for more than 0.4 s, or whose VM was suspended, records the pause (event paused, or suspended); a naming that arrives during it or within 0.5 s of its end counts from its begin. Answers that were due in a pause are no evidence of a slow path. The stand-in engine of recordedtimestest refuses requests whose time budget passes in its queue, as the engines do.

The reserve for queues no longer includes the expected start twice: all groups on queues and ignored closes pass with it once.

--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -12,8 +12,33 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Interval of withdrawOverdueAttempts(). Small compared with the margin of a withdrawal; load
+/// reports wake the process more often.
+constexpr auto CheckInterval = std::chrono::milliseconds(100);
+/// A process that has not run for longer than this may have missed what it counts bounds from.
+constexpr auto MinPause = std::chrono::milliseconds(400);
+
+} // namespace
+
+void RelayContext::applyPause(domain::TimePoint now)
+{
+    const domain::TimePoint before = ranAt.value_or(now);
+    ranAt = now;
+    if (now - before <= MinPause)
+        return;
+    observability::logEvent(observability::Severity::Warning, "paused",
+            {{"ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - before).count()},
+                    {"requests", requestsInFlight.size()},
+                    {"remedy", "check why the process got no processor time"}});
+    metrics.increment("oriolerill_relay_pauses_total");
+    dispatcher.onPaused(before, now);
+}
+
 void RelayContext::applySuspension(domain::TimePoint now)
 {
+    applyPause(now);
     const domain::Duration suspended = suspension.takeSuspended();
     if (suspended == domain::Duration::zero())
         return;
@@ -23,6 +48,7 @@
                     {"remedy", "check why the VM was suspended"}});
     metrics.increment("oriolerill_relay_suspensions_total");
     dispatcher.onSuspended(suspended);
+    dispatcher.onPaused(now - suspended, now);
     connections.closeIdle();
     // Until the store answers again, an unknown route or key may have been added.
     if (!storeLostAt)
@@ -52,8 +78,6 @@
 
 asio::awaitable<void> RelayContext::withdrawOverdueAttempts()
 {
-    /// Small compared with the margin of a withdrawal; load reports wake the process more often.
-    constexpr auto CheckInterval = std::chrono::milliseconds(100);
     asio::steady_timer timer(co_await asio::this_coro::executor);
     for (;;) {
         timer.expires_after(CheckInterval);
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -65,6 +65,8 @@
     /// This entry knows that its copy lacks a change whose bound is about to end.
     std::function<bool()> isCopyOverdue = [] { return false; };
     domain::SuspensionClock suspension;
+    /// When this process was last seen to run.
+    std::optional<domain::TimePoint> ranAt;
     /// Shared with the requests, whose destructors may run after this object's at process exit.
     std::shared_ptr<UnstartedAttempts> unstarted = std::make_shared<UnstartedAttempts>();
     WithdrawnQueues withdrawnQueues;
@@ -72,6 +74,9 @@
     /// If the VM was suspended since the last call, adds the suspension to the age of received data
     /// and closes idle connections. Called before decisions that depend on ages.
     void applySuspension(domain::TimePoint now);
+    /// Notices a time in which this process did not run although its VM did. Called before the same
+    /// decisions, and each 100 ms.
+    void applyPause(domain::TimePoint now);
     /// Cancels all attempts in progress, so that each caller gets an answer before the exit.
     void expireRequests();
     /// Sets the gauges of named and required weights. They outlast the log lines of a naming, which
--- a/src/relay/tests/recordedtimestest.cpp
+++ b/src/relay/tests/recordedtimestest.cpp
@@ -93,8 +93,10 @@
     void addEngines(std::vector<TimePoint> beginTimes)
     {
         m_beginTimes = std::move(beginTimes);
-        const auto script
-                = [this](Socket &socket, const std::string &) { return queueRequest(socket); };
+        const auto script = [this](Socket &socket, const std::string &request) {
+            return queueRequest(
+                    socket, std::chrono::milliseconds(std::stoll(fieldOf(request, "Deadline-Ms"))));
+        };
         for (int i = 0; i < 2; ++i) {
             addEndpoint(script);
             m_listed.back().weights[model()] = 2;
@@ -145,8 +147,10 @@
     bool m_isCloseIgnored = false;
 
 private:
-    bool queueRequest(Socket &socket)
+    /// An engine refuses a request whose time budget passes in its queue.
+    bool queueRequest(Socket &socket, std::chrono::milliseconds budget)
     {
+        const TimePoint refusesAt = TimePoint::clock::now() + budget;
         std::size_t position = 0;
         TimePoint beginAt = Never;
         {
@@ -157,7 +161,8 @@
             m_requests.push_back({TimePoint::clock::now(), std::nullopt, std::nullopt});
         }
         const TimePoint endsAt = position == 0 ? m_firstEndsAt : Never;
-        const std::optional<TimePoint> closedAt = waitForClose(socket, std::min(beginAt, endsAt));
+        const std::optional<TimePoint> closedAt
+                = waitForClose(socket, std::min({beginAt, endsAt, refusesAt}));
         {
             const std::scoped_lock lock(m_mutex);
             m_requests[position].closedAt = closedAt;
@@ -165,6 +170,10 @@
         const bool hasEnded = !closedAt && endsAt < beginAt;
         if (hasEnded || (closedAt && (!m_isCloseIgnored || beginAt == Never)))
             return false;
+        if (refusesAt < beginAt) {
+            write(socket, answer("a1", "", "503 Service Unavailable", "Not-Executed: 1\r\n"));
+            return false;
+        }
         std::this_thread::sleep_until(beginAt);
         {
             const std::scoped_lock lock(m_mutex);
--- a/src/relay/tests/simulatedversionentry.cpp
+++ b/src/relay/tests/simulatedversionentry.cpp
@@ -25,6 +25,8 @@
 /// received at once.
 constexpr auto WithdrawalInterval = 100ms;
 constexpr auto WithdrawalPhase = 90ms;
+/// As RelayContext::applyPause.
+constexpr auto MinPause = 400ms;
 constexpr auto ReportInterval = 100ms;
 constexpr auto KnowledgeInterval = 500ms;
 constexpr auto SuccessorSearchInterval = 200ms;
@@ -328,6 +330,7 @@
     /// A running entry has started so long ago.
     constexpr auto RunningTime = 60s;
     m_nextWithdrawal = now() + WithdrawalPhase;
+    m_ranAt = now();
     m_dispatcher.emplace(optionsFor(m_test.startAt ? now() : now() - RunningTime));
     m_dispatcher->setConfig(std::make_shared<routing::ServingConfig>(
             1, std::vector{m_route}, std::vector{engineService()}, routing::CallerLimits()));
@@ -358,11 +361,15 @@
 
 void SimulatedVersionEntry::applySuspension()
 {
+    const TimePoint ranBefore = std::exchange(m_ranAt, now());
+    if (now() - ranBefore > MinPause)
+        m_dispatcher->onPaused(ranBefore, now());
     const Duration suspended = stopped() - m_appliedStop;
     if (suspended == Duration::zero())
         return;
     m_appliedStop = stopped();
     m_dispatcher->onSuspended(suspended);
+    m_dispatcher->onPaused(now() - suspended, now());
 }
 
 void SimulatedVersionEntry::receiveNamings()
@@ -559,7 +566,7 @@
     const TimePoint firstBound = Naming + Bound;
     text << "refused " << ms(firstBound - m_now) << " ms before the first bound, required "
          << refusal->requiredWeights << ", outdated " << refusal->outdated << " of "
-         << refusal->listed;
+         << refusal->listed << ", too late " << refusal->tooLate;
     const bool mayBeginOnOldest = m_now < firstBound - UsableBeforeBound;
     if (m_test.hasIdle && mayBeginOnOldest && !m_result.refusedBesideIdle)
         m_result.refusedBesideIdle = text.str();
--- a/src/relay/tests/simulatedversionentry.h
+++ b/src/relay/tests/simulatedversionentry.h
@@ -249,6 +249,8 @@
     std::optional<domain::TimePoint> m_reportedAt;
     std::vector<std::uint64_t> m_listedVersions;
     domain::Duration m_appliedStop = {};
+    /// When the entry last checked that it runs, by its clock.
+    domain::TimePoint m_ranAt;
     domain::ConfigVersion m_appliedVersion;
     /// When the start of the first request that the link holds is overdue by EvidenceTime.
     domain::TimePoint m_holdEvidenceAt = domain::TimePoint::max();
--- a/src/routing/boundedstarts.h
+++ b/src/routing/boundedstarts.h
@@ -52,6 +52,9 @@
     /// The request sent at this time has ended before its answer began.
     void onEnded(const Target &target, domain::TimePoint sentAt, domain::TimePoint now);
 
+    /// This process received nothing for this long.
+    void onPaused(domain::Duration time);
+
     /// Whether a request that takes this long to begin, if nothing delays it, begins by the
     /// deadline.
     bool isInTime(const Target &target, domain::Duration expectedStart, domain::TimePoint deadline,
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -46,8 +46,8 @@
     /// A request is given no time beyond the bound of a newer version if it is expected to end
     /// within this share of the time until then; an engine may be slower than its reports state.
     double stopAtShare = 0.6;
-    /// Other requests must be expected to begin by this long, and by their expected start again,
-    /// before they are withdrawn: queues grow after the report on which a choice is based.
+    /// Other requests must be expected to begin this long before they are withdrawn: queues grow
+    /// after the report on which a choice is based.
     domain::Duration queueGrowth = std::chrono::milliseconds(1000);
     ColdAllowanceOptions cold;
     EndpointLimitsOptions limits;
@@ -193,6 +193,10 @@
     /// apply and retained endpoints are removed that much earlier, and reports are that much older.
     void onSuspended(domain::Duration time);
 
+    /// This process did not run between these times: it may have missed a naming, and what it was
+    /// to receive arrives late.
+    void onPaused(domain::TimePoint pausedAt, domain::TimePoint resumedAt);
+
     /// Engines of the service that this entry sends to and subscribes to; null for services without
     /// engines.
     const WorkingSet *workingSet(const domain::ServiceId &service);
--- a/src/routing/internal/boundedstarts.cpp
+++ b/src/routing/internal/boundedstarts.cpp
@@ -46,6 +46,14 @@
         dataCentre->second.onEnded(sentAt, now);
 }
 
+void BoundedStarts::onPaused(Duration time)
+{
+    for (auto &[engine, path] : m_engines)
+        path.onPaused(time);
+    for (auto &[dataCentre, path] : m_dataCentres)
+        path.onPaused(time);
+}
+
 void BoundedStarts::removeUnused(TimePoint now)
 {
     std::erase_if(m_engines, [&](const auto &entry) {
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -150,6 +150,12 @@
         load.onSuspended(time);
 }
 
+void Dispatcher::onPaused(domain::TimePoint pausedAt, domain::TimePoint resumedAt)
+{
+    m_weights.onPaused(pausedAt, resumedAt);
+    m_starts.onPaused(resumedAt - pausedAt);
+}
+
 EndpointLoad &Dispatcher::load(const domain::EndpointId &endpoint)
 {
     return m_loads.try_emplace(endpoint, m_options.load).first->second;
@@ -475,7 +481,7 @@
         return true;
     domain::Duration longestStart = expectedStart;
     if (!stopAt(engine.id, service, request, expectedStart, *beginDeadline, now))
-        longestStart = 2 * expectedStart + m_options.queueGrowth;
+        longestStart += m_options.queueGrowth;
     return m_starts.isInTime({engine.id, engine.dataCentre}, longestStart, *beginDeadline, now);
 }
 
--- a/src/routing/internal/requestpath.cpp
+++ b/src/routing/internal/requestpath.cpp
@@ -34,6 +34,12 @@
         m_unanswered.erase(found);
 }
 
+void RequestPath::onPaused(Duration time)
+{
+    for (auto &[sentAt, expectedAt] : m_unanswered)
+        expectedAt += time;
+}
+
 Duration RequestPath::overdue(TimePoint now) const
 {
     const auto oldest = m_unanswered.lower_bound(now - m_options.evidenceLifetime);
--- a/src/routing/internal/weightsrequirement.cpp
+++ b/src/routing/internal/weightsrequirement.cpp
@@ -21,8 +21,10 @@
     // observation of the naming.
     if (!isAtStart)
         naming.interval = intervalWithoutTime(model, version);
-    if (!isAtStart && !naming.interval)
-        naming.namedAt = std::min(naming.namedAt.value_or(now), now);
+    if (!isAtStart && !naming.interval) {
+        const domain::TimePoint observedAt = earliestNaming(now);
+        naming.namedAt = std::min(naming.namedAt.value_or(observedAt), observedAt);
+    }
     keepReplaced(model, version);
     Versions &versions = m_versions[model];
     while (versions.size() > m_options.maxVersions
@@ -242,6 +244,25 @@
     }
 }
 
+domain::TimePoint WeightsRequirement::earliestNaming(domain::TimePoint receivedAt) const
+{
+    const bool mayBeFromPause = m_lastPause && receivedAt >= m_lastPause->pausedAt
+            && receivedAt - m_lastPause->resumedAt <= m_options.receptionTime;
+    return mayBeFromPause ? m_lastPause->pausedAt : receivedAt;
+}
+
+void WeightsRequirement::onPaused(domain::TimePoint pausedAt, domain::TimePoint resumedAt)
+{
+    m_lastPause = {pausedAt, resumedAt};
+    // Namings that were received before the pause was noticed.
+    for (auto &[model, versions] : m_versions) {
+        for (auto &[version, naming] : versions) {
+            if (naming.namedAt)
+                naming.namedAt = earliestNaming(*naming.namedAt);
+        }
+    }
+}
+
 domain::TimePoint WeightsRequirement::deadlineFor(domain::TimePoint namedAt) const
 {
     return namedAt + m_options.bound - m_options.margin;
--- a/src/routing/requestpath.h
+++ b/src/routing/requestpath.h
@@ -31,6 +31,8 @@
     void onAnswered(domain::TimePoint sentAt);
     /// The request was cancelled, or its connection failed, before its answer began.
     void onEnded(domain::TimePoint sentAt, domain::TimePoint now);
+    /// This process received nothing for this long, so answers are expected later.
+    void onPaused(domain::Duration time);
 
     /// How long the answer to the oldest request without one is overdue; zero without such a
     /// request.
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -32,6 +32,9 @@
     /// seconds.
     domain::Duration graceAtStart = std::chrono::milliseconds(2500);
     domain::TimePoint startedAt;
+    /// A naming that is received within this time after a pause of this process may have been made
+    /// during the pause: publishers send updates each 400 ms.
+    domain::Duration receptionTime = std::chrono::milliseconds(500);
     /// Maximum numbers of models, and of versions of each, that are kept for naming times received
     /// in datagrams.
     std::size_t maxModels = 16;
@@ -80,6 +83,8 @@
     void onStoreRead();
     /// All named versions are required earlier by this time, for which this VM was suspended.
     void onSuspended(domain::Duration time);
+    /// This process received nothing between these times.
+    void onPaused(domain::TimePoint pausedAt, domain::TimePoint resumedAt);
     /// Zero when any version is allowed.
     std::uint64_t requiredVersion(const domain::ModelId &model, domain::TimePoint now) const;
     std::uint64_t newestVersion(const domain::ModelId &model) const;
@@ -139,6 +144,8 @@
     };
 
     domain::TimePoint deadlineFor(domain::TimePoint namedAt) const;
+    /// Earliest time of a naming that this process received at the given time.
+    domain::TimePoint earliestNaming(domain::TimePoint receivedAt) const;
     domain::TimePoint requiredAt(const Naming &naming) const;
     static std::uint64_t newestNamed(const Versions &versions);
     /// Newest version that this process has read from the store.
@@ -168,7 +175,14 @@
     Naming *namingOf(const domain::ModelId &model, std::uint64_t version);
     Published *publishedOf(const domain::ModelId &model, std::uint64_t version);
 
+    struct Pause
+    {
+        domain::TimePoint pausedAt;
+        domain::TimePoint resumedAt;
+    };
+
     WeightsRequirementOptions m_options;
+    std::optional<Pause> m_lastPause;
     /// None until this process has read the named versions.
     std::optional<CopyProof> m_copyProof;
     std::map<domain::ModelId, Versions> m_versions;
