Keep guessed naming times private, and check the version before sending

They are merged. - A suspension that the steady clock did not count masked overdue answers; now it only makes proofs of paths older. - The time given to an engine was computed in a clock that includes suspensions, its end in one that does not. - A version that became required while the connection was opened was not seen: such a request is not sent, and another engine is chosen. - Only the oldest unanswered request counted as overdue; now any does. - The soak skipped the limits of endpoints on disrupted links.

--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -106,7 +106,12 @@
     // After a suspension or a long delay of this process the choice is too old: the endpoint may be
     // leaving, cold or switching by now. Another configuration may have other allowed regions.
     const bool isConfigurationOutdated = m_context.dispatcher.config() != m_choice.config;
-    if (isConfigurationOutdated || m_request->policy->isChoiceOutdated(sendAt - chosenAt)) {
+    const bool isVersionOutdated = dispatch().servedWeights > 0
+            && m_context.dispatcher.weights().requiredVersion(
+                       m_request->caller.model, TimePoint::clock::now())
+                    > dispatch().servedWeights;
+    if (isConfigurationOutdated || isVersionOutdated
+            || m_request->policy->isChoiceOutdated(sendAt - chosenAt)) {
         m_isChoiceOutdated = true;
         m_detail = "the choice is out of date";
         co_return AttemptEnd::NotSent;
@@ -145,11 +150,10 @@
     m_context.dispatcher.onSent(dispatch(), *m_sentAt);
     routing::DispatchHead head;
     head.endpoint = dispatch().endpoint;
-    const TimePoint now = m_request->nowWithSuspension();
-    const TimePoint stopAt
-            = std::min(m_request->policy->deadline(), dispatch().stopAt.value_or(TimePoint::max()));
-    head.timeLeft
-            = std::max(std::chrono::duration_cast<milliseconds>(stopAt - now), milliseconds(1));
+    domain::Duration timeLeft = m_request->policy->deadline() - m_request->nowWithSuspension();
+    if (dispatch().stopAt)
+        timeLeft = std::min<domain::Duration>(timeLeft, *dispatch().stopAt - *m_sentAt);
+    head.timeLeft = std::max(std::chrono::duration_cast<milliseconds>(timeLeft), milliseconds(1));
     head.account = m_request->account;
     head.weightsVersion = dispatch().weightsVersion;
     if (m_delivered && !m_events.lastEventId().empty())
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -17,7 +17,7 @@
 /// Interval of withdrawOverdueAttempts(). Small compared with the margin of a withdrawal; load
 /// reports wake the process more often.
 constexpr auto CheckInterval = std::chrono::milliseconds(100);
-/// A process that has not run for longer than this may have missed what it counts bounds from.
+/// A process that has not run for longer than this may have received a naming late.
 constexpr auto MinPause = std::chrono::milliseconds(400);
 
 } // namespace
@@ -48,7 +48,7 @@
                     {"remedy", "check why the VM was suspended"}});
     metrics.increment("oriolerill_relay_suspensions_total");
     dispatcher.onSuspended(suspended);
-    dispatcher.onPaused(now - suspended, now);
+    dispatcher.weights().onPaused(now - suspended, now);
     connections.closeIdle();
     // Until the store answers again, an unknown route or key may have been added.
     if (!storeLostAt)
--- a/src/routing/boundedstarts.h
+++ b/src/routing/boundedstarts.h
@@ -31,9 +31,9 @@
 /// Whether a request that is sent now begins at its engine by a deadline.
 ///
 /// The bytes of a request on a full link cannot be recalled, so a request that may begin too late
-/// must not be sent. Evidence are the answers to earlier requests: to the same engine, whose VM has
-/// a link of its own, and to other data centres, whose links all requests share. Not safe for
-/// concurrent use.
+/// must not be sent. Delays are estimated from the answers to earlier requests: to the same engine,
+/// whose VM has a link of its own, and to other data centres, whose links all requests share. Not
+/// safe for concurrent use.
 class BoundedStarts
 {
 public:
@@ -54,6 +54,8 @@
 
     /// This process received nothing for this long.
     void onPaused(domain::Duration time);
+    /// The VM was suspended for a time that the clock did not count.
+    void onSuspended(domain::Duration time);
 
     /// Whether a request that takes this long to begin, if nothing delays it, begins by the
     /// deadline.
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -193,8 +193,8 @@
     /// apply and retained endpoints are removed that much earlier, and reports are that much older.
     void onSuspended(domain::Duration time);
 
-    /// This process did not run between these times: it may have missed a naming, and what it was
-    /// to receive arrives late.
+    /// This process did not run between these times: it may have received a naming late,
+    /// and pending answers are delivered late.
     void onPaused(domain::TimePoint pausedAt, domain::TimePoint resumedAt);
 
     /// Engines of the service that this entry sends to and subscribes to; null for services without
--- a/src/routing/internal/boundedstarts.cpp
+++ b/src/routing/internal/boundedstarts.cpp
@@ -54,6 +54,14 @@
         path.onPaused(time);
 }
 
+void BoundedStarts::onSuspended(Duration time)
+{
+    for (auto &[engine, path] : m_engines)
+        path.onSuspended(time);
+    for (auto &[dataCentre, path] : m_dataCentres)
+        path.onSuspended(time);
+}
+
 void BoundedStarts::removeUnused(TimePoint now)
 {
     std::erase_if(m_engines, [&](const auto &entry) {
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -145,6 +145,7 @@
 void Dispatcher::onSuspended(domain::Duration time)
 {
     m_weights.onSuspended(time);
+    m_starts.onSuspended(time);
     m_endpoints.onSuspended(time);
     for (auto &[id, load] : m_loads)
         load.onSuspended(time);
--- a/src/routing/internal/requestpath.cpp
+++ b/src/routing/internal/requestpath.cpp
@@ -40,12 +40,19 @@
         expectedAt += time;
 }
 
+void RequestPath::onSuspended(Duration time)
+{
+    if (m_answeredSentAt != TimePoint::min())
+        m_answeredSentAt -= time;
+}
+
 Duration RequestPath::overdue(TimePoint now) const
 {
-    const auto oldest = m_unanswered.lower_bound(now - m_options.evidenceLifetime);
-    if (oldest == m_unanswered.end())
-        return Duration::zero();
-    return std::max(now - oldest->second, Duration::zero());
+    Duration longest = Duration::zero();
+    for (auto request = m_unanswered.lower_bound(now - m_options.evidenceLifetime);
+            request != m_unanswered.end(); ++request)
+        longest = std::max(longest, now - request->second);
+    return longest;
 }
 
 bool RequestPath::isProven(TimePoint now) const
--- a/src/routing/internal/weightsrequirement.cpp
+++ b/src/routing/internal/weightsrequirement.cpp
@@ -22,8 +22,11 @@
     if (!isAtStart)
         naming.interval = intervalWithoutTime(model, version);
     if (!isAtStart && !naming.interval) {
-        const domain::TimePoint observedAt = earliestNaming(now);
-        naming.namedAt = std::min(naming.namedAt.value_or(observedAt), observedAt);
+        naming.readAt = now;
+        if (mayBeFromPause(now))
+            naming.pausedAt = m_lastPause->pausedAt;
+        else
+            naming.namedAt = std::min(naming.namedAt.value_or(now), now);
     }
     keepReplaced(model, version);
     Versions &versions = m_versions[model];
@@ -225,10 +228,16 @@
     m_options.startedAt -= time;
     if (m_copyProof)
         m_copyProof->at -= time;
+    if (m_lastPause)
+        m_lastPause = {m_lastPause->pausedAt - time, m_lastPause->resumedAt - time};
     for (auto &[model, versions] : m_versions) {
         for (auto &[version, naming] : versions) {
             if (naming.namedAt)
                 *naming.namedAt -= time;
+            if (naming.readAt)
+                *naming.readAt -= time;
+            if (naming.pausedAt)
+                *naming.pausedAt -= time;
             if (naming.interval)
                 advance(*naming.interval);
         }
@@ -244,21 +253,26 @@
     }
 }
 
-domain::TimePoint WeightsRequirement::earliestNaming(domain::TimePoint receivedAt) const
+bool WeightsRequirement::mayBeFromPause(domain::TimePoint receivedAt) const
 {
-    const bool mayBeFromPause = m_lastPause && receivedAt >= m_lastPause->pausedAt
+    return m_lastPause && receivedAt >= m_lastPause->pausedAt
             && receivedAt - m_lastPause->resumedAt <= m_options.receptionTime;
-    return mayBeFromPause ? m_lastPause->pausedAt : receivedAt;
 }
 
 void WeightsRequirement::onPaused(domain::TimePoint pausedAt, domain::TimePoint resumedAt)
 {
-    m_lastPause = {pausedAt, resumedAt};
-    // Namings that were received before the pause was noticed.
+    // What was sent in a pause may arrive after another one that follows soon.
+    const bool isContinued
+            = m_lastPause && pausedAt - m_lastPause->resumedAt <= m_options.receptionTime;
+    m_lastPause = {isContinued ? std::min(pausedAt, m_lastPause->pausedAt) : pausedAt, resumedAt};
+    // Namings that were read after the pause, before it was noticed.
     for (auto &[model, versions] : m_versions) {
         for (auto &[version, naming] : versions) {
-            if (naming.namedAt)
-                naming.namedAt = earliestNaming(*naming.namedAt);
+            const bool isOwnObservation = naming.readAt && naming.namedAt == naming.readAt;
+            if (!isOwnObservation || !mayBeFromPause(*naming.readAt))
+                continue;
+            naming.pausedAt = m_lastPause->pausedAt;
+            naming.namedAt.reset();
         }
     }
 }
@@ -272,6 +286,8 @@
 {
     if (naming.interval)
         return deadlineFor(assumedAt(*naming.interval, naming.namedAt));
+    if (naming.pausedAt)
+        return deadlineFor(std::min(naming.namedAt.value_or(*naming.pausedAt), *naming.readAt));
     // The time may come from a process that received the naming late; the grace limits the delay.
     const domain::TimePoint afterStart = m_options.startedAt + m_options.graceAtStart;
     if (!naming.namedAt)
--- a/src/routing/requestpath.h
+++ b/src/routing/requestpath.h
@@ -33,9 +33,10 @@
     void onEnded(domain::TimePoint sentAt, domain::TimePoint now);
     /// This process received nothing for this long, so answers are expected later.
     void onPaused(domain::Duration time);
+    /// The VM was suspended for a time that the clock did not count: proofs are that much older.
+    void onSuspended(domain::Duration time);
 
-    /// How long the answer to the oldest request without one is overdue; zero without such a
-    /// request.
+    /// How long an answer is overdue at most; zero when none is.
     domain::Duration overdue(domain::TimePoint now) const;
     /// A recent request was answered in time, and no later one is overdue.
     bool isProven(domain::TimePoint now) const;
--- a/src/routing/tests/boundedstartstest.cpp
+++ b/src/routing/tests/boundedstartstest.cpp
@@ -115,6 +115,28 @@
     EXPECT_TRUE(isInTime(m_near, 20ms));
 }
 
+// Guards against a pause of this process that looks like a delay of all paths, and against answers
+// before a suspension that prove a path after it.
+TEST_F(BoundedStartsFixture, isInTime_afterPauseOrSuspension_noDelayShownAndPathNotProven)
+{
+    m_starts.onSent(m_near, m_now - 1020ms, m_now - 1s);
+    m_starts.onPaused(1s);
+    EXPECT_TRUE(isInTime(m_near, 20ms));
+    exchange(m_far, m_now - 100ms);
+    EXPECT_TRUE(isInTime(m_far, 3s));
+    m_starts.onSuspended(2s);
+    EXPECT_FALSE(isInTime(m_far, 3s));
+}
+
+// Guards against a busy engine of another data centre that hides a delay of the path.
+TEST_F(BoundedStartsFixture, isInTime_laterRequestOverdueBeforeEarlierOne_pathNotProven)
+{
+    exchange(m_far, m_now - 900ms);
+    m_starts.onSent(m_farOther, m_now - 800ms, m_now + 400ms);
+    m_starts.onSent(m_far, m_now - 700ms, m_now - 680ms);
+    EXPECT_FALSE(isInTime(m_far, 3s));
+}
+
 // Guards against records of engines that grow without bound while engines are replaced.
 TEST_F(BoundedStartsFixture, onSent_manyReplacedEngines_recordsOfUnusedOnesRemoved)
 {
--- a/src/routing/tests/weightsrequirementtest.cpp
+++ b/src/routing/tests/weightsrequirementtest.cpp
@@ -495,4 +495,41 @@
     EXPECT_EQ(requirement.requiredVersion(m_model, m_start + 3s), 2U);
 }
 
+// Regression: a process that did not run while a version was named counted the bound from its
+// resumption.
+TEST_F(WeightsRequirementFixture, onPaused_namingReceivedAfterPauses_boundFromBeginOfFirstPause)
+{
+    WeightsRequirement requirement(options());
+    requirement.onPaused(m_start + 10s, m_start + 13s);
+    requirement.onPaused(m_start + 13100ms, m_start + 13600ms);
+    requirement.onNamed(m_model, 2, false, m_start + 13700ms);
+    EXPECT_EQ(requirement.requiredVersion(m_model, m_start + 16299ms), 0U);
+    EXPECT_EQ(requirement.requiredVersion(m_model, m_start + 16300ms), 2U);
+    // Received before the pause is noticed.
+    requirement.onNamed(m_model, 3, false, m_start + 22s);
+    requirement.onPaused(m_start + 20s, m_start + 22050ms);
+    EXPECT_EQ(requirement.requiredVersion(m_model, m_start + 26300ms), 3U);
+}
+
+// Guards against a pause of one process that shortens the bound of all others: the earliest
+// possible time of a naming is no observation, and is not published.
+TEST_F(WeightsRequirementFixture, onPaused_namingReceivedAfterPause_onlyObservedTimesPublished)
+{
+    WeightsRequirement requirement(options());
+    requirement.onCopyProven(m_start + 9s);
+    requirement.onPaused(m_start + 10s, m_start + 13s);
+    requirement.onNamed(m_model, 2, false, m_start + 13100ms);
+    ASSERT_EQ(requirement.newestVersions().size(), 1U);
+    EXPECT_EQ(requirement.newestVersions().front().namedAt, std::nullopt);
+    // The time that another process observed applies here as well.
+    requirement.onNamingTime(m_model, 2, m_start + 12s);
+    EXPECT_EQ(requirement.newestVersions().front().namedAt, m_start + 12s);
+    EXPECT_EQ(requirement.requiredVersion(m_model, m_start + 18299ms), 0U);
+    EXPECT_EQ(requirement.requiredVersion(m_model, m_start + 18300ms), 2U);
+    // So does one that was received before the pause.
+    requirement.onNamed(m_model, 3, false, m_start + 20s);
+    requirement.onPaused(m_start + 20100ms, m_start + 23s);
+    EXPECT_EQ(requirement.requiredVersion(m_model, m_start + 26299ms), 2U);
+}
+
 } // namespace oriolerill::routing
--- a/src/routing/weightsrequirement.h
+++ b/src/routing/weightsrequirement.h
@@ -110,6 +110,11 @@
         bool isFoundAtStart = false;
         /// Earliest known time at which a process observed the naming.
         std::optional<domain::TimePoint> namedAt;
+        /// When this process read it, unless it found it at its start.
+        std::optional<domain::TimePoint> readAt;
+        /// Begin of a pause of this process in which it may have been made. Applies to this process
+        /// alone, until another process states a time: it is no observation of the naming.
+        std::optional<domain::TimePoint> pausedAt;
         /// Agents published it without a time before this process read it.
         std::optional<NamingInterval> interval;
     };
@@ -144,8 +149,8 @@
     };
 
     domain::TimePoint deadlineFor(domain::TimePoint namedAt) const;
-    /// Earliest time of a naming that this process received at the given time.
-    domain::TimePoint earliestNaming(domain::TimePoint receivedAt) const;
+    /// A naming that this process received at the given time may have been made in a pause.
+    bool mayBeFromPause(domain::TimePoint receivedAt) const;
     domain::TimePoint requiredAt(const Naming &naming) const;
     static std::uint64_t newestNamed(const Versions &versions);
     /// Newest version that this process has read from the store.
--- a/standins/soakchecks.cpp
+++ b/standins/soakchecks.cpp
@@ -202,10 +202,10 @@
         m_poison.onArrival(attempt);
     if (method != attempt.method || target != attempt.target || body != attempt.body)
         m_journal.violation("UNASKED", "changed on the way: " + text(attempt));
+    checkLimit(attempt, endpoint);
     // A request is not late at an endpoint when its link was disrupted.
     if (!endpoint.isLinkDisrupted) {
         checkDrainAndEvacuation(attempt, endpoint);
-        checkLimit(attempt, endpoint);
         checkNotice(attempt, endpoint);
     }
     return found->second;
