Read the origin of weights by lanes that the whole fleet shares

Cause: each VM decided alone. Up to 88 VMs asked the origin at once with two requests each; its link carries 4.3 MB in 7.9 s, each request was cut after 2.5 s, and its bytes were lost. All VMs asked again 250 ms later. The rarest pieces were fetched first, so that all VMs of a data centre waited for the one that had just received a piece.

Change: where the configuration states the rate of the origin's link and the size of a piece, the pieces are divided into lanes with one request in flight each over all VMs and versions. Each lane has ranked readers; the next one takes over when a reader has stopped, or when its lane is stalled while others progress. Two agents of each data centre exchange what their data centre holds. The order of versions is decided from their bounds for the fleet. Pieces are fetched from peers with short queues. A manifest is read by one VM of each data centre, with a backoff.

--- a/src/distribution/internal/piecesources.cpp
+++ b/src/distribution/internal/piecesources.cpp
@@ -1,5 +1,6 @@
 #include "distribution/piecesources.h"
 
+#include "distribution/originplan.h"
 #include "domain/rendezvous.h"
 
 #include <algorithm>
@@ -7,10 +8,20 @@
 
 namespace oriolerill::distribution {
 
+namespace {
+
+/// Maximum number of ranked members of one data centre, or of holders, that are tried before the
+/// next kind of source.
+constexpr std::size_t MaxMembersTried = 2;
+constexpr std::size_t MaxHoldersTried = 3;
+
+} // namespace
+
 PieceSources::PieceSources(WeightsVersion version, PushMember self, std::vector<PushMember> members,
-        std::size_t pieces)
+        std::size_t pieces, std::shared_ptr<const OriginPlan> origin)
     : m_version(std::move(version))
     , m_self(std::move(self))
+    , m_origin(std::move(origin))
     , m_members(std::move(members))
 {
     const bool isListed = std::any_of(m_members.begin(), m_members.end(),
@@ -18,6 +29,27 @@
     if (!isListed)
         m_members.push_back(m_self);
     assignPrimaries(pieces);
+    assignImporters(pieces);
+}
+
+void PieceSources::assignImporters(std::size_t pieces)
+{
+    m_importers.resize(pieces);
+    if (!m_origin)
+        return;
+    for (std::uint32_t piece = 0; piece < pieces; ++piece) {
+        if (!holders(keyOf(piece), true).empty())
+            continue;
+        const domain::DataCentreId *home = homeOf(piece);
+        m_importers[piece] = home != nullptr && *home == m_self.dataCentre
+                ? m_origin->readers(m_origin->laneOf(piece), *home)
+                : rankedMembers(piece, m_self.dataCentre);
+    }
+}
+
+const std::vector<std::string> &PieceSources::importers(std::uint32_t piece) const
+{
+    return m_importers[piece];
 }
 
 /// Assigns each piece in turn to the highest ranked member that is below its share. A change of the
@@ -99,10 +131,33 @@
     return rank;
 }
 
+const domain::DataCentreId *PieceSources::homeOf(std::uint32_t piece) const
+{
+    if (!m_origin || m_origin->dataCentres(m_origin->laneOf(piece)).empty())
+        return nullptr;
+    return &m_origin->dataCentres(m_origin->laneOf(piece)).front();
+}
+
+std::vector<PieceSource> PieceSources::importSources(
+        std::uint32_t piece, const domain::DataCentreId &dataCentre) const
+{
+    const domain::DataCentreId *home = homeOf(piece);
+    const bool isHome = home != nullptr && *home == dataCentre;
+    const std::vector<std::string> &hosts = isHome
+            ? m_origin->readers(m_origin->laneOf(piece), dataCentre)
+            : rankedMembers(piece, dataCentre);
+    std::vector<PieceSource> sources;
+    for (std::size_t i = 0; i < std::min(hosts.size(), MaxMembersTried); ++i)
+        sources.push_back({hosts[i]});
+    return sources;
+}
+
 bool PieceSources::isPrimary(std::uint32_t piece) const
 {
-    const std::string key = keyOf(piece);
-    return holders(key, true).empty()
+    const domain::DataCentreId *home = homeOf(piece);
+    if (home != nullptr && *home == m_self.dataCentre)
+        return false;
+    return holders(keyOf(piece), true).empty()
             && rankedMembers(piece, m_self.dataCentre).front() == m_self.host;
 }
 
@@ -118,12 +173,16 @@
     return static_cast<std::uint32_t>(domain::rendezvousWeight(keyOf(0), m_self.host));
 }
 
-std::vector<PieceSource> PieceSources::sources(std::uint32_t piece) const
+const std::vector<PieceSource> &PieceSources::sources(std::uint32_t piece) const
+{
+    const auto known = m_rankedSources.find(piece);
+    return known != m_rankedSources.end()
+            ? known->second
+            : m_rankedSources.emplace(piece, rankSources(piece)).first->second;
+}
+
+std::vector<PieceSource> PieceSources::rankSources(std::uint32_t piece) const
 {
-    /// Maximum number of ranked members of one data centre, or of holders, that are tried before
-    /// the next kind of source.
-    constexpr std::size_t MaxMembersTried = 2;
-    constexpr std::size_t MaxHoldersTried = 3;
     const std::string key = keyOf(piece);
     std::vector<PieceSource> sources;
     const auto add = [&](const std::vector<std::string> &hosts, std::size_t limit) {
@@ -139,6 +198,15 @@
         }
     };
     add(holders(key, true), MaxHoldersTried);
+    const domain::DataCentreId *home = homeOf(piece);
+    if (home != nullptr && *home == m_self.dataCentre) {
+        // Only those that rank higher, as below.
+        std::vector<std::string> readers = m_origin->readers(m_origin->laneOf(piece), *home);
+        const auto self = std::find(readers.begin(), readers.end(), m_self.host);
+        readers.erase(self, readers.end());
+        add(readers, MaxMembersTried);
+        return sources;
+    }
     if (!isPrimary(piece)) {
         // Only members that rank higher: two members that wait for each other would never finish.
         std::vector<std::string> ranked = rankedMembers(piece, m_self.dataCentre);
@@ -146,6 +214,10 @@
         add(ranked, MaxMembersTried);
     }
     add(holders(key, false), MaxHoldersTried);
+    if (home != nullptr) {
+        add(m_origin->readers(m_origin->laneOf(piece), *home), MaxMembersTried);
+        return sources;
+    }
     for (const domain::DataCentreId &dataCentre : rankedDataCentres(key)) {
         if (dataCentre == m_self.dataCentre)
             break;
--- a/src/distribution/versiontransfer.h
+++ b/src/distribution/versiontransfer.h
@@ -10,7 +10,9 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace oriolerill::distribution {
@@ -28,6 +30,8 @@
     /// Part of maxParallel for pieces that the source is known to hold. Two saturate a link; the
     /// third covers the round trip of the next request.
     std::size_t maxParallelHeld = 3;
+    /// A holder with at most this many waiting requests sends a piece within about 0.1 s.
+    std::uint32_t shortQueue = 2;
     /// Part of maxParallel for pieces for which this VM is the primary; the source may still be
     /// fetching them.
     std::size_t maxParallelPrimary = 3;
@@ -38,6 +42,8 @@
     std::size_t maxParallelOrigin = 2;
     /// How long a report of a peer's holdings is valid; peers report every 100 ms.
     domain::Duration holdingsLifetime = std::chrono::milliseconds(1000);
+    /// The same for the report of another data centre, each 250 ms.
+    domain::Duration remoteHoldingsLifetime = std::chrono::milliseconds(2000);
     /// How long a source is not used after a failure.
     domain::Duration sourceAvoidance = std::chrono::milliseconds(1500);
     /// Members that are not the primary of a piece fetch it from the origin when no piece has
@@ -57,6 +63,8 @@
     Held,
     /// The source is expected to hold the piece eventually.
     Speculative,
+    /// A read from the origin, by the schedule of its lanes.
+    OriginRead,
 };
 
 struct PieceFetch
@@ -78,6 +86,9 @@
     TimedOut,
 };
 
+/// Name of the result in logs.
+std::string_view toString(FetchEnd end);
+
 /// Transfer of one version to one VM: selects the next piece and its source, and stores pieces.
 ///
 /// Load pattern: hundreds of VMs fetch at once over links of low bandwidth, with slow, unresponsive
@@ -97,9 +108,24 @@
     /// requests that wait there.
     void onHoldings(
             const std::string &host, HaveMap held, std::uint32_t waiting, domain::TimePoint now);
+    /// What the VMs of another data centre hold together.
+    void onRemoteHoldings(
+            const domain::DataCentreId &dataCentre, HaveMap held, domain::TimePoint now);
+    /// VMs of this data centre that have stopped; nothing is requested from them.
+    void setStopped(std::set<std::string> hosts) { m_stopped = std::move(hosts); }
     HaveMap held() const;
+    /// Pieces that are being read from the origin or from a VM that holds them. A request to a VM
+    /// that is only expected to hold the piece does not count: it may never be answered.
+    HaveMap inFlight() const;
+    /// Whether pieces are being fetched that their sources hold.
+    bool isReceiving() const
+    {
+        return underWay(FetchKind::Held) > 0 || underWay(FetchKind::Primary) > 0;
+    }
     /// Whether this VM, or a peer with a valid report, is missing pieces.
     bool isExchangeNeeded(domain::TimePoint now) const;
+    /// Begins a read of a missing piece from the origin; it counts for no limit of this transfer.
+    PieceFetch beginOriginRead(std::uint32_t piece);
     /// The next fetch to start; empty while the limits are reached or when no piece is missing.
     std::optional<PieceFetch> next(domain::TimePoint now);
     /// Ends a fetch. The bytes are verified when it succeeded; returns the final result.
@@ -122,10 +148,21 @@
     {
         std::shared_ptr<const std::string> bytes;
         bool isUnderWay = false;
+        /// It is being read from the origin. A holder that appears meanwhile is asked too: the
+        /// origin may have stopped answering.
+        bool isOriginRead = false;
+        /// Sources that did not have it when they were asked.
+        std::uint32_t absences = 0;
         /// When a fetch from a source that holds the piece began.
         std::optional<domain::TimePoint> heldFetchStartedAt;
     };
 
+    struct RemoteHoldings
+    {
+        HaveMap held;
+        domain::TimePoint receivedAt;
+    };
+
     struct Peer
     {
         HaveMap held;
@@ -137,10 +174,23 @@
     bool isMissing(std::uint32_t piece) const;
     bool isAvoided(const std::string &host, domain::TimePoint now) const;
     std::optional<PieceFetch> nextPrimary(domain::TimePoint now) const;
+    std::optional<PieceFetch> nextImport(domain::TimePoint now) const;
+    /// Whether this VM fetches the piece into its data centre, because those before it have
+    /// stopped.
+    bool isImporter(std::uint32_t piece, domain::TimePoint now) const;
     std::optional<PieceFetch> nextHeld(domain::TimePoint now);
+    std::optional<PieceFetch> nextRarest(domain::TimePoint now);
+    std::optional<PieceFetch> nextLeastLoaded(domain::TimePoint now);
+    /// Peers that are known to hold the piece.
+    std::vector<const std::string *> holdersOf(std::uint32_t piece, domain::TimePoint now) const;
+    /// The less loaded of two random holders; with the least loaded one, all VMs would choose the
+    /// same holder.
+    const std::string &lessLoaded(const std::vector<const std::string *> &holders);
     std::size_t underWay(FetchKind kind) const;
     std::optional<PieceFetch> nextSpeculative(domain::TimePoint now) const;
     std::optional<PieceSource> sourceOf(std::uint32_t piece, domain::TimePoint now) const;
+    /// Source of a primary piece in a data centre that is known to hold it.
+    std::optional<PieceSource> remoteSource(std::uint32_t piece, domain::TimePoint now) const;
 
     PieceManifest m_manifest;
     domain::TimePoint m_begunAt;
@@ -154,6 +204,8 @@
     std::size_t m_underWay = 0;
     std::map<FetchKind, std::size_t> m_underWayOf;
     std::map<std::string, Peer> m_peers;
+    std::map<domain::DataCentreId, RemoteHoldings> m_remote;
+    std::set<std::string> m_stopped;
     std::mt19937 m_random;
     std::size_t m_maxParallel;
     std::size_t m_underWayOrigin = 0;
--- a/src/relay/internal/loadlistener.cpp
+++ b/src/relay/internal/loadlistener.cpp
@@ -228,9 +228,13 @@
     if (!service.models.empty())
         facts.set_model(service.models.front().value());
     for (const auto &[name, other] : config->services()) {
-        if (other.origin)
-            facts.set_origin(other.origin->toString());
+        if (!other.origin)
+            continue;
+        facts.set_origin(other.origin->toString());
+        facts.set_origin_mbps(other.originMbps);
+        facts.set_origin_max_connections(other.maxConnections);
     }
+    facts.set_piece_bytes(service.pieceBytes);
     const routing::EngineSpeed &speed = *service.engine;
     facts.set_slots(speed.slots);
     facts.set_step_ms(speed.stepMs);
--- a/src/relayagent/internal/fleetview.cpp
+++ b/src/relayagent/internal/fleetview.cpp
@@ -4,6 +4,7 @@
 #include "platform/fleetcodec.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace oriolerill::relayagent::internal {
 
@@ -20,6 +21,13 @@
 /// The first entry may have been killed a moment ago.
 constexpr int EntryAttempts = 2;
 
+/// Facts are datagrams from any sender; a rate that is not finite counts as not stated.
+double bytesPerSecond(double mbps)
+{
+    constexpr double BytesPerMegabit = 1e6 / 8;
+    return std::isfinite(mbps) ? std::max(mbps, 0.0) * BytesPerMegabit : 0;
+}
+
 } // namespace
 
 FleetView::FleetView(objectstore::IObjectStore &store, objectstore::IObjectStore &memberStore,
@@ -46,10 +54,14 @@
             service != nullptr && !service->models.empty()) {
         m_model = service->models.front();
         m_speed = service->engine.value_or(m_speed);
+        m_originCapacity.pieceBytes = static_cast<double>(service->pieceBytes);
     }
     for (const auto &[id, service] : config->services()) {
-        if (service.origin)
-            m_origin = service.origin;
+        if (!service.origin)
+            continue;
+        m_origin = service.origin;
+        m_originCapacity.bytesPerSecond = bytesPerSecond(service.originMbps);
+        m_originCapacity.maxConnections = service.maxConnections;
     }
     co_return !m_model.isEmpty() && m_origin;
 }
@@ -63,6 +75,9 @@
         m_model = domain::ModelId(facts.model());
     if (const auto origin = domain::SocketAddress::parse(facts.origin()))
         m_origin = *origin;
+    m_originCapacity.bytesPerSecond = bytesPerSecond(facts.origin_mbps());
+    m_originCapacity.maxConnections = facts.origin_max_connections();
+    m_originCapacity.pieceBytes = static_cast<double>(facts.piece_bytes());
     m_speed.slots = facts.slots();
     m_speed.stepMs = facts.step_ms();
     m_speed.stepMsPerSequence = facts.step_ms_per_writer();
@@ -130,6 +145,16 @@
     return hosts;
 }
 
+std::map<domain::DataCentreId, std::vector<std::string>> FleetView::remoteHosts() const
+{
+    std::map<domain::DataCentreId, std::vector<std::string>> hosts;
+    for (const distribution::PushMember &member : m_members) {
+        if (member.dataCentre != m_self.dataCentre)
+            hosts[member.dataCentre].push_back(member.host);
+    }
+    return hosts;
+}
+
 std::uint64_t FleetView::maxServedVersion() const
 {
     std::uint64_t maxVersion = 0;
--- a/src/relayagent/internal/fleetview.h
+++ b/src/relayagent/internal/fleetview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "distribution/originplan.h"
 #include "distribution/piecesources.h"
 #include "domain/socketaddress.h"
 #include "objectstore/iobjectstore.h"
@@ -41,12 +42,15 @@
     const domain::ModelId &model() const { return m_model; }
     const routing::EngineSpeed &speed() const { return m_speed; }
     const std::optional<domain::SocketAddress> &origin() const { return m_origin; }
+    const distribution::OriginCapacity &originCapacity() const { return m_originCapacity; }
     /// Members of the service, including this VM once it is listed.
     const std::vector<distribution::PushMember> &members() const { return m_members; }
     const distribution::PushMember &self() const { return m_self; }
     /// Incremented each time the member list is read.
     std::uint64_t generation() const { return m_generation; }
     std::vector<std::string> localHosts() const;
+    /// Hosts of the members by data centre, without that of this VM.
+    std::map<domain::DataCentreId, std::vector<std::string>> remoteHosts() const;
     /// Highest version that a member serves; zero when none does.
     std::uint64_t maxServedVersion() const;
 
@@ -62,6 +66,7 @@
     domain::ModelId m_model;
     routing::EngineSpeed m_speed;
     std::optional<domain::SocketAddress> m_origin;
+    distribution::OriginCapacity m_originCapacity;
     std::vector<distribution::PushMember> m_members;
     std::uint64_t m_generation = 1;
     std::uint64_t m_configVersion = 0;
--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -108,6 +108,8 @@
         }
         if (datagram.has_holdings() && m_onHoldings)
             m_onHoldings(sender.address().to_string(), datagram.holdings());
+        if (datagram.has_remote_holdings() && m_onRemoteHoldings)
+            m_onRemoteHoldings(datagram.remote_holdings());
         if (datagram.has_knowledge())
             onKnowledge(datagram.knowledge());
         if (datagram.has_update())
@@ -275,10 +277,8 @@
 }
 
 void LoadReporter::sendToAgents(
-        const protocol::PieceHoldings &holdings, const std::vector<std::string> &hosts)
+        const protocol::AgentDatagram &datagram, const std::vector<std::string> &hosts)
 {
-    protocol::AgentDatagram datagram;
-    *datagram.mutable_holdings() = holdings;
     const std::string bytes = datagram.SerializeAsString();
     for (const std::string &host : hosts) {
         boost::system::error_code code;
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -50,9 +50,15 @@
     /// recent subscription.
     std::optional<domain::SocketAddress> nextEntry(domain::TimePoint now);
     void setHoldingsHandler(HoldingsHandler handler) { m_onHoldings = std::move(handler); }
-    /// Sends the list of pieces held on this VM to the agents on other hosts.
+    using RemoteHoldingsHandler = std::function<void(const protocol::DataCentreHoldings &holdings)>;
+    /// Called for the holdings of other data centres.
+    void setRemoteHoldingsHandler(RemoteHoldingsHandler handler)
+    {
+        m_onRemoteHoldings = std::move(handler);
+    }
+    /// Sends the datagram to the agents on other hosts.
     void sendToAgents(
-            const protocol::PieceHoldings &holdings, const std::vector<std::string> &hosts);
+            const protocol::AgentDatagram &datagram, const std::vector<std::string> &hosts);
 
     /// Latest state; none while the engine does not answer.
     const std::optional<rollout::EngineState> &state() const { return m_state; }
@@ -112,6 +118,7 @@
     bool m_isSwitching = false;
     std::uint64_t m_sequence = 0;
     HoldingsHandler m_onHoldings;
+    RemoteHoldingsHandler m_onRemoteHoldings;
     NamedHandler m_onNamed;
     /// The newest versions that entries have published, each with its earliest reported naming
     /// time.
--- a/src/relayagent/internal/manifestfinder.cpp
+++ b/src/relayagent/internal/manifestfinder.cpp
@@ -51,6 +51,29 @@
         }
         lastError = manifest.error();
     }
+    auto manifest = co_await fetchFromPeers(version, hosts, std::move(lastError));
+    if (manifest)
+        m_firstTriedAt.erase(version);
+    co_return manifest;
+}
+
+asio::awaitable<Expected<PieceManifest>> ManifestFinder::find(
+        WeightsVersion version, bool mayAskOrigin, std::vector<std::string> hosts)
+{
+    Error lastError{ErrorKind::NotFound, "no VM that can be reached has the manifest yet",
+            "the manifest is requested again"};
+    if (mayAskOrigin) {
+        auto manifest = co_await fetchFromOrigin(version);
+        if (manifest)
+            co_return manifest;
+        lastError = manifest.error();
+    }
+    co_return co_await fetchFromPeers(version, hosts, std::move(lastError));
+}
+
+asio::awaitable<Expected<PieceManifest>> ManifestFinder::fetchFromPeers(
+        const WeightsVersion &version, const std::vector<std::string> &hosts, Error lastError)
+{
     for (const std::string &host : hosts) {
         if (host == m_fleet.self().host)
             continue;
@@ -61,10 +84,8 @@
                 address, std::move(request), TimePoint::clock::now() + ManifestTimeout);
         if (!response || response->status != 200)
             continue;
-        if (auto manifest = PeerExchange::readManifest(version, response->body)) {
-            m_firstTriedAt.erase(version);
+        if (auto manifest = PeerExchange::readManifest(version, response->body))
             co_return std::move(*manifest);
-        }
     }
     co_return lastError;
 }
--- a/src/relayagent/internal/manifestfinder.h
+++ b/src/relayagent/internal/manifestfinder.h
@@ -23,12 +23,19 @@
 
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> find(
             distribution::WeightsVersion version);
+    /// The same with the origin read by lanes: asks the origin if this VM is the one that does, and
+    /// otherwise the hosts, in this order.
+    boost::asio::awaitable<domain::Expected<distribution::PieceManifest>>
+    find(distribution::WeightsVersion version, bool mayAskOrigin, std::vector<std::string> hosts);
     /// Whether the origin failed to answer since the last call.
     bool takeOriginFailed() { return std::exchange(m_hasOriginFailed, false); }
 
 private:
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> fetchFromOrigin(
             distribution::WeightsVersion version);
+    boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> fetchFromPeers(
+            const distribution::WeightsVersion &version, const std::vector<std::string> &hosts,
+            domain::Error lastError);
     std::vector<std::string> originReaders(const distribution::WeightsVersion &version) const;
 
     const FleetView &m_fleet;
--- a/src/relayagent/internal/weightsupdater.cpp
+++ b/src/relayagent/internal/weightsupdater.cpp
@@ -26,10 +26,6 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto StepInterval = milliseconds(50);
-/// Minimum interval between messages about new pieces; a piece takes 42 ms over a VM's link.
-constexpr auto HoldingsInterval = milliseconds(100);
-/// Interval at which unchanged holdings are sent again, in case a datagram was lost.
-constexpr auto UnchangedHoldingsInterval = milliseconds(400);
 /// Interval between reads of the member list while pieces are missing.
 constexpr auto MembersReadInterval = milliseconds(2500);
 /// Interval between reads of the configuration while model or origin is unknown.
@@ -48,23 +44,10 @@
 /// versions may be pending at the same time, and an older one may be complete while the origin
 /// cannot supply a newer one.
 constexpr std::size_t MaxKeptVersions = 3;
-
-std::string_view toString(FetchEnd end)
-{
-    switch (end) {
-    case FetchEnd::Stored:
-        return "stored";
-    case FetchEnd::Corrupted:
-        return "corrupted";
-    case FetchEnd::Absent:
-        return "absent";
-    case FetchEnd::Failed:
-        return "failed";
-    case FetchEnd::TimedOut:
-        return "timed_out";
-    }
-    return "failed";
-}
+/// Interval between requests for a manifest that nobody has yet; doubles up to the maximum, so that
+/// a fleet without the origin does not request it hundreds of times a second.
+constexpr auto MinManifestInterval = milliseconds(100);
+constexpr auto MaxManifestInterval = milliseconds(400);
 
 /// Larger than the pieces and manifests of any deployment. Answers of this size to all parallel
 /// fetches still take only a fifth of an agent's memory.
@@ -85,6 +68,9 @@
 transport::HttpClientOptions originOptions()
 {
     transport::HttpClientOptions options;
+    // The origin of another region answers within some milliseconds; packets to one that is down
+    // may be dropped.
+    options.connectTimeout = milliseconds(600);
     options.maxIdlePerPeer = 0;
     options.maxBody = MaxAnswerSize;
     return options;
@@ -107,6 +93,10 @@
     , m_originClient(context.get_executor(), originOptions())
     , m_manifests(fleet, m_client, m_originClient, peerPort)
     , m_switcher(context, engine, reporter, metrics, std::move(clock))
+    , m_holdings(reporter, fleet)
+    , m_origin(context, fleet, m_holdings, m_originClient, metrics,
+              [this](const Transfer &transfer, const PieceFetch &fetch, FetchEnd end,
+                      std::string bytes) { return store(transfer, fetch, end, std::move(bytes)); })
     , m_startedAt(TimePoint::clock::now())
 {
     m_reporter.setFactsHandler([this](const protocol::ServiceFacts &facts) {
@@ -121,6 +111,12 @@
             [this](const std::string &host, const protocol::PieceHoldings &message) {
                 onHoldings(host, message);
             });
+    m_reporter.setRemoteHoldingsHandler([this](const protocol::DataCentreHoldings &message) {
+        const Transfer transfer = findTransfer(message.model(), message.version());
+        m_holdings.onRemote(message, transfer, true);
+        if (transfer)
+            continueFetches(transfer);
+    });
 }
 
 PeerExchange::Transfers WeightsUpdater::transfers()
@@ -143,37 +139,24 @@
     co_return co_await transferOf(std::move(version));
 }
 
+WeightsUpdater::Transfer WeightsUpdater::findTransfer(
+        const std::string &model, std::uint64_t version) const
+{
+    const auto known = m_transfers.find({domain::ModelId(model), version});
+    return known == m_transfers.end() ? nullptr : known->second;
+}
+
 void WeightsUpdater::onHoldings(const std::string &host, const protocol::PieceHoldings &message)
 {
-    const auto known = m_transfers.find({domain::ModelId(message.model()), message.version()});
-    if (known == m_transfers.end() || message.pieces() != known->second->manifest().pieces.size())
-        return;
-    known->second->onHoldings(host,
-            distribution::HaveMap::fromBytes(message.held(), message.pieces()), message.waiting(),
-            TimePoint::clock::now());
-    if (known->second == m_plannedTransfer)
-        beginFetches(known->second);
+    const Transfer transfer = findTransfer(message.model(), message.version());
+    m_holdings.onHoldings(host, message, transfer);
+    if (transfer)
+        continueFetches(transfer);
 }
 
 void WeightsUpdater::sendHoldings()
 {
-    const TimePoint now = TimePoint::clock::now();
-    for (const auto &[version, transfer] : m_transfers) {
-        SentHoldings &sent = m_sentHoldings[version];
-        const bool isChanged
-                = sent.held != transfer->heldCount() || sent.waiting != m_exchange.waiting();
-        const auto interval = isChanged ? HoldingsInterval : UnchangedHoldingsInterval;
-        if (!transfer->isExchangeNeeded(now) || now - sent.at < interval)
-            continue;
-        sent = {transfer->heldCount(), m_exchange.waiting(), now};
-        protocol::PieceHoldings message;
-        message.set_model(version.model.value());
-        message.set_version(version.number);
-        message.set_pieces(static_cast<std::uint32_t>(transfer->manifest().pieces.size()));
-        message.set_held(transfer->held().toBytes());
-        message.set_waiting(static_cast<std::uint32_t>(m_exchange.waiting()));
-        m_reporter.sendToAgents(message, m_fleet.localHosts());
-    }
+    m_holdings.send(m_transfers, m_exchange.waiting(), m_origin.isUnreachable());
 }
 
 void WeightsUpdater::onNamed(const objectstore::ObjectList &objects)
@@ -201,6 +184,7 @@
     if (!isNew)
         return;
     m_membersReadAt = {};
+    m_holdings.holdings().expectReports(now);
     logEvent(Severity::Info, "weights_named",
             {{"model", version.model.value()}, {"version", version.version}, {"source", source},
                     {"age_ms", std::chrono::duration_cast<milliseconds>(now - namedAt).count()}});
@@ -298,40 +282,100 @@
 
 asio::awaitable<void> WeightsUpdater::advance(std::vector<std::uint64_t> numbers)
 {
+    const bool isOriginPlanned = m_origin.update();
     std::vector<rollout::WantedVersion> wanted;
     for (const std::uint64_t number : numbers) {
         const Version version{m_fleet.model(), number};
-        Transfer transfer = co_await transferOf(version);
+        Transfer transfer;
+        if (isOriginPlanned)
+            transfer = openTransfer(version);
+        else
+            transfer = co_await transferOf(version);
         if (transfer && transfer->isManifestSuspect()) {
             logEvent(Severity::Warning, "manifest_doubted",
                     {{"version", number}, {"remedy", "the manifest is fetched again"}});
+            // The pieces stay for the case that the manifest was right and the origin was not.
+            m_doubted[version] = std::move(transfer);
             m_transfers.erase(version);
             transfer = nullptr;
         }
         wanted.push_back(describe(number, transfer));
     }
-    const rollout::PushDecision decision
-            = m_plan.decide(wanted, servedVersion(), TimePoint::clock::now());
-    m_rotation.onFetch(decision.fetch, TimePoint::clock::now());
-    if (decision.fetch) {
-        const Version version{m_fleet.model(), *decision.fetch};
-        if (const auto found = m_transfers.find(version); found != m_transfers.end()) {
-            // Ranking the members for each piece is expensive, so the plan is kept until the list
-            // changes.
-            if (m_plannedTransfer != found->second || m_plannedGeneration != m_fleet.generation()) {
-                m_plannedTransfer = found->second;
-                m_plannedGeneration = m_fleet.generation();
-                found->second->setSources(
-                        std::make_shared<const distribution::PieceSources>(version, m_fleet.self(),
-                                m_fleet.members(), found->second->manifest().pieces.size()));
-            }
-            beginFetches(found->second);
+    const TimePoint now = TimePoint::clock::now();
+    const rollout::PushDecision decision = m_plan.decide(wanted, servedVersion(), now);
+    m_fetchOrder.clear();
+    if (isOriginPlanned) {
+        std::vector<rollout::PendingVersion> pending;
+        // Newest first; an older version than one that is held whole is not needed any more.
+        for (const rollout::WantedVersion &version : wanted) {
+            if (version.isComplete())
+                break;
+            // Entries stop sending requests to engines with older versions at this time.
+            pending.push_back({version.number,
+                    version.namedAt ? version.excludedAt : m_schedule.lastSwitchAt(now), 0});
         }
+        m_fetchOrder = m_origin.order(m_transfers, std::move(pending), now);
+    } else if (decision.fetch) {
+        m_fetchOrder.push_back(*decision.fetch);
     }
+    fetchInOrder(m_fetchOrder);
     if (decision.stage)
         m_switcher.begin(m_transfers[{m_fleet.model(), *decision.stage}], decision.isDue);
 }
 
+void WeightsUpdater::fetchInOrder(const std::vector<std::uint64_t> &order)
+{
+    const TimePoint now = TimePoint::clock::now();
+    std::optional<std::uint64_t> fetched;
+    for (const std::uint64_t number : order) {
+        const Version version{m_fleet.model(), number};
+        const auto found = m_transfers.find(version);
+        if (found == m_transfers.end() || found->second->isComplete())
+            continue;
+        const Transfer transfer = found->second;
+        setSources(version, transfer);
+        // The next version is fetched only while no piece of this one can be received.
+        if (!fetched || !m_transfers.at({m_fleet.model(), *fetched})->isReceiving())
+            beginFetches(transfer);
+        fetched = fetched.value_or(number);
+    }
+    m_rotation.onFetch(fetched      ? fetched
+                    : order.empty() ? std::nullopt
+                                    : std::optional(order.back()),
+            now);
+    if (m_origin.plan()) {
+        m_origin.begin(m_transfers, order);
+        m_hasOriginFailed = m_hasOriginFailed || m_origin.isUnreachable();
+    }
+}
+
+void WeightsUpdater::setSources(const Version &version, const Transfer &transfer)
+{
+    if (m_origin.plan())
+        transfer->setStopped(m_holdings.stoppedHosts(version, TimePoint::clock::now()));
+    // Ranking the members for each piece is expensive, so the plan is kept until the list changes.
+    const SourcesInput input{m_fleet.generation(), m_origin.plan()};
+    if (std::exchange(m_sourcesInputs[version], input) == input)
+        return;
+    transfer->setSources(std::make_shared<const distribution::PieceSources>(version, m_fleet.self(),
+            m_fleet.members(), transfer->manifest().pieces.size(), m_origin.plan()));
+}
+
+void WeightsUpdater::continueFetches(const Transfer &transfer)
+{
+    for (const std::uint64_t number : m_fetchOrder) {
+        const auto found = m_transfers.find({m_fleet.model(), number});
+        if (found == m_transfers.end() || found->second->isComplete())
+            continue;
+        if (found->second == transfer)
+            beginFetches(transfer);
+        if (found->second == transfer || found->second->isReceiving())
+            break;
+    }
+    if (m_origin.plan())
+        m_origin.begin(m_transfers, m_fetchOrder);
+}
+
 rollout::WantedVersion WeightsUpdater::describe(std::uint64_t number, const Transfer &transfer)
 {
     const TimePoint now = TimePoint::clock::now();
@@ -353,6 +397,49 @@
     return wanted;
 }
 
+WeightsUpdater::Transfer WeightsUpdater::openTransfer(const Version &version)
+{
+    if (const auto known = m_transfers.find(version); known != m_transfers.end())
+        return known->second;
+    const TimePoint now = TimePoint::clock::now();
+    m_holdings.sendPresence(version, m_origin.isUnreachable());
+    const auto search = m_manifestSearches.find(version);
+    const bool isDue = search == m_manifestSearches.end() || now >= search->second.nextAt
+            || !m_holdings.holders(version, now).empty();
+    if (isDue && m_opening.count(version) == 0) {
+        asio::co_spawn(
+                m_context,
+                [](WeightsUpdater &updater, Version opened) -> asio::awaitable<void> {
+                    co_await updater.transferOf(std::move(opened));
+                }(*this, version),
+                asio::detached);
+    }
+    return nullptr;
+}
+
+asio::awaitable<domain::Expected<distribution::PieceManifest>> WeightsUpdater::findManifest(
+        const Version &version)
+{
+    if (!m_origin.plan())
+        co_return co_await m_manifests.find(version);
+    const TimePoint now = TimePoint::clock::now();
+    const bool mayAskOrigin = m_origin.mayReadManifest(now);
+    /// Hosts that are asked before the search is repeated.
+    constexpr std::size_t MaxHosts = 2;
+    std::vector<std::string> hosts = m_holdings.holders(version, now);
+    hosts.resize(std::min(hosts.size(), MaxHosts));
+    const bool isRemote = hosts.empty();
+    if (isRemote && mayAskOrigin)
+        hosts = m_origin.remoteManifestReaders();
+    // A VM without a peer that has the manifest waits for the one that asks the origin. Peers may
+    // have the same wrong manifest.
+    const bool isOriginAsked = mayAskOrigin && (isRemote || m_doubted.count(version) > 0);
+    auto manifest = co_await m_manifests.find(version, isOriginAsked, std::move(hosts));
+    if (isOriginAsked)
+        m_origin.onManifest(!m_manifests.takeOriginFailed());
+    co_return manifest;
+}
+
 asio::awaitable<WeightsUpdater::Transfer> WeightsUpdater::transferOf(Version version)
 {
     const auto known = m_transfers.find(version);
@@ -361,10 +448,11 @@
     // A peer's request and step() may open the same version at the same time.
     if (!m_opening.insert(version).second)
         co_return nullptr;
-    auto manifest = co_await m_manifests.find(version);
+    auto manifest = co_await findManifest(version);
     m_hasOriginFailed = m_manifests.takeOriginFailed() || m_hasOriginFailed;
     Transfer transfer;
     if (manifest) {
+        m_manifestSearches.erase(version);
         transfer = std::make_shared<distribution::VersionTransfer>(
                 std::move(*manifest), TimePoint::clock::now());
         // Staged pieces belong to this version only if the engine serves it, or served it before a
@@ -372,16 +460,31 @@
         const std::uint64_t served = servedVersion();
         if (served == 0 || served == version.number)
             co_await m_switcher.staged().offerTo(transfer);
+        if (const auto doubted = m_doubted.find(version); doubted != m_doubted.end()) {
+            for (std::uint32_t i = 0; i < transfer->manifest().pieces.size(); ++i) {
+                if (const auto bytes = doubted->second->piece(i))
+                    transfer->offer(i, *bytes);
+            }
+            m_doubted.erase(doubted);
+        }
         m_transfers[version] = transfer;
+        m_sourcesInputs.erase(version);
         evictOldTransfers();
         m_exchange.onPieceStored();
         logEvent(Severity::Info, "transfer_begun",
                 {{"version", version.number}, {"pieces", transfer->manifest().pieces.size()},
                         {"staged", transfer->heldCount()}, {"members", m_fleet.members().size()}});
     } else {
-        logEvent(Severity::Warning, "manifest_missing",
-                {{"version", version.number}, {"error", manifest.error().message},
-                        {"remedy", "the manifest is requested again until a source answers"}});
+        ManifestSearch &search = m_manifestSearches[version];
+        constexpr std::uint32_t MaxDoublings = 4;
+        const auto interval = MinManifestInterval * (1U << std::min(search.failures, MaxDoublings));
+        search.nextAt = TimePoint::clock::now() + std::min(interval, MaxManifestInterval);
+        // Logged once; transfer_begun is the end of the search.
+        if (search.failures++ == 0) {
+            logEvent(Severity::Warning, "manifest_missing",
+                    {{"version", version.number}, {"error", manifest.error().message},
+                            {"remedy", "the manifest is requested again until a source answers"}});
+        }
     }
     m_opening.erase(version);
     co_return transfer;
@@ -390,9 +493,14 @@
 void WeightsUpdater::evictOldTransfers()
 {
     while (m_transfers.size() > MaxKeptVersions) {
-        m_sentHoldings.erase(m_transfers.begin()->first);
+        m_holdings.forget(m_transfers.begin()->first);
+        m_sourcesInputs.erase(m_transfers.begin()->first);
         m_transfers.erase(m_transfers.begin());
     }
+    const auto isOld
+            = [this](const auto &entry) { return entry.first < m_transfers.begin()->first; };
+    std::erase_if(m_manifestSearches, isOld);
+    std::erase_if(m_doubted, isOld);
 }
 
 void WeightsUpdater::beginFetches(const Transfer &transfer)
@@ -431,24 +539,33 @@
     }
     m_hasOriginFailed = m_hasOriginFailed || (fetch.source.isOrigin() && !response);
     const std::size_t size = bytes.size();
+    const FetchEnd final = store(transfer, fetch, end, std::move(bytes));
     const TimePoint now = TimePoint::clock::now();
-    const FetchEnd final = transfer->onEnd(fetch, end, std::move(bytes), now);
-    if (final == FetchEnd::Stored)
-        m_exchange.onPieceStored();
     if (final != FetchEnd::Absent) {
         logEvent(final == FetchEnd::Stored ? Severity::Debug : Severity::Warning, "piece_fetched",
                 {{"version", version.number}, {"piece", fetch.piece},
                         {"source", fetch.source.isOrigin() ? "origin" : fetch.source.host},
-                        {"end", toString(final)}, {"bytes", size},
+                        {"end", distribution::toString(final)}, {"bytes", size},
                         {"ms", std::chrono::duration_cast<milliseconds>(now - startedAt).count()},
                         {"reason", response ? "" : response.error().message}});
     }
-    if (transfer->isComplete() && final == FetchEnd::Stored) {
+    if (final == FetchEnd::Stored || final == FetchEnd::Absent)
+        continueFetches(transfer);
+}
+
+FetchEnd WeightsUpdater::store(
+        const Transfer &transfer, const PieceFetch &fetch, FetchEnd end, std::string bytes)
+{
+    const FetchEnd final = transfer->onEnd(fetch, end, std::move(bytes), TimePoint::clock::now());
+    if (final != FetchEnd::Stored)
+        return final;
+    m_exchange.onPieceStored();
+    if (transfer->isComplete()) {
         logEvent(Severity::Info, "transfer_complete",
-                {{"version", version.number}, {"pieces", transfer->heldCount()}});
+                {{"version", transfer->manifest().version.number},
+                        {"pieces", transfer->heldCount()}});
     }
-    if (final == FetchEnd::Stored || final == FetchEnd::Absent)
-        beginFetches(transfer);
+    return final;
 }
 
 } // namespace oriolerill::relayagent::internal
--- a/src/relayagent/internal/weightsupdater.h
+++ b/src/relayagent/internal/weightsupdater.h
@@ -8,8 +8,10 @@
 #include "relayagent/internal/engineclient.h"
 #include "relayagent/internal/engineswitcher.h"
 #include "relayagent/internal/fleetview.h"
+#include "relayagent/internal/holdingsexchange.h"
 #include "relayagent/internal/loadreporter.h"
 #include "relayagent/internal/manifestfinder.h"
+#include "relayagent/internal/originreader.h"
 #include "relayagent/internal/peerexchange.h"
 #include "rollout/fetchrotation.h"
 #include "rollout/pushplan.h"
@@ -47,17 +49,17 @@
 private:
     using Version = distribution::WeightsVersion;
     using Transfer = PeerExchange::Transfer;
-    /// State of a transfer that was last sent to peers.
-    struct SentHoldings
+    /// Attempts to get the manifest of a version.
+    struct ManifestSearch
     {
-        std::size_t held = 0;
-        std::size_t waiting = 0;
-        domain::TimePoint at;
+        domain::TimePoint nextAt;
+        std::uint32_t failures = 0;
     };
 
     PeerExchange::Transfers transfers();
     boost::asio::awaitable<Transfer> openForPeer(Version version);
     void onHoldings(const std::string &host, const protocol::PieceHoldings &message);
+    Transfer findTransfer(const std::string &model, std::uint64_t version) const;
     void sendHoldings();
     boost::asio::awaitable<void> step();
     boost::asio::awaitable<bool> refreshConfig();
@@ -67,7 +69,18 @@
     rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer);
     std::uint64_t servedVersion() const;
     boost::asio::awaitable<Transfer> transferOf(Version version);
+    /// The transfer, without waiting for its manifest; null until that is found.
+    Transfer openTransfer(const Version &version);
+    boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> findManifest(
+            const Version &version);
+    /// Fetches the versions in this order from peers, and from the origin where this VM reads it.
+    void fetchInOrder(const std::vector<std::uint64_t> &order);
+    void setSources(const Version &version, const Transfer &transfer);
     void beginFetches(const Transfer &transfer);
+    /// Goes on with the fetches in progress after news about the pieces of a version.
+    void continueFetches(const Transfer &transfer);
+    distribution::FetchEnd store(const Transfer &transfer, const distribution::PieceFetch &fetch,
+            distribution::FetchEnd end, std::string bytes);
     boost::asio::awaitable<void> fetch(Transfer transfer, distribution::PieceFetch fetch);
     boost::asio::awaitable<void> wait(domain::Duration duration);
     void evictOldTransfers();
@@ -85,15 +98,26 @@
     transport::HttpClient m_originClient;
     ManifestFinder m_manifests;
     EngineSwitcher m_switcher;
+    HoldingsExchange m_holdings;
+    OriginReader m_origin;
 
     /// Earliest known time at which each version was named, including models of other services.
     std::map<Version, domain::TimePoint> m_namedAt;
     std::map<Version, Transfer> m_transfers;
-    std::map<Version, SentHoldings> m_sentHoldings;
-    /// Transfer and generation of the member list for which the sources were planned.
-    Transfer m_plannedTransfer;
-    std::uint64_t m_plannedGeneration = 0;
+    /// Transfers whose manifest is fetched again.
+    std::map<Version, Transfer> m_doubted;
+    /// For which the sources of each transfer were set.
+    struct SourcesInput
+    {
+        std::uint64_t generation = 0;
+        std::shared_ptr<const distribution::OriginPlan> origin;
+        friend bool operator==(const SourcesInput &, const SourcesInput &) = default;
+    };
+    std::map<Version, SourcesInput> m_sourcesInputs;
+    /// Versions in the order in which they are fetched.
+    std::vector<std::uint64_t> m_fetchOrder;
     std::set<Version> m_opening;
+    std::map<Version, ManifestSearch> m_manifestSearches;
     domain::TimePoint m_configReadAt;
     bool m_hasOriginFailed = false;
     /// When service facts were last received from an entry.
--- a/src/relayagent/tests/agentfleet.h
+++ b/src/relayagent/tests/agentfleet.h
@@ -23,6 +23,8 @@
     platform::StandInWeights weights;
     double linkMbps = 200;
     double originMbps = 200;
+    /// Whether the configuration states the rate of the origin and the size of a piece.
+    bool isOriginStated = false;
     domain::Duration bound = std::chrono::milliseconds(1500);
     /// First of the ports that this fleet uses; fleets that run at the same time need other ports.
     std::uint16_t firstPort = 21300;
@@ -53,7 +55,9 @@
         , origin(context, originAddress(), m_options.weights, bytesPerSecond(m_options.originMbps))
     {
         store.put("configuration/main",
-                platform::configObject("s", m_options.weights, originAddress().toString()));
+                platform::configObject("s", m_options.weights, originAddress().toString(),
+                        m_options.isOriginStated ? std::optional(m_options.originMbps)
+                                                 : std::nullopt));
         for (std::size_t d = 0; d < m_options.dataCentres; ++d) {
             for (std::size_t i = 0; i < m_options.agentsPerDataCentre; ++i)
                 addAgent("dc" + std::to_string(d));
@@ -92,6 +96,11 @@
         facts.set_model(m_options.weights.model);
         facts.set_origin(otherOrigin.value_or(originAddress()).toString());
         facts.set_slots(16);
+        if (m_options.isOriginStated) {
+            facts.set_origin_mbps(m_options.originMbps);
+            facts.set_origin_max_connections(48);
+            facts.set_piece_bytes(m_options.weights.pieceSize);
+        }
         subscription.mutable_knowledge()->set_is_store_answering(named.has_value());
         if (named) {
             protocol::NamedWeights &weights = *subscription.mutable_knowledge()->add_named();
--- a/src/relayagent/tests/agentpushbench.cpp
+++ b/src/relayagent/tests/agentpushbench.cpp
@@ -67,6 +67,74 @@
     }
 }
 
+enum class Case { OneVersion, TwoVersions, Outage };
+
+/// The same with the rate of the origin stated, so that its pieces are read by lanes: one version,
+/// a second one named 0.8 s after it, or an origin that closes all connections from 0.6 to 6.6 s.
+/// The limit is the rest of the copies at the origin's rate after its return, and one copy at a
+/// VM's rate; docs/overload.md allows 1.25 of it, and 1.1 copies of each version.
+void pushByLanes(benchmark::State &state, Case pushCase)
+{
+    constexpr double VmMbps = 0.94;
+    constexpr double OriginMbps = 1.5;
+    constexpr double BytesPerMegabit = 1e6 / 8;
+    constexpr std::size_t DataCentres = 3;
+    for (auto _ : state) {
+        AgentFleetOptions options;
+        options.dataCentres = DataCentres;
+        options.agentsPerDataCentre = static_cast<std::size_t>(state.range(0)) / DataCentres;
+        options.weights.pieceSize = 4915;
+        options.linkMbps = VmMbps;
+        options.originMbps = OriginMbps;
+        options.isOriginStated = true;
+        options.bound = 8s;
+        options.firstPort = 21600;
+        AgentFleet fleet(options);
+        fleet.sendSubscription();
+        fleet.runUntil([] { return false; }, 500ms);
+        const double size = static_cast<double>(options.weights.pieces)
+                * static_cast<double>(options.weights.pieceSize);
+        auto startedAt = domain::TimePoint::clock::now();
+        double copies = 1;
+        std::uint64_t newest = 2;
+        fleet.nameVersion(newest);
+        if (pushCase == Case::TwoVersions) {
+            fleet.runUntil([] { return false; }, 800ms);
+            fleet.nameVersion(++newest);
+            copies = 2;
+        } else if (pushCase == Case::Outage) {
+            fleet.runUntil([] { return false; }, 600ms);
+            copies = std::max(0.0, 1 - fleet.origin.copies());
+            fleet.origin.isDown = true;
+            fleet.runUntil([] { return false; }, 6s);
+            fleet.origin.isDown = false;
+            startedAt = domain::TimePoint::clock::now();
+        }
+        const auto isHeld = [&] {
+            return std::all_of(fleet.agents.begin(), fleet.agents.end(), [&](const auto &agent) {
+                return agent.engine->version() == newest || agent.updater->isNewestComplete();
+            });
+        };
+        if (!fleet.runUntil(isHeld, 60s))
+            state.SkipWithError("the newest version is not held everywhere after 60 s");
+        const double held = seconds(domain::TimePoint::clock::now() - startedAt);
+        const double limit = copies * size / (OriginMbps * BytesPerMegabit)
+                + size / (VmMbps * BytesPerMegabit);
+        state.SetIterationTime(held);
+        state.counters["held_over_limit"] = held / limit;
+        state.counters["origin_copies"] = fleet.origin.copies() / static_cast<double>(newest - 1);
+        state.counters["wrong_loads"] = fleet.wrongLoads();
+    }
+}
+
+void lanesBenchmark(benchmark::internal::Benchmark *benchmark)
+{
+    benchmark->Arg(15)->Arg(51)->Iterations(1)->UseManualTime()->Unit(benchmark::kSecond);
+}
+
+BENCHMARK_CAPTURE(pushByLanes, oneVersion, Case::OneVersion)->Apply(lanesBenchmark);
+BENCHMARK_CAPTURE(pushByLanes, twoVersions, Case::TwoVersions)->Apply(lanesBenchmark);
+BENCHMARK_CAPTURE(pushByLanes, outage, Case::Outage)->Apply(lanesBenchmark);
 BENCHMARK(push)->Arg(15)->Arg(51)->Iterations(1)->UseManualTime()->Unit(benchmark::kSecond);
 
 } // namespace
--- a/src/rollout/internal/switchschedule.cpp
+++ b/src/rollout/internal/switchschedule.cpp
@@ -21,17 +21,23 @@
     const std::size_t group = std::min<std::size_t>(
             position * m_options.groupCount / std::max<std::size_t>(rank.size(), 1),
             m_options.groupCount - 1);
-    const double step = m_options.groupCount < 2
-            ? 0
-            : (m_options.lastShare - m_options.firstShare) / (m_options.groupCount - 1);
-    const double share = m_options.firstShare + step * static_cast<double>(group);
-    return namedAt + std::chrono::duration_cast<domain::Duration>(m_options.bound * share);
+    const auto first
+            = std::chrono::duration_cast<domain::Duration>(m_options.bound * m_options.firstShare);
+    if (m_options.groupCount < 2)
+        return namedAt + first;
+    return namedAt + first + (lastSwitch() - first) * group / (m_options.groupCount - 1);
+}
+
+domain::Duration SwitchSchedule::lastSwitch() const
+{
+    return std::max(
+            std::chrono::duration_cast<domain::Duration>(m_options.bound * m_options.lastShare),
+            m_options.bound - m_options.lastLead);
 }
 
 domain::TimePoint SwitchSchedule::lastSwitchAt(domain::TimePoint namedAt) const
 {
-    return namedAt
-            + std::chrono::duration_cast<domain::Duration>(m_options.bound * m_options.lastShare);
+    return namedAt + lastSwitch();
 }
 
 } // namespace oriolerill::rollout
--- a/src/rollout/switchschedule.h
+++ b/src/rollout/switchschedule.h
@@ -20,6 +20,9 @@
     /// with older versions. An engine needs about 2 s, a quarter of the bound, to complete its
     /// running requests, so one group serves again when the next one begins.
     double lastShare = 0.78;
+    /// With a longer bound, the last group switches this long before it: entries stop sending
+    /// requests 1700 ms before the bound, however long it is.
+    domain::Duration lastLead = std::chrono::milliseconds(1760);
     domain::Duration bound = std::chrono::milliseconds(8000);
 };
 
@@ -42,6 +45,8 @@
     domain::TimePoint boundAt(domain::TimePoint namedAt) const { return namedAt + m_options.bound; }
 
 private:
+    domain::Duration lastSwitch() const;
+
     SwitchScheduleOptions m_options;
 };
 
--- a/src/routing/servingconfig.h
+++ b/src/routing/servingconfig.h
@@ -94,6 +94,10 @@
     std::vector<domain::ModelId> models;
     /// Address from which weights are fetched; set only for the service that distributes them.
     std::optional<domain::SocketAddress> origin;
+    /// Rate of the origin's link in megabits a second; zero when it is not stated.
+    double originMbps = 0;
+    /// Bytes of a piece of the weights that the engines of this service load; zero when not stated.
+    std::uint64_t pieceBytes = 0;
 };
 
 struct CallerAccount
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -43,6 +43,9 @@
     domain::Bytes receiveBuffer;
     /// Maximum size of a response body that send() buffers.
     domain::Bytes maxBody = domain::Bytes(16U << 20U);
+    /// A connection that is not established within this time fails; zero for the deadlines of
+    /// calls.
+    std::chrono::milliseconds connectTimeout{0};
     /// A connection fails when its peer has acknowledged neither data nor keep-alive probes for
     /// this long; with zero only the deadlines of calls apply.
     std::chrono::milliseconds peerAckTimeout{0};
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -259,12 +259,16 @@
         std::unique_ptr<Connection> connection, SocketAddress peer, HttpRequest request,
         TimePoint deadline, bool *hasSent)
 {
-    connection->stream.expires_at(deadline);
     if (!connection->isReused) {
+        const TimePoint connectDeadline = m_options.connectTimeout.count() > 0
+                ? std::min(deadline, TimePoint::clock::now() + m_options.connectTimeout)
+                : deadline;
+        connection->stream.expires_at(connectDeadline);
         const beast::error_code code = co_await connect(*connection, peer);
         if (code)
             co_return failure(peer, "connecting to", code);
     }
+    connection->stream.expires_at(deadline);
     const http::request<http::string_body> message = toBeast(peer, std::move(request));
     if (hasSent != nullptr)
         *hasSent = true;
