Let endpoints that have started or recovered take load step by step

Every entry saw the free slots of a new engine at once and filled them between two reports. StartPace limits the occupancy that an entry accepts there (from the level of the cold rate, doubling in 300 ms of reports with free slots, halved by late answers, refusals and failures), and divides the cold allowance into turns by rank. [routing] start_pace = off restores the former behaviour. Without turns, 40 entries that had no requests for 4 s sent 40 in one second to a cold endpoint, where 27.5 are allowed (hasTurn_fortyEntries_boundKeptInEachSecondAndUsed).

--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -74,6 +74,8 @@
         metrics.set("oriolerill_relay_weights_named_seconds", age,
                 {{"model", model}, {"version", std::to_string(named.version)}});
     }
+    metrics.set("oriolerill_relay_slow_starts",
+            static_cast<double>(dispatcher.startPace().slowStarts(now)));
 }
 
 asio::awaitable<void> RelayContext::withdrawOverdueAttempts()
@@ -86,6 +88,11 @@
         applySuspension(now);
         unstarted->withdrawOverdue(dispatcher.weights(), now);
         withdrawnQueues.logDue(dispatcher, now);
+        for (const routing::StartPaceEvent &event : dispatcher.startPace().takeEvents()) {
+            observability::logEvent(observability::Severity::Info, "start_pace",
+                    {{"endpoint", event.endpoint.value()}, {"level", event.level},
+                            {"reason", event.reason}});
+        }
     }
 }
 
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -52,6 +52,7 @@
     options.retryWindowSeconds = settings.retryWindowSeconds;
     options.coldOverage = settings.coldOverage;
     options.coldSlack = settings.coldSlack;
+    options.startPace.isEnabled = settings.isStartPaced;
     options.weights.bound = settings.weightsBound;
     options.weights.startedAt = TimePoint::clock::now();
     options.crashes.startedAt = options.weights.startedAt;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -12,6 +12,7 @@
 #include "routing/publishedwithdrawals.h"
 #include "routing/retrybudget.h"
 #include "routing/servingconfig.h"
+#include "routing/startpace.h"
 #include "routing/weightsrequirement.h"
 #include "routing/workingset.h"
 
@@ -50,6 +51,8 @@
     /// after the report on which a choice is based.
     domain::Duration queueGrowth = std::chrono::milliseconds(1000);
     ColdAllowanceOptions cold;
+    /// Its share and window of the cold bound are those of the allowance.
+    StartPaceOptions startPace;
     EndpointLimitsOptions limits;
     CrashAttributionOptions crashes;
     EndpointLoadOptions load;
@@ -176,6 +179,7 @@
     const EndpointLimits &limits() const { return m_limits; }
     CrashAttribution &crashes() { return m_crashes; }
     const CrashAttribution &crashes() const { return m_crashes; }
+    StartPace &startPace() { return m_startPace; }
     PublishedWithdrawals &publishedWithdrawals() { return m_publishedWithdrawals; }
     WeightsRequirement &weights() { return m_weights; }
     const WeightsRequirement &weights() const { return m_weights; }
@@ -230,6 +234,8 @@
         /// Endpoints with a recent failure or refusal, a pending weights switch, or reports that
         /// have stopped.
         std::vector<PlacementCandidate> fallback;
+        /// Endpoints in slow start that take no more at present unless no other one can.
+        std::vector<PlacementCandidate> paced;
         std::map<domain::EndpointId, std::optional<std::uint64_t>> versions;
         /// Oldest version of the weights that the request may begin on.
         std::uint64_t requiredWeights = 0;
@@ -254,6 +260,9 @@
             const DispatchQuery &query, domain::TimePoint now, Candidates &candidates);
     Candidates candidatesFor(
             const ServiceSpec &service, const DispatchQuery &query, domain::TimePoint now);
+    /// Makes endpoints in slow start usable where all others would keep the request waiting too
+    /// long.
+    void addPaced(const ServiceSpec &service, domain::TimePoint now, Candidates &candidates);
     using AddressIndex = std::map<domain::SocketAddress, std::vector<domain::EndpointId>>;
 
     /// Endpoints by address; an index, because each engine is reported ten times a second.
@@ -263,6 +272,8 @@
     bool mayTake(const ListedEndpoint &endpoint, const DispatchQuery &query) const;
     bool isCold(const ListedEndpoint &endpoint, const ServiceSpec &service,
             domain::TimePoint now) const;
+    bool hasColdRoom(
+            const ListedEndpoint &endpoint, const ServiceSpec &service, domain::TimePoint now);
     std::optional<std::uint64_t> weightsOf(const ListedEndpoint &endpoint,
             const domain::ModelId &model, domain::TimePoint now) const;
     double expectedStartMs(const ListedEndpoint &endpoint, const ServiceSpec &service,
@@ -296,6 +307,7 @@
     WeightsRequirement m_weights;
     BoundedStarts m_starts;
     ColdAllowance m_cold;
+    StartPace m_startPace;
     EndpointLimits m_limits;
     CrashAttribution m_crashes;
     Placement m_placement;
--- a/src/routing/endpointload.h
+++ b/src/routing/endpointload.h
@@ -96,6 +96,17 @@
     /// Requests that wait in the engine's queue; none without a fresh report.
     std::optional<std::uint32_t> reportedWaiting(domain::TimePoint now) const;
     std::uint32_t inFlight() const { return m_inFlight; }
+    /// Own requests that the newest report may not include.
+    std::uint64_t sentSinceReport() const { return m_sent.size(); }
+    /// Failures since the last success.
+    std::uint32_t failures() const { return m_failures; }
+    /// Failures and refusals since the endpoint is known.
+    std::uint64_t troubles() const { return m_troubles; }
+    /// The newest report; null unless it is fresh.
+    const EngineReport *freshReport(domain::TimePoint now) const
+    {
+        return hasFreshReport(now) ? &m_report : nullptr;
+    }
     /// Requests sent since the last call.
     std::uint64_t takeSentCount() { return std::exchange(m_sentCount, 0); }
     /// Number of requests that run or wait at the endpoint, as known to this entry.
@@ -127,6 +138,7 @@
     domain::TimePoint m_reportedAt;
     domain::TimePoint m_answeredAt;
     std::uint32_t m_failures = 0;
+    std::uint64_t m_troubles = 0;
     double m_failedShare = 0;
     /// Moving average of the stated values, the newest of which weighs most.
     double m_slowness = 1;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -24,6 +24,14 @@
     return starts;
 }
 
+StartPaceOptions startPaceOptions(const DispatcherOptions &options)
+{
+    StartPaceOptions startPace = options.startPace;
+    startPace.usedShare = options.cold.usedShare;
+    startPace.window = options.cold.window;
+    return startPace;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options)
@@ -32,6 +40,7 @@
     , m_weights(m_options.weights)
     , m_starts(startsOptions(m_options))
     , m_cold(m_options.cold)
+    , m_startPace(startPaceOptions(m_options))
     , m_limits(m_options.limits)
     , m_crashes(m_options.crashes)
     , m_placement(m_options.placement)
@@ -128,6 +137,7 @@
             continue;
         report.endpoint = id;
         load(id).onReport(report, now);
+        m_startPace.update(id, load(id), now);
     }
 }
 
@@ -356,11 +366,10 @@
         }
         return;
     }
-    const double coldBound = service.coldPerSecond * m_options.coldOverage + m_options.coldSlack;
-    if (isCold(endpoint, service, now)
-            && !m_cold.hasRoom(endpoint.id, endpoint.coldUntil, coldBound, m_share, now))
-        return;
     const EndpointLoad &known = load(endpoint.id);
+    m_startPace.update(endpoint.id, known, now);
+    if (isCold(endpoint, service, now) && !hasColdRoom(endpoint, service, now))
+        return;
     const PlacementCandidate candidate{endpoint.id,
             expectedStartMs(endpoint, service, *query.request, now),
             endpoint.dataCentre == m_options.dataCentre};
@@ -379,6 +388,8 @@
     const bool isSuspect = isUnresponsive || (isRepeated && known.hasFailedSinceSuccess());
     if (known.isAwaitingRetry(now) || known.isSwitching(now) || isSuspect)
         candidates.fallback.push_back(candidate);
+    else if (m_startPace.isAtLimit(endpoint.id, known, m_share, now))
+        candidates.paced.push_back(candidate);
     else
         candidates.usable.push_back(candidate);
 }
@@ -395,16 +406,50 @@
                 evaluate(*endpoint, service, query, now, candidates);
         }
     }
-    if (!candidates.usable.empty())
+    if (!candidates.usable.empty()) {
+        addPaced(service, now, candidates);
         return candidates;
+    }
     // No engine of the working set is usable: all endpoints are evaluated.
     candidates = {};
     candidates.requiredWeights = required;
     for (const auto &[id, endpoint] : m_endpoints.endpoints())
         evaluate(endpoint, service, query, now, candidates);
+    addPaced(service, now, candidates);
     return candidates;
 }
 
+void Dispatcher::addPaced(const ServiceSpec &service, domain::TimePoint now, Candidates &candidates)
+{
+    if (candidates.paced.empty())
+        return;
+    const double maxMs = maxWaitMs(service.id);
+    const auto isInTime = [&](const PlacementCandidate &candidate) {
+        return !service.engine
+                || load(candidate.endpoint).expectedWaitMs(*service.engine, now) <= maxMs;
+    };
+    auto &usable = candidates.usable;
+    if (std::any_of(usable.begin(), usable.end(), isInTime))
+        return;
+    if (std::any_of(candidates.paced.begin(), candidates.paced.end(), isInTime)) {
+        std::erase_if(candidates.paced, [&](const auto &paced) { return !isInTime(paced); });
+        usable.swap(candidates.paced);
+    } else {
+        usable.insert(usable.end(), candidates.paced.begin(), candidates.paced.end());
+    }
+}
+
+/// The allowance is asked first: both count from the first request for the endpoint.
+bool Dispatcher::hasColdRoom(
+        const ListedEndpoint &endpoint, const ServiceSpec &service, domain::TimePoint now)
+{
+    const double bound = service.coldPerSecond * m_options.coldOverage + m_options.coldSlack;
+    const domain::TimePoint until = endpoint.coldUntil;
+    const double reduced = m_startPace.coldBound(endpoint.id, bound, m_share, until, now);
+    return m_cold.hasRoom(endpoint.id, until, reduced, m_share, now)
+            && m_startPace.hasTurn(endpoint.id, bound, m_share, until, now);
+}
+
 std::size_t Dispatcher::listedCount(const domain::ServiceId &service) const
 {
     const auto &endpoints = m_endpoints.endpoints();
@@ -415,6 +460,8 @@
 DispatchDecision Dispatcher::choose(const DispatchQuery &query, domain::TimePoint now)
 {
     m_endpoints.expire(now);
+    if (m_config)
+        m_startPace.onList(m_endpoints, *m_config, now);
     const std::uint64_t required = m_weights.requiredVersion(query.request->model, now);
     const TraitsDecision traits = m_crashes.decide(query.request->traits, required, now);
     if (const auto *unusable = std::get_if<TraitsUnusable>(&traits))
@@ -515,8 +562,10 @@
 void Dispatcher::onSent(const Dispatch &dispatch, domain::TimePoint now)
 {
     load(dispatch.endpoint).onSent(now);
-    if (dispatch.isCold)
+    if (dispatch.isCold) {
         m_cold.onSent(dispatch.endpoint, now);
+        m_startPace.onColdSent(dispatch.endpoint);
+    }
     if (dispatch.servedWeights > 0) {
         m_starts.onSent({dispatch.endpoint, dispatch.dataCentre}, now,
                 now + fromMs(dispatch.expectedStartMs));
@@ -527,6 +576,7 @@
         const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now)
 {
     load(dispatch.endpoint).onAnswerBegun(now);
+    m_startPace.onAnswerBegun(dispatch.endpoint, dispatch.expectedStartMs, sentAt, now);
     m_starts.onAnswered({dispatch.endpoint, dispatch.dataCentre}, sentAt);
 }
 
--- a/src/routing/internal/endpointload.cpp
+++ b/src/routing/internal/endpointload.cpp
@@ -73,6 +73,7 @@
 
 void EndpointLoad::onFailedAnswer()
 {
+    ++m_troubles;
     m_failedShare += (1 - m_failedShare) * m_options.failureWeight;
 }
 
@@ -81,6 +82,7 @@
     // A refusal means that all slots are taken. It is not a failure, but the next requests go
     // elsewhere until the endpoint has had time to complete one.
     constexpr auto RefusalDelay = std::chrono::milliseconds(50);
+    ++m_troubles;
     m_retryAt = std::max(m_retryAt, now + RefusalDelay);
 }
 
--- a/src/settings/fleetsettings.h
+++ b/src/settings/fleetsettings.h
@@ -35,6 +35,8 @@
     /// per second.
     double coldOverage = 1.5;
     double coldSlack = 5;
+    /// Slow start of endpoints that have started or recovered.
+    bool isStartPaced = true;
     domain::Duration weightsBound = std::chrono::milliseconds(8000);
     domain::Duration configBound = std::chrono::milliseconds(2000);
     domain::Duration drainBound = std::chrono::milliseconds(2000);
--- a/src/settings/internal/settingskeys.cpp
+++ b/src/settings/internal/settingskeys.cpp
@@ -186,6 +186,9 @@
             "time from the notice of a leaving endpoint until no request reaches it");
     keys.duration({"bounds", "contact_ms"}, settings.contactTime, DeadlineRange,
             "time from the end of an outage until this VM counts as being in touch");
+    keys.choice<bool>({"routing", "start_pace"}, settings.isStartPaced,
+            {{"on", true}, {"off", false}},
+            "slow start of endpoints that have started or recovered, where a cold rate is stated");
     keys.number({"shutdown", "stop_s"}, settings.stopSeconds, "s",
             "time from SIGTERM until the process is killed");
     keys.integer({"requests", "max_connections"}, settings.maxConnections, ConnectionRange,
