--- a/src/routing/tests/startpacetest.cpp
+++ b/src/routing/tests/startpacetest.cpp
@@ -69,13 +69,17 @@
         const ServingConfig config(1, {}, {service}, CallerLimits());
         std::vector<TimePoint> sent;
         for (std::size_t i = 0; i < Entries; ++i) {
-            seenAt[i] = start + Duration(random() % (seenWithin.count() + 1));
+            seenAt[i] = start + Duration(random() % (seenWithin.count() + 1))
+                    + (i >= Entries - 2 ? 3s : 0s);
             entries[i].first.onList(list, config, start);
         }
         for (TimePoint now = start; now < until; now += 5ms) {
             for (std::size_t i = 0; i < Entries; ++i) {
                 auto &[pace, allowance] = entries[i];
-                const EntryShare share{Entries, i};
+                // The last two entries start meanwhile and are counted a second later.
+                const bool hasJoined = i >= Entries - 2;
+                const std::size_t before = hasJoined ? 256 : Entries - 2;
+                const EntryShare share{now < start + 4s ? before : Entries, i};
                 const double bound = pace.coldBound(endpoint.id, Bound, share, until, now);
                 const bool isAllowed = now >= seenAt[i]
                         && allowance.hasRoom(endpoint.id, until, bound, share, now)
@@ -147,7 +151,14 @@
 // Guards against growth of the load of an endpoint that answers late, refuses or is slow.
 TEST_F(StartPaceFixture, limit_lateRefusedOrSlow_smallerOrUnchanged)
 {
-    addListed("new", 2, m_now);
+    addListed("new", 2, m_now + 1s);
+    const EntryShare few{4, 0};
+    EXPECT_EQ(m_pace.coldBound(m_new, Bound, few, m_now + 1s, m_now), Bound);
+    m_pace.onAnswerBegun(m_new, 50, m_now, m_now + 400ms);
+    EXPECT_EQ(m_pace.coldBound(m_new, Bound, few, m_now + 1s, m_now), Bound / 2);
+    m_pace.onAnswerBegun(m_new, 50, m_now + 400ms, m_now + 450ms);
+    EXPECT_EQ(m_pace.coldBound(m_new, Bound, few, m_now + 1s, m_now), Bound);
+    m_now += 1s;
     m_pace.onAnswerBegun(m_new, 50, m_now, m_now + 400ms);
     EXPECT_EQ(m_pace.limit(m_new), 3);
     m_now += 900ms;
