Treat an answer with an invalid status as lost

Boost's parser accepts statuses such as 000, 099 and 700. Those below 100 were skipped like an interim answer, larger ones were forwarded to the caller, their "not run" was believed, and their load, limits and notices were applied. transport::isValidStatus() is now the only rule (100 to 599). EndpointAttempt ends such an attempt as lost before it reads anything else of the head, HttpClient returns an error and closes the connection, and the entry checks the status that an agent states.

--- a/src/entry/internal/attemptclient.cpp
+++ b/src/entry/internal/attemptclient.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/internal/attemptconnection.h"
 #include "requests/answerchecksum.h"
+#include "transport/httpmessage.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -245,6 +246,14 @@
 {
     if (std::exchange(m_hasHead, true))
         co_return;
+    if (!transport::isValidStatus(head.status())) {
+        finish(protocol::OUTCOME_UNKNOWN,
+                Error{ErrorKind::Corrupted,
+                        "the endpoint answered with the invalid status "
+                                + std::to_string(head.status()),
+                        "send the request again only if it may run twice"});
+        co_return;
+    }
     if (!isContinuation(head)) {
         finish(protocol::OUTCOME_UNKNOWN,
                 Error{ErrorKind::Unavailable,
--- a/src/entry/tests/callerfronttest.cpp
+++ b/src/entry/tests/callerfronttest.cpp
@@ -461,6 +461,16 @@
     EXPECT_GE(m_recorder.m_lastFirstByte.load(), 200ms);
 }
 
+// Guards against an invalid status of an agent that is forwarded to the caller.
+TEST_F(CallerFrontFixture, handleCaller_invalidStatus_outcomeUnknown)
+{
+    addAgent("stock", [](auto running) { return answerError(running, 99, domain::Digest()); });
+    start();
+    const auto response = call("stock/orders", "POST");
+    EXPECT_EQ(outcome(*response), "unknown");
+    EXPECT_NE(response->body, "failure");
+}
+
 // Guards against forwarding a truncated answer as complete.
 TEST_F(CallerFrontFixture, handleCaller_answerTruncatedBeforeEnd_reattachedAndComplete)
 {
--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -4,6 +4,7 @@
 #include "platform/callercodec.h"
 #include "relay/internal/answernotices.h"
 #include "relay/internal/crashnotices.h"
+#include "transport/httpmessage.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -274,7 +275,13 @@
             co_return endForReadError(code);
         }
         m_connection->hasAnswerBegun = true;
-        if (m_parser->get().result_int() < 200)
+        const unsigned status = m_parser->get().result_int();
+        if (!transport::isValidStatus(status)) {
+            m_detail = "received the invalid status " + std::to_string(status);
+            co_return AttemptEnd::Lost;
+        }
+        constexpr unsigned FirstFinalStatus = 200;
+        if (status < FirstFinalStatus)
             continue;
         const routing::AnswerHead head = platform::readAnswerHead(m_parser->get());
         if (head.hasSecondHead) {
--- a/src/transport/httpmessage.h
+++ b/src/transport/httpmessage.h
@@ -30,6 +30,10 @@
     std::vector<HttpField> m_fields;
 };
 
+/// Whether HTTP has such a status, 100 to 599. An answer with any other is no response: nothing
+/// else in its head is used, and its connection carries no further request.
+bool isValidStatus(unsigned status);
+
 struct HttpRequest
 {
     std::string method = "GET";
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -288,7 +288,13 @@
                 connection->stream, connection->buffer, *parser, UseTuple);
         if (readCode)
             co_return failure(peer, "awaiting the answer of", readCode);
-        if (parser->get().result_int() >= FirstFinalStatus)
+        const unsigned status = parser->get().result_int();
+        if (!isValidStatus(status)) {
+            co_return Error{ErrorKind::Corrupted,
+                    peer.toString() + " answered with the invalid status " + std::to_string(status),
+                    "check the peer, and send the request again only if it may run twice"};
+        }
+        if (status >= FirstFinalStatus)
             break;
     }
     std::unique_ptr<HttpExchange> exchange = std::make_unique<PooledExchange<Implementation>>(
--- a/src/transport/internal/httpmessage.cpp
+++ b/src/transport/internal/httpmessage.cpp
@@ -34,4 +34,11 @@
     return value(name).value_or(std::string(fallback));
 }
 
+bool isValidStatus(unsigned status)
+{
+    constexpr unsigned FirstStatus = 100;
+    constexpr unsigned LastStatus = 599;
+    return status >= FirstStatus && status <= LastStatus;
+}
+
 } // namespace oriolerill::transport
