Read on from an endpoint while the caller of a stream is slow

Each batch of events was written to the caller before the next was read, so a slow caller stopped the reading, and the endpoint cut an answer that stayed unread. CallerWriter now hands events to the kernel without waiting and buffers what it does not accept; StreamBuffer bounds that to 64 KiB a stream and 8 MiB for all, and lowers the bound of a stream to a sixteenth of what is left, so that the streams that buffer most stop first. The entry stops reading at the bound. A caller that reads nothing for 10 s is disconnected and the attempt cancelled; a stream that ends with its connection is reset then, where it was closed like a complete one. Socket buffers to callers and endpoints are bounded to 32 KiB (the kernel doubles it). A request body whose endpoint answers before it has read all of it is no longer held until the deadline. New gauges oriolerill_relay_caller_stream_bytes and oriolerill_relay_streams_paused, counter oriolerill_relay_slow_callers_total, log line caller_slow.

--- a/src/domain/bytebudget.h
+++ b/src/domain/bytebudget.h
@@ -39,6 +39,8 @@
     /// Changes the share to this size. False, and unchanged, when that is too much beside all other
     /// shares.
     bool tryResize(Bytes size);
+    /// Changes the share to this size also beyond the limit, for bytes that are held already.
+    void resize(Bytes size);
 
 private:
     std::shared_ptr<ByteBudget> m_budget;
--- a/src/domain/internal/bytebudget.cpp
+++ b/src/domain/internal/bytebudget.cpp
@@ -18,6 +18,13 @@
     m_budget->m_held -= m_size.count();
 }
 
+void ByteShare::resize(Bytes size)
+{
+    // The difference wraps around where the size falls, and the sum wraps back.
+    m_budget->m_held += size.count() - m_size.count();
+    m_size = size;
+}
+
 bool ByteShare::tryResize(Bytes size)
 {
     if (size <= m_size) {
--- a/src/relay/internal/callerlistener.cpp
+++ b/src/relay/internal/callerlistener.cpp
@@ -1,6 +1,7 @@
 #include "relay/internal/callerlistener.h"
 
 #include "observability/log.h"
+#include "relay/internal/socketbuffers.h"
 #include "transport/unresponsivepeer.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -43,6 +44,8 @@
         m_acceptor.open(tcp::v4(), code);
     if (!code)
         m_acceptor.set_option(asio::socket_base::reuse_address(true), code);
+    if (!code)
+        boundSocketBuffers(m_acceptor);
     if (!code)
         m_acceptor.bind({host, address.port}, code);
     if (!code)
--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -4,6 +4,7 @@
 #include "platform/callercodec.h"
 #include "relay/internal/answernotices.h"
 #include "relay/internal/crashnotices.h"
+#include "relay/internal/streambuffer.h"
 #include "transport/httpmessage.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -39,7 +40,7 @@
 constexpr std::size_t MaxBufferedAnswerBytes = 16U << 20U;
 /// Limit of one event of a stream; an event is buffered until it is complete.
 constexpr std::size_t MaxEventBytes = 1U << 20U;
-constexpr std::size_t ReadSize = 16U << 10U;
+constexpr std::size_t ReadSize = StreamBuffer::MaxRead;
 /// A process that accepts no connection within this time may still run behind a slow link.
 constexpr auto CrashCheckTimeout = milliseconds(300);
 /// A late answer to an earlier request may arrive before the expected one.
@@ -474,6 +475,10 @@
                 : DefaultIdleTimeout;
         m_context.connections.returnToPool(dispatch().endpoint, m_connection, idle,
                 m_context.dispatcher.maxIdleConnections(m_choice.service), TimePoint::clock::now());
+    } else if (!*m_isWritten) {
+        // The endpoint has answered before it has read all of the request; the pending write would
+        // hold the body until the deadline.
+        m_connection->cancelRequest();
     }
     // Another request may use the connection from now on; a caller that disconnects during the
     // delivery must not close it.
--- a/src/relay/internal/endpointconnections.cpp
+++ b/src/relay/internal/endpointconnections.cpp
@@ -1,5 +1,6 @@
 #include "relay/internal/endpointconnections.h"
 
+#include "relay/internal/socketbuffers.h"
 #include "transport/unresponsivepeer.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -114,7 +115,10 @@
     ++m_connects;
     beast::error_code code;
     const tcp::endpoint target(asio::ip::make_address_v4(address.host, code), address.port);
+    if (!code)
+        connection.stream.socket().open(tcp::v4(), code);
     if (!code) {
+        boundSocketBuffers(connection.stream.socket());
         connection.stream.expires_at(deadline);
         std::tie(code) = co_await connection.stream.async_connect(target, UseTuple);
     }
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -30,6 +30,12 @@
 /// memory.
 constexpr domain::Bytes AlwaysAcceptedBody(16U << 10U);
 
+/// Bytes of streams that wait for slow callers: a fourteenth of the memory of the smallest entries,
+/// and the bound of 128 streams.
+constexpr domain::Bytes MaxTotalCallerStreams(8U << 20U);
+/// A caller that reads nothing for this long is disconnected.
+constexpr auto CallerWriteTimeout = std::chrono::seconds(10);
+
 /// State shared by the sessions of one entry. Not thread-safe.
 struct RelayContext
 {
@@ -43,6 +49,12 @@
     /// Memory for the bodies of all requests.
     std::shared_ptr<domain::ByteBudget> requestBodies
             = std::make_shared<domain::ByteBudget>(MaxTotalBodies, AlwaysAcceptedBody);
+    /// Memory for the bytes of streams that callers have not read yet; StreamBuffer keeps to it.
+    std::shared_ptr<domain::ByteBudget> callerStreams
+            = std::make_shared<domain::ByteBudget>(MaxTotalCallerStreams, domain::Bytes(0));
+    domain::Duration callerWriteTimeout = CallerWriteTimeout;
+    /// Streams that are not read, because their callers are slow and their buffers full.
+    std::size_t pausedStreams = 0;
     /// Called when an answer states that its endpoint is leaving.
     std::function<void()> onLeaving;
     /// Called when an endpoint has raised its limit, or no longer states one.
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -159,6 +159,10 @@
                     static_cast<double>(m_relay.requestsInFlight.size()));
             m_metrics.set("oriolerill_relay_body_bytes",
                     static_cast<double>(m_relay.requestBodies->held().count()));
+            m_metrics.set("oriolerill_relay_caller_stream_bytes",
+                    static_cast<double>(m_relay.callerStreams->held().count()));
+            m_metrics.set(
+                    "oriolerill_relay_streams_paused", static_cast<double>(m_relay.pausedStreams));
             m_metrics.set("oriolerill_relay_store_calls", static_cast<double>(m_store.callCount()));
             m_metrics.set("oriolerill_relay_endpoint_connects",
                     static_cast<double>(m_connections.connectCount()));
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -35,8 +35,6 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-/// A caller that reads nothing for this long is disconnected.
-constexpr auto CallerWriteTimeout = std::chrono::seconds(10);
 /// After this long without an answer from the store, an unknown route or key may have been added
 /// since: it is refused with 503 instead of 404 or 401.
 constexpr auto MaxStoreAnswerAge = milliseconds(1500);
@@ -63,7 +61,13 @@
     , m_isKeptAlive(m_request.keep_alive())
     , m_silenceTimer(caller.get_executor())
     , m_successorTimer(caller.get_executor())
-{}
+    , m_writer(context, caller)
+{
+    m_writer.setFailureHandler([this] {
+        m_isCallerDisconnected = true;
+        cancelAttempts(AttemptEnd::CallerDisconnected);
+    });
+}
 
 std::optional<LocalAnswer> RequestRun::resolve()
 {
@@ -140,14 +144,21 @@
         m_context.requestsInFlight.erase(this);
     };
     bool isOpen = false;
+    std::exception_ptr error;
     try {
         isOpen = co_await answerOrServe();
     } catch (...) {
-        // The session logs the error.
-        end();
-        throw;
+        error = std::current_exception();
     }
     end();
+    if (m_isCallerDisconnected && m_stream && !isChunked()) {
+        resetOnClose();
+        m_caller.close();
+    }
+    co_await m_writer.stop();
+    // The session logs the error.
+    if (error)
+        std::rethrow_exception(error);
     co_return isOpen;
 }
 
@@ -213,6 +224,7 @@
         }
     }
     if (m_stream) {
+        co_await drain();
         // Closed before the last chunk, so that the caller does not take the answer as complete.
         logEnd("stream_cut", 200);
         resetOnClose();
@@ -267,6 +279,7 @@
         successor->cancel(as);
     if (m_winner)
         m_winner->cancel(as);
+    m_writer.wake();
 }
 
 void RequestRun::resetOnClose()
@@ -568,15 +581,21 @@
             cancelSuccessors();
         }
         if (!read.events.empty()) {
-            if (!co_await sendEvents(std::move(read.events)))
+            if (!sendEvents(read.events))
                 co_return AttemptEnd::CallerDisconnected;
         }
         if (read.end)
             co_return *read.end;
         if (read.isLast) {
+            // The endpoint has done its part, however slowly the caller reads the rest.
+            if (m_writer.isWriting())
+                m_current->finish(AttemptEnd::Delivered);
             const bool isSent = co_await finishStream();
             co_return isSent ? AttemptEnd::Delivered : AttemptEnd::CallerDisconnected;
         }
+        // The endpoint's silence counts from the end of the pause, which is no fault of its own.
+        if (!m_writer.hasRoom())
+            co_await awaitRoom();
         searchSuccessorAt(m_state->policy->nextEventDeadline(TimePoint::clock::now()));
         read = co_await m_current->readEvents();
         // What the attempt has sent since is part of its successor's answer.
@@ -607,7 +626,7 @@
     message.body() = std::move(m_buffered->answer().body);
     if (!m_state->isHeadRequest)
         message.prepare_payload();
-    m_caller.expires_after(CallerWriteTimeout);
+    m_caller.expires_after(m_context.callerWriteTimeout);
     auto [code, size] = co_await http::async_write(m_caller, message, UseTuple);
     co_return !code;
 }
@@ -623,23 +642,33 @@
     if (isChunked())
         message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
-    m_caller.expires_after(CallerWriteTimeout);
+    m_writer.setCloseDelimited(!isChunked());
+    m_caller.expires_after(m_context.callerWriteTimeout);
     auto [code, size] = co_await http::async_write_header(m_caller, serializer, UseTuple);
     co_return !code;
 }
 
-asio::awaitable<bool> RequestRun::sendEvents(std::string events)
+bool RequestRun::sendEvents(const std::string &events)
 {
-    m_caller.expires_after(CallerWriteTimeout);
     const asio::const_buffer bytes(events.data(), events.size());
-    beast::error_code code;
-    std::size_t size = 0;
-    if (isChunked())
-        std::tie(code, size)
-                = co_await asio::async_write(m_caller, http::make_chunk(bytes), UseTuple);
-    else
-        std::tie(code, size) = co_await asio::async_write(m_caller, bytes, UseTuple);
-    co_return !code;
+    return isChunked() ? m_writer.write(http::make_chunk(bytes)) : m_writer.write(bytes);
+}
+
+asio::awaitable<void> RequestRun::awaitRoom()
+{
+    if (!std::exchange(m_wasPaused, true)) {
+        m_context.metrics.increment("oriolerill_relay_slow_callers_total");
+        logEvent(Severity::Info, "caller_slow",
+                {{"request", m_callerRequest.id.value()},
+                        {"endpoint", m_current->dispatch().endpoint.value()},
+                        {"events", m_current->events().eventCount()},
+                        {"buffered", m_context.callerStreams->held().count()}});
+    }
+    ++m_context.pausedStreams;
+    while (!m_writer.hasRoom() && m_writer.isWriting() && !m_isCallerDisconnected
+            && !m_current->isCancelled())
+        co_await m_writer.awaitProgress();
+    --m_context.pausedStreams;
 }
 
 bool RequestRun::isChunked() const
@@ -650,11 +679,16 @@
 
 asio::awaitable<bool> RequestRun::finishStream()
 {
-    if (!isChunked())
-        co_return true;
-    m_caller.expires_after(CallerWriteTimeout);
-    auto [code, size] = co_await asio::async_write(m_caller, http::make_chunk_last(), UseTuple);
-    co_return !code;
+    if (isChunked() && !m_writer.write(http::make_chunk_last()))
+        co_return false;
+    co_return co_await drain();
+}
+
+asio::awaitable<bool> RequestRun::drain()
+{
+    while (m_writer.isWriting() && !m_isCallerDisconnected)
+        co_await m_writer.awaitProgress();
+    co_return !m_isCallerDisconnected;
 }
 
 bool RequestRun::isUnsent() const
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/internal/callerwriter.h"
 #include "relay/internal/endpointattempt.h"
 #include "relay/internal/localanswer.h"
 
@@ -85,8 +86,14 @@
     bool isChunked() const;
     /// Sends the head of the stream to the caller.
     boost::asio::awaitable<bool> beginStream(const EndpointAnswer &answer);
-    boost::asio::awaitable<bool> sendEvents(std::string events);
+    /// Sends or buffers events; false when the caller has disconnected.
+    bool sendEvents(const std::string &events);
+    /// Waits while the stream is not to be read, because its caller has not read enough.
+    boost::asio::awaitable<void> awaitRoom();
+    /// Ends the stream; true when all of it was sent.
     boost::asio::awaitable<bool> finishStream();
+    /// Waits until all buffered bytes were sent; false when the caller has disconnected.
+    boost::asio::awaitable<bool> drain();
     LocalAnswer failureAnswer(AttemptEnd end) const;
     LocalAnswer refusalAnswer(const routing::Refusal &refusal);
     LocalAnswer overdueAnswer();
@@ -122,6 +129,8 @@
     bool m_hasUnusedRetry = false;
     bool m_isOver = false;
     bool m_isCallerDisconnected = false;
+    CallerWriter m_writer;
+    bool m_wasPaused = false;
     /// The stream whose head and first events were sent to the caller. Other endpoints may continue
     /// it.
     std::optional<EndpointAnswer> m_stream;
