--- a/src/domain/tests/bytebudgettest.cpp
+++ b/src/domain/tests/bytebudgettest.cpp
@@ -67,4 +67,17 @@
     EXPECT_EQ(m_budget->held(), Bytes(0));
 }
 
+// Guards against bytes that are held beyond the limit and not counted, or not returned.
+TEST_F(ByteBudgetFixture, resize_beyondLimitAndBack_counted)
+{
+    ByteShare share(m_budget);
+    ByteShare other(m_budget);
+    share.resize(Bytes(1500));
+    EXPECT_EQ(m_budget->held(), Bytes(1500));
+    EXPECT_FALSE(other.tryResize(Bytes(11)));
+    share.resize(Bytes(200));
+    EXPECT_EQ(m_budget->held(), Bytes(200));
+    EXPECT_TRUE(other.tryResize(Bytes(800)));
+}
+
 } // namespace oriolerill::domain
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -159,6 +159,8 @@
                     static_cast<double>(m_relay.requestsInFlight.size()));
             m_metrics.set("oriolerill_relay_body_bytes",
                     static_cast<double>(m_relay.requestBodies->held().count()));
+            m_metrics.set("oriolerill_relay_answer_bytes",
+                    static_cast<double>(m_relay.bufferedAnswers->held().count()));
             m_metrics.set("oriolerill_relay_caller_stream_bytes",
                     static_cast<double>(m_relay.callerStreams->held().count()));
             m_metrics.set(
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace oriolerill::relay::internal {
 
@@ -626,8 +627,14 @@
     message.body() = std::move(m_buffered->answer().body);
     if (!m_state->isHeadRequest)
         message.prepare_payload();
-    m_caller.expires_after(m_context.callerWriteTimeout);
-    auto [code, size] = co_await http::async_write(m_caller, message, UseTuple);
+    http::response_serializer<http::string_body> serializer(message);
+    beast::error_code code;
+    while (!code && !serializer.is_done()) {
+        // A long answer may take longer, as long as the caller reads.
+        m_caller.expires_after(m_context.callerWriteTimeout);
+        std::tie(code, std::ignore)
+                = co_await http::async_write_some(m_caller, serializer, UseTuple);
+    }
     co_return !code;
 }
 
--- a/src/relay/tests/slowreadertest.cpp
+++ b/src/relay/tests/slowreadertest.cpp
@@ -196,6 +196,32 @@
     EXPECT_EQ(*m_cuts, 2);
 }
 
+// Regression: all of an answer other than a stream had to be written within the time in which a
+// caller has to read anything, so a long one was cut although its caller read steadily.
+TEST_F(SlowReaderFixture, serve_plainAnswerReadSlowly_whole)
+{
+    m_relay.callerWriteTimeout = 400ms;
+    const std::string body(200'000, 'x');
+    addEndpoint([body](Socket &socket, const std::string &) {
+        write(socket, answer("a1", body));
+        return true;
+    });
+    start();
+    boost::asio::ip::tcp::socket socket(m_callerContext);
+    socket.open(boost::asio::ip::tcp::v4());
+    internal::boundSocketBuffers(socket, SocketBytes);
+    socket.connect(m_acceptor.local_endpoint());
+    write(socket, request("GET", "/read/1", Close));
+    std::string received;
+    boost::system::error_code code;
+    while (!code) {
+        char bytes[4000];
+        received.append(bytes, socket.read_some(boost::asio::buffer(bytes), code));
+        std::this_thread::sleep_for(20ms);
+    }
+    EXPECT_TRUE(received.ends_with("\r\n\r\n" + body)) << received.size();
+}
+
 // Guards against an answer without chunks that looks complete to a caller that was disconnected
 // while a part of it was buffered.
 TEST_F(SlowReaderFixture, serve_unchunkedAndReadsNothing_connectionReset)
