Serve more urgent routes and accounts first where slots are scarce

Cause: one wait limit for a whole service refused all its routes alike in an overload of the least urgent one. Change: per service with unequal ranks, an admission level that follows the expected wait, urgency sent to engines, fair shares of accounts under contention, and Retry-After from a forecast of free slots.

--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -156,6 +156,7 @@
     head.timeLeft = std::max(std::chrono::duration_cast<milliseconds>(timeLeft), milliseconds(1));
     head.account = m_request->account;
     head.weightsVersion = dispatch().weightsVersion;
+    head.urgency = dispatch().urgency;
     if (m_delivered && !m_events.lastEventId().empty())
         head.lastEventId = m_events.lastEventId();
     const HeldRequest::Message &message = m_request->held->message;
--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -167,6 +167,7 @@
 {
     m_context.dispatcher.onRequest(m_query.service, m_state->arrivedAt);
     AttemptEnd last = AttemptEnd::NotSent;
+    bool isReturn = false;
     for (;;) {
         const TimePoint now = TimePoint::clock::now();
         if (m_state->isPastDeadline()) {
@@ -190,6 +191,7 @@
         useCurrentConfiguration();
         m_query.mayReserveSlot = isUnsent();
         const routing::DispatchDecision decision = m_context.dispatcher.choose(m_query, now);
+        logAdmissionChange(now);
         if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
             if (!isUnsent()) {
                 logNoFurtherAttempt(toString(last), RetryRefusal::NoEndpoint);
@@ -198,8 +200,11 @@
             LocalAnswer localAnswer = refusalAnswer(*refusal);
             co_return co_await refuse(std::move(localAnswer));
         }
+        isReturn = isReturn || std::get<routing::Dispatch>(decision).isReturn;
         last = co_await attempt(std::get<routing::Dispatch>(decision));
         if (last == AttemptEnd::Delivered) {
+            if (isReturn)
+                m_context.metrics.increment("oriolerill_relay_returns_served_total");
             logEnd("answered", callerStatus());
             co_return m_isKeptAlive;
         }
@@ -669,6 +674,16 @@
     co_return isOpen;
 }
 
+void RequestRun::logAdmissionChange(TimePoint now)
+{
+    const auto change = m_context.dispatcher.takeAdmissionChange(m_query.service, now);
+    if (!change)
+        return;
+    logEvent(Severity::Info, "admission_level",
+            {{"service", m_query.service.value()}, {"level", change->level},
+                    {"ranks_in_full", change->ranksInFull}, {"next_share", change->nextShare}});
+}
+
 LocalAnswer RequestRun::refusalAnswer(const routing::Refusal &refusal)
 {
     const char *reason = "no_endpoint";
@@ -679,6 +694,12 @@
     } else if (refusal.reason == routing::RefusalReason::Limited) {
         reason = "limited";
         m_detail = "the endpoints are at the limits that they name";
+    } else if (refusal.reason == routing::RefusalReason::Priority) {
+        reason = "priority";
+        m_detail = "the remaining capacity is kept for more urgent requests";
+    } else if (refusal.reason == routing::RefusalReason::AccountShare) {
+        reason = "account_share";
+        m_detail = "the account has more than its share of the capacity";
     }
     if (refusal.traits)
         return traitsRefusalAnswer(refusal);
--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -88,6 +88,7 @@
     boost::asio::awaitable<bool> sendEvents(std::string events);
     boost::asio::awaitable<bool> finishStream();
     LocalAnswer failureAnswer(AttemptEnd end) const;
+    void logAdmissionChange(domain::TimePoint now);
     LocalAnswer refusalAnswer(const routing::Refusal &refusal);
     LocalAnswer overdueAnswer();
     LocalAnswer traitsRefusalAnswer(const routing::Refusal &refusal);
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -10,7 +10,9 @@
 #include "routing/endpointnotices.h"
 #include "routing/placement.h"
 #include "routing/publishedwithdrawals.h"
+#include "routing/refusalreason.h"
 #include "routing/retrybudget.h"
+#include "routing/serviceadmission.h"
 #include "routing/servingconfig.h"
 #include "routing/weightsrequirement.h"
 #include "routing/workingset.h"
@@ -56,6 +58,7 @@
     EndpointListOptions list;
     PlacementOptions placement;
     WorkingSetOptions workingSet;
+    ServiceAdmissionOptions admission;
     /// A request whose expected wait exceeds this share of the strictest objective of its service
     /// is refused, so that slots go to requests that are answered in time. One bound for all kinds
     /// of requests of a service, so that none of them is starved by the others; the rest of the
@@ -119,17 +122,10 @@
     bool isLimited = false;
     /// The request tries whether traits that have crashed engines are answered by now.
     bool isTrial = false;
-};
-
-enum class RefusalReason {
-    /// No endpoint of the service may take the request.
-    NoEndpoint,
-    /// The expected wait is too long at all endpoints.
-    Full,
-    /// Only a rate limit that an endpoint has stated prevents it from taking the request.
-    Limited,
-    /// Parts of the request's prompt have crashed engines.
-    CrashingTraits,
+    /// 0 is the most urgent, 9 the least; none where the service has no ranks.
+    std::optional<std::uint32_t> urgency = std::nullopt;
+    /// The caller was refused before and returns.
+    bool isReturn = false;
 };
 
 struct Refusal
@@ -208,6 +204,9 @@
     /// Requests for the service since the last call.
     std::uint64_t takeDemand(const domain::ServiceId &service);
     DispatchDecision choose(const DispatchQuery &query, domain::TimePoint now);
+    /// Admitted share of the service's requests after a noticeable change; at most once a second.
+    std::optional<AdmissionLevel> takeAdmissionChange(
+            const domain::ServiceId &service, domain::TimePoint now);
     /// Maximum number of idle connections that this entry keeps to one endpoint of the service:
     /// half of its part of the endpoint's connection limit; the other half is for requests in
     /// progress.
@@ -278,6 +277,9 @@
             domain::Duration expectedStart, domain::TimePoint now);
     double maxWaitMs(const domain::ServiceId &service) const;
     Refusal refuse(RefusalReason reason, double waitMs);
+    ServiceAdmission &admission(const domain::ServiceId &service);
+    /// Slots of the service that become free in a second for requests of this entry.
+    double freePerSecond(const ServiceSpec &service, std::size_t usable);
     Refusal refuseTraits(const TraitsUnusable &unusable, domain::TimePoint now);
     Refusal refuseWithoutCandidate(
             const Candidates &candidates, const DispatchQuery &query, domain::TimePoint now);
@@ -302,6 +304,7 @@
     std::map<domain::EndpointId, EndpointLoad> m_loads;
     std::map<domain::ServiceId, RetryBudget> m_retries;
     std::map<domain::ServiceId, std::uint64_t> m_demand;
+    std::map<domain::ServiceId, ServiceAdmission> m_admissions;
     struct CachedWorkingSet
     {
         WorkingSet set;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -51,6 +51,15 @@
             known->second = std::min(known->second, route.objective);
         }
     }
+    std::map<domain::ServiceId, ServiceAdmission> admissions;
+    for (auto &[service, ranks] : ServiceRanks::of(*m_config)) {
+        const auto known = m_admissions.find(service);
+        if (known != m_admissions.end() && known->second.ranks() == ranks)
+            admissions.insert(m_admissions.extract(known));
+        else
+            admissions.try_emplace(service, ranks, m_options.admission);
+    }
+    m_admissions = std::move(admissions);
     return true;
 }
 
@@ -429,12 +438,22 @@
         return refuseWithoutCandidate(candidates, query, now);
     }
     const PlacementCandidate &best = pool[*chosen];
+    AdmissionDecision admitted;
     if (service->engine) {
         const double waitMs = load(best.endpoint).expectedWaitMs(*service->engine, now);
         const double maxMs = maxWaitMs(query.service);
-        if (waitMs > maxMs) {
+        const bool isFirst = query.excluded.empty() && query.mayReserveSlot;
+        ServiceAdmission &admission = this->admission(query.service);
+        admitted = admission.decide({*query.route, query.account, *query.request, isFirst, waitMs,
+                                            maxMs, m_options.maxWaitShare},
+                now);
+        if (admitted.refusal) {
             const double queueMs = load(best.endpoint).queueMs(*service->engine, now);
-            Refusal refusal = refuse(RefusalReason::Full, std::max(queueMs - maxMs, 0.0));
+            const double excessMs = std::max(queueMs - maxMs, 0.0);
+            Refusal refusal = refuse(*admitted.refusal, excessMs);
+            if (const auto after = admission.retryAfter(*query.route, query.account,
+                        fromMs(excessMs), freePerSecond(*service, pool.size()), m_random, now))
+                refusal.retryAfter = *after;
             refusal.listed = listedCount(query.service);
             refusal.usable = candidates.usable.size();
             refusal.outdated = candidates.outdated;
@@ -446,6 +465,8 @@
     const ListedEndpoint *endpoint = m_endpoints.find(best.endpoint);
     Dispatch dispatch;
     dispatch.isTrial = std::get<TraitsUsable>(traits).isTrial;
+    dispatch.urgency = admitted.urgency;
+    dispatch.isReturn = admitted.isReturn;
     dispatch.endpoint = best.endpoint;
     dispatch.address = endpoint->address;
     dispatch.startedAtMs = endpoint->startedAtMs;
@@ -473,6 +494,32 @@
     return dispatch;
 }
 
+ServiceAdmission &Dispatcher::admission(const domain::ServiceId &service)
+{
+    return m_admissions.try_emplace(service, ServiceRanks(), m_options.admission).first->second;
+}
+
+std::optional<AdmissionLevel> Dispatcher::takeAdmissionChange(
+        const domain::ServiceId &service, domain::TimePoint now)
+{
+    const auto found = m_admissions.find(service);
+    return found == m_admissions.end() ? std::nullopt : found->second.takeChange(now);
+}
+
+double Dispatcher::freePerSecond(const ServiceSpec &service, std::size_t usable)
+{
+    constexpr double MsPerSecond = 1000;
+    const WorkingSet *set = workingSet(service.id);
+    const std::size_t evaluated = set == nullptr ? 0 : set->engines().size();
+    const auto listed = static_cast<double>(listedCount(service.id));
+    // The engines outside the working set are assumed to be usable in the same proportion.
+    const double share = evaluated == 0
+            ? 1
+            : std::min(static_cast<double>(usable) / static_cast<double>(evaluated), 1.0);
+    const double intervalMs = std::max(service.engine->completionIntervalMs(), 1.0);
+    return listed * share * MsPerSecond / intervalMs / static_cast<double>(m_share.entries);
+}
+
 bool Dispatcher::beginsInTime(const ListedEndpoint &engine, std::uint64_t served,
         const ServiceSpec &service, const CallerRequest &request, domain::Duration expectedStart,
         domain::TimePoint now)
--- a/src/routing/internal/servingconfig.cpp
+++ b/src/routing/internal/servingconfig.cpp
@@ -21,6 +21,7 @@
 void ServingConfig::addAccount(const std::string &key, const CallerAccount &account)
 {
     m_accounts.insert_or_assign(key, account);
+    m_accountPriorities.insert(account.priority.value_or(DefaultAccountPriority));
     m_hasAccounts = true;
 }
 
--- a/src/routing/servingconfig.h
+++ b/src/routing/servingconfig.h
@@ -96,6 +96,10 @@
     std::optional<domain::SocketAddress> origin;
 };
 
+/// Priority of requests without an account, and of accounts without a priority: less urgent than
+/// accounts that the operator has put first with zero.
+constexpr std::uint32_t DefaultAccountPriority = 1;
+
 struct CallerAccount
 {
     domain::AccountId id;
@@ -135,6 +139,8 @@
     const std::map<domain::ServiceId, ServiceSpec> &services() const { return m_services; }
     /// The account that holds the key; null when none does.
     const CallerAccount *account(const std::string &key) const;
+    /// Distinct priorities of the accounts.
+    const std::set<std::uint32_t> &accountPriorities() const { return m_accountPriorities; }
 
 private:
     std::uint64_t m_version = 0;
@@ -143,6 +149,7 @@
     std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>> m_byHost;
     std::map<domain::ServiceId, ServiceSpec> m_services;
     std::unordered_map<std::string, CallerAccount> m_accounts;
+    std::set<std::uint32_t> m_accountPriorities;
     CallerLimits m_limits;
     bool m_hasAccounts = false;
 };
