Keep the order of ranks with many ranks, and count refusals by rank

Cause: with six ranks the level moved by more than one rank from request to request, and the guaranteed part corrected itself by the fraction served of a rank that was refused by its share. Change: half the rates of the level, and the correction counts waits only.

--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -708,6 +708,10 @@
             + " too_late " + std::to_string(refusal.tooLate);
     m_requiredWeights = refusal.requiredWeights;
     m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", reason}});
+    if (refusal.urgency) {
+        m_context.metrics.increment("oriolerill_relay_refusals_by_rank_total",
+                {{"reason", reason}, {"rank", std::to_string(*refusal.urgency)}});
+    }
     return {503, {ErrorKind::Overloaded, "not run: " + m_detail, "come back after Retry-After"},
             refusal.retryAfter};
 }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -142,6 +142,8 @@
     std::size_t tooLate = 0;
     /// Why the request is refused for its traits.
     std::optional<TraitsUnusable> traits = std::nullopt;
+    /// As in Dispatch.
+    std::optional<std::uint32_t> urgency = std::nullopt;
 };
 
 using DispatchDecision = std::variant<Dispatch, Refusal>;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -454,6 +454,7 @@
             if (const auto after = admission.retryAfter(*query.route, query.account,
                         fromMs(excessMs), freePerSecond(*service, pool.size()), m_random, now))
                 refusal.retryAfter = *after;
+            refusal.urgency = admitted.urgency;
             refusal.listed = listedCount(query.service);
             refusal.usable = candidates.usable.size();
             refusal.outdated = candidates.outdated;
--- a/src/routing/internal/priorityadmission.cpp
+++ b/src/routing/internal/priorityadmission.cpp
@@ -10,7 +10,7 @@
 /// Fewer requests of a rank state nothing about the fraction served of it.
 constexpr double MinCounted = 3;
 
-/// Lowest fraction served of the most urgent requests for which the guaranteed share makes up.
+/// Lowest fraction within the strictest wait limit for which the guaranteed share makes up.
 constexpr double MinPassed = 0.1;
 
 double seconds(domain::Duration duration)
@@ -29,6 +29,9 @@
 {
     advance(request, now);
     const RankedVerdict verdict = judge(request);
+    ++m_mostUrgent.asked;
+    if (waitMs(0, request.waitMs) <= request.strictestLimitMs)
+        ++m_mostUrgent.admitted;
     Count &count = m_counts[request.rank];
     ++count.asked;
     if (verdict == RankedVerdict::Admitted)
@@ -91,12 +94,9 @@
     const Count &own = m_counts[rank];
     if (own.asked < MinCounted)
         return aim;
-    // Free slots may serve others, and waits refuse some of the guaranteed part: as many as of the
-    // most urgent requests.
-    const auto first = std::find_if(m_counts.begin(), m_counts.end(),
-            [](const Count &count) { return count.asked >= MinCounted; });
+    // Free slots may serve others of the rank, and waits refuse some of the guaranteed part.
     const double corrected = aim + m_options.servedGain * (aim - own.served());
-    return std::clamp(corrected / std::max(first->served(), MinPassed), 0.0, 1.0);
+    return std::clamp(corrected / std::max(m_mostUrgent.served(), MinPassed), 0.0, 1.0);
 }
 
 bool PriorityAdmission::hasHistory() const
@@ -121,10 +121,12 @@
             : domain::Duration::zero();
     m_advancedAt = now;
     const double kept = std::exp(-seconds(passed) / seconds(m_options.memory));
-    for (Count &count : m_counts) {
+    const auto decay = [&](Count &count) {
         count.asked *= kept;
         count.admitted *= kept;
-    }
+    };
+    std::for_each(m_counts.begin(), m_counts.end(), decay);
+    decay(m_mostUrgent);
     const double step = seconds(std::min(passed, m_options.maxStep));
     const double target = request.strictestLimitMs * m_options.targetShare;
     if (target <= 0)
--- a/src/routing/internal/serviceadmission.cpp
+++ b/src/routing/internal/serviceadmission.cpp
@@ -11,11 +11,12 @@
 
 /// Uniform in [0, 1), from the id that the caller chooses for each attempt. Not from the account or
 /// the prompt, so that a refused caller is drawn anew when it returns.
-double drawOf(const CallerRequest &request)
+/// The seed distinguishes requests without an id, which would all be drawn alike.
+double drawOf(const CallerRequest &request, std::uint64_t seed)
 {
     constexpr unsigned Bits = 32;
     const std::string &id = request.id.value();
-    const std::uint64_t hash = XXH64(id.data(), id.size(), 0);
+    const std::uint64_t hash = XXH64(id.data(), id.size(), id.empty() ? seed : 0);
     return static_cast<double>(hash >> Bits) / static_cast<double>(1ULL << Bits);
 }
 
@@ -63,7 +64,7 @@
     const double factor = isReturn ? m_options.returnLimitFactor : 1;
     RankedRequest ranked;
     ranked.rank = rank;
-    ranked.draw = drawOf(request.request);
+    ranked.draw = drawOf(request.request, ++m_drawn);
     ranked.waitMs = request.waitMs;
     ranked.limitMs = objectiveMs * request.maxWaitShare;
     ranked.strictestLimitMs = request.strictestLimitMs;
--- a/src/routing/priorityadmission.h
+++ b/src/routing/priorityadmission.h
@@ -18,9 +18,10 @@
     /// The level falls while the expected wait exceeds this share of the strictest wait limit.
     double targetShare = 0.5;
     /// Change of the level in a second at no wait, and at a wait of the limit. Slower upwards,
-    /// because requests that were admitted by mistake hold their slots for a second.
-    double risePerSecond = 0.4;
-    double fallPerSecond = 0.8;
+    /// because requests that were admitted by mistake hold their slots for a second. Twice these
+    /// rates blur the order of the ranks, as each request's own wait moves the level further.
+    double risePerSecond = 0.2;
+    double fallPerSecond = 0.4;
     /// Further change when a request is refused although less urgent ones are admitted.
     double fallAtRefusal = 0.03;
     /// Longest time between two requests that moves the level.
@@ -30,7 +31,7 @@
     double minServedShare = 0.37;
     /// Added to the level for a request that finds a free slot. It follows spare capacity at once,
     /// while the level takes a second or two.
-    double freeSlotBonus = 0.3;
+    double freeSlotBonus = 0.15;
     /// Change of the guaranteed share with the distance from that fraction.
     double servedGain = 2;
     /// Share of the expected wait that counts for every rank. The rest counts by the share of the
@@ -113,6 +114,8 @@
 
     PriorityAdmissionOptions m_options;
     std::vector<Count> m_counts;
+    /// All requests, and those that would be admitted if they had the most urgent rank.
+    Count m_mostUrgent;
     double m_level = 1;
     std::optional<domain::TimePoint> m_advancedAt;
     double m_toldLevel = 1;
--- a/src/routing/serviceadmission.h
+++ b/src/routing/serviceadmission.h
@@ -7,6 +7,7 @@
 #include "routing/returnforecast.h"
 #include "routing/serviceranks.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
@@ -75,6 +76,7 @@
     /// By rank.
     std::map<std::size_t, AccountShare> m_accounts;
     ReturnForecast m_returns;
+    std::uint64_t m_drawn = 0;
 };
 
 } // namespace oriolerill::routing
--- a/src/routing/tests/dispatchertest.cpp
+++ b/src/routing/tests/dispatchertest.cpp
@@ -599,4 +599,21 @@
     EXPECT_EQ(stopAt(), std::nullopt);
 }
 
+// Guards against engines that serve a patient request before an urgent one, and against an urgency
+// where all requests are equal.
+TEST_F(DispatcherFixture, choose_routesOfUnequalPriority_urgencyByRank)
+{
+    Dispatcher dispatcher(options(1));
+    prepare(dispatcher, 1);
+    EXPECT_FALSE(std::get<Dispatch>(dispatcher.choose(m_query, m_now)).urgency);
+    Route urgent = m_route;
+    urgent.pathPrefix = "/u/";
+    m_route.priority = 3;
+    dispatcher.setConfig(std::make_shared<ServingConfig>(
+            2, std::vector{m_route, urgent}, std::vector{engineService()}, CallerLimits()));
+    EXPECT_EQ(std::get<Dispatch>(dispatcher.choose(m_query, m_now)).urgency, 1U);
+    m_query.route = &urgent;
+    EXPECT_EQ(std::get<Dispatch>(dispatcher.choose(m_query, m_now)).urgency, 0U);
+}
+
 } // namespace oriolerill::routing
--- a/src/routing/tests/priorityadmissiontest.cpp
+++ b/src/routing/tests/priorityadmissiontest.cpp
@@ -2,8 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include <array>
-#include <numeric>
+#include <algorithm>
 #include <random>
 
 namespace oriolerill::routing {
--- a/src/routing/tests/returnforecasttest.cpp
+++ b/src/routing/tests/returnforecasttest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace oriolerill::routing {
 
 using namespace std::chrono_literals;
