--- a/src/relay/internal/requestrun.h
+++ b/src/relay/internal/requestrun.h
@@ -95,6 +95,7 @@
     /// Waits until all buffered bytes were sent; false when the caller has disconnected.
     boost::asio::awaitable<bool> drain();
     LocalAnswer failureAnswer(AttemptEnd end) const;
+    void logAdmissionChange(domain::TimePoint now);
     LocalAnswer refusalAnswer(const routing::Refusal &refusal);
     LocalAnswer overdueAnswer();
     LocalAnswer traitsRefusalAnswer(const routing::Refusal &refusal);
