Test the cost of other data centres, and let a full link be noticed sooner

Cause: an entry that sends to another data centre fills the link between them before the first answers are late, and left the link unused for 2 s afterwards.

Change: an answer 50 ms overdue counts as delay, and the excess halves each 200 ms without answers.

Result (RemoteCostFixture): of demand at 3 times the link's capacity, two thirds of that capacity is used, with a delay below the objective of 400 ms.

--- a/src/routing/remotecost.h
+++ b/src/routing/remotecost.h
@@ -17,22 +17,25 @@
     /// Weight of a sample above the estimate, and of one below it. An entry gets a few answers a
     /// second from another data centre, so a full link has to be noticed after a few of them; one
     /// answer in time shows that the link is not full, because a full link delays all answers.
-    double riseWeight = 0.3;
+    double riseWeight = 0.5;
     double fallWeight = 0.6;
     /// A sample counts at most as twice the estimate plus this, so that one slow answer alone
     /// costs no more than an answer's price of traffic.
-    double maxStepMs = 130;
+    double maxStepMs = 80;
     /// An excess below this counts as none: transit between regions takes a few milliseconds, and
     /// choices with smaller differences count as equal.
     double toleranceMs = 15;
     /// Bound on the excess; callers of streams disconnect after two seconds.
     double maxExcessMs = 2000;
     /// Without an answer for this long, the excess decays by half in each half-life, so that the
-    /// link is tried again.
-    domain::Duration sampleLifetime = std::chrono::milliseconds(500);
-    domain::Duration halfLife = std::chrono::milliseconds(500);
-    /// Unanswered requests are evidence for as long as callers of streams wait.
-    RequestPathOptions path{.evidenceLifetime = std::chrono::milliseconds(2000)};
+    /// link is tried again: what was queued on it has been sent by the time that its answers
+    /// arrive. With 500 ms each, a trial used half of a link's capacity, and two thirds with these.
+    domain::Duration sampleLifetime = std::chrono::milliseconds(200);
+    domain::Duration halfLife = std::chrono::milliseconds(200);
+    /// Unanswered requests are evidence soon, because a link fills up within the time in which the
+    /// first answers are awaited, and for as long as callers of streams wait.
+    RequestPathOptions path{.lateAfter = std::chrono::milliseconds(50),
+            .evidenceLifetime = std::chrono::milliseconds(2000)};
 };
 
 /// What it costs to send a request to another data centre beyond the price of its traffic: the
