Log when answers of another data centre are delayed, and learn longer queues of plain endpoints

An endpoint that states a longer queue than 4 requests for each slot was taken as shedding; the longest stated queue counts now. remote_delay is logged on changes, at most once a second for a data centre (PlainAdmissionFixture, RemoteCostFixture pass).

--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -92,6 +92,16 @@
     }
 }
 
+void RelayContext::logRemoteDelays(domain::TimePoint now)
+{
+    for (const auto &change : dispatcher.remoteCost().takeChanges(now)) {
+        observability::logEvent(observability::Severity::Info, "remote_delay",
+                {{"data_centre", change.dataCentre.value()},
+                        {"state", change.isDelayed ? "delayed" : "in_time"},
+                        {"excess_ms", change.excessMs}});
+    }
+}
+
 asio::awaitable<void> RelayContext::withdrawOverdueAttempts()
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -102,6 +112,7 @@
         applySuspension(now);
         unstarted->withdrawOverdue(dispatcher.weights(), now);
         withdrawnQueues.logDue(dispatcher, now);
+        logRemoteDelays(now);
     }
 }
 
--- a/src/relay/internal/relaycontext.h
+++ b/src/relay/internal/relaycontext.h
@@ -84,6 +84,8 @@
     void updateWeightsMetrics(domain::TimePoint now);
     /// Sets the gauges of other data centres and of plain services.
     void updateRoutingMetrics(domain::TimePoint now);
+    /// Logs when answers of another data centre become late, or are in time again.
+    void logRemoteDelays(domain::TimePoint now);
     /// Withdraws attempts that engines have not begun in time. Runs until the context stops.
     boost::asio::awaitable<void> withdrawOverdueAttempts();
 };
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -185,6 +185,7 @@
     CrashAttribution &crashes() { return m_crashes; }
     const CrashAttribution &crashes() const { return m_crashes; }
     const PlainAdmission &plainAdmission() const { return m_plain; }
+    RemoteCost &remoteCost() { return m_remote; }
     const RemoteCost &remoteCost() const { return m_remote; }
     PublishedWithdrawals &publishedWithdrawals() { return m_publishedWithdrawals; }
     WeightsRequirement &weights() { return m_weights; }
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -570,7 +570,8 @@
         const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now)
 {
     load(dispatch.endpoint).onAnswerBegun(now);
-    m_remote.onAnswerBegun(dispatch.dataCentre, sentAt, dispatch.expectedStartMs, now);
+    if (!dispatch.dataCentre.value().empty())
+        m_remote.onAnswerBegun(dispatch.dataCentre, sentAt, dispatch.expectedStartMs, now);
     m_starts.onAnswered({dispatch.endpoint, dispatch.dataCentre}, sentAt);
 }
 
@@ -580,9 +581,7 @@
     const ListedEndpoint *endpoint = m_endpoints.find(dispatch.endpoint);
     if (endpoint == nullptr || workingSet(endpoint->service) != nullptr)
         return;
-    const double slowness = std::clamp(
-            load.slowness.value_or(1), m_options.load.minSlowness, m_options.load.maxSlowness);
-    m_plain.onAnswer(endpoint->service, now - sentAt, dispatch.queuedRuns, slowness);
+    m_plain.onAnswer(endpoint->service, load, now - sentAt, dispatch.queuedRuns);
 }
 
 void Dispatcher::onEnded(const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now)
--- a/src/routing/internal/plainadmission.cpp
+++ b/src/routing/internal/plainadmission.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Bound on a stated slowness; with zero, a queue would cost nothing.
+constexpr double MinSlowness = 0.1;
+
 double toMs(domain::Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -17,12 +20,19 @@
     : m_options(options)
 {}
 
-void PlainAdmission::onAnswer(const domain::ServiceId &service, domain::Duration elapsed,
-        double queuedRuns, double slowness)
+void PlainAdmission::onAnswer(const domain::ServiceId &service, const AnswerLoad &load,
+        domain::Duration elapsed, double queuedRuns)
 {
-    double &known = m_services.try_emplace(service, Service{m_options.startRunMs, {}})
-                            .first->second.runMs;
-    const double sample = toMs(elapsed) / std::max(slowness, 0.1) / (1 + std::max(queuedRuns, 0.0));
+    const Service initial{m_options.startRunMs, m_options.queuePerSlot, {}};
+    Service &learned = m_services.try_emplace(service, initial).first->second;
+    if (load.slots > 0) {
+        learned.queuePerSlot
+                = std::max(learned.queuePerSlot, static_cast<double>(load.waiting) / load.slots);
+    }
+    double &known = learned.runMs;
+    const double slowness
+            = std::clamp(load.slowness.value_or(1), MinSlowness, m_options.maxSlowness);
+    const double sample = toMs(elapsed) / slowness / (1 + std::max(queuedRuns, 0.0));
     const double limited = std::clamp(
             sample, known / m_options.maxSampleRatio, known * m_options.maxSampleRatio);
     known = std::clamp(
@@ -41,14 +51,16 @@
     // The stated queue has been worked off since. Requests of other entries that arrived meanwhile
     // are unknown, so that an old value errs towards admission. Own requests without an answer are
     // still there.
-    const double completedRuns = toMs(load.age) / (runMs(service) * std::max(load.slowness, 0.1));
+    const double completedRuns
+            = toMs(load.age) / (runMs(service) * std::max(load.slowness, MinSlowness));
     const double statedRuns = (load.occupancy + 1 - slots) / slots - completedRuns;
     return std::max({statedRuns, (load.inFlight + 1 - slots) / slots, 0.0});
 }
 
 bool PlainAdmission::isShedding(const domain::ServiceId &service, const PlainLoad &load) const
 {
-    return m_services.count(service) > 0 && queuedRuns(service, load) > m_options.queuePerSlot;
+    const auto known = m_services.find(service);
+    return known != m_services.end() && queuedRuns(service, load) > known->second.queuePerSlot;
 }
 
 std::optional<double> PlainAdmission::refuse(const domain::ServiceId &service,
@@ -61,9 +73,9 @@
     std::optional<double> roomMs;
     for (const PlainLoad &load : loads) {
         const double runs = queuedRuns(service, load);
-        const double runMs = known->second.runMs * std::max(load.slowness, 0.1);
+        const double runMs = known->second.runMs * std::max(load.slowness, MinSlowness);
         const double lateMs = std::min((1 + runs) * runMs - limitMs, runs * runMs);
-        const double shedMs = (runs - m_options.queuePerSlot) * runMs;
+        const double shedMs = (runs - known->second.queuePerSlot) * runMs;
         const double waitMs = std::max(lateMs, shedMs);
         // Without a queue, a slot is free, or nothing recent is known about the endpoint.
         if (runs <= 0 || waitMs <= 0)
--- a/src/routing/internal/remotecost.cpp
+++ b/src/routing/internal/remotecost.cpp
@@ -26,7 +26,9 @@
 
 void RemoteCost::countSent(const DataCentreId &dataCentre)
 {
-    ++m_paths.try_emplace(dataCentre, m_options.path).first->second.sent;
+    // Endpoints may be listed without a data centre.
+    if (!dataCentre.value().empty())
+        ++m_paths.try_emplace(dataCentre, m_options.path).first->second.sent;
 }
 
 void RemoteCost::onSent(const DataCentreId &dataCentre, TimePoint sentAt, double expectedStartMs)
@@ -109,6 +111,22 @@
     });
 }
 
+std::vector<RemoteCost::Change> RemoteCost::takeChanges(TimePoint now)
+{
+    std::vector<Change> changes;
+    for (auto &[dataCentre, path] : m_paths) {
+        const double excess = excessMs(dataCentre, now);
+        const bool isChanged
+                = path.isLoggedDelayed ? excess == 0 : excess >= m_options.loggedExcessMs;
+        if (!isChanged || now < path.loggedAt + m_options.logInterval)
+            continue;
+        path.isLoggedDelayed = !path.isLoggedDelayed;
+        path.loggedAt = now;
+        changes.push_back({dataCentre, path.isLoggedDelayed, excess});
+    }
+    return changes;
+}
+
 std::map<DataCentreId, std::uint64_t> RemoteCost::sentCounts() const
 {
     std::map<DataCentreId, std::uint64_t> counts;
--- a/src/routing/plainadmission.h
+++ b/src/routing/plainadmission.h
@@ -24,8 +24,10 @@
     /// A request is refused if its answer is expected after this share of the time left until its
     /// deadline. The rest covers the transit and a VM that becomes slow meanwhile.
     double deadlineShare = 0.8;
-    /// Requests for each slot that an endpoint lets wait before it sheds; stated by the operators
-    /// (24 for 6 slots), as answers do not contain it.
+    /// Bound on a stated slowness, as in EndpointLoadOptions.
+    double maxSlowness = 20;
+    /// Requests for each slot that an endpoint lets wait before it sheds, until one states a longer
+    /// queue; stated by the operators (24 for 6 slots), as answers do not contain it.
     double queuePerSlot = 4;
     /// While requests to a service are refused, one is admitted this often, so that a wrong
     /// estimate ends. As long as reported loads remain valid; with 62 entries a tenth of the
@@ -58,10 +60,10 @@
 public:
     explicit PlainAdmission(PlainAdmissionOptions options = {});
 
-    /// A successful answer that stated a load arrived this long after the request was sent;
+    /// A successful answer that stated this load arrived this long after the request was sent;
     /// queuedRuns is the queue ahead of the request when it was sent.
-    void onAnswer(const domain::ServiceId &service, domain::Duration elapsed, double queuedRuns,
-            double slowness);
+    void onAnswer(const domain::ServiceId &service, const AnswerLoad &load,
+            domain::Duration elapsed, double queuedRuns);
     /// Usual service time in milliseconds.
     double runMs(const domain::ServiceId &service) const;
     /// Queue ahead of a request that is sent now, in service times at the endpoint.
@@ -79,6 +81,8 @@
     struct Service
     {
         double runMs = 0;
+        /// Longest queue for each slot that endpoints have accepted.
+        double queuePerSlot = 0;
         std::optional<domain::TimePoint> probedAt;
     };
 
--- a/src/routing/remotecost.h
+++ b/src/routing/remotecost.h
@@ -32,6 +32,10 @@
     /// arrive. With 500 ms each, a trial used half of a link's capacity, and two thirds with these.
     domain::Duration sampleLifetime = std::chrono::milliseconds(200);
     domain::Duration halfLife = std::chrono::milliseconds(200);
+    /// From this excess on, answers count as delayed in the log until the excess is zero. More than
+    /// the price of traffic, so that the choice of the data centre changes noticeably.
+    double loggedExcessMs = 100;
+    domain::Duration logInterval = std::chrono::milliseconds(1000);
     /// Unanswered requests are evidence soon, because a link fills up within the time in which the
     /// first answers are awaited, and for as long as callers of streams wait.
     RequestPathOptions path{.lateAfter = std::chrono::milliseconds(50),
@@ -71,6 +75,15 @@
     static void removeDelayed(std::vector<PlacementCandidate> &candidates,
             domain::Duration objective, std::mt19937_64 &random);
 
+    /// Whether answers of a data centre have become late, or are in time again.
+    struct Change
+    {
+        domain::DataCentreId dataCentre;
+        bool isDelayed = false;
+        double excessMs = 0;
+    };
+    /// Changes since the last call, at most one each logInterval for a data centre.
+    std::vector<Change> takeChanges(domain::TimePoint now);
     /// Number of requests sent, by other data centre.
     std::map<domain::DataCentreId, std::uint64_t> sentCounts() const;
 
@@ -86,6 +99,8 @@
         domain::TimePoint answeredAt;
         RequestPath unanswered;
         std::uint64_t sent = 0;
+        bool isLoggedDelayed = false;
+        domain::TimePoint loggedAt;
     };
 
     /// Excess of one data centre alone.
--- a/src/routing/tests/plainadmissiontest.cpp
+++ b/src/routing/tests/plainadmissiontest.cpp
@@ -126,9 +126,10 @@
         m_timeLeft = timeLeft;
         const Outcome outcome = run({}, 1ms, 3s, slow);
         const int sent = outcome.sent[0] + outcome.sent[1] + outcome.sent[2];
-        RecordProperty("sent", sent);
-        RecordProperty("late", outcome.late);
-        RecordProperty("shed", outcome.shed);
+        const std::string name = "_" + std::to_string(timeLeft / 1ms);
+        RecordProperty("sent" + name, sent);
+        RecordProperty("late" + name, outcome.late);
+        RecordProperty("shed" + name, outcome.shed);
         EXPECT_LT(outcome.shed, 10);
         EXPECT_GT(sent, 0.95 * 480 * 3);
         EXPECT_LT(outcome.late, 0.02 * sent);
@@ -164,7 +165,7 @@
     PlainAdmission admission;
     const auto learn = [&](int count, Duration elapsed, double queued, double slowness) {
         for (int i = 0; i < count; ++i)
-            admission.onAnswer(m_service.id, elapsed, queued, slowness);
+            admission.onAnswer(m_service.id, {0, 0, Slots, slowness}, elapsed, queued);
         return admission.runMs(m_service.id);
     };
     EXPECT_DOUBLE_EQ(admission.runMs(m_service.id), 40);
@@ -183,12 +184,17 @@
     const std::vector<PlainLoad> full{{Slots, Slots + 10.0, 0, 1, 0ms}};
     EXPECT_FALSE(admission.refuse(m_service.id, full, 10ms, m_start));
     for (int i = 0; i < 200; ++i)
-        admission.onAnswer(m_service.id, 9s, 0, 1);
+        admission.onAnswer(m_service.id, {0, 0, Slots}, 9s, 0);
     int admitted = 0;
     for (auto at = 0ms; at < 5s; at += 10ms)
         admitted += admission.refuse(m_service.id, full, 1s, m_start + at) ? 0 : 1;
     EXPECT_EQ(admitted, 5);
     EXPECT_FALSE(admission.refuse(m_service.id, {full[0], {Slots, Slots - 1.0}}, 1ms, m_start));
+    // Endpoints have stated a longer queue than was assumed.
+    const PlainLoad longQueue{Slots, Slots * 7.0, 0, 1, 0ms};
+    EXPECT_TRUE(admission.isShedding(m_service.id, longQueue));
+    admission.onAnswer(m_service.id, {Slots, Slots * 7, Slots}, 9s, 0);
+    EXPECT_FALSE(admission.isShedding(m_service.id, longQueue));
     // The queue of an old report has been worked off.
     EXPECT_FALSE(admission.refuse(m_service.id, {{Slots, Slots + 10.0, 0, 1, 30s}}, 1ms, m_start));
 }
--- a/src/routing/tests/remotecosttest.cpp
+++ b/src/routing/tests/remotecosttest.cpp
@@ -99,6 +99,8 @@
     RemoteCost cost(m_own);
     answer(cost, m_other, 8, 300ms);
     EXPECT_NEAR(cost.excessMs(m_other, m_now), 300, 30);
+    EXPECT_EQ(cost.takeChanges(m_now).size(), 1U);
+    EXPECT_TRUE(cost.takeChanges(m_now).empty());
     EXPECT_EQ(cost.excessMs(m_own, m_now), 0);
     EXPECT_EQ(cost.excessMs(m_other, m_now + 5s), 0);
     answer(cost, m_own, 8, 300ms);
