--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -9,8 +9,10 @@
 #include "routing/endpointload.h"
 #include "routing/endpointnotices.h"
 #include "routing/placement.h"
+#include "routing/plainadmission.h"
 #include "routing/publishedwithdrawals.h"
 #include "routing/refusalreason.h"
+#include "routing/remotecost.h"
 #include "routing/retrybudget.h"
 #include "routing/serviceadmission.h"
 #include "routing/servingconfig.h"
@@ -60,6 +62,8 @@
     EndpointLoadOptions load;
     EndpointListOptions list;
     PlacementOptions placement;
+    PlainAdmissionOptions plain;
+    RemoteCostOptions remote;
     WorkingSetOptions workingSet;
     ServiceAdmissionOptions admission;
     /// A request whose expected wait exceeds this share of the strictest objective of its service
@@ -112,6 +116,8 @@
     /// Oldest version that was allowed at the choice; zero when any version is allowed.
     std::uint64_t requiredWeights = 0;
     double expectedStartMs = 0;
+    /// Queue ahead of the request at a plain endpoint, in service times.
+    double queuedRuns = 0;
     /// Data centre of an engine; empty for other endpoints.
     domain::DataCentreId dataCentre;
     /// Latest time at which the request may begin, because a newer version than the served one is
@@ -178,6 +184,9 @@
     CrashAttribution &crashes() { return m_crashes; }
     const CrashAttribution &crashes() const { return m_crashes; }
     StartPace &startPace() { return m_startPace; }
+    const PlainAdmission &plainAdmission() const { return m_plain; }
+    RemoteCost &remoteCost() { return m_remote; }
+    const RemoteCost &remoteCost() const { return m_remote; }
     PublishedWithdrawals &publishedWithdrawals() { return m_publishedWithdrawals; }
     WeightsRequirement &weights() { return m_weights; }
     const WeightsRequirement &weights() const { return m_weights; }
@@ -221,6 +230,9 @@
     void onSent(const Dispatch &dispatch, domain::TimePoint now);
     /// The answer to the request that was sent at this time has begun.
     void onAnswerBegun(const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now);
+    /// The successful answer to the request that was sent at this time states this load.
+    void onAnswerLoad(const Dispatch &dispatch, const AnswerLoad &load, domain::TimePoint sentAt,
+            domain::TimePoint now);
     /// The request that was sent at this time has ended; onAnswerBegun() was called if its answer
     /// had begun.
     void onEnded(const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now);
@@ -288,6 +300,11 @@
     bool beginsInTime(const ListedEndpoint &engine, std::uint64_t served,
             const ServiceSpec &service, const CallerRequest &request,
             domain::Duration expectedStart, domain::TimePoint now);
+    PlainLoad plainLoad(const ListedEndpoint &endpoint, domain::TimePoint now);
+    /// The refusal of a request that no plain endpoint can answer in time; none when it is
+    /// admitted.
+    std::optional<Refusal> refusePlain(
+            const Candidates &candidates, const DispatchQuery &query, domain::TimePoint now);
     double maxWaitMs(const domain::ServiceId &service) const;
     Refusal refuse(RefusalReason reason, double waitMs);
     ServiceAdmission &admission(const domain::ServiceId &service);
@@ -315,6 +332,8 @@
     EndpointLimits m_limits;
     CrashAttribution m_crashes;
     Placement m_placement;
+    PlainAdmission m_plain;
+    RemoteCost m_remote;
     std::map<domain::EndpointId, EndpointLoad> m_loads;
     std::map<domain::ServiceId, RetryBudget> m_retries;
     std::map<domain::ServiceId, std::uint64_t> m_demand;
--- a/src/routing/refusalreason.h
+++ b/src/routing/refusalreason.h
@@ -7,6 +7,8 @@
     NoEndpoint,
     /// The expected wait is too long at all endpoints.
     Full,
+    /// No plain endpoint is expected to answer before the caller's deadline.
+    PlainFull,
     /// Only a rate limit that an endpoint has stated prevents it from taking the request.
     Limited,
     /// Parts of the request's prompt have crashed engines.
