--- a/src/routing/tests/returnforecasttest.cpp
+++ b/src/routing/tests/returnforecasttest.cpp
@@ -22,6 +22,7 @@
 TEST_F(ReturnForecastFixture, retryAfter_manyRefused_returnsFollowFreeSlots)
 {
     std::vector<domain::Duration> times;
+    times.reserve(40);
     for (int i = 0; i < 40; ++i)
         times.push_back(m_forecast.retryAfter(1, 0ms, 20, m_random, m_now));
     EXPECT_LE(times.front(), 120ms);
