--- a/src/distribution/internal/versiontransfer.cpp
+++ b/src/distribution/internal/versiontransfer.cpp
@@ -136,7 +136,7 @@
         if (m_sources->hasOriginPlan() && !holdersOf(piece, now).empty())
             continue;
         auto source = remoteSource(piece, now);
-        if (!source && !m_pieces[piece].isOriginRead)
+        if (!source && !m_pieces[piece].isOriginRead && isHomeHeard(piece, now))
             source = sourceOf(piece, now);
         if (source)
             return PieceFetch{piece, *source, FetchKind::Primary};
@@ -153,6 +153,17 @@
     return first != hosts.end() && *first == m_sources->self();
 }
 
+/// Requests to a data centre that cannot be reached would still be waited for after its return.
+bool VersionTransfer::isHomeHeard(std::uint32_t piece, domain::TimePoint now) const
+{
+    const domain::DataCentreId *home = m_sources->homeOf(piece);
+    if (home == nullptr)
+        return true;
+    const auto remote = m_remote.find(*home);
+    return remote != m_remote.end()
+            && now - remote->second.receivedAt <= m_options.remoteHoldingsLifetime;
+}
+
 /// A piece that another data centre holds and no VM of this one. Pieces that nobody is known to
 /// hold must not occupy the requests of these: two VMs that wait for each other's pieces would
 /// never fetch their own.
--- a/src/distribution/piecesources.h
+++ b/src/distribution/piecesources.h
@@ -54,6 +54,8 @@
     /// Whether the origin is read by the plan of its lanes.
     bool hasOriginPlan() const { return m_origin != nullptr; }
     const std::string &self() const { return m_self.host; }
+    /// Data centre whose VMs read the piece from the origin; null without a plan of the origin.
+    const domain::DataCentreId *homeOf(std::uint32_t piece) const;
     /// Sources of a piece in another data centre that holds it.
     std::vector<PieceSource> importSources(
             std::uint32_t piece, const domain::DataCentreId &dataCentre) const;
@@ -74,8 +76,6 @@
 
 private:
     std::string keyOf(std::uint32_t piece) const;
-    /// Data centre whose VMs read the piece from the origin; null without a plan of the origin.
-    const domain::DataCentreId *homeOf(std::uint32_t piece) const;
     void assignPrimaries(std::size_t pieces);
     std::vector<PieceSource> rankSources(std::uint32_t piece) const;
     void assignImporters(std::size_t pieces);
--- a/src/distribution/versiontransfer.h
+++ b/src/distribution/versiontransfer.h
@@ -174,6 +174,8 @@
     bool isMissing(std::uint32_t piece) const;
     bool isAvoided(const std::string &host, domain::TimePoint now) const;
     std::optional<PieceFetch> nextPrimary(domain::TimePoint now) const;
+    /// Whether the data centre that reads the piece from the origin has sent a report recently.
+    bool isHomeHeard(std::uint32_t piece, domain::TimePoint now) const;
     std::optional<PieceFetch> nextImport(domain::TimePoint now) const;
     /// Whether this VM fetches the piece into its data centre, because those before it have
     /// stopped.
