--- a/src/relay/internal/callerwriter.cpp
+++ b/src/relay/internal/callerwriter.cpp
@@ -19,7 +19,6 @@
 CallerWriter::CallerWriter(RelayContext &context, beast::tcp_stream &caller)
     : m_context(context)
     , m_caller(caller)
-    , m_buffer(context.callerStreams)
     , m_progress(caller.get_executor())
 {}
 
@@ -47,7 +46,9 @@
 
 void CallerWriter::enqueue(std::string bytes)
 {
-    m_buffer.append(std::move(bytes));
+    if (!m_buffer)
+        m_buffer.emplace(m_context.callerStreams);
+    m_buffer->append(std::move(bytes));
     if (m_isWriting)
         return;
     setResetOnClose(true);
@@ -58,7 +59,7 @@
 {
     m_isWriting = true;
     m_caller.expires_after(m_context.callerWriteTimeout);
-    m_caller.async_write_some(m_buffer.front(),
+    m_caller.async_write_some(m_buffer->front(),
             [this](beast::error_code code, std::size_t size) { onWritten(code, size); });
 }
 
@@ -67,12 +68,12 @@
     m_isWriting = false;
     if (code) {
         m_hasFailed = true;
-        m_buffer.clear();
+        m_buffer->clear();
         if (const auto onFailure = std::exchange(m_onFailure, nullptr))
             onFailure();
     } else {
-        m_buffer.consume(size);
-        if (m_buffer.isEmpty())
+        m_buffer->consume(size);
+        if (m_buffer->isEmpty())
             setResetOnClose(false);
         else
             startWriting();
--- a/src/relay/internal/callerwriter.h
+++ b/src/relay/internal/callerwriter.h
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace oriolerill::relay::internal {
 
@@ -48,7 +49,7 @@
 
     bool isWriting() const { return m_isWriting; }
     /// Whether the stream may be read further.
-    bool hasRoom() const { return m_buffer.hasRoom(); }
+    bool hasRoom() const { return !m_buffer || m_buffer->hasRoom(); }
     /// Waits until bytes were written, a write has failed, or wake(); no longer than a write lasts.
     boost::asio::awaitable<void> awaitProgress();
     void wake() { m_progress.cancel(); }
@@ -78,7 +79,8 @@
 
     RelayContext &m_context;
     boost::beast::tcp_stream &m_caller;
-    StreamBuffer m_buffer;
+    /// Empty until the kernel has not accepted some bytes: most callers are never slow.
+    std::optional<StreamBuffer> m_buffer;
     boost::asio::steady_timer m_progress;
     std::function<void()> m_onFailure;
     bool m_isCloseDelimited = false;
--- a/src/relay/tests/relaybench.cpp
+++ b/src/relay/tests/relaybench.cpp
@@ -98,4 +98,35 @@
 
 } // namespace
 
+/// Streams of events that arrive one by one, as from engines; the callers read at once.
+void relayStreams(benchmark::State &state)
+{
+    constexpr int EventCount = 54;
+    constexpr std::size_t EventSize = 540;
+    RelayUnderLoad relay([](ScriptedEndpoint::Socket &socket, const std::string &) {
+        write(socket,
+                "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\nContent-Length: "
+                        + std::to_string(EventCount * EventSize) + "\r\n\r\n");
+        const std::string event = "data: " + std::string(EventSize - 8, 'x') + "\n\n";
+        for (int i = 0; i < EventCount; ++i) {
+            // Without a pause, one read of the entry takes several events.
+            std::this_thread::sleep_for(std::chrono::microseconds(300));
+            write(socket, event);
+        }
+        return true;
+    });
+    constexpr const char *LastChunk = "\r\n0\r\n\r\n";
+    relay.burst("/stream/1", LastChunk);
+    const double before = relay.processorSeconds();
+    int requests = 0;
+    for (auto _ : state) {
+        relay.burst("/stream/1", LastChunk);
+        requests += Burst;
+    }
+    report(state, relay.processorSeconds() - before, requests);
+}
+
+BENCHMARK(relayStreams)->Iterations(4)->Unit(benchmark::kMillisecond);
+
 } // namespace oriolerill::relay
--- a/src/relay/tests/slowreadertest.cpp
+++ b/src/relay/tests/slowreadertest.cpp
@@ -116,6 +116,7 @@
     addImpatientEndpoint(500ms);
     start();
     std::vector<boost::asio::ip::tcp::socket> sockets;
+    sockets.reserve(Callers);
     for (int i = 0; i < Callers; ++i)
         sockets.push_back(ask(EventCount));
     std::this_thread::sleep_for(1200ms);
