Bound the requests to another data centre whose answers have not begun

Cause: the excess of a link is known only when its answers are late; until then an entry sends all it has, and afterwards leaves the link unused until the excess has decayed.

Change: a bound for each other data centre, halved by a delayed answer and grown by answers in time. Requests ignore a data centre at random only from half of the objective on, because smaller differences of expectations do not show a full link, and the own engines may be full.

--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -394,8 +394,8 @@
     const double slowness = service.engine ? known.pace(now) : known.slowness(now);
     const PlacementCandidate candidate{endpoint.id,
             expectedStartMs(endpoint, service, *query.request, now),
-            endpoint.dataCentre == m_options.dataCentre,
-            m_remote.excessMs(endpoint.dataCentre, now), 1 / std::max(slowness, 1.0)};
+            endpoint.dataCentre == m_options.dataCentre, m_remote.costMs(endpoint.dataCentre, now),
+            1 / std::max(slowness, 1.0)};
     const bool isTooLate = version
             && !beginsInTime(endpoint, *version, service, *query.request,
                     fromMs(candidate.expectedStartMs), now);
--- a/src/routing/internal/remotecost.cpp
+++ b/src/routing/internal/remotecost.cpp
@@ -28,13 +28,13 @@
 {
     // Endpoints may be listed without a data centre.
     if (!dataCentre.value().empty())
-        ++m_paths.try_emplace(dataCentre, m_options.path).first->second.sent;
+        ++m_paths.try_emplace(dataCentre, m_options).first->second.sent;
 }
 
 void RemoteCost::onSent(const DataCentreId &dataCentre, TimePoint sentAt, double expectedStartMs)
 {
     const std::chrono::duration<double, std::milli> expected(expectedStartMs);
-    Path &path = m_paths.try_emplace(dataCentre, m_options.path).first->second;
+    Path &path = m_paths.try_emplace(dataCentre, m_options).first->second;
     path.unanswered.onSent(sentAt, sentAt + std::chrono::duration_cast<Duration>(expected));
 }
 
@@ -54,6 +54,14 @@
     const double weight = limited > before ? m_options.riseWeight : m_options.fallWeight;
     path.excessMs = before + (limited - before) * weight;
     path.answeredAt = now;
+    if (sample - delayMs(m_own, now) < m_options.delayedMs) {
+        path.maxUnanswered
+                = std::min(path.maxUnanswered + 1 / path.maxUnanswered, m_options.maxUnanswered);
+    } else if (sentAt > path.halvedAt) {
+        // Once for the requests that were sent under one bound.
+        path.maxUnanswered = std::max(path.maxUnanswered / 2, m_options.minUnanswered);
+        path.halvedAt = now;
+    }
 }
 
 void RemoteCost::onEnded(const DataCentreId &dataCentre, TimePoint sentAt, TimePoint now)
@@ -95,6 +103,16 @@
     return excess < m_options.toleranceMs ? 0 : std::min(excess, m_options.maxExcessMs);
 }
 
+double RemoteCost::costMs(const DataCentreId &dataCentre, TimePoint now) const
+{
+    const auto path = m_paths.find(dataCentre);
+    if (dataCentre == m_own || path == m_paths.end())
+        return 0;
+    const bool isFull = static_cast<double>(path->second.unanswered.unansweredCount(now))
+            >= path->second.maxUnanswered;
+    return isFull ? m_options.maxExcessMs : excessMs(dataCentre, now);
+}
+
 void RemoteCost::removeDelayed(
         std::vector<PlacementCandidate> &candidates, Duration objective, std::mt19937_64 &random)
 {
@@ -104,8 +122,10 @@
             [](const PlacementCandidate &candidate) { return candidate.isLocal; });
     if (!hasLocal || std::none_of(candidates.begin(), candidates.end(), isDelayed))
         return;
-    // One draw for each request, so that its chance does not depend on the number of endpoints.
-    const double boundMs = std::uniform_real_distribution<double>(0, 1)(random) * toMs(objective);
+    // Below half of the objective the cost alone decides: such an answer is in time, and the local
+    // endpoints may be full. One draw for each request, so that its chance does not depend on the
+    // number of endpoints.
+    const double boundMs = std::uniform_real_distribution<double>(0.5, 1)(random) * toMs(objective);
     std::erase_if(candidates, [&](const PlacementCandidate &candidate) {
         return isDelayed(candidate) && candidate.excessMs >= boundMs;
     });
@@ -116,8 +136,7 @@
     std::vector<Change> changes;
     for (auto &[dataCentre, path] : m_paths) {
         const double excess = excessMs(dataCentre, now);
-        const bool isChanged
-                = path.isLoggedDelayed ? excess == 0 : excess >= m_options.loggedExcessMs;
+        const bool isChanged = path.isLoggedDelayed ? excess == 0 : excess >= m_options.delayedMs;
         if (!isChanged || now < path.loggedAt + m_options.logInterval)
             continue;
         path.isLoggedDelayed = !path.isLoggedDelayed;
--- a/src/routing/internal/requestpath.cpp
+++ b/src/routing/internal/requestpath.cpp
@@ -1,6 +1,7 @@
 #include "routing/requestpath.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace oriolerill::routing {
 
@@ -46,6 +47,12 @@
         m_answeredSentAt -= time;
 }
 
+std::size_t RequestPath::unansweredCount(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::distance(
+            m_unanswered.lower_bound(now - m_options.evidenceLifetime), m_unanswered.end()));
+}
+
 Duration RequestPath::overdue(TimePoint now) const
 {
     Duration longest = Duration::zero();
--- a/src/routing/remotecost.h
+++ b/src/routing/remotecost.h
@@ -32,9 +32,14 @@
     /// arrive. With 500 ms each, a trial used half of a link's capacity, and two thirds with these.
     domain::Duration sampleLifetime = std::chrono::milliseconds(200);
     domain::Duration halfLife = std::chrono::milliseconds(200);
-    /// From this excess on, answers count as delayed in the log until the excess is zero. More than
-    /// the price of traffic, so that the choice of the data centre changes noticeably.
-    double loggedExcessMs = 100;
+    /// From this excess on, an answer counts as delayed, also in the log until the excess is zero.
+    /// More than the price of traffic, and a quarter of the shortest objectives.
+    double delayedMs = 100;
+    /// Bounds on an entry's requests to a data centre whose answers have not begun: the bound
+    /// starts at the maximum, is halved by a delayed answer, and grows by one with each such number
+    /// of answers in time. The excess alone is known only when the link is already full.
+    double minUnanswered = 1;
+    double maxUnanswered = 16;
     domain::Duration logInterval = std::chrono::milliseconds(1000);
     /// Unanswered requests are evidence soon, because a link fills up within the time in which the
     /// first answers are awaited, and for as long as callers of streams wait.
@@ -70,8 +75,10 @@
     /// Milliseconds by which answers from there are later than those of the own data centre,
     /// compared with what was expected; zero for the own data centre.
     double excessMs(const domain::DataCentreId &dataCentre, domain::TimePoint now) const;
-    /// Removes candidates behind links that delay answers, if there are local ones: a share of
-    /// requests that grows with the excess, and all requests when it reaches the objective.
+    /// The excess, or the maximum when the bound on requests without an answer is reached.
+    double costMs(const domain::DataCentreId &dataCentre, domain::TimePoint now) const;
+    /// Removes candidates behind links that delay answers, if there are local ones: for a share of
+    /// requests that grows from half of the objective on, and for all when the excess reaches it.
     static void removeDelayed(std::vector<PlacementCandidate> &candidates,
             domain::Duration objective, std::mt19937_64 &random);
 
@@ -90,14 +97,17 @@
 private:
     struct Path
     {
-        explicit Path(const RequestPathOptions &options)
-            : unanswered(options)
+        explicit Path(const RemoteCostOptions &options)
+            : unanswered(options.path)
+            , maxUnanswered(options.maxUnanswered)
         {}
 
         /// Moving average of the excess at the time of the newest answer.
         double excessMs = 0;
         domain::TimePoint answeredAt;
         RequestPath unanswered;
+        double maxUnanswered = 0;
+        domain::TimePoint halvedAt;
         std::uint64_t sent = 0;
         bool isLoggedDelayed = false;
         domain::TimePoint loggedAt;
--- a/src/routing/requestpath.h
+++ b/src/routing/requestpath.h
@@ -2,6 +2,7 @@
 
 #include "domain/timepoint.h"
 
+#include <cstddef>
 #include <map>
 
 namespace oriolerill::routing {
@@ -36,6 +37,8 @@
     /// The VM was suspended for a time that the clock did not count: proofs are that much older.
     void onSuspended(domain::Duration time);
 
+    /// Requests without an answer that are still evidence.
+    std::size_t unansweredCount(domain::TimePoint now) const;
     /// How long an answer is overdue at most; zero when none is.
     domain::Duration overdue(domain::TimePoint now) const;
     /// A recent request was answered in time, and no later one is overdue.
