--- a/src/relayagent/internal/holdingsexchange.cpp
+++ b/src/relayagent/internal/holdingsexchange.cpp
@@ -209,6 +209,14 @@
     return ranked();
 }
 
+bool HoldingsExchange::hasSender(const Version &version, TimePoint now) const
+{
+    const auto known = m_holders.find(version);
+    return known != m_holders.end()
+            && std::any_of(known->second.begin(), known->second.end(),
+                    [now](const auto &sender) { return now - sender.second <= HolderLifetime; });
+}
+
 void HoldingsExchange::forget(const Version &version)
 {
     m_sent.erase(version);
--- a/src/relayagent/internal/holdingsexchange.h
+++ b/src/relayagent/internal/holdingsexchange.h
@@ -44,6 +44,8 @@
     /// VMs of this data centre that have the manifest of the version: they serve it, or have sent
     /// holdings of it recently. In an order of this VM's own, so that not all ask the same one.
     std::vector<std::string> holders(const Version &version, domain::TimePoint now) const;
+    /// Whether a VM of this data centre has sent holdings of the version recently.
+    bool hasSender(const Version &version, domain::TimePoint now) const;
     void forget(const Version &version);
     /// VMs of this data centre that have stopped, without those listed as serving the version: they
     /// send no holdings unless they are asked for pieces.
--- a/src/relayagent/internal/originreader.cpp
+++ b/src/relayagent/internal/originreader.cpp
@@ -23,8 +23,9 @@
 namespace {
 
 /// Members that serve a version hold all of its pieces. When none of them has sent one for this
-/// long, they may be gone, and the origin is read.
-constexpr auto ServedStallTimeout = std::chrono::seconds(4);
+/// long, they may be gone, and the origin is read. After a loss of power, 4 s here delayed the
+/// return of all engines by as much.
+constexpr auto ServedStallTimeout = milliseconds(1500);
 
 } // namespace
 
--- a/src/relayagent/internal/weightsupdater.cpp
+++ b/src/relayagent/internal/weightsupdater.cpp
@@ -405,7 +405,7 @@
     m_holdings.sendPresence(version, m_origin.isUnreachable());
     const auto search = m_manifestSearches.find(version);
     const bool isDue = search == m_manifestSearches.end() || now >= search->second.nextAt
-            || !m_holdings.holders(version, now).empty();
+            || m_holdings.hasSender(version, now);
     if (isDue && m_opening.count(version) == 0) {
         asio::co_spawn(
                 m_context,
@@ -428,7 +428,10 @@
     constexpr std::size_t MaxHosts = 2;
     std::vector<std::string> hosts = m_holdings.holders(version, now);
     hosts.resize(std::min(hosts.size(), MaxHosts));
-    const bool isRemote = hosts.empty();
+    // Listed members may be gone: after a loss of power the list names their former versions.
+    const auto search = m_manifestSearches.find(version);
+    const bool hasFailed = search != m_manifestSearches.end() && search->second.failures > 0;
+    const bool isRemote = hosts.empty() || (hasFailed && !m_holdings.hasSender(version, now));
     if (isRemote && mayAskOrigin)
         hosts = m_origin.remoteManifestReaders();
     // A VM without a peer that has the manifest waits for the one that asks the origin. Peers may
