--- a/src/relay/internal/requestrun.cpp
+++ b/src/relay/internal/requestrun.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace oriolerill::relay::internal {
 
@@ -35,8 +36,6 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-/// A caller that reads nothing for this long is disconnected.
-constexpr auto CallerWriteTimeout = std::chrono::seconds(10);
 /// After this long without an answer from the store, an unknown route or key may have been added
 /// since: it is refused with 503 instead of 404 or 401.
 constexpr auto MaxStoreAnswerAge = milliseconds(1500);
@@ -63,7 +62,13 @@
     , m_isKeptAlive(m_request.keep_alive())
     , m_silenceTimer(caller.get_executor())
     , m_successorTimer(caller.get_executor())
-{}
+    , m_writer(context, caller)
+{
+    m_writer.setFailureHandler([this] {
+        m_isCallerDisconnected = true;
+        cancelAttempts(AttemptEnd::CallerDisconnected);
+    });
+}
 
 std::optional<LocalAnswer> RequestRun::resolve()
 {
@@ -140,14 +145,21 @@
         m_context.requestsInFlight.erase(this);
     };
     bool isOpen = false;
+    std::exception_ptr error;
     try {
         isOpen = co_await answerOrServe();
     } catch (...) {
-        // The session logs the error.
-        end();
-        throw;
+        error = std::current_exception();
     }
     end();
+    if (m_isCallerDisconnected && m_stream && !isChunked()) {
+        resetOnClose();
+        m_caller.close();
+    }
+    co_await m_writer.stop();
+    // The session logs the error.
+    if (error)
+        std::rethrow_exception(error);
     co_return isOpen;
 }
 
@@ -167,6 +179,7 @@
 {
     m_context.dispatcher.onRequest(m_query.service, m_state->arrivedAt);
     AttemptEnd last = AttemptEnd::NotSent;
+    bool isReturn = false;
     for (;;) {
         const TimePoint now = TimePoint::clock::now();
         if (m_state->isPastDeadline()) {
@@ -190,6 +203,7 @@
         useCurrentConfiguration();
         m_query.mayReserveSlot = isUnsent();
         const routing::DispatchDecision decision = m_context.dispatcher.choose(m_query, now);
+        logAdmissionChange(now);
         if (const auto *refusal = std::get_if<routing::Refusal>(&decision)) {
             if (!isUnsent()) {
                 logNoFurtherAttempt(toString(last), RetryRefusal::NoEndpoint);
@@ -198,8 +212,11 @@
             LocalAnswer localAnswer = refusalAnswer(*refusal);
             co_return co_await refuse(std::move(localAnswer));
         }
+        isReturn = isReturn || std::get<routing::Dispatch>(decision).isReturn;
         last = co_await attempt(std::get<routing::Dispatch>(decision));
         if (last == AttemptEnd::Delivered) {
+            if (isReturn)
+                m_context.metrics.increment("oriolerill_relay_returns_served_total");
             logEnd("answered", callerStatus());
             co_return m_isKeptAlive;
         }
@@ -213,6 +230,7 @@
         }
     }
     if (m_stream) {
+        co_await drain();
         // Closed before the last chunk, so that the caller does not take the answer as complete.
         logEnd("stream_cut", 200);
         resetOnClose();
@@ -267,6 +285,7 @@
         successor->cancel(as);
     if (m_winner)
         m_winner->cancel(as);
+    m_writer.wake();
 }
 
 void RequestRun::resetOnClose()
@@ -568,15 +587,21 @@
             cancelSuccessors();
         }
         if (!read.events.empty()) {
-            if (!co_await sendEvents(std::move(read.events)))
+            if (!sendEvents(read.events))
                 co_return AttemptEnd::CallerDisconnected;
         }
         if (read.end)
             co_return *read.end;
         if (read.isLast) {
+            // The endpoint has done its part, however slowly the caller reads the rest.
+            if (m_writer.isWriting())
+                m_current->finish(AttemptEnd::Delivered);
             const bool isSent = co_await finishStream();
             co_return isSent ? AttemptEnd::Delivered : AttemptEnd::CallerDisconnected;
         }
+        // The endpoint's silence counts from the end of the pause, which is no fault of its own.
+        if (!m_writer.hasRoom())
+            co_await awaitRoom();
         searchSuccessorAt(m_state->policy->nextEventDeadline(TimePoint::clock::now()));
         read = co_await m_current->readEvents();
         // What the attempt has sent since is part of its successor's answer.
@@ -607,8 +632,14 @@
     message.body() = std::move(m_buffered->answer().body);
     if (!m_state->isHeadRequest)
         message.prepare_payload();
-    m_caller.expires_after(CallerWriteTimeout);
-    auto [code, size] = co_await http::async_write(m_caller, message, UseTuple);
+    http::response_serializer<http::string_body> serializer(message);
+    beast::error_code code;
+    while (!code && !serializer.is_done()) {
+        // A long answer may take longer, as long as the caller reads.
+        m_caller.expires_after(m_context.callerWriteTimeout);
+        std::tie(code, std::ignore)
+                = co_await http::async_write_some(m_caller, serializer, UseTuple);
+    }
     co_return !code;
 }
 
@@ -623,23 +654,33 @@
     if (isChunked())
         message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
-    m_caller.expires_after(CallerWriteTimeout);
+    m_writer.setCloseDelimited(!isChunked());
+    m_caller.expires_after(m_context.callerWriteTimeout);
     auto [code, size] = co_await http::async_write_header(m_caller, serializer, UseTuple);
     co_return !code;
 }
 
-asio::awaitable<bool> RequestRun::sendEvents(std::string events)
+bool RequestRun::sendEvents(const std::string &events)
 {
-    m_caller.expires_after(CallerWriteTimeout);
     const asio::const_buffer bytes(events.data(), events.size());
-    beast::error_code code;
-    std::size_t size = 0;
-    if (isChunked())
-        std::tie(code, size)
-                = co_await asio::async_write(m_caller, http::make_chunk(bytes), UseTuple);
-    else
-        std::tie(code, size) = co_await asio::async_write(m_caller, bytes, UseTuple);
-    co_return !code;
+    return isChunked() ? m_writer.write(http::make_chunk(bytes)) : m_writer.write(bytes);
+}
+
+asio::awaitable<void> RequestRun::awaitRoom()
+{
+    if (!std::exchange(m_wasPaused, true)) {
+        m_context.metrics.increment("oriolerill_relay_slow_callers_total");
+        logEvent(Severity::Info, "caller_slow",
+                {{"request", m_callerRequest.id.value()},
+                        {"endpoint", m_current->dispatch().endpoint.value()},
+                        {"events", m_current->events().eventCount()},
+                        {"buffered", m_context.callerStreams->held().count()}});
+    }
+    ++m_context.pausedStreams;
+    while (!m_writer.hasRoom() && m_writer.isWriting() && !m_isCallerDisconnected
+            && !m_current->isCancelled())
+        co_await m_writer.awaitProgress();
+    --m_context.pausedStreams;
 }
 
 bool RequestRun::isChunked() const
@@ -650,11 +691,16 @@
 
 asio::awaitable<bool> RequestRun::finishStream()
 {
-    if (!isChunked())
-        co_return true;
-    m_caller.expires_after(CallerWriteTimeout);
-    auto [code, size] = co_await asio::async_write(m_caller, http::make_chunk_last(), UseTuple);
-    co_return !code;
+    if (isChunked() && !m_writer.write(http::make_chunk_last()))
+        co_return false;
+    co_return co_await drain();
+}
+
+asio::awaitable<bool> RequestRun::drain()
+{
+    while (m_writer.isWriting() && !m_isCallerDisconnected)
+        co_await m_writer.awaitProgress();
+    co_return !m_isCallerDisconnected;
 }
 
 bool RequestRun::isUnsent() const
@@ -669,6 +715,16 @@
     co_return isOpen;
 }
 
+void RequestRun::logAdmissionChange(TimePoint now)
+{
+    const auto change = m_context.dispatcher.takeAdmissionChange(m_query.service, now);
+    if (!change)
+        return;
+    logEvent(Severity::Info, "admission_level",
+            {{"service", m_query.service.value()}, {"level", change->level},
+                    {"ranks_in_full", change->ranksInFull}, {"next_share", change->nextShare}});
+}
+
 LocalAnswer RequestRun::refusalAnswer(const routing::Refusal &refusal)
 {
     const char *reason = "no_endpoint";
@@ -676,9 +732,18 @@
     if (refusal.reason == routing::RefusalReason::Full) {
         reason = "full";
         m_detail = "all endpoints are full";
+    } else if (refusal.reason == routing::RefusalReason::PlainFull) {
+        reason = "plain_full";
+        m_detail = "the queues of all endpoints outlast the time left";
     } else if (refusal.reason == routing::RefusalReason::Limited) {
         reason = "limited";
         m_detail = "the endpoints are at the limits that they name";
+    } else if (refusal.reason == routing::RefusalReason::Priority) {
+        reason = "priority";
+        m_detail = "the remaining capacity is kept for more urgent requests";
+    } else if (refusal.reason == routing::RefusalReason::AccountShare) {
+        reason = "account_share";
+        m_detail = "the account has more than its share of the capacity";
     }
     if (refusal.traits)
         return traitsRefusalAnswer(refusal);
@@ -687,6 +752,10 @@
             + " too_late " + std::to_string(refusal.tooLate);
     m_requiredWeights = refusal.requiredWeights;
     m_context.metrics.increment("oriolerill_relay_refusals_total", {{"reason", reason}});
+    if (refusal.urgency) {
+        m_context.metrics.increment("oriolerill_relay_refusals_by_rank_total",
+                {{"reason", reason}, {"rank", std::to_string(*refusal.urgency)}});
+    }
     return {503, {ErrorKind::Overloaded, "not run: " + m_detail, "come back after Retry-After"},
             refusal.retryAfter};
 }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -9,8 +9,12 @@
 #include "routing/endpointload.h"
 #include "routing/endpointnotices.h"
 #include "routing/placement.h"
+#include "routing/plainadmission.h"
 #include "routing/publishedwithdrawals.h"
+#include "routing/refusalreason.h"
+#include "routing/remotecost.h"
 #include "routing/retrybudget.h"
+#include "routing/serviceadmission.h"
 #include "routing/servingconfig.h"
 #include "routing/startpace.h"
 #include "routing/weightsrequirement.h"
@@ -58,7 +62,10 @@
     EndpointLoadOptions load;
     EndpointListOptions list;
     PlacementOptions placement;
+    PlainAdmissionOptions plain;
+    RemoteCostOptions remote;
     WorkingSetOptions workingSet;
+    ServiceAdmissionOptions admission;
     /// A request whose expected wait exceeds this share of the strictest objective of its service
     /// is refused, so that slots go to requests that are answered in time. One bound for all kinds
     /// of requests of a service, so that none of them is starved by the others; the rest of the
@@ -109,6 +116,8 @@
     /// Oldest version that was allowed at the choice; zero when any version is allowed.
     std::uint64_t requiredWeights = 0;
     double expectedStartMs = 0;
+    /// Queue ahead of the request at a plain endpoint, in service times.
+    double queuedRuns = 0;
     /// Data centre of an engine; empty for other endpoints.
     domain::DataCentreId dataCentre;
     /// Latest time at which the request may begin, because a newer version than the served one is
@@ -122,17 +131,10 @@
     bool isLimited = false;
     /// The request tries whether traits that have crashed engines are answered by now.
     bool isTrial = false;
-};
-
-enum class RefusalReason {
-    /// No endpoint of the service may take the request.
-    NoEndpoint,
-    /// The expected wait is too long at all endpoints.
-    Full,
-    /// Only a rate limit that an endpoint has stated prevents it from taking the request.
-    Limited,
-    /// Parts of the request's prompt have crashed engines.
-    CrashingTraits,
+    /// 0 is the most urgent, 9 the least; none where the service has no ranks.
+    std::optional<std::uint32_t> urgency = std::nullopt;
+    /// The caller was refused before and returns.
+    bool isReturn = false;
 };
 
 struct Refusal
@@ -149,6 +151,8 @@
     std::size_t tooLate = 0;
     /// Why the request is refused for its traits.
     std::optional<TraitsUnusable> traits = std::nullopt;
+    /// As in Dispatch.
+    std::optional<std::uint32_t> urgency = std::nullopt;
 };
 
 using DispatchDecision = std::variant<Dispatch, Refusal>;
@@ -180,6 +184,9 @@
     CrashAttribution &crashes() { return m_crashes; }
     const CrashAttribution &crashes() const { return m_crashes; }
     StartPace &startPace() { return m_startPace; }
+    const PlainAdmission &plainAdmission() const { return m_plain; }
+    RemoteCost &remoteCost() { return m_remote; }
+    const RemoteCost &remoteCost() const { return m_remote; }
     PublishedWithdrawals &publishedWithdrawals() { return m_publishedWithdrawals; }
     WeightsRequirement &weights() { return m_weights; }
     const WeightsRequirement &weights() const { return m_weights; }
@@ -212,6 +219,9 @@
     /// Requests for the service since the last call.
     std::uint64_t takeDemand(const domain::ServiceId &service);
     DispatchDecision choose(const DispatchQuery &query, domain::TimePoint now);
+    /// Admitted share of the service's requests after a noticeable change; at most once a second.
+    std::optional<AdmissionLevel> takeAdmissionChange(
+            const domain::ServiceId &service, domain::TimePoint now);
     /// Maximum number of idle connections that this entry keeps to one endpoint of the service:
     /// half of its part of the endpoint's connection limit; the other half is for requests in
     /// progress.
@@ -220,6 +230,9 @@
     void onSent(const Dispatch &dispatch, domain::TimePoint now);
     /// The answer to the request that was sent at this time has begun.
     void onAnswerBegun(const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now);
+    /// The successful answer to the request that was sent at this time states this load.
+    void onAnswerLoad(const Dispatch &dispatch, const AnswerLoad &load, domain::TimePoint sentAt,
+            domain::TimePoint now);
     /// The request that was sent at this time has ended; onAnswerBegun() was called if its answer
     /// had begun.
     void onEnded(const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now);
@@ -287,8 +300,16 @@
     bool beginsInTime(const ListedEndpoint &engine, std::uint64_t served,
             const ServiceSpec &service, const CallerRequest &request,
             domain::Duration expectedStart, domain::TimePoint now);
+    PlainLoad plainLoad(const ListedEndpoint &endpoint, domain::TimePoint now);
+    /// The refusal of a request that no plain endpoint can answer in time; none when it is
+    /// admitted.
+    std::optional<Refusal> refusePlain(
+            const Candidates &candidates, const DispatchQuery &query, domain::TimePoint now);
     double maxWaitMs(const domain::ServiceId &service) const;
     Refusal refuse(RefusalReason reason, double waitMs);
+    ServiceAdmission &admission(const domain::ServiceId &service);
+    /// Slots of the service that become free in a second for requests of this entry.
+    double freePerSecond(const ServiceSpec &service, std::size_t usable);
     Refusal refuseTraits(const TraitsUnusable &unusable, domain::TimePoint now);
     Refusal refuseWithoutCandidate(
             const Candidates &candidates, const DispatchQuery &query, domain::TimePoint now);
@@ -311,9 +332,12 @@
     EndpointLimits m_limits;
     CrashAttribution m_crashes;
     Placement m_placement;
+    PlainAdmission m_plain;
+    RemoteCost m_remote;
     std::map<domain::EndpointId, EndpointLoad> m_loads;
     std::map<domain::ServiceId, RetryBudget> m_retries;
     std::map<domain::ServiceId, std::uint64_t> m_demand;
+    std::map<domain::ServiceId, ServiceAdmission> m_admissions;
     struct CachedWorkingSet
     {
         WorkingSet set;
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -44,6 +44,8 @@
     , m_limits(m_options.limits)
     , m_crashes(m_options.crashes)
     , m_placement(m_options.placement)
+    , m_plain(m_options.plain)
+    , m_remote(m_options.dataCentre, m_options.remote)
     , m_share{m_options.assumedEntries, m_options.seed % m_options.assumedEntries}
     , m_random(m_options.seed)
 {}
@@ -60,6 +62,15 @@
             known->second = std::min(known->second, route.objective);
         }
     }
+    std::map<domain::ServiceId, ServiceAdmission> admissions;
+    for (auto &[service, ranks] : ServiceRanks::of(*m_config)) {
+        const auto known = m_admissions.find(service);
+        if (known != m_admissions.end() && known->second.ranks() == ranks)
+            admissions.insert(m_admissions.extract(known));
+        else
+            admissions.try_emplace(service, ranks, m_options.admission);
+    }
+    m_admissions = std::move(admissions);
     return true;
 }
 
@@ -165,6 +176,7 @@
 {
     m_weights.onPaused(pausedAt, resumedAt);
     m_starts.onPaused(resumedAt - pausedAt);
+    m_remote.onPaused(resumedAt - pausedAt);
 }
 
 EndpointLoad &Dispatcher::load(const domain::EndpointId &endpoint)
@@ -270,18 +282,43 @@
     if (service.engine)
         return known.expectedStartMs(*service.engine, request.promptTokens, now)
                 + known.failureCostMs();
-    // Requests to plain services are short; the estimate is based on the endpoint's occupancy and
-    // on the present slowness of its VM. A taken slot costs about one usual run.
-    constexpr double UsualRunMs = 40;
-    const double slots = std::max<double>(endpoint.slots, 1);
-    const double ahead = std::max(0.0, known.occupancy(now) + 1 - slots);
-    const double slowness = known.slowness(now);
+    // Requests to plain services are short; the estimate is based on the endpoint's occupancy, on
+    // the present slowness of its VM and on the usual service time.
+    const PlainLoad plain = plainLoad(endpoint, now);
+    const double runMs = m_plain.runMs(service.id);
+    const double ahead = std::max(0.0, plain.occupancy + 1 - plain.slots);
     // Never negative: the time-outs of attempts are derived from the result.
-    const double slower = std::max((slowness - 1) * UsualRunMs, 0.0);
-    return known.occupancy(now) + slower + ahead * UsualRunMs * slowness / slots
+    const double slower = std::max((plain.slowness - 1) * runMs, 0.0);
+    return plain.occupancy + slower + ahead * runMs * plain.slowness / plain.slots
             + known.failureCostMs();
 }
 
+PlainLoad Dispatcher::plainLoad(const ListedEndpoint &endpoint, domain::TimePoint now)
+{
+    const EndpointLoad &known = load(endpoint.id);
+    return {std::max<double>(endpoint.slots, 1), known.occupancy(now),
+            static_cast<double>(known.inFlight()), known.slowness(now),
+            known.hasFreshReport(now) ? known.reportAge(now) : domain::Duration::zero()};
+}
+
+std::optional<Refusal> Dispatcher::refusePlain(
+        const Candidates &candidates, const DispatchQuery &query, domain::TimePoint now)
+{
+    std::vector<PlainLoad> loads;
+    for (const PlacementCandidate &candidate : candidates.pool())
+        loads.push_back(plainLoad(*m_endpoints.find(candidate.endpoint), now));
+    domain::TimePoint deadline = now + query.route->timeout;
+    if (query.request->deadline)
+        deadline = std::min(deadline, *query.request->deadline);
+    const auto waitMs = m_plain.refuse(query.service, loads, deadline - now, now);
+    if (!waitMs)
+        return std::nullopt;
+    Refusal refusal = refuse(RefusalReason::PlainFull, *waitMs);
+    refusal.listed = listedCount(query.service);
+    refusal.usable = candidates.usable.size();
+    return refusal;
+}
+
 double Dispatcher::maxWaitMs(const domain::ServiceId &service) const
 {
     const auto objective = m_objectives.find(service);
@@ -370,9 +407,13 @@
     m_startPace.update(endpoint.id, known, now);
     if (isCold(endpoint, service, now) && !hasColdRoom(endpoint, service, now))
         return;
+    // A slow endpoint does less work in the same time, so it gets less even where it would start
+    // about as early as others.
+    const double slowness = service.engine ? known.pace(now) : known.slowness(now);
     const PlacementCandidate candidate{endpoint.id,
             expectedStartMs(endpoint, service, *query.request, now),
-            endpoint.dataCentre == m_options.dataCentre};
+            endpoint.dataCentre == m_options.dataCentre, m_remote.costMs(endpoint.dataCentre, now),
+            1 / std::max(slowness, 1.0)};
     const bool isTooLate = version
             && !beginsInTime(endpoint, *version, service, *query.request,
                     fromMs(candidate.expectedStartMs), now);
@@ -386,7 +427,9 @@
     const bool isRepeated = !query.excluded.empty();
     const bool isUnresponsive = known.isUnresponsive(now) && (isRepeated || known.inFlight() > 0);
     const bool isSuspect = isUnresponsive || (isRepeated && known.hasFailedSinceSuccess());
-    if (known.isAwaitingRetry(now) || known.isSwitching(now) || isSuspect)
+    const bool isShedding
+            = !service.engine && m_plain.isShedding(service.id, plainLoad(endpoint, now));
+    if (known.isAwaitingRetry(now) || known.isSwitching(now) || isSuspect || isShedding)
         candidates.fallback.push_back(candidate);
     else if (m_startPace.isAtLimit(endpoint.id, known, m_share, now))
         candidates.paced.push_back(candidate);
@@ -470,18 +513,30 @@
     Candidates candidates;
     if (service != nullptr)
         candidates = candidatesFor(*service, query, now);
+    RemoteCost::removeDelayed(candidates.usable, query.route->objective, m_random);
     const auto &pool = candidates.pool();
     const auto chosen = m_placement.choose(pool, m_random);
     if (!chosen) {
         return refuseWithoutCandidate(candidates, query, now);
     }
     const PlacementCandidate &best = pool[*chosen];
+    AdmissionDecision admitted;
     if (service->engine) {
         const double waitMs = load(best.endpoint).expectedWaitMs(*service->engine, now);
         const double maxMs = maxWaitMs(query.service);
-        if (waitMs > maxMs) {
+        const bool isFirst = query.excluded.empty() && query.mayReserveSlot;
+        ServiceAdmission &admission = this->admission(query.service);
+        admitted = admission.decide({*query.route, query.account, *query.request, isFirst, waitMs,
+                                            maxMs, m_options.maxWaitShare},
+                now);
+        if (admitted.refusal) {
             const double queueMs = load(best.endpoint).queueMs(*service->engine, now);
-            Refusal refusal = refuse(RefusalReason::Full, std::max(queueMs - maxMs, 0.0));
+            const double excessMs = std::max(queueMs - maxMs, 0.0);
+            Refusal refusal = refuse(*admitted.refusal, excessMs);
+            if (const auto after = admission.retryAfter(*query.route, query.account,
+                        fromMs(excessMs), freePerSecond(*service, pool.size()), m_random, now))
+                refusal.retryAfter = *after;
+            refusal.urgency = admitted.urgency;
             refusal.listed = listedCount(query.service);
             refusal.usable = candidates.usable.size();
             refusal.outdated = candidates.outdated;
@@ -489,10 +544,14 @@
             refusal.requiredWeights = candidates.requiredWeights;
             return refusal;
         }
+    } else if (auto refusal = refusePlain(candidates, query, now)) {
+        return *refusal;
     }
     const ListedEndpoint *endpoint = m_endpoints.find(best.endpoint);
     Dispatch dispatch;
     dispatch.isTrial = std::get<TraitsUsable>(traits).isTrial;
+    dispatch.urgency = admitted.urgency;
+    dispatch.isReturn = admitted.isReturn;
     dispatch.endpoint = best.endpoint;
     dispatch.address = endpoint->address;
     dispatch.startedAtMs = endpoint->startedAtMs;
@@ -512,6 +571,8 @@
         dispatch.dataCentre = endpoint->dataCentre;
         dispatch.beginDeadline
                 = m_weights.beginDeadline(query.request->model, dispatch.servedWeights);
+    } else {
+        dispatch.queuedRuns = m_plain.queuedRuns(query.service, plainLoad(*endpoint, now));
     }
     if (dispatch.beginDeadline) {
         dispatch.stopAt = stopAt(best.endpoint, *service, *query.request,
@@ -520,6 +581,32 @@
     return dispatch;
 }
 
+ServiceAdmission &Dispatcher::admission(const domain::ServiceId &service)
+{
+    return m_admissions.try_emplace(service, ServiceRanks(), m_options.admission).first->second;
+}
+
+std::optional<AdmissionLevel> Dispatcher::takeAdmissionChange(
+        const domain::ServiceId &service, domain::TimePoint now)
+{
+    const auto found = m_admissions.find(service);
+    return found == m_admissions.end() ? std::nullopt : found->second.takeChange(now);
+}
+
+double Dispatcher::freePerSecond(const ServiceSpec &service, std::size_t usable)
+{
+    constexpr double MsPerSecond = 1000;
+    const WorkingSet *set = workingSet(service.id);
+    const std::size_t evaluated = set == nullptr ? 0 : set->engines().size();
+    const auto listed = static_cast<double>(listedCount(service.id));
+    // The engines outside the working set are assumed to be usable in the same proportion.
+    const double share = evaluated == 0
+            ? 1
+            : std::min(static_cast<double>(usable) / static_cast<double>(evaluated), 1.0);
+    const double intervalMs = std::max(service.engine->completionIntervalMs(), 1.0);
+    return listed * share * MsPerSecond / intervalMs / static_cast<double>(m_share.entries);
+}
+
 bool Dispatcher::beginsInTime(const ListedEndpoint &engine, std::uint64_t served,
         const ServiceSpec &service, const CallerRequest &request, domain::Duration expectedStart,
         domain::TimePoint now)
@@ -562,6 +649,10 @@
 void Dispatcher::onSent(const Dispatch &dispatch, domain::TimePoint now)
 {
     load(dispatch.endpoint).onSent(now);
+    if (const ListedEndpoint *endpoint = m_endpoints.find(dispatch.endpoint))
+        m_remote.countSent(endpoint->dataCentre);
+    if (!dispatch.dataCentre.value().empty())
+        m_remote.onSent(dispatch.dataCentre, now, dispatch.expectedStartMs);
     if (dispatch.isCold) {
         m_cold.onSent(dispatch.endpoint, now);
         m_startPace.onColdSent(dispatch.endpoint);
@@ -577,12 +668,24 @@
 {
     load(dispatch.endpoint).onAnswerBegun(now);
     m_startPace.onAnswerBegun(dispatch.endpoint, dispatch.expectedStartMs, sentAt, now);
+    if (!dispatch.dataCentre.value().empty())
+        m_remote.onAnswerBegun(dispatch.dataCentre, sentAt, dispatch.expectedStartMs, now);
     m_starts.onAnswered({dispatch.endpoint, dispatch.dataCentre}, sentAt);
 }
 
+void Dispatcher::onAnswerLoad(const Dispatch &dispatch, const AnswerLoad &load,
+        domain::TimePoint sentAt, domain::TimePoint now)
+{
+    const ListedEndpoint *endpoint = m_endpoints.find(dispatch.endpoint);
+    if (endpoint == nullptr || workingSet(endpoint->service) != nullptr)
+        return;
+    m_plain.onAnswer(endpoint->service, load, now - sentAt, dispatch.queuedRuns);
+}
+
 void Dispatcher::onEnded(const Dispatch &dispatch, domain::TimePoint sentAt, domain::TimePoint now)
 {
     load(dispatch.endpoint).onEnded();
+    m_remote.onEnded(dispatch.dataCentre, sentAt, now);
     m_starts.onEnded({dispatch.endpoint, dispatch.dataCentre}, sentAt, now);
 }
 
--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -141,8 +141,8 @@
         return json::object{{"name", prefix}, {"host", "soak.example"}, {"path_prefix", prefix},
                 {"type", type}, {"service", isEngine ? "engine" : "plain"},
                 {"timeout_ms", limit.count()}, {"target_latency_ms", 500}, {"target_gap_ms", 500},
-                {"max_attempts", 3}, {"priority", 1}, {"public", !isEngine},
-                {"resumable", isResumable}, {"sticky", isEngine}};
+                {"max_attempts", 3}, {"priority", isEngine && isResumable ? 2 : 1},
+                {"public", !isEngine}, {"resumable", isResumable}, {"sticky", isEngine}};
     };
     json::array routes = {route("/read/", "idempotent", false, false),
             route("/order/", "non_idempotent", false, false),
@@ -153,14 +153,15 @@
         routes.push_back(route("/unused" + std::to_string(i) + '/', "idempotent", false, false));
     const json::object engine = {{"slots", 8}, {"step_ms", 20}, {"per_seq_ms", 0.02},
             {"read_per_s", 30600}, {"usual", json::object{{"prompt", 100}, {"answer", 40}}},
-            {"layers", 16},
+            {"layers", 16}, {"chunk_bytes", platform::StandInWeights().pieceSize},
             {"models", json::array{json::object{{"name", platform::StandInWeights().model}}}}};
     return {{"version", m_configVersions.back()}, {"routes", std::move(routes)},
             {"services",
                     json::array{json::object{{"name", "plain"}, {"health_path", "/healthz"},
                                         {"max_conns", MaxConnections}},
                             json::object{{"name", "engine"}, {"health_path", "/healthz"},
-                                    {"max_conns", MaxConnections}, {"engine", engine}},
+                                    {"max_conns", MaxConnections}, {"cold_per_s", 30},
+                                    {"engine", engine}},
                             json::object{{"name", "weights"},
                                     {"origin",
                                             SocketAddress{host(StoreGroup, 2), OriginPort}
