--- a/src/distribution/internal/originplan.cpp
+++ b/src/distribution/internal/originplan.cpp
@@ -21,7 +21,7 @@
     return std::max(lanes, options.minLanes);
 }
 
-OriginPlan::OriginPlan(std::string model, const std::vector<PushMember> &members,
+OriginPlan::OriginPlan(const std::string &model, const std::vector<PushMember> &members,
         OriginCapacity capacity, OriginPlanOptions options)
     : m_capacity(capacity)
     , m_lanes(distribution::laneCount(capacity, options))
@@ -30,6 +30,7 @@
     for (const PushMember &member : members)
         hosts[member.dataCentre.value()].insert(member.host);
     std::vector<std::string> names;
+    names.reserve(hosts.size());
     for (const auto &[name, unused] : hosts)
         names.push_back(name);
     std::map<std::string, std::set<std::string>> first;
@@ -62,9 +63,9 @@
 const std::vector<std::string> &OriginPlan::readers(
         std::size_t lane, const domain::DataCentreId &dataCentre) const
 {
-    static const std::vector<std::string> None;
+    static const std::vector<std::string> none;
     const auto found = m_lanes[lane].readers.find(dataCentre);
-    return found == m_lanes[lane].readers.end() ? None : found->second;
+    return found == m_lanes[lane].readers.end() ? none : found->second;
 }
 
 } // namespace oriolerill::distribution
--- a/src/distribution/originplan.h
+++ b/src/distribution/originplan.h
@@ -51,8 +51,8 @@
 {
 public:
     /// A VM that is not listed reads no lane: no other VM sends it holdings.
-    OriginPlan(std::string model, const std::vector<PushMember> &members, OriginCapacity capacity,
-            OriginPlanOptions options = {});
+    OriginPlan(const std::string &model, const std::vector<PushMember> &members,
+            OriginCapacity capacity, OriginPlanOptions options = {});
 
     std::size_t laneCount() const { return m_lanes.size(); }
     std::size_t laneOf(std::uint32_t piece) const { return piece % m_lanes.size(); }
--- a/src/distribution/tests/originscheduletest.cpp
+++ b/src/distribution/tests/originscheduletest.cpp
@@ -212,7 +212,7 @@
     const std::size_t before = m_log.size();
     run(4s);
     const std::size_t lanes = m_plan->laneCount();
-    EXPECT_LE(m_log.size() - before, 4 * 4 * lanes);
+    EXPECT_LE(m_log.size() - before, lanes * 4 * 4);
     m_isRefusing = false;
     const TimePoint returnedAt = m_now;
     run(1s);
