--- a/src/distribution/fleetholdings.h
+++ b/src/distribution/fleetholdings.h
@@ -89,7 +89,7 @@
     FleetHoldingsOptions m_options;
     domain::TimePoint m_expectedSince;
     std::map<std::string, Host> m_hosts;
-    /// When each other data centre was last heard of.
+    /// Time of the newest report of each other data centre.
     std::map<domain::DataCentreId, domain::TimePoint> m_dataCentres;
     std::map<std::uint64_t, Version> m_versions;
 };
--- a/src/distribution/internal/piecesources.cpp
+++ b/src/distribution/internal/piecesources.cpp
@@ -200,7 +200,7 @@
     add(holders(key, true), MaxHoldersTried);
     const domain::DataCentreId *home = homeOf(piece);
     if (home != nullptr && *home == m_self.dataCentre) {
-        // Only those that rank higher, as below.
+        // Only readers that rank higher: two that wait for each other would never finish.
         std::vector<std::string> readers = m_origin->readers(m_origin->laneOf(piece), *home);
         const auto self = std::find(readers.begin(), readers.end(), m_self.host);
         readers.erase(self, readers.end());
--- a/src/distribution/internal/versiontransfer.cpp
+++ b/src/distribution/internal/versiontransfer.cpp
@@ -263,9 +263,9 @@
     return PieceFetch{*rarest, {host}, FetchKind::Held};
 }
 
-/// While pieces arrive one by one from the origin, the rarest pieces are those that a single VM
-/// has just received. With all VMs of the data centre in its queue, the links of the others would
-/// be idle. So each VM takes any piece, in its own random order, whose holder has a short queue.
+/// While pieces arrive one by one from the origin, the rarest piece has a single holder. With all
+/// VMs of the data centre in its queue, the links of the others would be idle. So each VM selects
+/// any piece, in its own random order, whose holder has a short queue.
 std::optional<PieceFetch> VersionTransfer::nextLeastLoaded(domain::TimePoint now)
 {
     std::optional<PieceFetch> best;
--- a/src/relay/tests/invalidstatustest.cpp
+++ b/src/relay/tests/invalidstatustest.cpp
@@ -62,7 +62,7 @@
 }
 
 // Guards against a lost answer that ends an idempotent request, and against the use of the
-// connection, where the next answer cannot be told from the rest of the invalid one.
+// connection, where the rest of the invalid answer would be read as the next one.
 TEST_P(InvalidStatusFixture, serve_idempotent_answeredByOtherEndpoint)
 {
     addEndpoints("a1", "Keep-Alive: timeout=20\r\n", "bad");
--- a/src/relayagent/internal/holdingsexchange.h
+++ b/src/relayagent/internal/holdingsexchange.h
@@ -36,9 +36,9 @@
     void onRemote(
             const protocol::DataCentreHoldings &message, const Transfer &transfer, bool isDirect);
 
-    /// Sends what is due; waiting is the number of requests that wait here for a piece.
+    /// Sends the datagrams that are due; waiting is the number of requests queued here for pieces.
     void send(const Transfers &transfers, std::size_t waiting, bool isOriginUnreachable);
-    /// Tells the agents of this data centre that this one runs, although it has no manifest of the
+    /// Notifies the agents of this data centre that this one is running without a manifest of the
     /// version yet.
     void sendPresence(const Version &version, bool isOriginUnreachable);
     /// VMs of this data centre that have the manifest of the version: they serve it, or have sent
--- a/src/rollout/tests/originpushtest.cpp
+++ b/src/rollout/tests/originpushtest.cpp
@@ -145,8 +145,8 @@
         return before < 2;
     }
 
-    /// Each VM of a data centre tells the others every 100 ms; its first two tell those of the
-    /// other data centres every 250 ms, and pass on what they hear.
+    /// Each VM sends its holdings to the others of its data centre every 100 ms. The first two of
+    /// each data centre send those of all to the other data centres every 250 ms.
     void exchangeHoldings(std::size_t sender)
     {
         Vm &from = m_vms[sender];
--- a/src/routing/internal/priorityadmission.cpp
+++ b/src/routing/internal/priorityadmission.cpp
@@ -145,12 +145,12 @@
 {
     constexpr double NoticeableChange = 0.15;
     constexpr auto MinInterval = std::chrono::seconds(1);
-    const bool isNoticeable = std::abs(m_level - m_toldLevel) >= NoticeableChange
-            || (m_level >= 1 && m_toldLevel < 1);
-    if (!isNoticeable || (m_toldAt && now - *m_toldAt < MinInterval))
+    const bool isNoticeable = std::abs(m_level - m_reportedLevel) >= NoticeableChange
+            || (m_level >= 1 && m_reportedLevel < 1);
+    if (!isNoticeable || (m_reportedAt && now - *m_reportedAt < MinInterval))
         return std::nullopt;
-    m_toldLevel = m_level;
-    m_toldAt = now;
+    m_reportedLevel = m_level;
+    m_reportedAt = now;
     AdmissionLevel result{m_level, 0, 1};
     while (result.ranksInFull < m_counts.size() && share(result.ranksInFull) >= 1)
         ++result.ranksInFull;
--- a/src/routing/internal/returnforecast.cpp
+++ b/src/routing/internal/returnforecast.cpp
@@ -13,9 +13,9 @@
 {
     // Engines serve more urgent requests first, so only these callers are ahead of this one.
     std::size_t ahead = 0;
-    for (auto &[toldRank, times] : m_told) {
+    for (auto &[returningRank, times] : m_returns) {
         times.erase(times.begin(), times.upper_bound(now));
-        ahead += toldRank <= rank ? times.size() : 0;
+        ahead += returningRank <= rank ? times.size() : 0;
     }
     using Ms = std::chrono::duration<double, std::milli>;
     std::uniform_real_distribution<double> spread(1.0, 2.0);
@@ -31,7 +31,7 @@
             std::chrono::duration_cast<domain::Duration>(std::min(
                     base + turn, std::max(latest, std::min(base, Ms(m_options.maxRetryAfter))))),
             m_options.minRetryAfter, m_options.maxRetryAfter);
-    m_told[rank].insert(now + after);
+    m_returns[rank].insert(now + after);
     return after;
 }
 
--- a/src/routing/priorityadmission.h
+++ b/src/routing/priorityadmission.h
@@ -52,7 +52,7 @@
     double limitMs = 0;
     /// The shortest of these limits in the service.
     double strictestLimitMs = 0;
-    /// Above one for a caller that returns when it was told to.
+    /// Above one for a caller that returns after the Retry-After it was given.
     double limitFactor = 1;
 };
 
@@ -118,8 +118,8 @@
     Count m_mostUrgent;
     double m_level = 1;
     std::optional<domain::TimePoint> m_advancedAt;
-    double m_toldLevel = 1;
-    std::optional<domain::TimePoint> m_toldAt;
+    double m_reportedLevel = 1;
+    std::optional<domain::TimePoint> m_reportedAt;
 };
 
 } // namespace oriolerill::routing
--- a/src/routing/returnforecast.h
+++ b/src/routing/returnforecast.h
@@ -23,7 +23,7 @@
 /// return.
 ///
 /// Load pattern: several callers a second are refused for many seconds. Each takes the next slot
-/// that is forecast to become free for this entry, after the callers that were told to return
+/// that is forecast to become free for this entry, after the callers that were given a Retry-After
 /// before, so that they do not meet. Not safe for concurrent use.
 class ReturnForecast
 {
@@ -47,8 +47,8 @@
     };
 
     ReturnForecastOptions m_options;
-    /// Times at which callers were told to return, by rank.
-    std::map<std::size_t, std::multiset<domain::TimePoint>> m_told;
+    /// Times at which refused callers are expected to return, by rank.
+    std::map<std::size_t, std::multiset<domain::TimePoint>> m_returns;
     std::map<std::string, Stated> m_stated;
 };
 
