Return to the former Retry-After of refused callers

Callers that were refused by an entry with ranks were told to return when their turn was forecast. The forecast stays as an option, off.

--- a/src/routing/internal/serviceadmission.cpp
+++ b/src/routing/internal/serviceadmission.cpp
@@ -89,7 +89,7 @@
         const CallerAccount *account, domain::Duration excess, double freePerSecond,
         std::mt19937_64 &random, domain::TimePoint now)
 {
-    if (!m_ranks.areUnequal())
+    if (!m_options.isRetryAfterForecast || !m_ranks.areUnequal())
         return std::nullopt;
     return m_returns.retryAfter(
             m_ranks.indexOf(rankOf(route, account)), excess, freePerSecond, random, now);
--- a/src/routing/serviceadmission.h
+++ b/src/routing/serviceadmission.h
@@ -22,6 +22,9 @@
     /// A returning caller is admitted at an expected wait this much longer than a new one: enough
     /// for one more request in an engine's queue.
     double returnLimitFactor = 1.5;
+    /// Whether Retry-After follows the forecast of free slots. Off: with it, callers returned after
+    /// their objective in bursts of some seconds, and were answered late instead of in time.
+    bool isRetryAfterForecast = false;
 };
 
 /// A request to an engine, with the state of the engine that was chosen for it.
