--- a/src/routing/priorityadmission.h
+++ b/src/routing/priorityadmission.h
@@ -114,7 +114,7 @@
 
     PriorityAdmissionOptions m_options;
     std::vector<Count> m_counts;
-    /// All requests, and those that would be admitted if they had the most urgent rank.
+    /// All requests, and the number that the most urgent rank would have had admitted.
     Count m_mostUrgent;
     double m_level = 1;
     std::optional<domain::TimePoint> m_advancedAt;
--- a/src/routing/remotecost.h
+++ b/src/routing/remotecost.h
@@ -47,7 +47,7 @@
             .evidenceLifetime = std::chrono::milliseconds(2000)};
 };
 
-/// What it costs to send a request to another data centre beyond the price of its traffic: the
+/// Cost of a request to another data centre beyond the price of its traffic: the
 /// excess of the delay of answers from there over the expected delay.
 ///
 /// Handles demand that moves to one data centre: its entries use the engines of the others until
--- a/src/routing/returnforecast.h
+++ b/src/routing/returnforecast.h
@@ -19,8 +19,8 @@
     domain::Duration statedPeriod = std::chrono::seconds(5);
 };
 
-/// Retry-After of the refused callers of one service at one entry, and recognition of those that
-/// return.
+/// Retry-After of the refused callers of one service at one entry, and recognition of returning
+/// callers.
 ///
 /// Load pattern: several callers a second are refused for many seconds. Each takes the next slot
 /// that is forecast to become free for this entry, after the callers that were given a Retry-After
--- a/src/routing/startpace.h
+++ b/src/routing/startpace.h
@@ -50,7 +50,7 @@
     std::uint32_t failureRun = 3;
     /// Assumed duration of a request to a service without engines.
     double plainRunMs = 40;
-    /// Maximum number of endpoints that are remembered; those that are not listed are evicted.
+    /// Maximum number of endpoints kept; endpoints that are not listed are evicted first.
     std::size_t maxKnown = 4096;
     /// Maximum number of events kept until takeEvents().
     std::size_t maxEvents = 64;
--- a/src/routing/tests/returnforecasttest.cpp
+++ b/src/routing/tests/returnforecasttest.cpp
@@ -18,7 +18,7 @@
     TimePoint m_now{1h};
 };
 
-// Guards against callers that are all told to return at the same time, when few slots are free.
+// Guards against Retry-After values that let all callers return at once, when few slots are free.
 TEST_F(ReturnForecastFixture, retryAfter_manyRefused_returnsFollowFreeSlots)
 {
     std::vector<domain::Duration> times;
