--- a/src/admin/internal/requesttarget.cpp
+++ b/src/admin/internal/requesttarget.cpp
@@ -1,30 +1,13 @@
 #include "admin/internal/requesttarget.h"
 
+#include "transport/percentencoding.h"
+
 #include <algorithm>
-#include <charconv>
 
 namespace oriolerill::admin::internal {
 
 namespace {
 
-std::string decoded(std::string_view text)
-{
-    std::string result;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        unsigned code = 0;
-        constexpr int Hexadecimal = 16;
-        const bool isEscape = text[i] == '%' && i + 2 < text.size();
-        const char *const digits = text.data() + i + 1;
-        if (isEscape && std::from_chars(digits, digits + 2, code, Hexadecimal).ptr == digits + 2) {
-            result += static_cast<char>(code);
-            i += 2;
-        } else {
-            result += text[i];
-        }
-    }
-    return result;
-}
-
 std::vector<std::string_view> split(std::string_view text, char separator)
 {
     std::vector<std::string_view> parts;
@@ -43,12 +26,13 @@
 {
     const std::size_t mark = std::min(target.find('?'), target.size());
     for (const std::string_view segment : split(target.substr(0, mark), '/'))
-        m_segments.push_back(decoded(segment));
+        m_segments.push_back(transport::percentDecoded(segment));
     for (const std::string_view pair : split(target.substr(mark), '&')) {
         const std::string_view text = pair.front() == '?' ? pair.substr(1) : pair;
         const std::size_t equals = std::min(text.find('='), text.size());
         const std::string_view value = text.substr(std::min(equals + 1, text.size()));
-        m_parameters[decoded(text.substr(0, equals))] = decoded(value);
+        m_parameters[transport::percentDecoded(text.substr(0, equals))]
+                = transport::percentDecoded(value);
     }
 }
 
--- a/src/objectstore/internal/objectcodec.cpp
+++ b/src/objectstore/internal/objectcodec.cpp
@@ -5,7 +5,6 @@
 #include <boost/json.hpp>
 #include <openssl/evp.h>
 
-#include <cctype>
 #include <optional>
 
 namespace oriolerill::objectstore::internal {
@@ -97,24 +96,6 @@
 
 } // namespace
 
-std::string encodeKey(std::string_view key)
-{
-    static constexpr char Digits[] = "0123456789ABCDEF";
-    static constexpr std::string_view Plain = "-._~/";
-    std::string text;
-    for (const char c : key) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) != 0 || Plain.find(c) != std::string_view::npos) {
-            text.push_back(c);
-            continue;
-        }
-        text.push_back('%');
-        text.push_back(Digits[byte >> 4U]);
-        text.push_back(Digits[byte & 0x0fU]);
-    }
-    return text;
-}
-
 Expected<ObjectList> parseObjectList(std::string_view body)
 {
     const std::optional<json::object> root = parseObjectWithArray(body, "objects");
--- a/src/objectstore/internal/objectcodec.h
+++ b/src/objectstore/internal/objectcodec.h
@@ -9,8 +9,6 @@
 
 namespace oriolerill::objectstore::internal {
 
-/// Percent-encodes all characters except unreserved ones and "/".
-std::string encodeKey(std::string_view key);
 /// Parses the object API's answer to a list or watch; Corrupted if it is malformed.
 domain::Expected<ObjectList> parseObjectList(std::string_view body);
 domain::Expected<std::vector<ListedVm>> parseVmList(std::string_view body);
--- a/src/objectstore/internal/objectstoreclient.cpp
+++ b/src/objectstore/internal/objectstoreclient.cpp
@@ -4,6 +4,7 @@
 #include "objectstore/internal/objectcodec.h"
 #include "objectstore/internal/outagebackoff.h"
 #include "objectstore/internal/ratebudget.h"
+#include "transport/percentencoding.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -115,6 +116,12 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+/// For a target, in which the slashes of a key stand as they are.
+std::string encodedKey(std::string_view key)
+{
+    return transport::percentEncoded(key, "/");
+}
+
 HttpRequest get(std::string target)
 {
     HttpRequest request;
@@ -251,7 +258,7 @@
 {
     const TimePoint answerBy
             = std::min(deadline, TimePoint::clock::now() + m_options.answerTimeout);
-    HttpRequest request = get("/v1/objects/" + internal::encodeKey(key));
+    HttpRequest request = get("/v1/objects/" + encodedKey(key));
     Attempt result = co_await query(std::move(request), deadline, answerBy);
     if (result.outcome != Outcome::Answered)
         co_return result.error;
@@ -345,7 +352,7 @@
         std::string prefix, TimePoint deadline)
 {
     const std::shared_ptr<Implementation> implementation = m_implementation;
-    HttpRequest request = get("/v1/objects?prefix=" + internal::encodeKey(prefix));
+    HttpRequest request = get("/v1/objects?prefix=" + encodedKey(prefix));
     Attempt result = co_await implementation->query(std::move(request), deadline, deadline);
     if (result.outcome != Outcome::Answered)
         co_return result.error;
@@ -359,7 +366,7 @@
 {
     ConditionalWrite write;
     write.request.method = "PUT";
-    write.request.target = "/v1/objects/" + internal::encodeKey(key);
+    write.request.target = "/v1/objects/" + encodedKey(key);
     write.request.fields.add("If-None-Match", "*");
     write.request.body = value;
     write.key = std::move(key);
@@ -372,7 +379,7 @@
 {
     ConditionalWrite write;
     write.request.method = "PUT";
-    write.request.target = "/v1/objects/" + internal::encodeKey(key);
+    write.request.target = "/v1/objects/" + encodedKey(key);
     write.request.fields.add("If-Match", config::toText(expected));
     write.request.body = value;
     write.key = std::move(key);
@@ -385,7 +392,7 @@
 {
     ConditionalWrite write;
     write.request.method = "DELETE";
-    write.request.target = "/v1/objects/" + internal::encodeKey(key);
+    write.request.target = "/v1/objects/" + encodedKey(key);
     write.request.fields.add("If-Match", config::toText(expected));
     write.key = std::move(key);
     return m_implementation->write(std::move(write), deadline);
@@ -400,7 +407,7 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
             deadline - TimePoint::clock::now());
     const std::string timeout = std::to_string(std::max<std::int64_t>(left.count(), 0));
-    HttpRequest request = get("/v1/watch?prefix=" + internal::encodeKey(prefix)
+    HttpRequest request = get("/v1/watch?prefix=" + encodedKey(prefix)
             + "&after=" + config::toText(after) + "&timeout_ms=" + timeout);
     Attempt result = co_await implementation->query(std::move(request), deadline, deadline + Grace);
     if (result.outcome != Outcome::Answered)
