Do not take a connection lost during an upload for the end of an answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller received the part as a complete answer.

Cause: the entry reads the answer while it writes the request. The kernel reports the error of a connection once. The pending write took it, the read beside it saw a plain end, and a plain end completes an answer without a length. Only the success of the write was recorded.

Why this works: at the plain end of an answer without a length the entry asks whether the endpoint has closed its side. While the write is still going on, the state of the connection tells (TCP_CLOSE_WAIT); otherwise the result of the write does: success means that the error, if any, was left to the read, and after an end that was received the kernel reports broken_pipe instead of the error of the loss. Any other result is a lost connection, for orders, idempotent requests and streams alike, and also when the connection times out.

--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -167,9 +167,10 @@
     m_connection->stream.expires_at(m_request->policy->lastAnswerAt());
     // The answer is read while the request is written: an endpoint may answer before it has read a
     // long body. The handler owns the buffers of the write.
+    m_write = std::make_shared<RequestWrite>(m_connection->stream.get_executor());
     http::async_write(m_connection->stream, *request,
-            [held = m_request->held, request, isWritten = m_isWritten, connection = m_connection](
-                    beast::error_code code, std::size_t /*size*/) { *isWritten = !code; });
+            [held = m_request->held, request, write = m_write, connection = m_connection](
+                    beast::error_code code, std::size_t /*size*/) { write->onEnded(code); });
     m_connection->hasAnswerBegun = false;
     m_connection->recordRequest(m_request->caller.id);
     m_request->policy->onSent();
@@ -357,9 +358,23 @@
     received.resize(ReadSize - body.size);
     if (code == http::error::need_buffer)
         code = {};
+    if (!code && m_parser->is_done() && m_parser->need_eof() && !co_await isEndStated())
+        code = asio::error::connection_reset;
     co_return code;
 }
 
+/// The kernel reports the error of a connection once. A write of the request that is still going on
+/// may take it, and the read then sees a plain end.
+asio::awaitable<bool> EndpointAttempt::isEndStated()
+{
+    if (!m_write->hasEnded() && m_connection->isEndReceived())
+        co_return true;
+    const beast::error_code code = co_await m_write->waitForEnd();
+    // A reset that follows the end of the answer fails the write with this error instead of
+    // connection_reset.
+    co_return !code || code == asio::error::broken_pipe;
+}
+
 asio::awaitable<std::optional<AttemptEnd>> EndpointAttempt::beginStream(
         const routing::AnswerHead &head)
 {
@@ -474,13 +489,13 @@
 
 void EndpointAttempt::releaseConnection()
 {
-    if (m_parser->keep_alive() && *m_isWritten && !m_cancelledAs) {
+    if (m_parser->keep_alive() && m_write->isComplete() && !m_cancelledAs) {
         const domain::Duration idle = m_keepAlive
                 ? std::max<domain::Duration>(*m_keepAlive - IdleMargin, milliseconds(100))
                 : DefaultIdleTimeout;
         m_context.connections.returnToPool(dispatch().endpoint, m_connection, idle,
                 m_context.dispatcher.maxIdleConnections(m_choice.service), TimePoint::clock::now());
-    } else if (!*m_isWritten) {
+    } else if (!m_write->isComplete()) {
         // The endpoint has answered before it has read all of the request; the pending write would
         // hold the body until the deadline.
         m_connection->cancelRequest();
--- a/src/relay/internal/endpointattempt.h
+++ b/src/relay/internal/endpointattempt.h
@@ -3,6 +3,7 @@
 #include "relay/eventsplitter.h"
 #include "relay/internal/endpointanswer.h"
 #include "relay/internal/requeststate.h"
+#include "relay/internal/requestwrite.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -111,6 +112,9 @@
     boost::asio::awaitable<std::optional<AttemptEnd>> beginStream(const routing::AnswerHead &head);
     boost::asio::awaitable<std::optional<AttemptEnd>> readPlain(const routing::AnswerHead &head);
     boost::asio::awaitable<boost::beast::error_code> readSome(std::string &received);
+    /// Whether the endpoint has closed the connection, which states the end of an answer without a
+    /// length; false if the connection was lost.
+    boost::asio::awaitable<bool> isEndStated();
     std::optional<AttemptEnd> endOfStream();
     AttemptEnd endForReadError(boost::beast::error_code code);
     /// Keeps the connection for other requests if the endpoint allows it.
@@ -130,7 +134,7 @@
     std::optional<DeliveredStream> m_delivered;
     EventSplitter m_events;
     std::shared_ptr<EndpointConnection> m_connection;
-    std::shared_ptr<bool> m_isWritten = std::make_shared<bool>(false);
+    std::shared_ptr<RequestWrite> m_write;
     std::optional<Parser> m_parser;
     std::optional<domain::Duration> m_keepAlive;
     std::optional<AttemptEnd> m_cancelledAs;
--- a/src/relay/internal/endpointconnections.cpp
+++ b/src/relay/internal/endpointconnections.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 
 namespace oriolerill::relay::internal {
@@ -39,6 +41,15 @@
     return !hasAnswerBegun;
 }
 
+bool EndpointConnection::isEndReceived()
+{
+    tcp_info info = {};
+    socklen_t size = sizeof(info);
+    const int socket = stream.socket().native_handle();
+    return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+            && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 void EndpointConnection::cancelRequest()
 {
     // After a plain close the kernel still delivers the bytes delayed by a narrow or lossy link, so
--- a/src/relay/internal/endpointconnections.h
+++ b/src/relay/internal/endpointconnections.h
@@ -30,6 +30,8 @@
     void cancelRequest();
     /// Whether written bytes may not have reached the endpoint yet.
     bool hasUndeliveredBytes();
+    /// Whether the endpoint has closed its side of the connection, and no reset has followed.
+    bool isEndReceived();
 
     /// Limit of the head of an answer and of the head of a chunk; bodies are read through the
     /// buffer in parts.
