--- a/src/relay/tests/oddentrytest.cpp
+++ b/src/relay/tests/oddentrytest.cpp
@@ -36,6 +36,8 @@
         {"BlanksFillAPage", "i odd", 3, 3, ""},
         {"PercentsFillAPage", "i%odd", 3, 3, ""},
         {"PlusesFillAPage", "i+odd", 3, 3, ""},
+        {"InvalidBytesFillAPage", "i\xff", 3, 3, ""},
+        {"NoNameOnItsOwnPage", "a&b", 1, 1, R"({"metadata":{},"spec":{}})"},
 };
 
 } // namespace
