Encode names in paths

What callers saw: a name with characters that need encoding made the request in which it stands unreadable, or named another object: a version named for such a model was served nowhere.

Cause: the names of objects, and of models in requests for manifests, pieces and staged pieces, were put into paths as they are. "?", "#" and a blank end a path, and a line break ends the request line.

Why this works: each name is percent-encoded as one segment of its path, and agents decode it in requests of other agents. Plain names are sent as before.

--- a/src/relayagent/internal/peerexchange.cpp
+++ b/src/relayagent/internal/peerexchange.cpp
@@ -1,5 +1,7 @@
 #include "relayagent/internal/peerexchange.h"
 
+#include "transport/percentencoding.h"
+
 #include <boost/algorithm/string/split.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -31,8 +33,8 @@
 
 std::string targetOf(const distribution::WeightsVersion &version, const std::string &resource)
 {
-    return "/v1/weights/" + version.model.value() + '/' + std::to_string(version.number) + '/'
-            + resource;
+    return "/v1/weights/" + transport::percentEncoded(version.model.value()) + '/'
+            + std::to_string(version.number) + '/' + resource;
 }
 
 std::optional<PeerRequest> parseTarget(const std::string &target)
@@ -43,7 +45,7 @@
     if (parts.size() != Parts || parts[1] != "v1" || parts[2] != "weights")
         return std::nullopt;
     PeerRequest request;
-    request.version.model = domain::ModelId(parts[3]);
+    request.version.model = domain::ModelId(transport::percentDecoded(parts[3]));
     request.version.number = std::strtoull(parts[4].c_str(), nullptr, 10);
     if (parts[5] != "manifest") {
         const unsigned long number = std::strtoul(parts[5].c_str(), nullptr, 10);
--- a/src/relayagent/tests/agentpushtest.cpp
+++ b/src/relayagent/tests/agentpushtest.cpp
@@ -38,6 +38,20 @@
         EXPECT_EQ(agent.engine->orders(), 1) << agent.host;
 }
 
+// Regression: the name was sent to the origin, to other agents and to engines as it is, and
+// requests with it could not be read.
+TEST(AgentPush, push_modelNameNeedsEncoding_servedEverywhereAtOneCopy)
+{
+    AgentFleetOptions options;
+    options.weights.model = "m/1 &%#?\u00e4";
+    AgentFleet fleet(options);
+    fleet.sendSubscription();
+    fleet.nameVersion(2);
+    ASSERT_TRUE(fleet.runUntil([&] { return fleet.isServedEverywhere(2); }, 10s));
+    EXPECT_EQ(fleet.wrongLoads(), 0);
+    EXPECT_LE(fleet.origin.copies(), 1.2);
+}
+
 // Guards against loading pieces that were corrupted between staging and the order. The first
 // engines load 1620 ms after the version was named, so pieces are staged by then on a busy machine
 // too. An agent reads all pieces back right before its order and cannot detect corruption of those
