Test answers with invalid field names, statuses to HEAD and resets

A field name with a blank, a control byte or another byte that HTTP does not allow makes the answer an error: in heads, interim heads and trailers, for orders, idempotent requests, HEAD and streams, in an answer to another request, and in answers to HttpClient, which calls the store, other agents and engines. The same holds for HEAD and a status outside 100 to 599.

HttpClient reads an answer only after it has written the request, so a reset during an upload ends the call with the error of the write.

--- a/src/relay/tests/invalidstatustest.cpp
+++ b/src/relay/tests/invalidstatustest.cpp
@@ -72,6 +72,15 @@
     EXPECT_EQ(*m_calls, 2);
 }
 
+// Guards against the same where only a head is awaited.
+TEST_P(InvalidStatusFixture, serve_headRequest_answeredByOtherEndpoint)
+{
+    addEndpoints("a1", "", "");
+    const std::string got = call(request("HEAD", "/read/1", Close));
+    EXPECT_EQ(statusOf(got), 200U) << got;
+    EXPECT_EQ(*m_calls, 2);
+}
+
 // Guards against a stream whose events are forwarded although its head is invalid.
 TEST_P(InvalidStatusFixture, serve_stream_continuedByOtherEndpoint)
 {
--- a/src/transport/tests/httpclientfixture.h
+++ b/src/transport/tests/httpclientfixture.h
@@ -20,13 +20,14 @@
 {
 protected:
     /// Status and body of the answer to one request, or the error.
-    std::string send(const ScriptedPeer &peer)
+    std::string send(const ScriptedPeer &peer, std::string body = "")
     {
         std::string result = "none";
         const auto sendRequest = [&]() -> boost::asio::awaitable<void> {
             HttpRequest request;
-            request.method = "GET";
+            request.method = body.empty() ? "GET" : "POST";
             request.target = "/";
+            request.body = std::move(body);
             const auto answer = co_await m_client.send(peer.address(), std::move(request),
                     domain::TimePoint::clock::now() + std::chrono::seconds(2));
             result = answer ? std::to_string(answer->status) + ' ' + answer->body
