Put objects of another writer into the soak's store

In each collection stand objects whose names need encoding and that fill whole pages of each list. The soak's store decodes the name after which a list continues.

--- a/standins/soakfleet.cpp
+++ b/standins/soakfleet.cpp
@@ -204,12 +204,23 @@
     }
 }
 
+void SoakFleet::writeOddObjects()
+{
+    // Enough to fill a page wherever the list's pages begin.
+    constexpr std::size_t Objects = 2 * SoakStore::PageSize;
+    for (const char *kind : {"config", "versions", "evacuations", "servers"}) {
+        for (std::size_t i = 0; i < Objects; ++i)
+            m_store.put(kind, "i#odd &%+" + std::to_string(i), {{"zone", i}});
+    }
+}
+
 void SoakFleet::start()
 {
     if (const auto started
             = m_store.start({host(StoreGroup, 1), StorePort}, {host(StoreGroup, 3), StorePort});
             !started)
         throw std::runtime_error(started.error().message);
+    writeOddObjects();
     writeConfig();
     writeWeights();
     for (unsigned i = 1; i <= m_options.services; ++i)
--- a/standins/soakfleet.h
+++ b/standins/soakfleet.h
@@ -69,6 +69,8 @@
     /// Acknowledged again: a lost configuration, a lost naming, and lost changes of withdrawals.
     boost::asio::awaitable<void> rewriteLost();
     void writeWeights();
+    /// Objects of another writer, whose names need encoding in a target.
+    void writeOddObjects();
     void writeEvacuation(const std::string &zone, bool isWithdrawn);
     /// Names two versions shortly after each other and keeps some engines on older weights beyond
     /// the bounds: their agents are away, in half of the rounds the origin is down too.
--- a/standins/soakstore.cpp
+++ b/standins/soakstore.cpp
@@ -3,6 +3,7 @@
 #include "platform/names.h"
 #include "platform/tests/standinfleet.h"
 #include "program.h"
+#include "transport/percentencoding.h"
 
 #include <algorithm>
 
@@ -21,8 +22,6 @@
 constexpr auto PollInterval = 5ms;
 /// Longer than any deadline of a client, so that the connection returns no answer in time.
 constexpr auto LostAnswerDelay = 20s;
-/// Small, so that lists have more than one page.
-constexpr std::size_t PageSize = 4;
 /// Maximum wait of a watch in the platform's interface.
 constexpr std::uint64_t MaxWaitMs = 30000;
 /// Header field of all answers with the era of the store.
@@ -237,7 +236,9 @@
 HttpResponse SoakStore::list(const std::string &kind, const std::string &target) const
 {
     const std::size_t at = target.find("after=");
-    const std::string after = at == std::string::npos ? "" : target.substr(at + 6);
+    const std::string after = at == std::string::npos
+            ? ""
+            : transport::percentDecoded(target.substr(at + 6, target.find('&', at) - at - 6));
     json::array items;
     bool hasMore = false;
     if (const auto found = m_objects.find(kind); found != m_objects.end()) {
--- a/standins/soakstore.h
+++ b/standins/soakstore.h
@@ -21,6 +21,9 @@
 public:
     enum class Fault { None, Refusing, Resetting, Unresponsive, Slow, AnswersLost };
 
+    /// Objects on one page of a list; small, so that lists have more than one page.
+    static constexpr std::size_t PageSize = 4;
+
     SoakStore(boost::asio::io_context &context, SoakJournal &journal, std::uint64_t seed);
 
     /// Listens on two addresses; processes that use the second one can be left without answers
