Load the origin's newest version while none is named and none is served

Cause: an agent wanted the named versions and the newest version that a listed VM serves, and nothing else. The first version of a fleet is named nowhere, so it was known only while an engine served it. Once the entries of the former engines had expired, no agent wanted any version: a transfer that had begun was not continued, staged pieces were not loaded, and the origin was not asked. A loss of power is not needed: any list in which no ready VM states a version has the same effect.

Change: rollout::UnnamedVersion, without I/O, keeps what is known of a version without a name: one whose manifest this VM holds or that its engine has served, the origin's answer to a request for its newest manifest, and a version of which a peer holds the manifest. One agent of each data centre asks the origin; the others follow it. It applies to engines without weights only, and only after the store's named versions have been received, so that no version is loaded of which the store names a newer one. An unnamed version that is older than a named one is no longer wanted at all.

Why it works: the origin's newest version does not depend on the list, and a manifest that is held keeps the transfer going whatever the list states later.

--- a/src/relayagent/internal/loadreporter.cpp
+++ b/src/relayagent/internal/loadreporter.cpp
@@ -196,6 +196,8 @@
         while (versions.size() > routing::MaxPublishedVersions)
             versions.erase(versions.begin());
     }
+    if (knowledge.is_store_answering() && m_onNamedVersionsRead)
+        m_onNamedVersionsRead();
 }
 
 bool LoadReporter::isReportDue(
--- a/src/relayagent/internal/loadreporter.h
+++ b/src/relayagent/internal/loadreporter.h
@@ -40,6 +40,12 @@
     using NamedHandler = std::function<void(const routing::NamedVersion &version)>;
     /// Called for each named version that an entry reports.
     void setNamedHandler(NamedHandler handler) { m_onNamed = std::move(handler); }
+    using NamedVersionsReadHandler = std::function<void()>;
+    /// Called after all named versions of an entry that has read the store.
+    void setNamedVersionsReadHandler(NamedVersionsReadHandler handler)
+    {
+        m_onNamedVersionsRead = std::move(handler);
+    }
     using FactsHandler = std::function<void(const protocol::ServiceFacts &facts)>;
     /// Called for the service facts that entries send.
     void setFactsHandler(FactsHandler handler) { m_onFacts = std::move(handler); }
@@ -120,6 +126,7 @@
     HoldingsHandler m_onHoldings;
     RemoteHoldingsHandler m_onRemoteHoldings;
     NamedHandler m_onNamed;
+    NamedVersionsReadHandler m_onNamedVersionsRead;
     /// The newest versions that entries have published, each with its earliest reported naming
     /// time.
     std::map<domain::ModelId, std::map<std::uint64_t, routing::NamedVersion>> m_named;
--- a/src/relayagent/internal/manifestfinder.cpp
+++ b/src/relayagent/internal/manifestfinder.cpp
@@ -36,14 +36,10 @@
 
 asio::awaitable<Expected<PieceManifest>> ManifestFinder::find(WeightsVersion version)
 {
-    const TimePoint now = TimePoint::clock::now();
-    const TimePoint firstTriedAt = m_firstTriedAt.try_emplace(version, now).first->second;
     const std::vector<std::string> hosts = originReaders(version);
-    const bool isOriginReader
-            = std::find(hosts.begin(), hosts.end(), m_fleet.self().host) != hosts.end();
     Error lastError{ErrorKind::NotFound, "the VMs that fetch from the origin have no manifest yet",
             "the manifest is requested again"};
-    if (isOriginReader || now - firstTriedAt > OriginFallbackDelay) {
+    if (isOriginAsked(version, hosts, TimePoint::clock::now())) {
         auto manifest = co_await fetchFromOrigin(version);
         if (manifest) {
             m_firstTriedAt.erase(version);
@@ -57,6 +53,33 @@
     co_return manifest;
 }
 
+bool ManifestFinder::isOriginAsked(
+        const WeightsVersion &version, const std::vector<std::string> &readers, TimePoint now)
+{
+    const TimePoint firstTriedAt = m_firstTriedAt.try_emplace(version, now).first->second;
+    return std::find(readers.begin(), readers.end(), m_fleet.self().host) != readers.end()
+            || now - firstTriedAt > OriginFallbackDelay;
+}
+
+bool ManifestFinder::mayFindNewest(const domain::ModelId &model, TimePoint now)
+{
+    const WeightsVersion newest{model, 0};
+    return isOriginAsked(newest, originReaders(newest), now);
+}
+
+asio::awaitable<Expected<WeightsVersion>> ManifestFinder::findNewest(domain::ModelId model)
+{
+    const auto manifest = co_await readFromOrigin(platform::newestManifestTarget(model));
+    if (!manifest)
+        co_return manifest.error();
+    if (manifest->version.model != model || manifest->version.number == 0) {
+        co_return Error{ErrorKind::Corrupted, "the origin sent the manifest of another model",
+                "the manifest is requested again"};
+    }
+    m_firstTriedAt.erase({model, 0});
+    co_return manifest->version;
+}
+
 asio::awaitable<Expected<PieceManifest>> ManifestFinder::find(
         WeightsVersion version, bool mayAskOrigin, std::vector<std::string> hosts)
 {
@@ -91,13 +114,22 @@
 }
 
 asio::awaitable<Expected<PieceManifest>> ManifestFinder::fetchFromOrigin(WeightsVersion version)
+{
+    auto manifest = co_await readFromOrigin(platform::manifestTarget(version));
+    if (!manifest || manifest->version == version)
+        co_return manifest;
+    co_return Error{ErrorKind::Corrupted, "the origin sent the manifest of another version",
+            "the manifest is requested again"};
+}
+
+asio::awaitable<Expected<PieceManifest>> ManifestFinder::readFromOrigin(std::string target)
 {
     const auto origin = m_fleet.origin();
     if (!origin)
         co_return Error{ErrorKind::Unavailable, "the origin of weights is unknown",
                 "wait for the configuration"};
     transport::HttpRequest request;
-    request.target = platform::manifestTarget(version);
+    request.target = std::move(target);
     request.fields.add("Connection", "close");
     auto response = co_await m_origin.send(
             *origin, std::move(request), TimePoint::clock::now() + ManifestTimeout);
@@ -111,10 +143,9 @@
                 "the manifest is requested again"};
     }
     auto manifest = platform::readManifest(response->body);
-    if (manifest && manifest->version == version)
+    if (manifest)
         co_return manifest;
-    co_return Error{ErrorKind::Corrupted,
-            "the origin sent a malformed manifest, or that of another version",
+    co_return Error{ErrorKind::Corrupted, "the origin sent a malformed manifest",
             "the manifest is requested again"};
 }
 
--- a/src/relayagent/internal/manifestfinder.h
+++ b/src/relayagent/internal/manifestfinder.h
@@ -27,12 +27,23 @@
     /// otherwise the hosts, in this order.
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>>
     find(distribution::WeightsVersion version, bool mayAskOrigin, std::vector<std::string> hosts);
+    /// Asks the origin for its newest version, which may have no name in the store.
+    boost::asio::awaitable<domain::Expected<distribution::WeightsVersion>> findNewest(
+            domain::ModelId model);
+    /// Whether this VM asks the origin for its newest version now, unless the origin is read by
+    /// lanes.
+    bool mayFindNewest(const domain::ModelId &model, domain::TimePoint now);
     /// Whether the origin failed to answer since the last call.
     bool takeOriginFailed() { return std::exchange(m_hasOriginFailed, false); }
 
 private:
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> fetchFromOrigin(
             distribution::WeightsVersion version);
+    boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> readFromOrigin(
+            std::string target);
+    /// Whether this VM is one of those that ask the origin, or has waited for them in vain.
+    bool isOriginAsked(const distribution::WeightsVersion &version,
+            const std::vector<std::string> &readers, domain::TimePoint now);
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> fetchFromPeers(
             const distribution::WeightsVersion &version, const std::vector<std::string> &hosts,
             domain::Error lastError);
--- a/src/relayagent/internal/weightsupdater.cpp
+++ b/src/relayagent/internal/weightsupdater.cpp
@@ -107,12 +107,14 @@
     });
     m_reporter.setNamedHandler(
             [this](const routing::NamedVersion &version) { onNamed(version, "entry"); });
+    m_reporter.setNamedVersionsReadHandler([this] { onNamedVersionsRead(); });
     m_reporter.setHoldingsHandler(
             [this](const std::string &host, const protocol::PieceHoldings &message) {
                 onHoldings(host, message);
             });
     m_reporter.setRemoteHoldingsHandler([this](const protocol::DataCentreHoldings &message) {
         const Transfer transfer = findTransfer(message.model(), message.version());
+        onPeerVersion(message.model(), message.version(), message.pieces());
         m_holdings.onRemote(message, transfer, true);
         if (transfer)
             continueFetches(transfer);
@@ -146,8 +148,21 @@
     return known == m_transfers.end() ? nullptr : known->second;
 }
 
+void WeightsUpdater::onPeerVersion(
+        const std::string &model, std::uint64_t version, std::size_t pieces)
+{
+    // A peer without a manifest may have received the version in a corrupted answer.
+    if (pieces == 0 || model != m_fleet.model().value())
+        return;
+    const TimePoint now = TimePoint::clock::now();
+    if (m_unnamed.isSearchNeeded(now))
+        m_holdings.holdings().expectReports(now);
+    m_unnamed.onPeer(version, now);
+}
+
 void WeightsUpdater::onHoldings(const std::string &host, const protocol::PieceHoldings &message)
 {
+    onPeerVersion(message.model(), message.version(), message.pieces());
     const Transfer transfer = findTransfer(message.model(), message.version());
     m_holdings.onHoldings(host, message, transfer);
     if (transfer)
@@ -173,6 +188,7 @@
         }
         onNamed({named->model, named->number, std::nullopt}, "store");
     }
+    onNamedVersionsRead();
 }
 
 void WeightsUpdater::onNamed(const routing::NamedVersion &version, std::string_view source)
@@ -236,8 +252,13 @@
         if (version.model == m_fleet.model())
             wanted.insert(version.number);
     }
-    wanted.insert(m_fleet.maxServedVersion());
     const std::uint64_t served = servedVersion();
+    std::uint64_t unnamed = m_fleet.maxServedVersion();
+    if (served == 0)
+        unnamed = std::max(unnamed, m_unnamed.newest(TimePoint::clock::now()));
+    // An engine never loads an older version than a named one only because another VM serves it.
+    if (wanted.empty() || unnamed > *wanted.begin())
+        wanted.insert(unnamed);
     std::vector<std::uint64_t> newer;
     for (const std::uint64_t number : wanted) {
         if (number > served && newer.size() < MaxKeptVersions)
@@ -259,6 +280,8 @@
     if (!m_reporter.state() || !co_await refreshConfig() || !m_reporter.state())
         co_return;
     m_switcher.onEngineState();
+    m_unnamed.setModel(m_fleet.model());
+    m_unnamed.onConfirmed(servedVersion());
     if (servedVersion() != 0 && wantedVersions().empty())
         co_return;
     const TimePoint now = TimePoint::clock::now();
@@ -283,6 +306,8 @@
 asio::awaitable<void> WeightsUpdater::advance(std::vector<std::uint64_t> numbers)
 {
     const bool isOriginPlanned = m_origin.update();
+    if (numbers.empty())
+        searchNewest();
     std::vector<rollout::WantedVersion> wanted;
     for (const std::uint64_t number : numbers) {
         const Version version{m_fleet.model(), number};
@@ -323,6 +348,56 @@
         m_switcher.begin(m_transfers[{m_fleet.model(), *decision.stage}], decision.isDue);
 }
 
+void WeightsUpdater::searchNewest()
+{
+    const TimePoint now = TimePoint::clock::now();
+    if (!m_unnamed.isSearchNeeded(now))
+        return;
+    // The VM that asks the origin is chosen among those that are running.
+    m_holdings.sendPresence({m_fleet.model(), 0}, m_origin.isUnreachable());
+    const bool mayAskOrigin = m_origin.plan() ? m_origin.mayReadManifest(now)
+                                              : m_manifests.mayFindNewest(m_fleet.model(), now);
+    if (!mayAskOrigin || m_isSearchingNewest || now < m_newestSearch.nextAt)
+        return;
+    m_isSearchingNewest = true;
+    asio::co_spawn(m_context, findNewest(), asio::detached);
+}
+
+asio::awaitable<void> WeightsUpdater::findNewest()
+{
+    const auto newest = co_await m_manifests.findNewest(m_fleet.model());
+    const bool hasOriginFailed = m_manifests.takeOriginFailed();
+    m_hasOriginFailed = m_hasOriginFailed || hasOriginFailed;
+    if (m_origin.plan())
+        m_origin.onManifest(!hasOriginFailed);
+    const TimePoint now = TimePoint::clock::now();
+    if (newest) {
+        m_holdings.holdings().expectReports(now);
+        m_unnamed.onOriginAnswer(newest->number, now);
+        m_newestSearch = {};
+        logEvent(Severity::Info, "newest_version_found",
+                {{"model", newest->model.value()}, {"version", newest->number},
+                        {"source", "origin"}});
+    } else {
+        scheduleSearch(m_newestSearch, "newest", newest.error());
+    }
+    m_isSearchingNewest = false;
+}
+
+void WeightsUpdater::scheduleSearch(
+        ManifestSearch &search, const std::string &version, const domain::Error &error)
+{
+    constexpr std::uint32_t MaxDoublings = 4;
+    const auto interval = MinManifestInterval * (1U << std::min(search.failures, MaxDoublings));
+    search.nextAt = TimePoint::clock::now() + std::min(interval, MaxManifestInterval);
+    // Logged once; transfer_begun is the end of the search.
+    if (search.failures++ == 0) {
+        logEvent(Severity::Warning, "manifest_missing",
+                {{"version", version}, {"error", error.message},
+                        {"remedy", "the manifest is requested again until a source answers"}});
+    }
+}
+
 void WeightsUpdater::fetchInOrder(const std::vector<std::uint64_t> &order)
 {
     const TimePoint now = TimePoint::clock::now();
@@ -471,6 +546,8 @@
             m_doubted.erase(doubted);
         }
         m_transfers[version] = transfer;
+        if (version.model == m_fleet.model())
+            m_unnamed.onConfirmed(version.number);
         m_sourcesInputs.erase(version);
         evictOldTransfers();
         m_exchange.onPieceStored();
@@ -478,16 +555,8 @@
                 {{"version", version.number}, {"pieces", transfer->manifest().pieces.size()},
                         {"staged", transfer->heldCount()}, {"members", m_fleet.members().size()}});
     } else {
-        ManifestSearch &search = m_manifestSearches[version];
-        constexpr std::uint32_t MaxDoublings = 4;
-        const auto interval = MinManifestInterval * (1U << std::min(search.failures, MaxDoublings));
-        search.nextAt = TimePoint::clock::now() + std::min(interval, MaxManifestInterval);
-        // Logged once; transfer_begun is the end of the search.
-        if (search.failures++ == 0) {
-            logEvent(Severity::Warning, "manifest_missing",
-                    {{"version", version.number}, {"error", manifest.error().message},
-                            {"remedy", "the manifest is requested again until a source answers"}});
-        }
+        scheduleSearch(
+                m_manifestSearches[version], std::to_string(version.number), manifest.error());
     }
     m_opening.erase(version);
     co_return transfer;
--- a/src/relayagent/internal/weightsupdater.h
+++ b/src/relayagent/internal/weightsupdater.h
@@ -16,6 +16,7 @@
 #include "rollout/fetchrotation.h"
 #include "rollout/pushplan.h"
 #include "rollout/switchschedule.h"
+#include "rollout/unnamedversion.h"
 #include "transport/httpclient.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -41,6 +42,8 @@
 
     void onNamed(const objectstore::ObjectList &objects);
     void onNamed(const routing::NamedVersion &version, std::string_view source);
+    /// The store's named versions have been received; there may be none.
+    void onNamedVersionsRead() { m_unnamed.onNamedVersionsRead(); }
     boost::asio::awaitable<void> run();
     PeerExchange &exchange() { return m_exchange; }
     /// Whether all pieces of the newest wanted version are held; false when none is wanted.
@@ -59,6 +62,8 @@
     PeerExchange::Transfers transfers();
     boost::asio::awaitable<Transfer> openForPeer(Version version);
     void onHoldings(const std::string &host, const protocol::PieceHoldings &message);
+    /// Another VM fetches or holds the version; no pieces while it has no manifest.
+    void onPeerVersion(const std::string &model, std::uint64_t version, std::size_t pieces);
     Transfer findTransfer(const std::string &model, std::uint64_t version) const;
     void sendHoldings();
     boost::asio::awaitable<void> step();
@@ -66,9 +71,15 @@
     /// Versions newer than the served one, newest first.
     std::vector<std::uint64_t> wantedVersions() const;
     boost::asio::awaitable<void> advance(std::vector<std::uint64_t> numbers);
+    /// Asks the origin for its newest version, if none is known and this VM is the one that asks.
+    void searchNewest();
+    boost::asio::awaitable<void> findNewest();
     rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer);
     std::uint64_t servedVersion() const;
     boost::asio::awaitable<Transfer> transferOf(Version version);
+    /// Sets when a search without a result is repeated.
+    void scheduleSearch(
+            ManifestSearch &search, const std::string &version, const domain::Error &error);
     /// The transfer, without waiting for its manifest; null until that is found.
     Transfer openTransfer(const Version &version);
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> findManifest(
@@ -92,6 +103,7 @@
     std::uint16_t m_peerPort;
     rollout::SwitchSchedule m_schedule;
     rollout::PushPlan m_plan;
+    rollout::UnnamedVersion m_unnamed;
     rollout::FetchRotation m_rotation;
     PeerExchange m_exchange;
     transport::HttpClient m_client;
@@ -118,6 +130,8 @@
     std::vector<std::uint64_t> m_fetchOrder;
     std::set<Version> m_opening;
     std::map<Version, ManifestSearch> m_manifestSearches;
+    ManifestSearch m_newestSearch;
+    bool m_isSearchingNewest = false;
     domain::TimePoint m_configReadAt;
     bool m_hasOriginFailed = false;
     /// When service facts were last received from an entry.
