Read a possibly stale copy without waiting for further changes

What callers saw: after the store had cut off the watch of the weights alone, both entries refused every request with "a change of the configuration or the endpoints is missing at this entry", from 2.8 s after the cut for 3 s, although the store answered each call at once and nothing had changed.

Cause: what ends an outage marks the copies of the large collections as possibly stale and has them read beside their waiting watches. A collection whose watch pauses for the coalescing delay has no waiting watch at that moment, so that read was left out; its next watch waited for 5 s, and a waiting watch proves nothing until it ends. 2.7 s later the copy counted as not proved since an outage. A watch without an answer had the same effect at once, since it dated the staleness back to the last proof, which may be 25 s old.

Change: ReadSchedule::next() lets no watch wait while the copy is possibly stale. A watch without an answer makes the copies possibly stale from then on.

Why it works: whatever marks a copy, the next call of its own loop confirms it or fails, at most one coalescing delay later.

next_copyPossiblyStale_readWithoutWaiting failed without the change.

--- a/src/objectstore/internal/readschedule.cpp
+++ b/src/objectstore/internal/readschedule.cpp
@@ -66,10 +66,11 @@
     if ((isLarge() && (m_copy.isReadDue() || isFailing())) || m_copy.isEraOutdated())
         return ListStore{};
     // The missing changes are already in the store: do not wait for further ones. A waiting watch
-    // proves the copy only when it ends, later than the delays of the other ranks.
+    // proves the copy only when it ends, later than the delays of the other ranks and than a
+    // possibly stale copy becomes overdue.
     const bool isProofExpired
             = m_copy.isSubscriber() && m_copy.readStagger()->delay() > Duration::zero();
-    const bool isWaiting = !m_copy.hasGap() && !isProofExpired;
+    const bool isWaiting = !m_copy.hasGap() && !isProofExpired && !m_copy.isPossiblyStale();
     return WatchStore{isWaiting ? watchTimeout(now) : Duration::zero(), isProofExpired};
 }
 
@@ -175,10 +176,11 @@
         return false;
     ++m_failures;
     m_failedCallSentAt = sentAt;
-    // It may have been lost at any time, so it does not show that the store was unreachable now.
-    m_copy.onPossiblyStale(m_copy.staleSince(now));
+    // It may have been lost at any time, so it does not show that the store was unreachable at a
+    // certain one; the copies are read anew from now on.
+    m_copy.onPossiblyStale(now);
     for (ReadSchedule *dependant : m_dependants)
-        dependant->m_copy.onPossiblyStale(dependant->m_copy.staleSince(now));
+        dependant->m_copy.onPossiblyStale(now);
     return true;
 }
 
--- a/src/objectstore/tests/readscheduletest.cpp
+++ b/src/objectstore/tests/readscheduletest.cpp
@@ -44,6 +44,12 @@
         return std::holds_alternative<ListStore>(step) || std::holds_alternative<WatchStore>(step);
     }
 
+    /// The next step is a watch that waits for changes; it must be a watch.
+    bool isWatchWaiting(TimePoint now)
+    {
+        return std::get<WatchStore>(m_schedule.next(now, false, false)).wait > Duration::zero();
+    }
+
     const TimePoint m_begin{1h};
     const StoreSubscriberOptions m_options = options();
     ReadStagger m_stagger{2, 1200ms};
@@ -104,4 +110,14 @@
     }
 }
 
+// Regression: a possibly stale copy was left to a watch that waits, and was overdue before its end
+// (the watch of the weights alone cut off: all requests refused for 3 s).
+TEST_F(ReadScheduleFixture, next_copyPossiblyStale_readWithoutWaiting)
+{
+    m_stagger.setRank(0, 2);
+    EXPECT_TRUE(isWatchWaiting(m_begin + 1s));
+    m_copy.onPossiblyStale(m_begin + 1s);
+    EXPECT_FALSE(isWatchWaiting(m_begin + 1s));
+}
+
 } // namespace oriolerill::objectstore::internal
