Do not take a watch that the store ends for an outage

Cause: a waiting watch that ended early was a failed call: the store counted as lost, and as back with the next answer some milliseconds later. Endpoints whose removal is read in the 2 s after a return are retained until its end, and the removal may have been acknowledged 0.4 s before (coalescing delay). PROTOCOL.md: "A watch that is waiting may be cut off."

Evidence: log of entry-0: store_lost of three collections at the cut, store_back of the weights 4 ms later, the removal read 45 ms after that and retained.

Change: such a watch is no failure (ReadSchedule::onWatchCut, event store_watch_cut). The changes since are read without waiting after 75 to 125 ms; only if that call fails, the outage begins. Cuts in a row double the delay up to 0.8 s, so that a store which cuts off every watch is polled at that rate. A watch without any answer counts as before.

Why it works: the read after the cut decides between the two cases by asking the store, and the copy misses no change, since the read continues at the applied version.

--- a/src/objectstore/internal/readschedule.cpp
+++ b/src/objectstore/internal/readschedule.cpp
@@ -90,13 +90,14 @@
 {
     constexpr std::uint32_t MaxDoublings = 4;
     // A read of a large collection usually fails because the link is full; more reads would fill it
-    // further.
-    const Duration shortest
-            = isLarge() ? m_options.listTimeout / 4 : Duration(m_options.minRetryDelay);
-    const auto doubled = shortest * (1U << std::min(std::max(m_failures, 1U) - 1, MaxDoublings));
+    // further. After a cut watch only the changes since are read.
+    const Duration shortest = isLarge() && isFailing() ? m_options.listTimeout / 4
+                                                       : Duration(m_options.minRetryDelay);
+    const std::uint32_t attempts = std::max({m_failures, m_cutWatches, 1U});
+    const auto doubled = shortest * (1U << std::min(attempts - 1, MaxDoublings));
     // A large collection uses the delay of its rank instead. The store may answer this process
     // although it does not answer the publishers.
-    const bool isStoreLossPublished = !isLarge() && m_copy.isPublisherLossRecent(now)
+    const bool isStoreLossPublished = isFailing() && !isLarge() && m_copy.isPublisherLossRecent(now)
             && !m_copy.isReturned() && now < m_copy.readDeadline();
     Duration delay = std::min<Duration>(doubled, m_options.maxRetryDelay);
     if (isStoreLossPublished)
@@ -184,6 +185,13 @@
     return true;
 }
 
+void ReadSchedule::onWatchCut(TimePoint now)
+{
+    ++m_cutWatches;
+    m_copy.setGap();
+    m_copy.onPossiblyStale(now);
+}
+
 void ReadSchedule::onStoreAnswered(TimePoint now)
 {
     m_answeredAt = now;
--- a/src/objectstore/internal/readschedule.h
+++ b/src/objectstore/internal/readschedule.h
@@ -72,9 +72,15 @@
     void onCallEnded() { m_sentAt.reset(); }
     /// A call that does not wait, sent at this time, has failed.
     void onFailure(domain::TimePoint sentAt);
-    /// A waiting watch that was sent at this time has failed. False if the store has answered later
-    /// calls, so that only the watch was lost: it is to be repeated, and counts as no failure.
+    /// A waiting watch that was sent at this time got no answer. False if the store has answered
+    /// later calls, so that only the watch was lost: it is to be repeated, and counts as no
+    /// failure.
     bool onWatchFailure(domain::TimePoint sentAt, domain::TimePoint now);
+    /// The store has ended a waiting watch before its time, which counts as no failure: the next
+    /// read shows whether the store still answers.
+    void onWatchCut(domain::TimePoint now);
+    /// A watch has waited until its end or until a change.
+    void onWatchCompleted() { m_cutWatches = 0; }
     /// The store has answered a call.
     void onStoreAnswered(domain::TimePoint now);
     /// The store has answered, or a publisher has confirmed the copy. Yields the number of failed
@@ -115,6 +121,8 @@
     std::vector<ReadSchedule *> m_dependants;
     bool m_hasPeers = false;
     std::uint32_t m_failures = 0;
+    /// Consecutive watches that the store has ended before their time.
+    std::uint32_t m_cutWatches = 0;
     /// Consecutive failed calls that did not wait.
     std::uint32_t m_unansweredCalls = 0;
     /// When the pending call that does not wait was sent.
--- a/src/objectstore/internal/storesubscriber.cpp
+++ b/src/objectstore/internal/storesubscriber.cpp
@@ -299,12 +299,18 @@
         onHistoryGone();
         co_return true;
     }
+    const bool isWaiting = time > domain::Duration::zero();
+    if (!changes && !isWaiting) {
+        onFailure(changes.error(), sentAt);
+        co_return false;
+    }
+    if (!changes && changes.error().kind != ErrorKind::Timeout) {
+        onWatchCut(changes.error());
+        co_return false;
+    }
     if (!changes) {
-        const bool hasWaited = time > domain::Duration::zero();
-        if (hasWaited && !m_schedule->onWatchFailure(sentAt, TimePoint::clock::now()))
+        if (!m_schedule->onWatchFailure(sentAt, TimePoint::clock::now()))
             co_return true;
-        if (!hasWaited)
-            m_schedule->onFailure(sentAt);
         reportFailure(changes.error());
         co_return false;
     }
@@ -320,9 +326,21 @@
     const TimePoint provenAt = hasWaited ? sentAt + time : sentAt;
     applyWatchedChanges(*changes);
     onStoreSuccess(changes->storeVersion, provenAt);
+    if (isWaiting)
+        m_schedule->onWatchCompleted();
     co_return true;
 }
 
+/// The store may end a waiting watch at any time. That is no outage: the store was reachable until
+/// then, and the changes since are read.
+void StoreSubscriber::onWatchCut(const domain::Error &error)
+{
+    m_schedule->onWatchCut(TimePoint::clock::now());
+    logEvent(Severity::Info, "store_watch_cut",
+            {{"collection", m_collection}, {"error", error.message},
+                    {"remedy", "the changes since are read"}});
+}
+
 void StoreSubscriber::onHistoryGone()
 {
     logEvent(Severity::Info, "store_history_gone",
--- a/src/objectstore/storesubscriber.h
+++ b/src/objectstore/storesubscriber.h
@@ -29,7 +29,7 @@
     /// The complete collection: at the start and whenever changes may have been missed.
     std::function<void(const ObjectList &)> onList;
     std::function<void(const ObjectList &)> onChanges;
-    /// The first of consecutive failed calls.
+    /// The first of consecutive failed calls. A watch that the store ends before its time is none.
     std::function<void()> onStoreLost;
     /// The store answers again after failures, or a publisher's update was accepted.
     std::function<void()> onStoreBack;
@@ -217,6 +217,7 @@
     void applyList(const ObjectList &list);
     /// The store does not have the changes since the applied version.
     void onHistoryGone();
+    void onWatchCut(const domain::Error &error);
     /// An answer of the store is of an older era than the copy.
     void logOutdatedAnswer(const ObjectList &answer) const;
     /// A call that does not wait, sent at this time, has failed.
--- a/standins/soakendpoint.cpp
+++ b/standins/soakendpoint.cpp
@@ -188,7 +188,10 @@
         json::object current = registration();
         if (m_isUp && now >= mayWriteAt && m_store.isAccepting()
                 && (current != written || writtenName != m_instance)) {
-            m_store.put("servers", m_instance, current);
+            if (m_isDraining && !m_isDrainAnnounced)
+                m_store.remove("servers", m_instance);
+            else
+                m_store.put("servers", m_instance, current);
             if (m_isDraining && !m_drainAckedAt) {
                 m_drainAckedAt = now;
                 m_wasStoreStable
@@ -225,10 +228,11 @@
 }
 
 asio::awaitable<void> SoakEndpoint::drainAndRestart(
-        domain::Duration extraTime, domain::Duration pause)
+        domain::Duration extraTime, domain::Duration pause, bool isAnnounced)
 {
-    m_journal.beginFault(m_options.name, "drains");
+    m_journal.beginFault(m_options.name, isAnnounced ? "drains" : "leaves unannounced");
     m_isDraining = true;
+    m_isDrainAnnounced = isAnnounced;
     // A store that returns from an older copy may lose the acknowledgement.
     while (!m_drainAckedAt
             || TimePoint::clock::now() < *m_drainAckedAt + SoakChecks::DrainBound + extraTime)
--- a/standins/soakendpoint.h
+++ b/standins/soakendpoint.h
@@ -41,8 +41,10 @@
     const SoakEndpointOptions &options() const { return m_options; }
     void start();
     boost::asio::awaitable<void> keepRegistered();
+    /// Leaves as planned, serves on for the drain bound and the extra time, and restarts after the
+    /// pause. Unannounced, its registration is removed at once.
     boost::asio::awaitable<void> drainAndRestart(
-            domain::Duration extraTime, domain::Duration pause);
+            domain::Duration extraTime, domain::Duration pause, bool isAnnounced = true);
     boost::asio::awaitable<void> crashAndRestart(domain::Duration pause);
     boost::asio::awaitable<void> injectFault(Fault fault, domain::Duration time);
     /// Sends a limit in each answer during the time.
@@ -133,6 +135,8 @@
     std::uint64_t m_startedAtMs = 0;
     bool m_isUp = false;
     bool m_isDraining = false;
+    /// Whether the registration states that it drains; otherwise it is removed at once.
+    bool m_isDrainAnnounced = true;
     std::optional<domain::TimePoint> m_drainAckedAt;
     /// Requests per second; zero without a limit.
     double m_limit = 0;
--- a/standins/soakfleet.h
+++ b/standins/soakfleet.h
@@ -66,6 +66,8 @@
     /// The store returns from an older copy. The operator writes some new configurations, then what
     /// the store has lost, and then nothing for some seconds.
     boost::asio::awaitable<void> restoreStore();
+    /// Ends the waiting watches of some collections of the store.
+    boost::asio::awaitable<void> cutWatches();
     /// Acknowledged again: a lost configuration, a lost naming, and lost changes of withdrawals.
     boost::asio::awaitable<void> rewriteLost();
     void writeWeights();
--- a/standins/soakstore.h
+++ b/standins/soakstore.h
@@ -9,7 +9,9 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +51,9 @@
     /// Discards the history, so that watches from an earlier revision get 410.
     void discardHistory();
     void resetConnections();
+    /// Ends the waiting watches of the kinds: some by a reset, the others by an answer without
+    /// changes. No fault: the platform may end a waiting watch at any time.
+    void cutWatches(const std::set<std::string> &kinds);
     bool isFailing() const { return m_fault != Fault::None; }
 
     /// Goes away for the time and returns with the objects and the revision of its copy, whose age
@@ -82,8 +87,10 @@
     };
 
     boost::asio::awaitable<void> answer(transport::HttpServerExchange &exchange, bool isSecond);
-    boost::asio::awaitable<transport::HttpResponse> handle(std::string target);
-    boost::asio::awaitable<transport::HttpResponse> watch(std::string kind, std::string target);
+    /// No response for a watch whose connection is to be reset.
+    boost::asio::awaitable<std::optional<transport::HttpResponse>> handle(std::string target);
+    boost::asio::awaitable<std::optional<transport::HttpResponse>> watch(
+            std::string kind, std::string target);
     transport::HttpResponse list(const std::string &kind, const std::string &target) const;
     /// Changes to the objects as they were at the time, which may be in an earlier era.
     void revertTo(domain::TimePoint time);
@@ -101,6 +108,8 @@
     std::uint64_t m_revision = FirstRevision;
     std::uint64_t m_era = 1;
     std::uint64_t m_discardedRevision = 0;
+    /// How often the watches of each kind were cut.
+    std::map<std::string, std::uint64_t> m_watchCuts;
     bool m_isSecondSilent = false;
     transport::HttpServer m_server;
     transport::HttpServer m_secondServer;
--- a/tests/soakseeds.sh
+++ b/tests/soakseeds.sh
@@ -53,6 +53,9 @@
 run --seed 317 --seconds 15 --entries 3 --clients 40 \
     --faults link-disrupted,entry-stop,endpoint-drain,weights-pair
 
+# Watches that the store cuts off, beside endpoints that leave with and without a notice.
+run --seed 318 --seconds 15 --entries 3 --faults watch-cut,endpoint-remove,endpoint-drain,configs
+
 never=$(awk -v runs="$runs" -F'not checked:' 'NF == 2 { n = split($2, rules, " "); for (i = 1; i <= n; ++i) ++count[rules[i]] }
     END { for (rule in count) if (count[rule] == runs) print rule }' <<<"$lines")
 if [ -n "$never" ]; then
