Retain endpoints only after calls that failed one after another

Cause: each failed call, and each watch without an answer, counted as an outage that expires endpoints. A single call may be lost while the store answers others, and a watch may have been lost up to 26 s before it times out. If the configuration alone had failed, the outage also stayed noted until the next failure of another collection.

Change: an outage retains endpoints if a call that was sent after a failed one fails too, with no answer between (CollectionSink::onCallFailed). It is forgotten once no collection is failing. The loss and the return of the store are reported as before.

Why it works: in an outage that is long enough to expire endpoints (three heartbeats), the probe follows the first failure at once and fails as well.

LostCallFixture.run_oneCallLostBeforeEndpointLeaves_noLateRequest failed with every failed call counting, and passes now.

--- a/src/objectstore/internal/storesubscriber.cpp
+++ b/src/objectstore/internal/storesubscriber.cpp
@@ -594,6 +594,8 @@
 {
     m_schedule->onFailure(sentAt);
     reportFailure(error);
+    if (m_sink.onCallFailed)
+        m_sink.onCallFailed(sentAt);
 }
 
 void StoreSubscriber::reportFailure(const domain::Error &error)
--- a/src/objectstore/storesubscriber.h
+++ b/src/objectstore/storesubscriber.h
@@ -40,6 +40,9 @@
     std::function<void(domain::ConfigVersion version, domain::TimePoint provenAt)> onStoreVersion;
     /// A list of a newer era replaces a copy of an older one; called before onList.
     std::function<void()> onEraChanged;
+    /// A call that does not wait for changes, sent at this time, has failed. A waiting watch
+    /// without an answer may have been lost long before.
+    std::function<void(domain::TimePoint sentAt)> onCallFailed;
 };
 
 /// A version of the store that a copy reflects, and the time at which the store last had no newer
--- a/src/relay/internal/fleetsubscriber.cpp
+++ b/src/relay/internal/fleetsubscriber.cpp
@@ -129,6 +129,8 @@
     sink.onStoreVersion = [this](ConfigVersion version, TimePoint provenAt) {
         onStoreVersion(version, provenAt);
     };
+    if (sink.onStoreLost)
+        sink.onCallFailed = [this](TimePoint sentAt) { onCallFailed(sentAt); };
     m_published.push_back(&subscribe(collection, std::move(sink), options));
     return *m_published.back();
 }
@@ -136,6 +138,7 @@
 void FleetSubscriber::onStoreVersion(ConfigVersion version, TimePoint provenAt)
 {
     m_storeEra = std::max(m_storeEra, version.epoch);
+    m_callFailedAt.reset();
     for (objectstore::StoreSubscriber *subscriber : m_published)
         subscriber->onStoreVersion(version, provenAt);
     recordWeightsProof();
@@ -242,20 +245,27 @@
     recordWeightsProof();
 }
 
+/// A single call may be lost although the store answers others.
+void FleetSubscriber::onCallFailed(TimePoint sentAt)
+{
+    m_isStoreUnreachable = m_isStoreUnreachable || (m_callFailedAt && sentAt >= *m_callFailedAt);
+    if (!m_callFailedAt)
+        m_callFailedAt = TimePoint::clock::now();
+}
+
 void FleetSubscriber::onStoreLost()
 {
-    m_isStoreUnreachable = true;
     if (!m_relay.storeLostAt)
         m_relay.storeLostAt = TimePoint::clock::now();
 }
 
 /// Waiting watches may not have noticed that the store was unreachable. The small collections are
-/// read at once, the large ones staggered.
+/// read at once, the large ones staggered. Only an outage that a call has observed retains
+/// endpoints: a watch may have been lost long ago, and a removal since then is to be applied.
 void FleetSubscriber::onStoreBack()
 {
-    if (m_isStoreUnreachable)
+    if (std::exchange(m_isStoreUnreachable, false))
         m_relay.dispatcher.endpoints().onStoreBack(TimePoint::clock::now());
-    m_isStoreUnreachable = false;
     onCollectionBack();
     for (objectstore::StoreSubscriber *subscriber :
             {m_withdrawals, m_weights, m_configuration, m_endpoints})
@@ -268,8 +278,10 @@
 {
     const bool isFailing = std::any_of(m_subscribers.begin(), m_subscribers.end(),
             [](const auto &subscriber) { return subscriber->isFailing(); });
-    if (!isFailing)
-        m_relay.storeLostAt.reset();
+    if (isFailing)
+        return;
+    m_relay.storeLostAt.reset();
+    m_isStoreUnreachable = false;
 }
 
 protocol::StoreKnowledge FleetSubscriber::knowledge() const
--- a/src/relay/internal/fleetsubscriber.h
+++ b/src/relay/internal/fleetsubscriber.h
@@ -84,6 +84,8 @@
     /// The collection's next list is of a newer era than the copy that it replaces.
     void onEraChanged(const std::string &collection);
     void onWeights(const objectstore::ObjectList &objects, bool isAtStart);
+    /// A call that did not wait for changes, sent at this time, has failed.
+    void onCallFailed(domain::TimePoint sentAt);
     void onStoreLost();
     void onStoreBack();
     /// The store answers calls for one collection again.
@@ -122,7 +124,9 @@
     routing::WithdrawalList m_withdrawalList;
     /// Newest era that the store has stated to this process.
     std::uint64_t m_storeEra = 0;
-    /// Calls for a collection have failed since the store last recovered.
+    /// When the first call without an answer failed; empty once a call is answered.
+    std::optional<domain::TimePoint> m_callFailedAt;
+    /// Calls have failed one after the other since the store last recovered.
     bool m_isStoreUnreachable = false;
     bool m_hasEndpoints = false;
     bool m_hasWithdrawals = false;
--- a/src/relay/tests/watchcuttest.cpp
+++ b/src/relay/tests/watchcuttest.cpp
@@ -162,6 +162,29 @@
     std::vector<std::unique_ptr<CutCase>> m_cases;
 };
 
+/// A publisher, which reads the store each 0.8 s to prove its copies.
+class LostCallFixture : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        runUntil([] { return false; }, 1s);
+        ASSERT_TRUE(m_case.sendsTo("leaving"));
+    }
+    template<class Condition>
+    void runUntil(const Condition &condition, domain::Duration limit = 5s)
+    {
+        const TimePoint end = TimePoint::clock::now() + limit;
+        while (!condition() && TimePoint::clock::now() < end) {
+            m_case.observe(TimePoint::clock::now());
+            m_context.run_for(10ms);
+        }
+    }
+
+    boost::asio::io_context m_context{1};
+    CutCase m_case{m_context, {0, 8}};
+};
+
 // Regression: a waiting watch that the store cut off counted as an outage. Endpoints that had left
 // got requests until 2 s after it (review/10, DRAIN), and entries whose other copies were not read
 // again refused all requests for 3 s.
@@ -178,6 +201,25 @@
     }
 }
 
+// Regression: one lost call counted as an outage, and an endpoint that left shortly after it got
+// requests until 2 s after the next answer.
+TEST_F(LostCallFixture, run_oneCallLostBeforeEndpointLeaves_noLateRequest)
+{
+    int &callsToFail = m_case.store.callsToFail["endpoints"];
+    callsToFail = 1;
+    runUntil([&] { return callsToFail == 0; });
+    ASSERT_EQ(callsToFail, 0);
+    // The watch of the endpoints pauses after an event, and reads the removal after the next
+    // answer.
+    m_case.store.put("endpoints/new", Endpoint);
+    runUntil([] { return false; }, 50ms);
+    m_case.store.erase("endpoints/leaving");
+    m_case.removedAt = TimePoint::clock::now();
+    runUntil([this] { return TimePoint::clock::now() > *m_case.removedAt + Bound; });
+    EXPECT_FALSE(m_case.isSentTooLate);
+    EXPECT_FALSE(m_case.isRefusing);
+}
+
 INSTANTIATE_TEST_SUITE_P(WatchEnds, WatchCutFixture,
         testing::Values(ResettableStore::WatchEnd::Reset,
                 ResettableStore::WatchEnd::AnswerWithoutChanges,
