--- a/src/objectstore/storesubscriber.h
+++ b/src/objectstore/storesubscriber.h
@@ -220,6 +220,7 @@
     void applyList(const ObjectList &list);
     /// The store does not have the changes since the applied version.
     void onHistoryGone();
+    /// The store has ended a waiting watch before its time.
     void onWatchCut(const domain::Error &error);
     /// An answer of the store is of an older era than the copy.
     void logOutdatedAnswer(const ObjectList &answer) const;
--- a/src/relay/internal/fleetsubscriber.cpp
+++ b/src/relay/internal/fleetsubscriber.cpp
@@ -129,6 +129,7 @@
     sink.onStoreVersion = [this](ConfigVersion version, TimePoint provenAt) {
         onStoreVersion(version, provenAt);
     };
+    // Failed calls for the withdrawals do not count as a loss of the store.
     if (sink.onStoreLost)
         sink.onCallFailed = [this](TimePoint sentAt) { onCallFailed(sentAt); };
     m_published.push_back(&subscribe(collection, std::move(sink), options));
--- a/src/relayagent/internal/manifestfinder.h
+++ b/src/relayagent/internal/manifestfinder.h
@@ -41,7 +41,7 @@
             distribution::WeightsVersion version);
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> readFromOrigin(
             std::string target);
-    /// Whether this VM is one of those that ask the origin, or has waited for them in vain.
+    /// Whether this VM is one of the readers, or they have had no manifest for too long.
     bool isOriginAsked(const distribution::WeightsVersion &version,
             const std::vector<std::string> &readers, domain::TimePoint now);
     boost::asio::awaitable<domain::Expected<distribution::PieceManifest>> fetchFromPeers(
--- a/src/relayagent/internal/weightsupdater.h
+++ b/src/relayagent/internal/weightsupdater.h
@@ -73,6 +73,7 @@
     boost::asio::awaitable<void> advance(std::vector<std::uint64_t> numbers);
     /// Asks the origin for its newest version, if none is known and this VM is the one that asks.
     void searchNewest();
+    /// One request to the origin for its newest version.
     boost::asio::awaitable<void> findNewest();
     rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer);
     std::uint64_t servedVersion() const;
