--- a/src/relayagent/internal/weightsupdater.cpp
+++ b/src/relayagent/internal/weightsupdater.cpp
@@ -353,7 +353,7 @@
     const TimePoint now = TimePoint::clock::now();
     if (!m_unnamed.isSearchNeeded(now))
         return;
-    // The VM that asks the origin is chosen among those that are running.
+    // One of the running VMs asks the origin.
     m_holdings.sendPresence({m_fleet.model(), 0}, m_origin.isUnreachable());
     const bool mayAskOrigin = m_origin.plan() ? m_origin.mayReadManifest(now)
                                               : m_manifests.mayFindNewest(m_fleet.model(), now);
