Retain endpoints only after outages in which records can expire

Cause: two failed calls in a row counted as an outage, whatever its length, and each endpoint whose removal was read in the next 2 s was retained until 2 s after the return, whenever the removal had been acknowledged. The retention of large batches counted from their read.

Change: OutageDetector starts a retention only if the store answered neither this entry nor its publishers for two heartbeats, and calls over one of them failed: a record stands for three, so none can have expired before. It ends at the latest the contact time after the last failed call. A batch's retention ends at 0.9 of the drain bound after the last proof of the list, after which the removal was acknowledged. endpoint_removed now has source, greatest age and retention.

ShortInterruptionFixture failed before for 200, 400 and 800 ms, and passes now.

--- a/src/objectstore/internal/storesubscriber.cpp
+++ b/src/objectstore/internal/storesubscriber.cpp
@@ -221,14 +221,15 @@
     if (generation != m_state->generation() && list->storeVersion < m_state->version())
         co_return true;
     logRead(m_collection, "store_list", *list, sentAt);
-    applyList(*list);
+    applyList(*list, "store_list");
     onStoreSuccess(list->storeVersion, sentAt);
     // An answer from before the return of the store: list again after the retry delay.
     co_return !m_state->isEraOutdated();
 }
 
-void StoreSubscriber::applyList(const ObjectList &list)
+void StoreSubscriber::applyList(const ObjectList &list, const char *source)
 {
+    m_changeOrigin = {m_state->provenAt(), source};
     const ConfigVersion before = m_state->version();
     if (m_state->applyList(list)) {
         logEvent(Severity::Info, "store_era_changed",
@@ -262,7 +263,7 @@
     }
     m_state->onPeerListApplied(TimePoint::clock::now());
     logRead(m_collection, "entry", *list, now);
-    applyList(*list);
+    applyList(*list, "entry");
     m_state->onConfirmed();
     onAnswered();
     co_return true;
@@ -324,7 +325,7 @@
     // A watch that ended without a change after its whole wait proves the copy until then.
     const bool hasWaited = changes->objects.empty() && TimePoint::clock::now() >= sentAt + time;
     const TimePoint provenAt = hasWaited ? sentAt + time : sentAt;
-    applyWatchedChanges(*changes);
+    applyWatchedChanges(*changes, "store_watch");
     onStoreSuccess(changes->storeVersion, provenAt);
     if (isWaiting)
         m_schedule->onWatchCompleted();
@@ -359,8 +360,9 @@
                     {"answer_revision", answer.storeVersion.revision}});
 }
 
-void StoreSubscriber::applyWatchedChanges(const ObjectList &changes)
+void StoreSubscriber::applyWatchedChanges(const ObjectList &changes, const char *source)
 {
+    m_changeOrigin = {m_state->provenAt(), source};
     const ConfigVersion lastChange = m_state->lastChangeVersion();
     const ConfigVersion before = m_state->version();
     const ObjectList newer = m_state->applyWatchedChanges(changes);
@@ -396,7 +398,7 @@
     }
     if (!changes->objects.empty())
         logRead(m_collection, "store_catch_up", *changes, sentAt);
-    applyWatchedChanges(*changes);
+    applyWatchedChanges(*changes, "store_catch_up");
     onStoreSuccess(changes->storeVersion, sentAt);
     co_return true;
 }
@@ -457,6 +459,8 @@
 void StoreSubscriber::onPublishedChanges(ConfigVersion after, const ObjectList &changes,
         TimePoint now, bool isOmitted, std::optional<TimePoint> provenAt)
 {
+    // The update's own proof is given after its changes.
+    const ChangeOrigin origin{m_state->provenAt(), "publisher"};
     const internal::UpdateEffect effect
             = m_state->onPublishedChanges(after, changes, now, isOmitted, provenAt.value_or(now));
     if (effect.isMissing)
@@ -467,6 +471,7 @@
         onAnswered();
     if (!effect.isNewer)
         return;
+    m_changeOrigin = origin;
     const ObjectList newer = m_state->applyPublishedChanges(changes);
     if (!newer.objects.empty())
         m_sink.onChanges(newer);
--- a/src/objectstore/storesubscriber.h
+++ b/src/objectstore/storesubscriber.h
@@ -53,6 +53,15 @@
     domain::TimePoint provenAt;
 };
 
+/// Where the changes that are being applied come from.
+struct ChangeOrigin
+{
+    /// They were made after this time: that of the last proof of the copy before them.
+    domain::TimePoint madeAfter;
+    /// For the log: a call to the store, another entry's copy, or a publisher's update.
+    const char *source = "";
+};
+
 struct StoreSubscriberOptions
 {
     /// Time that one watch waits for changes. The store counts each call, so a longer wait is
@@ -152,6 +161,8 @@
     /// When the store last proved the copy: no change of the collection before this time is
     /// missing.
     domain::TimePoint provenAt() const;
+    /// Origin of the changes that the sink is called with; valid during that call.
+    const ChangeOrigin &changeOrigin() const { return m_changeOrigin; }
     /// A publisher reports that it cannot reach the store. It may have sent its last updates after
     /// the connection was lost, so they no longer confirm the copy.
     void onPublisherStoreLoss(domain::TimePoint now);
@@ -216,8 +227,8 @@
     /// Reads the changes since the applied version without waiting for further ones.
     boost::asio::awaitable<bool> catchUpOnce();
     boost::asio::awaitable<bool> refreshOnce();
-    void applyWatchedChanges(const ObjectList &changes);
-    void applyList(const ObjectList &list);
+    void applyWatchedChanges(const ObjectList &changes, const char *source);
+    void applyList(const ObjectList &list, const char *source);
     /// The store does not have the changes since the applied version.
     void onHistoryGone();
     /// The store has ended a waiting watch before its time.
@@ -242,6 +253,7 @@
     std::unique_ptr<internal::CopyState> m_state;
     std::unique_ptr<internal::ReadSchedule> m_schedule;
     std::function<bool()> m_isWatchNeeded;
+    ChangeOrigin m_changeOrigin;
     bool m_isRefreshing = false;
     /// A read that proves the copy is pending beside the waiting watch, and when it was last sent.
     bool m_isProving = false;
--- a/src/relay/internal/fleetsubscriber.cpp
+++ b/src/relay/internal/fleetsubscriber.cpp
@@ -139,7 +139,8 @@
 void FleetSubscriber::onStoreVersion(ConfigVersion version, TimePoint provenAt)
 {
     m_storeEra = std::max(m_storeEra, version.epoch);
-    m_callFailedAt.reset();
+    retainAfterOutage();
+    m_outages.onAnswered(provenAt);
     for (objectstore::StoreSubscriber *subscriber : m_published)
         subscriber->onStoreVersion(version, provenAt);
     recordWeightsProof();
@@ -238,6 +239,10 @@
 
 void FleetSubscriber::onPublishedChanges(const PublishedChanges &changes, TimePoint now)
 {
+    if (changes.provenAt && m_outages.hasFailedBefore(*changes.provenAt))
+        retainAfterOutage();
+    if (changes.provenAt)
+        m_outages.onAnswered(*changes.provenAt);
     for (objectstore::StoreSubscriber *subscriber : m_published) {
         if (subscriber->collection() == changes.collection)
             subscriber->onPublishedChanges(
@@ -246,12 +251,9 @@
     recordWeightsProof();
 }
 
-/// A single call may be lost although the store answers others.
 void FleetSubscriber::onCallFailed(TimePoint sentAt)
 {
-    m_isStoreUnreachable = m_isStoreUnreachable || (m_callFailedAt && sentAt >= *m_callFailedAt);
-    if (!m_callFailedAt)
-        m_callFailedAt = TimePoint::clock::now();
+    m_outages.onFailed(sentAt);
 }
 
 void FleetSubscriber::onStoreLost()
@@ -261,18 +263,30 @@
 }
 
 /// Waiting watches may not have noticed that the store was unreachable. The small collections are
-/// read at once, the large ones staggered. Only an outage that a call has observed retains
-/// endpoints: a watch may have been lost long ago, and a removal since then is to be applied.
+/// read at once, the large ones staggered.
 void FleetSubscriber::onStoreBack()
 {
-    if (std::exchange(m_isStoreUnreachable, false))
-        m_relay.dispatcher.endpoints().onStoreBack(TimePoint::clock::now());
     onCollectionBack();
     for (objectstore::StoreSubscriber *subscriber :
             {m_withdrawals, m_weights, m_configuration, m_endpoints})
         subscriber->refresh();
 }
 
+/// Short interruptions retain nothing: no record can have expired, and a removal since the last
+/// answer may have been acknowledged while the store was stable.
+void FleetSubscriber::retainAfterOutage()
+{
+    const TimePoint now = TimePoint::clock::now();
+    const auto unreachableAt = m_outages.takeOutage(now);
+    if (!unreachableAt)
+        return;
+    m_relay.dispatcher.endpoints().onStoreBack(now, *unreachableAt);
+    logEvent(Severity::Info, "endpoints_retained_after_outage",
+            {{"last_failed_call_ms",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - *unreachableAt)
+                            .count()}});
+}
+
 /// The store counts as lost until no collection is failing: until then, routes that this entry does
 /// not know may have been added.
 void FleetSubscriber::onCollectionBack()
@@ -282,7 +296,6 @@
     if (isFailing)
         return;
     m_relay.storeLostAt.reset();
-    m_isStoreUnreachable = false;
 }
 
 protocol::StoreKnowledge FleetSubscriber::knowledge() const
@@ -436,6 +449,7 @@
 
 void FleetSubscriber::onEndpoints(const ObjectList &objects, bool isFullList)
 {
+    retainAfterOutage();
     const TimePoint now = TimePoint::clock::now();
     std::vector<routing::ListedEndpoint> listed;
     std::vector<routing::EndpointChange> changes;
@@ -443,9 +457,6 @@
         const std::string name = nameOf(object);
         if (object.isDeleted) {
             changes.push_back({domain::EndpointId(name), std::nullopt});
-            logEvent(Severity::Info, "endpoint_removed",
-                    {{"endpoint", name}, {"era", object.version.epoch},
-                            {"revision", object.version.revision}});
             continue;
         }
         auto endpoint = platform::readEndpoint(name, object.value, now);
@@ -466,13 +477,30 @@
         changes.push_back({endpoint->id, *endpoint});
         listed.push_back(std::move(*endpoint));
     }
-    if (isFullList)
-        m_relay.dispatcher.endpoints().replaceAll(listed, now);
-    else
-        m_relay.dispatcher.endpoints().apply(changes, now);
+    routing::EndpointList &endpoints = m_relay.dispatcher.endpoints();
+    const TimePoint madeAfter = m_endpoints->changeOrigin().madeAfter;
+    logRemovals(isFullList ? endpoints.replaceAll(listed, now, madeAfter)
+                           : endpoints.apply(changes, now, madeAfter),
+            objects.storeVersion, now);
     m_hasEndpoints = true;
 }
 
+void FleetSubscriber::logRemovals(const std::vector<routing::EndpointRemoval> &removals,
+        ConfigVersion version, TimePoint now) const
+{
+    const auto milliseconds = [](domain::Duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    const objectstore::ChangeOrigin &origin = m_endpoints->changeOrigin();
+    for (const routing::EndpointRemoval &removal : removals) {
+        logEvent(Severity::Info, "endpoint_removed",
+                {{"endpoint", removal.id.value()}, {"era", version.epoch},
+                        {"revision", version.revision}, {"source", origin.source},
+                        {"max_age_ms", milliseconds(now - origin.madeAfter)},
+                        {"retained_ms", milliseconds(removal.retainedUntil.value_or(now) - now)}});
+    }
+}
+
 void FleetSubscriber::onWithdrawals(const ObjectList &objects, bool isFullList)
 {
     const TimePoint now = TimePoint::clock::now();
@@ -519,7 +547,7 @@
 {
     const TimePoint now = TimePoint::clock::now();
     if (collection == m_endpoints->collection())
-        m_relay.dispatcher.endpoints().onEraChanged(now);
+        m_relay.dispatcher.endpoints().onEraChanged(now, m_endpoints->changeOrigin().madeAfter);
     if (collection == m_withdrawals->collection())
         m_withdrawalList.onEraChanged(now);
 }
--- a/src/relay/internal/fleetsubscriber.h
+++ b/src/relay/internal/fleetsubscriber.h
@@ -4,6 +4,7 @@
 #include "protocol/control.pb.h"
 #include "relay/internal/relaycontext.h"
 #include "relay/internal/storeupdates.h"
+#include "routing/outagedetector.h"
 #include "routing/withdrawallist.h"
 
 #include <functional>
@@ -88,6 +89,11 @@
     void onCallFailed(domain::TimePoint sentAt);
     void onStoreLost();
     void onStoreBack();
+    /// Retains endpoints if the store answers again after an outage in which records can have
+    /// expired.
+    void retainAfterOutage();
+    void logRemovals(const std::vector<routing::EndpointRemoval> &removals,
+            domain::ConfigVersion version, domain::TimePoint now) const;
     /// The store answers calls for one collection again.
     void onCollectionBack();
     objectstore::StoreSubscriber &subscribe(const char *collection,
@@ -124,10 +130,7 @@
     routing::WithdrawalList m_withdrawalList;
     /// Newest era that the store has stated to this process.
     std::uint64_t m_storeEra = 0;
-    /// When the first call without an answer failed; empty once a call is answered.
-    std::optional<domain::TimePoint> m_callFailedAt;
-    /// Calls have failed one after the other since the store last recovered.
-    bool m_isStoreUnreachable = false;
+    routing::OutageDetector m_outages;
     bool m_hasEndpoints = false;
     bool m_hasWithdrawals = false;
     bool m_hasWeights = false;
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -52,6 +52,8 @@
     options.retryWindowSeconds = settings.retryWindowSeconds;
     options.coldOverage = settings.coldOverage;
     options.coldSlack = settings.coldSlack;
+    options.list.drainBound = settings.drainBound;
+    options.list.contactTime = settings.contactTime;
     options.startPace.isEnabled = settings.isStartPaced;
     options.weights.bound = settings.weightsBound;
     options.weights.startedAt = TimePoint::clock::now();
--- a/src/relay/tests/watchcuttest.cpp
+++ b/src/relay/tests/watchcuttest.cpp
@@ -171,6 +171,19 @@
         runUntil([] { return false; }, 1s);
         ASSERT_TRUE(m_case.sendsTo("leaving"));
     }
+    /// The watch of the endpoints pauses after an event, and reads the removal after the next
+    /// answer.
+    void replaceEndpoint()
+    {
+        m_case.store.put("endpoints/new", Endpoint);
+        runUntil([] { return false; }, 50ms);
+        m_case.store.erase("endpoints/leaving");
+        m_case.removedAt = TimePoint::clock::now();
+    }
+    void runUntilBoundHasPassed()
+    {
+        runUntil([this] { return TimePoint::clock::now() > *m_case.removedAt + Bound; });
+    }
     template<class Condition>
     void runUntil(const Condition &condition, domain::Duration limit = 5s)
     {
@@ -185,6 +198,11 @@
     CutCase m_case{m_context, {0, 8}};
 };
 
+/// The store turns all calls away for this time.
+class ShortInterruptionFixture : public LostCallFixture,
+                                 public testing::WithParamInterface<std::chrono::milliseconds>
+{};
+
 // Regression: a waiting watch that the store cut off counted as an outage. Endpoints that had left
 // got requests until 2 s after it (review/10, DRAIN), and entries whose other copies were not read
 // again refused all requests for 3 s.
@@ -209,17 +227,31 @@
     callsToFail = 1;
     runUntil([&] { return callsToFail == 0; });
     ASSERT_EQ(callsToFail, 0);
-    // The watch of the endpoints pauses after an event, and reads the removal after the next
-    // answer.
-    m_case.store.put("endpoints/new", Endpoint);
-    runUntil([] { return false; }, 50ms);
-    m_case.store.erase("endpoints/leaving");
-    m_case.removedAt = TimePoint::clock::now();
-    runUntil([this] { return TimePoint::clock::now() > *m_case.removedAt + Bound; });
+    replaceEndpoint();
+    runUntilBoundHasPassed();
     EXPECT_FALSE(m_case.isSentTooLate);
     EXPECT_FALSE(m_case.isRefusing);
 }
 
+// Regression: a store that turned calls away for a moment after it had cut the watches counted as
+// an outage, and an endpoint that had left before got requests until 2 s after it (review/10).
+TEST_P(ShortInterruptionFixture, run_callsTurnedAwayAfterCut_noLateRequest)
+{
+    replaceEndpoint();
+    runUntil([] { return false; }, 300ms);
+    m_case.store.isDown = true;
+    m_case.store.reset();
+    runUntil([] { return false; }, GetParam());
+    m_case.store.isDown = false;
+    runUntilBoundHasPassed();
+    EXPECT_FALSE(m_case.isSentTooLate);
+    EXPECT_TRUE(m_case.sendsTo("staying") && m_case.sendsTo("new"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Durations, ShortInterruptionFixture,
+        testing::Values(100ms, 200ms, 400ms, 800ms),
+        [](const auto &info) { return std::to_string(info.param.count()) + "Ms"; });
+
 INSTANTIATE_TEST_SUITE_P(WatchEnds, WatchCutFixture,
         testing::Values(ResettableStore::WatchEnd::Reset,
                 ResettableStore::WatchEnd::AnswerWithoutChanges,
--- a/src/routing/endpointlist.h
+++ b/src/routing/endpointlist.h
@@ -49,9 +49,17 @@
     /// detect.
     double massRemovalShare = 0.3;
     std::size_t massRemovalMin = 3;
-    /// Endpoints removed by such a batch are retained for this long: less than the drain bound of
-    /// two seconds, so that endpoints that have really left get no requests after that bound.
+    /// Endpoints removed by such a batch are retained for this long, or until shortly before the
+    /// drain bound.
     domain::Duration massRemovalRetention = std::chrono::milliseconds(1400);
+    /// Operator's bound of the time from the acknowledgement of a removal until the last request to
+    /// the endpoint.
+    domain::Duration drainBound = std::chrono::milliseconds(2000);
+    /// Share of that bound after which no request is sent; the rest is for requests on their way.
+    double sendShareOfDrainBound = 0.9;
+    /// Operator's time from the end of an outage until a VM counts as being in touch, so that the
+    /// drain bound applies to it again.
+    domain::Duration contactTime = std::chrono::milliseconds(3000);
     /// After the store has returned from an older copy, a departure that it has lost stands for
     /// this long. An endpoint that has left writes nothing any more, so its record is removed again
     /// within a few seconds; one that is still listed after this time has not left.
@@ -60,6 +68,14 @@
     std::size_t maxDepartures = 4096;
 };
 
+/// An endpoint that a batch has removed, and until when it still gets requests: not at all, if it
+/// is not retained.
+struct EndpointRemoval
+{
+    domain::EndpointId id;
+    std::optional<domain::TimePoint> retainedUntil;
+};
+
 /// The endpoints in the platform's list, and those retained after an outage of its store.
 ///
 /// A store that has returned from an older copy lists endpoints as ready that this process has
@@ -70,14 +86,20 @@
     explicit EndpointList(EndpointListOptions options = {});
 
     /// Replaces the list: an endpoint that is missing is removed, or retained after an outage.
-    void replaceAll(const std::vector<ListedEndpoint> &endpoints, domain::TimePoint now);
+    /// madeAfter: the changes were acknowledged after this time, that of the last proof of the
+    /// list.
+    std::vector<EndpointRemoval> replaceAll(const std::vector<ListedEndpoint> &endpoints,
+            domain::TimePoint now, std::optional<domain::TimePoint> madeAfter = std::nullopt);
     /// Applies a batch of changes of a watch, in their order: a batch may hold several changes of
-    /// the same endpoint, of which the last one counts.
-    void apply(const std::vector<EndpointChange> &changes, domain::TimePoint now);
-    /// The store answers this process again after an outage.
-    void onStoreBack(domain::TimePoint now);
-    /// The next list reflects an older copy from which the store has returned.
-    void onEraChanged(domain::TimePoint now);
+    /// the same endpoint, of which the last one counts. madeAfter: see replaceAll().
+    std::vector<EndpointRemoval> apply(const std::vector<EndpointChange> &changes,
+            domain::TimePoint now, std::optional<domain::TimePoint> madeAfter = std::nullopt);
+    /// The store answers this process again after an outage in which records can have expired; it
+    /// was unreachable at least until the given time.
+    void onStoreBack(domain::TimePoint now, domain::TimePoint unreachableAt);
+    /// The next list reflects an older copy from which the store has returned, after the last proof
+    /// of this list.
+    void onEraChanged(domain::TimePoint now, domain::TimePoint provenAt);
     /// Shortens the retention by a time for which this VM was suspended.
     void onSuspended(domain::Duration time);
     /// Removes retained endpoints whose retention has ended.
@@ -103,7 +125,11 @@
         std::uint64_t number = 0;
     };
 
-    void remove(const std::vector<domain::EndpointId> &removed, domain::TimePoint now);
+    std::vector<EndpointRemoval> remove(const std::vector<domain::EndpointId> &removed,
+            domain::TimePoint now, domain::TimePoint madeAfter);
+    /// End of the retention of endpoints that a batch removes without notice, if any.
+    std::optional<domain::TimePoint> retentionEnd(
+            std::size_t removed, domain::TimePoint now, domain::TimePoint madeAfter) const;
     void removeDeparted(const domain::EndpointId &id);
     void recordDeparture(const ListedEndpoint &endpoint, bool isRemoval);
     /// The departure after which this state is listed although it was written before; null if the
--- a/src/routing/internal/endpointlist.cpp
+++ b/src/routing/internal/endpointlist.cpp
@@ -12,7 +12,8 @@
     : m_options(options)
 {}
 
-void EndpointList::replaceAll(const std::vector<ListedEndpoint> &endpoints, domain::TimePoint now)
+std::vector<EndpointRemoval> EndpointList::replaceAll(const std::vector<ListedEndpoint> &endpoints,
+        domain::TimePoint now, std::optional<domain::TimePoint> madeAfter)
 {
     std::set<domain::EndpointId> listed;
     for (const ListedEndpoint &endpoint : endpoints)
@@ -29,11 +30,13 @@
         if (listed.count(id) == 0)
             departure.keptOut.reset();
     }
-    apply(changes, now);
+    std::vector<EndpointRemoval> removals = apply(changes, now, madeAfter);
     m_isFirstListAwaited = false;
+    return removals;
 }
 
-void EndpointList::apply(const std::vector<EndpointChange> &changes, domain::TimePoint now)
+std::vector<EndpointRemoval> EndpointList::apply(const std::vector<EndpointChange> &changes,
+        domain::TimePoint now, std::optional<domain::TimePoint> madeAfter)
 {
     // An endpoint whose retention has ended has left before these changes.
     expire(now);
@@ -57,12 +60,14 @@
         m_endpoints.insert_or_assign(id, *change->endpoint);
         m_retainedUntil.erase(id);
     }
-    remove(removed, now);
     ++m_generation;
+    return remove(removed, now, madeAfter.value_or(now));
 }
 
-void EndpointList::remove(const std::vector<domain::EndpointId> &removed, domain::TimePoint now)
+std::vector<EndpointRemoval> EndpointList::remove(const std::vector<domain::EndpointId> &removed,
+        domain::TimePoint now, domain::TimePoint madeAfter)
 {
+    std::vector<EndpointRemoval> removals;
     std::vector<domain::EndpointId> unannounced;
     for (const domain::EndpointId &id : removed) {
         if (const auto departure = m_departures.find(id); departure != m_departures.end())
@@ -70,22 +75,41 @@
         const auto found = m_endpoints.find(id);
         if (found == m_endpoints.end())
             continue;
-        if (found->second.isDraining)
+        if (found->second.isDraining) {
             removeDeparted(id);
-        else
+            removals.push_back({id, std::nullopt});
+        } else {
             unannounced.push_back(id);
+        }
     }
-    const bool isMassRemoval = unannounced.size() >= m_options.massRemovalMin
-            && static_cast<double>(unannounced.size())
-                    >= m_options.massRemovalShare * static_cast<double>(m_endpoints.size());
+    const auto retainedUntil = retentionEnd(unannounced.size(), now, madeAfter);
     for (const domain::EndpointId &id : unannounced) {
-        if (now < m_outageRetentionUntil)
-            m_retainedUntil.emplace(id, m_outageRetentionUntil);
-        else if (isMassRemoval)
-            m_retainedUntil.emplace(id, now + m_options.massRemovalRetention);
+        if (retainedUntil)
+            m_retainedUntil.emplace(id, *retainedUntil);
         else
             removeDeparted(id);
+        removals.push_back({id, retainedUntil});
     }
+    return removals;
+}
+
+/// After an outage of the store the drain bound does not apply until the contact time has passed.
+/// Without one it counts from the acknowledgement, which may be as old as the last proof.
+std::optional<domain::TimePoint> EndpointList::retentionEnd(
+        std::size_t removed, domain::TimePoint now, domain::TimePoint madeAfter) const
+{
+    if (now < m_outageRetentionUntil)
+        return m_outageRetentionUntil;
+    const bool isMassRemoval = removed >= m_options.massRemovalMin
+            && static_cast<double>(removed)
+                    >= m_options.massRemovalShare * static_cast<double>(m_endpoints.size());
+    if (!isMassRemoval)
+        return std::nullopt;
+    const auto sendTime = std::chrono::duration_cast<domain::Duration>(
+            m_options.drainBound * m_options.sendShareOfDrainBound);
+    const domain::TimePoint end
+            = std::min(now + m_options.massRemovalRetention, madeAfter + sendTime);
+    return end > now ? std::optional(end) : std::nullopt;
 }
 
 void EndpointList::removeDeparted(const domain::EndpointId &id)
@@ -130,22 +154,25 @@
     return endpoint.sequence <= departure.sequence ? &departure : nullptr;
 }
 
-void EndpointList::onEraChanged(domain::TimePoint now)
+void EndpointList::onEraChanged(domain::TimePoint now, domain::TimePoint provenAt)
 {
-    onStoreBack(now);
+    onStoreBack(now, provenAt);
     m_lostDeparturesUntil = now + m_options.lostDepartureLifetime;
     m_isFirstListAwaited = true;
 }
 
-void EndpointList::onStoreBack(domain::TimePoint now)
+void EndpointList::onStoreBack(domain::TimePoint now, domain::TimePoint unreachableAt)
 {
-    m_outageRetentionUntil = now + m_options.outageRetention;
+    m_outageRetentionUntil
+            = std::min(now + m_options.outageRetention, unreachableAt + m_options.contactTime);
 }
 
 void EndpointList::onSuspended(domain::Duration time)
 {
     for (auto &[id, until] : m_retainedUntil)
         until -= time;
+    if (m_outageRetentionUntil != domain::TimePoint())
+        m_outageRetentionUntil -= time;
     if (m_lostDeparturesUntil != domain::TimePoint())
         m_lostDeparturesUntil -= time;
 }
--- a/src/routing/tests/endpointlisttest.cpp
+++ b/src/routing/tests/endpointlisttest.cpp
@@ -41,7 +41,7 @@
 // listed again within two seconds of its return, or removed then.
 TEST_F(EndpointListFixture, replaceAll_afterOutage_retainedTwoSecondsThenRemoved)
 {
-    m_list.onStoreBack(m_now);
+    m_list.onStoreBack(m_now, m_now);
     m_list.replaceAll({endpoint("e0")}, m_now + 50ms);
     EXPECT_TRUE(has("e3"));
     m_list.apply({{EndpointId("e4"), endpoint("e4")}}, m_now + 1s);
@@ -77,7 +77,7 @@
     ListedEndpoint draining = endpoint("e5");
     draining.isDraining = true;
     m_list.apply({{draining.id, draining}}, m_now);
-    m_list.onStoreBack(m_now);
+    m_list.onStoreBack(m_now, m_now);
     m_list.replaceAll({endpoint("e0")}, m_now);
     EXPECT_FALSE(has("e5"));
 }
@@ -123,7 +123,7 @@
     /// The store is back with the states that it had when the sequences were at this number.
     void restore(std::uint64_t sequence)
     {
-        m_list.onEraChanged(m_now);
+        m_list.onEraChanged(m_now, m_now);
         m_list.replaceAll(readyStates(sequence), m_now);
     }
     /// The endpoint gets requests.
@@ -173,7 +173,7 @@
     remove("e2");
     apply(state("e2", 1, 2000));
     m_now += 5s;
-    m_list.onEraChanged(m_now);
+    m_list.onEraChanged(m_now, m_now);
     m_list.replaceAll({state("e1", 1, 900), state("e2", 1, 2000)}, m_now);
     EXPECT_FALSE(isReady("e1"));
     EXPECT_TRUE(isReady("e2"));
@@ -185,7 +185,7 @@
 // within two seconds of the return, or removed then.
 TEST_F(RestoredListFixture, replaceAll_missingInCopy_retainedTwoSecondsThenRemoved)
 {
-    m_list.onEraChanged(m_now);
+    m_list.onEraChanged(m_now, m_now);
     m_list.replaceAll({state("e0", 10)}, m_now);
     EXPECT_TRUE(isReady("e3"));
     m_list.apply({{EndpointId("e4"), state("e4", 11)}}, m_now + 1s);
