Log the built revision and what an engine without weights lacks

The event started has the commit of the build, refreshed with each build. The event weights_awaited names the next thing that an engine without weights lacks, once per change.

--- a/src/agent/internal/main.cpp
+++ b/src/agent/internal/main.cpp
@@ -1,6 +1,7 @@
 #include "agent/internal/agentprocess.h"
 #include "domain/allocator.h"
 #include "domain/leafresult.h"
+#include "observability/buildrevision.h"
 #include "observability/log.h"
 #include "relayagent/relayagentprocess.h"
 #include "settings/settingsloader.h"
@@ -50,7 +51,9 @@
     return leaf::try_handle_all(
             [&]() -> leaf::result<int> {
                 BOOST_LEAF_CHECK(domain::toLeaf(process.start()));
-                logEvent(Severity::Info, "started", {{"version", ORIOLERILL_VERSION}});
+                logEvent(Severity::Info, "started",
+                        {{"version", ORIOLERILL_VERSION},
+                                {"revision", observability::buildRevision()}});
                 const int number = signal.wait();
                 logEvent(Severity::Info, "stopping", {{"signal", number}});
                 process.stop();
--- a/src/entry/internal/main.cpp
+++ b/src/entry/internal/main.cpp
@@ -5,6 +5,7 @@
 #include "domain/allocator.h"
 #include "domain/leafresult.h"
 #include "entry/internal/entryprocess.h"
+#include "observability/buildrevision.h"
 #include "observability/log.h"
 #include "relay/relayprocess.h"
 #include "settings/settingsloader.h"
@@ -36,7 +37,9 @@
     return leaf::try_handle_all(
             [&]() -> leaf::result<ExitCode> {
                 BOOST_LEAF_CHECK(domain::toLeaf(process.start()));
-                logEvent(Severity::Info, "started", {{"version", ORIOLERILL_VERSION}});
+                logEvent(Severity::Info, "started",
+                        {{"version", ORIOLERILL_VERSION},
+                                {"revision", observability::buildRevision()}});
                 const int number = signal.wait();
                 logEvent(Severity::Info, "stopping", {{"signal", number}});
                 process.stop();
--- a/src/relay/internal/relayprocess.cpp
+++ b/src/relay/internal/relayprocess.cpp
@@ -1,6 +1,7 @@
 #include "relay/relayprocess.h"
 
 #include "objectstore/collectionexchange.h"
+#include "observability/buildrevision.h"
 #include "observability/log.h"
 #include "observability/metrics.h"
 #include "observability/persistentloop.h"
@@ -142,7 +143,8 @@
         keepRunning("signals", [this] { return handleSignals(); });
         keepRunning("settings", [this] { return watchSettings(); });
         logEvent(Severity::Info, "started",
-                {{"version", ORIOLERILL_VERSION}, {"caller", m_settings.listenCaller.toString()},
+                {{"version", ORIOLERILL_VERSION}, {"revision", observability::buildRevision()},
+                        {"caller", m_settings.listenCaller.toString()},
                         {"store", m_settings.storeAddress.toString()}});
         observability::runUntilStopped(m_context);
         logEvent(Severity::Info, "stopped", {{"requests", m_relay.requestsInFlight.size()}});
--- a/src/relayagent/internal/relayagentprocess.cpp
+++ b/src/relayagent/internal/relayagentprocess.cpp
@@ -1,6 +1,7 @@
 #include "relayagent/relayagentprocess.h"
 
 #include "objectstore/collectionexchange.h"
+#include "observability/buildrevision.h"
 #include "observability/log.h"
 #include "observability/metrics.h"
 #include "observability/persistentloop.h"
@@ -114,7 +115,8 @@
         keepRunning("keeper", [this] { return m_updater.run(); });
         keepRunning("signals", [this] { return handleSignals(); });
         logEvent(Severity::Info, "started",
-                {{"version", ORIOLERILL_VERSION}, {"engine", m_settings.engineAddress.toString()},
+                {{"version", ORIOLERILL_VERSION}, {"revision", observability::buildRevision()},
+                        {"engine", m_settings.engineAddress.toString()},
                         {"store", m_settings.storeAddress.toString()}});
         observability::runUntilStopped(m_context);
         logEvent(Severity::Info, "stopped");
--- a/src/relayagent/internal/weightsupdater.cpp
+++ b/src/relayagent/internal/weightsupdater.cpp
@@ -216,6 +216,7 @@
 {
     for (;;) {
         co_await step();
+        logAwaited();
         sendHoldings();
         co_await wait(StepInterval);
     }
@@ -275,6 +276,34 @@
     return served == m_reporter.state()->weights.end() ? 0 : served->second;
 }
 
+const char *WeightsUpdater::awaitedByEngine() const
+{
+    if (!m_reporter.state())
+        return "engine_report";
+    if (servedVersion() != 0)
+        return "nothing";
+    if (m_fleet.model().isEmpty() || !m_fleet.origin())
+        return "configuration";
+    const std::vector<std::uint64_t> wanted = wantedVersions();
+    if (wanted.empty())
+        return m_unnamed.areNamedVersionsRead() ? "newest_version" : "named_versions";
+    const auto found = m_transfers.find({m_fleet.model(), wanted.front()});
+    if (found == m_transfers.end())
+        return "manifest";
+    return found->second->isComplete() ? "load" : "pieces";
+}
+
+void WeightsUpdater::logAwaited()
+{
+    const std::string_view awaited = awaitedByEngine();
+    if (awaited == m_loggedAwaited)
+        return;
+    m_loggedAwaited = awaited;
+    logEvent(Severity::Info, "weights_awaited",
+            {{"for", awaited}, {"members", m_fleet.members().size()},
+                    {"origin_requests", m_origin.plan() ? "planned" : "unplanned"}});
+}
+
 asio::awaitable<void> WeightsUpdater::step()
 {
     if (!m_reporter.state() || !co_await refreshConfig() || !m_reporter.state())
--- a/src/relayagent/internal/weightsupdater.h
+++ b/src/relayagent/internal/weightsupdater.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string_view>
 
 namespace oriolerill::relayagent::internal {
 
@@ -77,6 +78,9 @@
     boost::asio::awaitable<void> findNewest();
     rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer);
     std::uint64_t servedVersion() const;
+    /// The next thing that an engine without weights lacks, for the log; "nothing" for others.
+    const char *awaitedByEngine() const;
+    void logAwaited();
     boost::asio::awaitable<Transfer> transferOf(Version version);
     /// Sets when a search without a result is repeated.
     void scheduleSearch(
@@ -133,6 +137,7 @@
     std::map<Version, ManifestSearch> m_manifestSearches;
     ManifestSearch m_newestSearch;
     bool m_isSearchingNewest = false;
+    std::string_view m_loggedAwaited;
     domain::TimePoint m_configReadAt;
     bool m_hasOriginFailed = false;
     /// When service facts were last received from an entry.
--- a/src/rollout/unnamedversion.h
+++ b/src/rollout/unnamedversion.h
@@ -30,6 +30,7 @@
     void setModel(const domain::ModelId &model);
     /// The named versions of the store have been received, even if there are none.
     void onNamedVersionsRead() { m_areNamedVersionsRead = true; }
+    bool areNamedVersionsRead() const { return m_areNamedVersionsRead; }
     /// The engine of this VM serves the version, or this VM holds its manifest.
     void onConfirmed(std::uint64_t version);
     /// The origin stated its newest version.
