Check before sending that the chosen endpoint has not left

Found by reading; no caller's report is traced to it.

Cause: an attempt checked configuration, version and age of its choice after connecting, but not the list.

Change: Dispatcher::mayStillTake() is asked before the request is sent; otherwise another endpoint is chosen. Nothing has been sent by then, so the repeat is free and within the promise.

DepartedChoiceFixture: the three tests in which the endpoint is removed, drains or is withdrawn failed without the check, with the request received by the endpoint that had left; all four pass now.

--- a/src/relay/internal/endpointattempt.cpp
+++ b/src/relay/internal/endpointattempt.cpp
@@ -112,7 +112,9 @@
             && m_context.dispatcher.weights().requiredVersion(
                        m_request->caller.model, TimePoint::clock::now())
                     > dispatch().servedWeights;
-    if (isConfigurationOutdated || isVersionOutdated
+    const bool isEndpointGone
+            = !m_context.dispatcher.mayStillTake(dispatch(), TimePoint::clock::now());
+    if (isConfigurationOutdated || isVersionOutdated || isEndpointGone
             || m_request->policy->isChoiceOutdated(sendAt - chosenAt)) {
         m_isChoiceOutdated = true;
         m_detail = "the choice is out of date";
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -226,6 +226,9 @@
     /// half of its part of the endpoint's connection limit; the other half is for requests in
     /// progress.
     std::size_t maxIdleConnections(const domain::ServiceId &service) const;
+    /// Whether the endpoint may still get the request that it was chosen for. It may have left
+    /// since then, or its data centre may have been withdrawn.
+    bool mayStillTake(const Dispatch &dispatch, domain::TimePoint now);
     /// The request was handed to the chosen endpoint.
     void onSent(const Dispatch &dispatch, domain::TimePoint now);
     /// The answer to the request that was sent at this time has begun.
--- a/src/routing/internal/dispatcher.cpp
+++ b/src/routing/internal/dispatcher.cpp
@@ -646,6 +646,14 @@
     return std::clamp<std::size_t>(spec->maxConnections / m_share.entries / 2, 1, MaxIdle);
 }
 
+bool Dispatcher::mayStillTake(const Dispatch &dispatch, domain::TimePoint now)
+{
+    m_endpoints.expire(now);
+    const ListedEndpoint *endpoint = m_endpoints.find(dispatch.endpoint);
+    return endpoint != nullptr && !endpoint->isDraining && !m_notices.isLeaving(*endpoint)
+            && !isWithdrawn(endpoint->dataCentre);
+}
+
 void Dispatcher::onSent(const Dispatch &dispatch, domain::TimePoint now)
 {
     load(dispatch.endpoint).onSent(now);
