--- a/src/relayagent/internal/weightsupdater.cpp
+++ b/src/relayagent/internal/weightsupdater.cpp
@@ -276,7 +276,7 @@
     return served == m_reporter.state()->weights.end() ? 0 : served->second;
 }
 
-const char *WeightsUpdater::awaitedByEngine() const
+std::string_view WeightsUpdater::awaitedByEngine() const
 {
     if (!m_reporter.state())
         return "engine_report";
--- a/src/relayagent/internal/weightsupdater.h
+++ b/src/relayagent/internal/weightsupdater.h
@@ -79,7 +79,7 @@
     rollout::WantedVersion describe(std::uint64_t number, const Transfer &transfer);
     std::uint64_t servedVersion() const;
     /// The next thing that an engine without weights lacks, for the log; "nothing" for others.
-    const char *awaitedByEngine() const;
+    std::string_view awaitedByEngine() const;
     void logAwaited();
     boost::asio::awaitable<Transfer> transferOf(Version version);
     /// Sets when a search without a result is repeated.
--- a/src/routing/internal/outagedetector.cpp
+++ b/src/routing/internal/outagedetector.cpp
@@ -10,7 +10,7 @@
 
 /// A record expires after three heartbeats without a renewal, and was renewed within the last one
 /// before the outage.
-constexpr int HeartbeatsUntilExpiry = 2;
+constexpr int HeartbeatsWithoutExpiry = 2;
 
 } // namespace
 
@@ -25,9 +25,8 @@
 
 void OutageDetector::onFailed(TimePoint sentAt)
 {
-    if (!m_firstFailedAt)
-        m_firstFailedAt = m_lastFailedAt = sentAt;
-    m_firstFailedAt = std::min(*m_firstFailedAt, sentAt);
+    // Calls end in another order than they were sent in.
+    m_firstFailedAt = std::min(m_firstFailedAt.value_or(sentAt), sentAt);
     m_lastFailedAt = std::max(m_lastFailedAt, sentAt);
 }
 
@@ -43,7 +42,7 @@
     // The time since the last answer alone does not show an outage: a process may call the store
     // rarely, and its VM may have been suspended.
     const bool isObserved = m_lastFailedAt - *m_firstFailedAt >= m_options.heartbeat;
-    const bool canExpire = now - m_answeredAt >= m_options.heartbeat * HeartbeatsUntilExpiry;
+    const bool canExpire = now - m_answeredAt >= m_options.heartbeat * HeartbeatsWithoutExpiry;
     m_firstFailedAt.reset();
     if (!isObserved || !canExpire)
         return std::nullopt;
--- a/src/routing/outagedetector.h
+++ b/src/routing/outagedetector.h
@@ -2,7 +2,6 @@
 
 #include "domain/timepoint.h"
 
-#include <cstdint>
 #include <optional>
 
 namespace oriolerill::routing {
@@ -13,8 +12,8 @@
     domain::Duration heartbeat = std::chrono::milliseconds(1200);
 };
 
-/// Tells outages of the store in which records of live endpoints can expire from lost calls and
-/// short interruptions, in which none can.
+/// Distinguishes outages of the store in which records of live endpoints can expire from lost calls
+/// and short interruptions, in which none can.
 ///
 /// Failure pattern: a store that has been unreachable lists only the endpoints that could renew
 /// their records. Without I/O and clock.
