Close control sockets on a thread of their own: a stop always ends

Cause: a message that arrives while nng 1.5.2 closes its connection leaves a receive operation neither completed nor cancelled, and the only thread that releases connections waits for it. Every nng_close() of the process waits from then on: the one of the stop, and those on the workers, which closed the sockets of timed-out requests. Evidence: nng_close() is the only call between the two log lines that waits; six servers and clients in one process hang in most runs, with and without a stop; gdb shows the releasing thread waiting, nng's other threads idle (docs/incidents/2026-12-07-control-close.md).

--- a/src/transport/internal/nngcontrolclient.cpp
+++ b/src/transport/internal/nngcontrolclient.cpp
@@ -1,5 +1,7 @@
 #include "transport/nngcontrolclient.h"
 
+#include "transport/internal/socketcloser.h"
+
 #include <boost/asio/post.hpp>
 
 #include <nng/nng.h>
@@ -19,11 +21,18 @@
 using domain::ErrorKind;
 using domain::Expected;
 
-/// An nng request socket to one peer; closed when the last pending request is done.
+// A socket whose request has timed out stays open for the late reply, which would else arrive while
+// its connection is being closed (see SocketCloser). Peers reply within milliseconds, or after the
+// fault that delayed the reply.
+constexpr auto LateReplyTime = std::chrono::seconds(2);
+
+/// An nng request socket to one peer; closed some time after the last pending request is done.
 class PeerSocket
 {
 public:
-    PeerSocket(const domain::SocketAddress &peer, const std::string &sourceHost)
+    PeerSocket(const domain::SocketAddress &peer, const std::string &sourceHost,
+            std::shared_ptr<SocketCloser> closer)
+        : m_closer(std::move(closer))
     {
         if (nng_req0_open(&m_socket) != 0)
             return;
@@ -41,7 +50,7 @@
     ~PeerSocket()
     {
         if (m_isOpen)
-            nng_close(m_socket);
+            m_closer->close(m_socket, domain::TimePoint::clock::now() + LateReplyTime);
     }
     PeerSocket(const PeerSocket &) = delete;
     PeerSocket &operator=(const PeerSocket &) = delete;
@@ -49,6 +58,7 @@
     nng_socket handle() const { return m_socket; }
 
 private:
+    std::shared_ptr<SocketCloser> m_closer;
     nng_socket m_socket = NNG_SOCKET_INITIALIZER;
     bool m_isOpen = false;
 };
@@ -88,6 +98,7 @@
 
     boost::asio::any_io_executor m_executor;
     std::string m_sourceHost;
+    std::shared_ptr<SocketCloser> m_closer = std::make_shared<SocketCloser>();
     std::mutex m_mutex;
     std::map<domain::SocketAddress, std::shared_ptr<PeerSocket>> m_sockets;
 };
@@ -133,7 +144,7 @@
     const std::scoped_lock lock(m_mutex);
     std::shared_ptr<PeerSocket> &socket = m_sockets[peer];
     if (!socket)
-        socket = std::make_shared<PeerSocket>(peer, m_sourceHost);
+        socket = std::make_shared<PeerSocket>(peer, m_sourceHost, m_closer);
     return socket;
 }
 
--- a/src/transport/internal/nngcontrolserver.cpp
+++ b/src/transport/internal/nngcontrolserver.cpp
@@ -1,5 +1,7 @@
 #include "transport/nngcontrolserver.h"
 
+#include "transport/internal/socketcloser.h"
+
 #include <boost/asio/post.hpp>
 
 #include <nng/nng.h>
@@ -7,6 +9,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,7 +47,6 @@
     {}
     ~Implementation()
     {
-        close();
         for (const std::unique_ptr<Slot> &slot : m_slots)
             nng_aio_free(slot->aio);
     }
@@ -69,10 +71,12 @@
         return Done{};
     }
 
-    void close()
+    /// Ends the handling of requests; the socket that is to be closed, if it is open.
+    std::optional<nng_socket> release()
     {
-        if (m_isOpen.exchange(false))
-            nng_close(m_socket);
+        if (!m_isOpen.exchange(false))
+            return std::nullopt;
+        return m_socket;
     }
 
 private:
@@ -134,6 +138,8 @@
         const bool isParsed = request.ParseFromArray(
                 nng_msg_body(message), static_cast<int>(nng_msg_len(message)));
         nng_msg_free(message);
+        if (!m_isOpen)
+            return;
         if (!isParsed) {
             send(slot, malformedRequestReply());
             return;
@@ -180,6 +186,7 @@
         boost::asio::any_io_executor executor, domain::SocketAddress listenAddress)
     : m_implementation(
             std::make_shared<Implementation>(std::move(executor), std::move(listenAddress)))
+    , m_closer(std::make_unique<SocketCloser>())
 {}
 
 NngControlServer::~NngControlServer()
@@ -194,7 +201,10 @@
 
 void NngControlServer::stop()
 {
-    m_implementation->close();
+    // The callbacks of the socket use the implementation until it is closed.
+    if (const auto socket = m_implementation->release())
+        m_closer->close(*socket, domain::TimePoint::clock::now(), m_implementation);
+    m_closer->waitUntilClosed();
 }
 
 } // namespace oriolerill::transport
--- a/src/transport/nngcontrolserver.h
+++ b/src/transport/nngcontrolserver.h
@@ -9,6 +9,8 @@
 
 namespace oriolerill::transport {
 
+class SocketCloser;
+
 /// Control server over an nng reply socket.
 class NngControlServer : public IControlServer
 {
@@ -25,6 +27,7 @@
 private:
     class Implementation;
     std::shared_ptr<Implementation> m_implementation;
+    std::unique_ptr<SocketCloser> m_closer;
 };
 
 } // namespace oriolerill::transport
